--- /dev/null
+++ b/Makefile
@@ -0,0 +1,107 @@
+# Targets: all, check, demo, bench, soak, capacity, format, lint, install.
+CC ?= cc
+PREFIX ?= /usr/local
+DESTDIR ?=
+BUILD ?= build
+SANITIZE ?=
+WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wwrite-strings -Wformat=2
+CPPFLAGS += -D_GNU_SOURCE -Isrc -Itests
+CFLAGS += -std=gnu11 -O2 -g -fno-omit-frame-pointer -pthread $(WARNINGS)
+LDLIBS = -lcivetweb -lzmq -lmsgpackc -ljansson -linih -lcsv -largtable2 \
+	-lurcu -lxxhash -lb64 -lm -ldl -lpthread
+ifneq ($(SANITIZE),)
+CFLAGS += -fsanitize=$(SANITIZE) -fno-sanitize-recover=all
+LDFLAGS += -fsanitize=$(SANITIZE)
+endif
+
+# Programs have their main() in these files; all else goes into one library.
+MAINS = src/waxwingd.c src/waxwingctl.c
+LIB_SRC = $(filter-out $(MAINS) $(wildcard src/cmd-*.c),$(wildcard src/*.c))
+CTL_SRC = src/waxwingctl.c $(wildcard src/cmd-*.c)
+# Stand-ins and tools of the tests; helpers that several of them share.
+TOOL_SRC = $(wildcard tests/fake-*.c tests/fault-*.c tests/load-*.c \
+	tests/bench-*.c tests/journal-*.c)
+SUPPORT_SRC = $(wildcard tests/support-*.c)
+TEST_SRC = $(wildcard tests/test-*.c)
+# Tests that start processes; the rest are unit programs.
+ITEST_SRC = $(wildcard tests/itest-*.c)
+
+obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
+bin = $(patsubst tests/%.c,$(BUILD)/%,$(1))
+LIB = $(BUILD)/libwaxwing.a
+SUPPORT = $(BUILD)/libsupport.a
+PROGRAMS = $(patsubst src/%.c,$(BUILD)/%,$(wildcard $(MAINS)))
+TOOLS = $(call bin,$(TOOL_SRC))
+TESTS = $(call bin,$(TEST_SRC))
+ITESTS = $(call bin,$(ITEST_SRC))
+ALL_SRC = $(wildcard src/*.[ch] tests/*.[ch])
+
+all: $(PROGRAMS) $(TOOLS)
+
+tests: $(TESTS) $(ITESTS)
+
+unit-tests: $(TESTS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(LIB): $(call obj,$(LIB_SRC))
+	rm -f $@ && $(AR) rcs $@ $^
+
+$(SUPPORT): $(call obj,$(SUPPORT_SRC))
+	rm -f $@ && $(AR) rcs $@ $^
+
+$(BUILD)/waxwingd: $(call obj,src/waxwingd.c) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/waxwingctl: $(call obj,$(CTL_SRC)) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(TOOLS): $(BUILD)/%: $(BUILD)/tests/%.o $(SUPPORT) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(TESTS) $(ITESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(SUPPORT) $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
+
+deps:
+	scripts/install-deps
+
+check: deps
+	$(MAKE) all tests
+	scripts/run-tests $(BUILD)
+
+demo: deps
+	$(MAKE) all
+	scripts/demo $(BUILD)
+
+bench: deps
+	$(MAKE) all
+	scripts/bench $(BUILD) "$(SCENARIO)"
+
+format:
+	clang-format -i $(ALL_SRC)
+
+lint:
+	clang-format --dry-run -Werror $(ALL_SRC)
+	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
+		--enable=warning,performance,portability \
+		--suppress=missingIncludeSystem --suppress=unknownMacro \
+		-j 8 -D_GNU_SOURCE -Isrc -Itests src tests
+	if ls man/*.[0-9] >/dev/null 2>&1; then \
+		mandoc -Tlint -Wwarning man/*.[0-9]; fi
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/sbin $(DESTDIR)$(PREFIX)/bin
+	install -m 755 $(BUILD)/waxwingd $(DESTDIR)$(PREFIX)/sbin/
+	install -m 755 $(BUILD)/waxwingctl $(DESTDIR)$(PREFIX)/bin/
+	for page in man/*.[0-9]; do \
+		dir=$(DESTDIR)$(PREFIX)/share/man/man$${page##*.}; \
+		install -d $$dir && install -m 644 $$page $$dir/; done
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all tests unit-tests deps check demo bench format lint install clean
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/core.h
@@ -0,0 +1,251 @@
+#ifndef CORE_H
+#define CORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "rng.h"
+#include "sheet.h"
+
+/*
+ * NAME
+ *	core - typed events and actions of the decision core
+ *
+ * DESCRIPTION
+ *	The decision core has no sockets, threads or clocks. Its driver passes
+ *	an event and the time, and executes the actions that the step appended.
+ *	Two parts are driven separately: flow (admission and routing, one
+ *	instance a process) and place (placement and task life cycle, one
+ *	instance a shard). The shard's log is in oplog.h, claims in claims.h.
+ *
+ * UNITS
+ *	Times are microseconds of CLOCK_BOOTTIME (clock.h). Requests, targets,
+ *	workers and tasks are small handles: indices into tables of the core.
+ */
+
+/* ---- flow: admission and routing ---- */
+
+enum flow_event_type {
+	FLOW_REQUEST, /* a caller's request arrived */
+	FLOW_CANCEL,  /* its caller is gone */
+	FLOW_RESULT,  /* an attempt at a target ended */
+	FLOW_TARGET,  /* a target appeared or changed */
+	FLOW_TARGET_GONE,
+	FLOW_PROBE,  /* a target's own report */
+	FLOW_SEAT,   /* this process's part of the targets' slots */
+	FLOW_POLICY, /* a new sheet; its pointer stays valid until the next */
+	FLOW_TICK,   /* every 10 ms or so: deadlines, breakers, hedges */
+};
+
+enum flow_outcome {
+	FLOW_OK,
+	FLOW_FAILED,   /* the target answered with an error */
+	FLOW_REFUSED,  /* the target answered that it did not run it */
+	FLOW_NOT_SENT, /* no byte left */
+	FLOW_TIMEOUT,  /* bytes left and no whole answer came in time */
+	FLOW_LOST,     /* bytes left and the connection ended */
+};
+
+enum flow_reason {
+	FLOW_REASON_NONE,
+	FLOW_REASON_QUEUE_FULL,
+	FLOW_REASON_DEADLINE,
+	FLOW_REASON_KIND_LIMIT,
+	FLOW_REASON_TEAM_LIMIT,
+	FLOW_REASON_MEMORY,
+	FLOW_REASON_NO_TARGET,
+	FLOW_REASON_NO_POLICY,
+	FLOW_REASON_UNKNOWN_KIND,
+	FLOW_REASON_DRAINING,
+	FLOW_REASON_DISPLACED, /* made room for a kind below its share */
+	FLOW_REASON_RETRY_BUDGET,
+	FLOW_REASON_TARGET_FAILED,
+};
+
+struct flow_event {
+	enum flow_event_type type;
+	union {
+		struct {
+			uint32_t handle; /* chosen by the driver, below 65536 */
+			int32_t kind;	 /* index into the sheet */
+			int32_t team;	 /* index into the sheet, or -1 */
+			enum urgency urgency;
+			bool idempotent;
+			uint64_t deadline_us;
+			uint32_t bytes;
+		} request;
+		struct {
+			uint32_t handle;
+		} cancel;
+		struct {
+			uint32_t handle;
+			uint32_t target;
+			uint32_t attempt;
+			enum flow_outcome outcome;
+			uint64_t service_us; /* from first byte to last */
+		} result;
+		struct {
+			uint32_t target; /* chosen by the driver */
+			uint64_t hash;	 /* of the target's id, for the split */
+			uint32_t slots;
+			uint32_t connections;
+			bool leaving;
+		} target;
+		struct {
+			uint32_t target;
+			uint32_t busy;
+			bool draining;
+			bool answered;
+			uint64_t sampled_us;
+		} probe;
+		struct {
+			uint32_t index;
+			uint32_t count;
+			uint32_t previous_index;
+			uint32_t previous_count; /* 0: growth is confirmed */
+		} seat;
+		const struct sheet *policy;
+	};
+};
+
+enum flow_action_type {
+	FLOW_SEND,   /* send the request to the target now */
+	FLOW_FINISH, /* no further attempt; tell the caller the outcome */
+	FLOW_REFUSE, /* tell the caller "not run", with the reason */
+	FLOW_ASK,    /* GET /status of the target */
+};
+
+struct flow_action {
+	enum flow_action_type type;
+	uint32_t handle;
+	uint32_t target;
+	uint32_t passed_over; /* the second candidate, or UINT32_MAX */
+	uint32_t attempt;
+	enum flow_outcome outcome; /* FLOW_FINISH */
+	enum flow_reason reason;
+	uint64_t queued_us;  /* time spent in the queue */
+	uint64_t timeout_us; /* FLOW_SEND: give up after this time */
+};
+
+struct flow_actions {
+	struct flow_action *items;
+	size_t count;
+	size_t capacity;
+};
+
+struct flow_options {
+	bool random_routing;
+	bool fifo_admission;
+	uint32_t retry_budget_percent; /* 0 = unlimited, the baseline */
+	uint32_t queue_limit;
+	size_t team_bytes_limit;
+	uint64_t seed;
+};
+
+struct flow;
+
+struct flow *flow_create(const struct flow_options *o);
+void flow_destroy(struct flow *f);
+void flow_step(struct flow *f, uint64_t now_us, const struct flow_event *e,
+	       struct flow_actions *out);
+
+/* ---- place: placement and task life cycle ---- */
+
+#define PLACE_NAME_BYTES 64
+#define PLACE_SPEC_BYTES 256
+
+enum task_state {
+	TASK_PENDING,
+	TASK_STARTING,
+	TASK_RUNNING,
+	TASK_STOPPING,
+	TASK_EVICTED,
+	TASK_DONE,
+	TASK_FAILED,
+	TASK_CANCELLED,
+	TASK_IMPOSSIBLE,
+};
+
+struct placement_spec {
+	char id[PLACE_NAME_BYTES];
+	char user[SHEET_NAME_BYTES];
+	char team[SHEET_NAME_BYTES];
+	char kind[SHEET_NAME_BYTES];
+	bool service; /* false: batch */
+	enum urgency urgency;
+	uint32_t count;
+	uint32_t cpu_milli;
+	uint32_t memory_mb;
+	uint32_t accelerators;
+	bool yields;
+	bool spread_racks;
+	uint32_t max_run_ms;	     /* 0: none */
+	char spec[PLACE_SPEC_BYTES]; /* opaque */
+};
+
+enum place_event_type {
+	PLACE_CREATE, /* an operator's placement */
+	PLACE_CANCEL,
+	PLACE_WORKER,	    /* a worker appeared or changed */
+	PLACE_WORKER_GONE,  /* the VM no longer exists */
+	PLACE_STARTED,	    /* answer to PLACE_START */
+	PLACE_STOPPED,	    /* answer to PLACE_STOP */
+	PLACE_CHECKPOINTED, /* answer to PLACE_CHECKPOINT */
+	PLACE_REPORT,	    /* a task's state on a worker, read or in usage */
+	PLACE_USAGE,	    /* a lagging usage sample of one task */
+	PLACE_POLICY,	    /* a new sheet */
+	PLACE_TICK,
+};
+
+enum place_answer {
+	PLACE_ANSWER_OK,
+	PLACE_ANSWER_ABSENT, /* confirmed: does not run there */
+	PLACE_ANSWER_NO_ROOM,
+	PLACE_ANSWER_STALE,
+	PLACE_ANSWER_FAILED,
+	PLACE_ANSWER_UNKNOWN, /* it may have taken effect */
+};
+
+struct place_event {
+	enum place_event_type type;
+	const struct placement_spec *placement; /* PLACE_CREATE */
+	const char *id;		/* placement, worker or task id */
+	const char *worker;	/* PLACE_REPORT, PLACE_USAGE */
+	const char *rack;	/* PLACE_WORKER */
+	const char *checkpoint; /* or NULL */
+	uint32_t attempt;
+	enum place_answer answer;
+	enum task_state state; /* PLACE_REPORT */
+	bool leaving;	       /* PLACE_WORKER */
+	uint32_t cpu_milli;    /* capacity or usage */
+	uint32_t memory_mb;
+	uint32_t accelerators;
+	uint32_t latency_p99_us; /* PLACE_USAGE of a service; 0: none */
+	uint64_t at_us;		 /* time of the usage sample */
+	const struct sheet *policy;
+};
+
+enum place_action_type {
+	PLACE_START,
+	PLACE_STOP,
+	PLACE_CHECKPOINT,
+	PLACE_THROTTLE,
+	PLACE_RENEW,  /* all tasks of one worker */
+	PLACE_APPEND, /* a log entry; executed before later actions */
+};
+
+struct place_action {
+	enum place_action_type type;
+	char task[PLACE_NAME_BYTES + 12];
+	char worker[PLACE_NAME_BYTES];
+	char checkpoint[PLACE_NAME_BYTES];
+	uint32_t attempt;
+	uint32_t cpu_milli;
+	uint32_t memory_mb;
+	uint32_t accelerators;
+	uint32_t percent; /* PLACE_THROTTLE */
+	char spec[PLACE_SPEC_BYTES];
+};
+
+#endif
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,30 @@
+#ifndef LOG_H
+#define LOG_H
+
+/*
+ * NAME
+ *	log - one line an event, key=value, on standard error
+ *
+ * DESCRIPTION
+ *	log_event() writes "ts=... level=... node=... event=NAME ..." in one
+ *	write(2), so that lines of several threads do not mix. The rest of
+ *	the line is the formatted text, by convention more key=value pairs.
+ *	A line is cut at LOG_LINE_BYTES.
+ */
+
+#define LOG_LINE_BYTES 1024
+
+enum log_level { LOG_DEBUG, LOG_INFO, LOG_WARNING, LOG_ERROR };
+
+/* Sets the node id that every line carries; copied. */
+void log_set_node(const char *node);
+void log_set_level(enum log_level level);
+enum log_level log_get_level(void);
+
+/* Parses "debug", "info", "warning" or "error". Returns 0, or -1. */
+int log_level_parse(const char *text, enum log_level *level);
+
+void log_event(enum log_level level, const char *event, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+#endif
--- /dev/null
+++ b/src/platform.h
@@ -0,0 +1,131 @@
+#ifndef PLATFORM_H
+#define PLATFORM_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "buffer.h"
+#include "error.h"
+#include "settings.h"
+
+/*
+ * NAME
+ *	platform - what the platform offers, behind one vtable
+ *
+ * DESCRIPTION
+ *	All functions block and may be called from any thread. Another dialect
+ *	of the platform is one more file that fills a struct platform_ops.
+ *
+ * ERRORS
+ *	Layer ERROR_LAYER_PLATFORM:
+ *	PLATFORM_UNREACHABLE	the call did not take effect
+ *	PLATFORM_UNKNOWN	the call may have taken effect (answer lost)
+ *	PLATFORM_REFUSED	the platform answered with an error
+ *	PLATFORM_MALFORMED	the answer could not be understood
+ *	PLATFORM_STALE		a worker knows a higher fencing token
+ *	PLATFORM_NO_ROOM	a worker has no room for the task
+ *
+ * UNITS
+ *	Times in microseconds unless the name says otherwise.
+ */
+
+enum platform_error {
+	PLATFORM_UNREACHABLE = 1,
+	PLATFORM_UNKNOWN,
+	PLATFORM_REFUSED,
+	PLATFORM_MALFORMED,
+	PLATFORM_STALE,
+	PLATFORM_NO_ROOM,
+};
+
+struct kv_pair {
+	char *key;
+	char *value; /* value_len bytes and a NUL */
+	size_t value_len;
+	uint64_t modify_index;
+	char session[64]; /* empty when none holds the key */
+};
+
+struct kv_result {
+	struct kv_pair *pairs; /* none when the key is absent */
+	size_t count;
+	uint64_t index; /* for the next watch */
+};
+
+enum vm_role { VM_RUNNER, VM_WORKER, VM_ENTRY };
+
+struct vm {
+	char id[64];
+	enum vm_role role;
+	char availability_zone[64];
+	char rack[64];
+	struct settings_address address;
+	bool leaving;
+	uint32_t slots;
+	uint32_t connections;
+	uint32_t cpu_milli;
+	uint32_t memory_mb;
+	uint32_t accelerators;
+};
+
+struct vm_list {
+	struct vm *vms;
+	size_t count;
+};
+
+struct platform;
+
+struct platform_ops {
+	const char *name;
+	/*
+	 * Reads a key, or all keys with that prefix when recurse. With
+	 * index != 0 it waits until something changed after that index, at
+	 * most wait_us.
+	 */
+	int (*get)(struct platform *p, const char *key, bool recurse,
+		   uint64_t index, uint64_t wait_us, struct kv_result *out,
+		   struct error *err);
+	/* Compare-and-swap; modify_index 0 creates only if absent. */
+	int (*put_cas)(struct platform *p, const char *key, const void *value,
+		       size_t len, uint64_t modify_index, bool *applied,
+		       struct error *err);
+	/* Writes the key when no other session holds it. */
+	int (*acquire)(struct platform *p, const char *key, const void *value,
+		       size_t len, const char *session, bool *applied,
+		       struct error *err);
+	int (*release)(struct platform *p, const char *key, const char *session,
+		       struct error *err);
+	int (*del)(struct platform *p, const char *key, bool recurse,
+		   struct error *err);
+	int (*session_create)(struct platform *p, uint64_t ttl_us,
+			      char session[64], struct error *err);
+	/* PLATFORM_REFUSED when the session has ended. */
+	int (*session_renew)(struct platform *p, const char *session,
+			     struct error *err);
+	int (*session_destroy)(struct platform *p, const char *session,
+			       struct error *err);
+	int (*list_vms)(struct platform *p, struct vm_list *out,
+			struct error *err);
+	/*
+	 * One call to a worker's address; method, path below "/v1" and JSON
+	 * body as in docs/design.md 3.3. Fills status and body.
+	 */
+	int (*worker_call)(struct platform *p,
+			   const struct settings_address *address,
+			   const char *method, const char *path,
+			   const char *body, uint64_t timeout_us, int *status,
+			   struct buffer *answer, struct error *err);
+	void (*destroy)(struct platform *p);
+};
+
+struct platform {
+	const struct platform_ops *ops;
+};
+
+struct platform *platform_consul_create(const struct settings_address *addr);
+
+void kv_result_free(struct kv_result *r);
+void vm_list_free(struct vm_list *l);
+
+#endif
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,94 @@
+#ifndef SETTINGS_H
+#define SETTINGS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "error.h"
+#include "log.h"
+
+/*
+ * NAME
+ *	settings - the daemon's INI file, checked whole
+ *
+ * DESCRIPTION
+ *	settings_load() reads a file and reports the first fault in err as
+ *	"FILE:LINE: message"; settings_check() reports every fault through a
+ *	callback. Unknown sections and keys, bad units, values out of range,
+ *	keys given twice and contradictions between keys are faults.
+ *
+ * UNITS
+ *	Times in the struct are microseconds, sizes bytes, rates calls per
+ *	second, shares percent.
+ */
+
+#define SETTINGS_TEXT_BYTES 64
+#define SETTINGS_SEEDS_MAX 16
+
+struct settings_address {
+	char host[48]; /* IP number */
+	uint16_t port;
+};
+
+enum settings_routing { ROUTING_LEAST_LATENCY, ROUTING_RANDOM };
+enum settings_admission { ADMISSION_FAIR, ADMISSION_FIFO };
+enum settings_placement {
+	PLACEMENT_LEARNED,
+	PLACEMENT_FIRST_FIT,
+	PLACEMENT_THRESHOLD,
+};
+
+struct settings {
+	struct {
+		char id[SETTINGS_TEXT_BYTES];
+		char availability_zone[SETTINGS_TEXT_BYTES];
+		char deployment[SETTINGS_TEXT_BYTES];
+	} node;
+	struct {
+		struct settings_address listen;
+		uint32_t threads;
+		size_t body_limit_bytes;
+		uint32_t queue_limit; /* requests */
+	} front;
+	struct {
+		struct settings_address listen;
+		char token[SETTINGS_TEXT_BYTES];
+	} operator;
+	struct {
+		struct settings_address listen;
+		struct settings_address seeds[SETTINGS_SEEDS_MAX];
+		uint32_t seed_count;
+		char curve_public[41]; /* Z85 */
+		char curve_secret[41]; /* Z85 */
+	} peers;
+	struct {
+		struct settings_address address;
+		uint64_t lease_us;
+		uint32_t write_budget; /* whole deployment */
+		uint32_t read_budget;  /* whole deployment */
+	} platform;
+	struct {
+		enum settings_routing routing;
+		enum settings_admission admission;
+		enum settings_placement placement;
+		uint32_t retry_budget_percent;
+		uint64_t outage_horizon_us;
+	} policy;
+	enum log_level log_level;
+};
+
+typedef void settings_fault_fn(void *arg, const char *file, int line,
+			       const char *message);
+
+/* Fills s with the defaults. */
+void settings_defaults(struct settings *s);
+
+/* Returns 0, or -1 with err set (layer ERROR_LAYER_SETTINGS). */
+int settings_load(const char *path, struct settings *s, struct error *err);
+
+/* Returns the number of faults, each passed to fn; 0 fills s. */
+int settings_check(const char *path, struct settings *s, settings_fault_fn *fn,
+		   void *arg);
+
+#endif
--- /dev/null
+++ b/tests/support-unit.c
@@ -0,0 +1,1 @@
+#include "support-unit.h"
--- /dev/null
+++ b/tests/support-unit.h
@@ -0,0 +1,40 @@
+#ifndef SUPPORT_UNIT_H
+#define SUPPORT_UNIT_H
+
+#include <CUnit/Basic.h>
+
+/*
+ * NAME
+ *	support-unit - main() of a CUnit program
+ *
+ * DESCRIPTION
+ *	run_suite() registers a table of tests as one suite, runs it and
+ *	returns the exit status: 0 when every test passed.
+ */
+struct unit_test {
+	const char *name;
+	void (*fn)(void);
+};
+
+static inline int run_suite(const char *name, const struct unit_test *tests,
+			    size_t count)
+{
+	CU_pSuite suite;
+	unsigned failures = 1;
+
+	if (CU_initialize_registry() != CUE_SUCCESS)
+		return 1;
+	suite = CU_add_suite(name, NULL, NULL);
+	for (size_t i = 0; suite && i < count; i++)
+		CU_add_test(suite, tests[i].name, tests[i].fn);
+	CU_basic_set_mode(CU_BRM_VERBOSE);
+	if (CU_basic_run_tests() == CUE_SUCCESS)
+		failures = CU_get_number_of_failures();
+	CU_cleanup_registry();
+	return failures != 0;
+}
+
+#define RUN_SUITE(name, tests) \
+	run_suite(name, tests, sizeof(tests) / sizeof((tests)[0]))
+
+#endif
--- /dev/null
+++ b/tests/test-kernel.c
@@ -0,0 +1,92 @@
+#include <string.h>
+
+#include "kernel.h"
+#include "support-unit.h"
+
+static char trace[64];
+
+static void note(char c)
+{
+	size_t n = strlen(trace);
+
+	trace[n] = c;
+	trace[n + 1] = '\0';
+}
+
+static int start_a(struct service *svc, struct kernel *k, struct error *err)
+{
+	(void)svc;
+	(void)k;
+	(void)err;
+	note('A');
+	return 0;
+}
+
+static int start_bad(struct service *svc, struct kernel *k, struct error *err)
+{
+	(void)svc;
+	(void)k;
+	return error_set(err, ERROR_LAYER_SYSTEM, 7, "port taken");
+}
+
+static void stop_a(struct service *svc)
+{
+	(void)svc;
+	note('a');
+}
+
+static void stop_b(struct service *svc)
+{
+	(void)svc;
+	note('b');
+}
+
+static const struct service_ops ops_a = { .name = "a",
+					  .start = start_a,
+					  .stop = stop_a };
+static const struct service_ops ops_b = { .name = "b", .stop = stop_b };
+static const struct service_ops ops_bad = { .name = "bad", .start = start_bad };
+
+/* Guards against a second service that shadows one of the same name. */
+static void test_duplicate_name(void)
+{
+	struct service one = { &ops_a }, two = { &ops_a };
+	struct kernel *k = kernel_create();
+	struct error err;
+
+	CU_ASSERT_EQUAL(kernel_register(k, &one, &err), 0);
+	CU_ASSERT_EQUAL(kernel_register(k, &two, &err), -1);
+	CU_ASSERT_EQUAL(err.layer, ERROR_LAYER_KERNEL);
+	CU_ASSERT_PTR_EQUAL(kernel_find(k, "a"), &one);
+	CU_ASSERT_PTR_NULL(kernel_find(k, "b"));
+	kernel_destroy(k);
+}
+
+/* Guards against services left running when a later one fails to start. */
+static void test_failed_start_stops_the_rest(void)
+{
+	struct service a = { &ops_a }, b = { &ops_b }, bad = { &ops_bad };
+	struct kernel *k = kernel_create();
+	struct error err;
+
+	trace[0] = '\0';
+	kernel_register(k, &a, &err);
+	kernel_register(k, &b, &err);
+	kernel_register(k, &bad, &err);
+	CU_ASSERT_EQUAL(kernel_start(k, &err), -1);
+	CU_ASSERT_STRING_EQUAL(trace, "Aba");
+	CU_ASSERT_EQUAL(err.layer, ERROR_LAYER_KERNEL);
+	CU_ASSERT_PTR_NOT_NULL(strstr(err.message, "port taken"));
+	kernel_destroy(k);
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "duplicate name", test_duplicate_name },
+		{ "failed start stops the rest",
+		  test_failed_start_stops_the_rest },
+	};
+
+	return RUN_SUITE("kernel", tests);
+}
--- /dev/null
+++ b/tests/test-loop.c
@@ -0,0 +1,92 @@
+#include <stdatomic.h>
+
+#include "clock.h"
+#include "io-pool.h"
+#include "support-unit.h"
+#include "svc-loop.h"
+
+#define POSTS 1000
+
+static struct kernel *kernel;
+static struct loop *loop;
+static atomic_int ticks;
+static int sequence[POSTS];
+static int posts;
+
+static void note_post(void *arg)
+{
+	sequence[posts++] = (int)(intptr_t)arg;
+}
+
+static void count_tick(void *arg)
+{
+	(void)arg;
+	atomic_fetch_add(&ticks, 1);
+}
+
+static void nothing(void *arg)
+{
+	(void)arg;
+}
+
+/* Guards against posted functions that are lost or run out of order. */
+static void test_posts_keep_their_order(void)
+{
+	int misplaced = 0;
+
+	for (intptr_t i = 0; i < POSTS; i++)
+		loop_post(loop, note_post, (void *)i);
+	loop_call(loop, nothing, NULL);
+	CU_ASSERT_EQUAL_FATAL(posts, POSTS);
+	for (int i = 0; i < POSTS; i++)
+		misplaced += sequence[i] != i;
+	CU_ASSERT_EQUAL(misplaced, 0);
+}
+
+/* Guards against a timer that runs once only. */
+static void test_timer_repeats(void)
+{
+	uint64_t end = clock_now_us() + 5000000u;
+
+	while (atomic_load(&ticks) < 3 && clock_now_us() < end)
+		clock_sleep_us(1000);
+	CU_ASSERT(atomic_load(&ticks) >= 3);
+}
+
+/* Guards against jobs dropped by the destruction of their pool. */
+static void test_pool_finishes_its_queue(void)
+{
+	struct io_pool *p = io_pool_create("test", 2, 64);
+	int before = atomic_load(&ticks);
+	atomic_int done = 0;
+
+	(void)before;
+	for (int i = 0; i < 64; i++)
+		if (io_pool_submit(p, (io_work_fn *)count_tick, NULL) == 0)
+			atomic_fetch_add(&done, 1);
+	io_pool_destroy(p);
+	CU_ASSERT(atomic_load(&done) >= 1);
+	CU_ASSERT(atomic_load(&ticks) - before >= atomic_load(&done));
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "posts keep their order", test_posts_keep_their_order },
+		{ "timer repeats", test_timer_repeats },
+		{ "pool finishes its queue", test_pool_finishes_its_queue },
+	};
+	struct error err;
+	int status;
+
+	kernel = kernel_create();
+	kernel_register(kernel, loop_create(), &err);
+	loop = loop_find(kernel);
+	loop_every(loop, 2000, count_tick, NULL);
+	if (kernel_start(kernel, &err) < 0)
+		return 1;
+	status = RUN_SUITE("loop", tests);
+	kernel_stop(kernel);
+	kernel_destroy(kernel);
+	return status;
+}
