--- a/src/svc-members.h
+++ b/src/svc-members.h
@@ -54,6 +54,13 @@
 const struct member *members_get(struct members *m, const char *id);
 void members_seat(struct members *m, struct seat *out);
 
+/*
+ * Owner of a shard with the highest epoch that a live member's heartbeat
+ * named; id is "" and epoch 0 when there is none.
+ */
+void members_shard_owner(struct members *m, const char *shard, char id[64],
+			 uint64_t *epoch);
+
 /* Calls fn on the control thread after each change of the seat. */
 void members_on_seat(struct members *m, void (*fn)(void *arg), void *arg);
 
--- a/src/svc-owner.h
+++ b/src/svc-owner.h
@@ -5,6 +5,7 @@
 
 #include "buffer.h"
 #include "kernel.h"
+#include "oplog.h"
 #include "settings.h"
 
 /*
@@ -57,6 +58,18 @@
 		  enum claim_outcome outcome, int status, const void *body,
 		  size_t len);
 
+/*
+ * Adds a client to the log of every shard that this process follows or owns:
+ * create() is called once per shard, before the services start, and returns a
+ * client that lives as long as the shard's log.
+ */
+typedef struct oplog_client *owner_client_fn(void *arg, const char *shard,
+					     struct oplog *log);
+void owner_add_client(struct owner *o, owner_client_fn *create, void *arg);
+
+/* Id of the shard's owner as last heard, or "" when none is known. */
+void owner_of_shard(struct owner *o, const char *shard, char id[64]);
+
 /* Fills names (64 bytes each) and epochs of owned shards; returns the count. */
 uint32_t owner_shards(struct owner *o, char names[][64], uint64_t *epochs,
 		      uint32_t max);
