--- a/tests/test-loop.c
+++ b/tests/test-loop.c
@@ -1,7 +1,6 @@
 #include <stdatomic.h>
 
 #include "clock.h"
-#include "io-pool.h"
 #include "support-unit.h"
 #include "svc-loop.h"
 
@@ -53,28 +52,11 @@
 	CU_ASSERT(atomic_load(&ticks) >= 3);
 }
 
-/* Guards against jobs dropped by the destruction of their pool. */
-static void test_pool_finishes_its_queue(void)
-{
-	struct io_pool *p = io_pool_create("test", 2, 64);
-	int before = atomic_load(&ticks);
-	atomic_int done = 0;
-
-	(void)before;
-	for (int i = 0; i < 64; i++)
-		if (io_pool_submit(p, (io_work_fn *)count_tick, NULL) == 0)
-			atomic_fetch_add(&done, 1);
-	io_pool_destroy(p);
-	CU_ASSERT(atomic_load(&done) >= 1);
-	CU_ASSERT(atomic_load(&ticks) - before >= atomic_load(&done));
-}
-
 int main(void)
 {
 	static const struct unit_test tests[] = {
 		{ "posts keep their order", test_posts_keep_their_order },
 		{ "timer repeats", test_timer_repeats },
-		{ "pool finishes its queue", test_pool_finishes_its_queue },
 	};
 	struct error err;
 	int status;
