--- /dev/null
+++ b/src/svc-store.c
@@ -0,0 +1,527 @@
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "counter.h"
+#include "io-pool.h"
+#include "log.h"
+#include "rng.h"
+#include "svc-loop.h"
+#include "svc-store.h"
+
+#define CALL_THREADS 8u
+#define WATCH_THREADS 8u
+#define QUEUE_LIMIT 4096u
+/* A queued call that waited this long ends without having been sent. */
+#define QUEUE_TIMEOUT_US 5000000u
+/* Bounds the time that a stop waits for threads that hold a watch. */
+#define WATCH_MAX_US 2000000u
+#define DISPATCH_INTERVAL_US 10000u
+#define SESSION_INTERVAL_US 50000u
+#define BACKOFF_MIN_US 100000u
+#define BACKOFF_MAX_US 2000000u
+/* Assumed until the members are known; more would exceed the budget. */
+#define SHARERS_DEFAULT 9u
+/* Refill and burst sum to the budget, so no second exceeds it. */
+#define BURST_SHARE 0.2
+
+enum call_kind {
+	CALL_GET,
+	CALL_WATCH,
+	CALL_PUT,
+	CALL_ACQUIRE,
+	CALL_RELEASE,
+	CALL_DELETE,
+	CALL_LIST_VMS,
+	CALL_SESSION_CREATE,
+	CALL_SESSION_RENEW,
+	CALL_KINDS,
+};
+
+struct store_call {
+	struct store *st;
+	struct store_call *next;
+	enum call_kind kind;
+	char *key;
+	void *value;
+	size_t len;
+	uint64_t index; /* modify index or index of a watch */
+	uint64_t wait_us;
+	bool recurse;
+	char session[64];
+	store_fn *fn;
+	void *arg;
+	uint64_t queued_us;
+	struct store_reply reply;
+};
+
+struct call_queue {
+	struct store_call *first;
+	struct store_call **last;
+	double tokens;
+	double rate; /* budget in calls per second */
+};
+
+struct store {
+	struct service service;
+	struct loop *loop;
+	struct platform *platform;
+	struct io_pool *calls;
+	struct io_pool *watches;
+	struct io_pool *sessions;
+	uint32_t write_budget;
+	uint32_t read_budget;
+	uint64_t lease_us;
+	struct call_queue reads;
+	struct call_queue writes;
+	uint64_t refilled_us;
+	struct rng rng;
+	char session[64];
+	uint64_t lease_until_us;
+	uint64_t next_session_us; /* time of the next session call */
+	uint64_t backoff_us;
+	bool session_busy;
+	atomic_bool stopping;
+	_Atomic uint64_t last_contact_us;
+	struct counter *sent[CALL_KINDS];
+	struct counter *failed[CALL_KINDS];
+	struct counter *unknown;
+	struct counter *expired;
+};
+
+static int store_start(struct service *svc, struct kernel *k,
+		       struct error *err);
+static void store_stop(struct service *svc);
+static void store_destroy(struct service *svc);
+static void dispatch(void *arg);
+static void run_call(void *job);
+static void finish_call(void *arg);
+static void keep_session(void *arg);
+static void session_done(void *arg, struct store_reply *reply);
+
+static const struct service_ops store_service = {
+	.name = "store",
+	.start = store_start,
+	.stop = store_stop,
+	.destroy = store_destroy,
+};
+
+static const char *const kind_names[CALL_KINDS] = {
+	[CALL_GET] = "get",
+	[CALL_WATCH] = "watch",
+	[CALL_PUT] = "put",
+	[CALL_ACQUIRE] = "acquire",
+	[CALL_RELEASE] = "release",
+	[CALL_DELETE] = "delete",
+	[CALL_LIST_VMS] = "list-vms",
+	[CALL_SESSION_CREATE] = "session-create",
+	[CALL_SESSION_RENEW] = "session-renew",
+};
+
+struct service *store_create(const struct settings *s)
+{
+	struct store *st = xcalloc(1, sizeof(*st));
+
+	st->service.ops = &store_service;
+	st->platform = platform_consul_create(&s->platform.address);
+	st->write_budget = s->platform.write_budget;
+	st->read_budget = s->platform.read_budget;
+	st->lease_us = s->platform.lease_us;
+	st->reads.last = &st->reads.first;
+	st->writes.last = &st->writes.first;
+	st->rng.state = clock_wall_us() ^ (uint64_t)getpid() << 40;
+	st->backoff_us = BACKOFF_MIN_US;
+	store_set_sharers(st, SHARERS_DEFAULT);
+	for (int i = 0; i < CALL_KINDS; i++) {
+		char label[48];
+
+		snprintf(label, sizeof(label), "kind=\"%s\"", kind_names[i]);
+		st->sent[i] = counter_get(COUNTER, "waxwing_store_calls_total",
+					  label);
+		st->failed[i] = counter_get(
+			COUNTER, "waxwing_store_failures_total", label);
+	}
+	st->unknown = counter_get(COUNTER, "waxwing_store_unknown_total", NULL);
+	st->expired = counter_get(COUNTER, "waxwing_store_expired_total", NULL);
+	return &st->service;
+}
+
+struct store *store_find(struct kernel *k)
+{
+	return (struct store *)kernel_find(k, "store");
+}
+
+static int store_start(struct service *svc, struct kernel *k, struct error *err)
+{
+	struct store *st = (struct store *)svc;
+
+	(void)err;
+	st->loop = loop_find(k);
+	st->calls = io_pool_create("store", CALL_THREADS, QUEUE_LIMIT);
+	st->watches = io_pool_create("watch", WATCH_THREADS, QUEUE_LIMIT);
+	/* A thread of its own: a renewal must not wait behind other calls. */
+	st->sessions = io_pool_create("session", 1, 4);
+	st->refilled_us = clock_now_us();
+	loop_every(st->loop, DISPATCH_INTERVAL_US, dispatch, st);
+	loop_every(st->loop, SESSION_INTERVAL_US, keep_session, st);
+	return 0;
+}
+
+static void store_stop(struct service *svc)
+{
+	struct store *st = (struct store *)svc;
+	struct error err;
+
+	atomic_store(&st->stopping, true);
+	io_pool_destroy(st->watches);
+	io_pool_destroy(st->calls);
+	io_pool_destroy(st->sessions);
+	/* Ends the leases at once, so that others need not wait for them. */
+	if (st->session[0] && st->lease_until_us > clock_now_us())
+		st->platform->ops->session_destroy(st->platform, st->session,
+						   &err);
+}
+
+static void free_call(struct store_call *c)
+{
+	kv_result_free(&c->reply.kv);
+	vm_list_free(&c->reply.vms);
+	free(c->key);
+	free(c->value);
+	free(c);
+}
+
+static void free_queue(struct call_queue *q)
+{
+	while (q->first) {
+		struct store_call *c = q->first;
+
+		q->first = c->next;
+		free_call(c);
+	}
+}
+
+static void store_destroy(struct service *svc)
+{
+	struct store *st = (struct store *)svc;
+
+	free_queue(&st->reads);
+	free_queue(&st->writes);
+	st->platform->ops->destroy(st->platform);
+	free(st);
+}
+
+static bool is_write(enum call_kind kind)
+{
+	return kind != CALL_GET && kind != CALL_WATCH && kind != CALL_LIST_VMS;
+}
+
+static struct store_call *new_call(struct store *st, enum call_kind kind,
+				   const char *key, store_fn *fn, void *arg)
+{
+	struct store_call *c = xcalloc(1, sizeof(*c));
+
+	c->st = st;
+	c->kind = kind;
+	c->key = xstrdup(key);
+	c->fn = fn;
+	c->arg = arg;
+	c->queued_us = clock_now_us();
+	return c;
+}
+
+static void set_value(struct store_call *c, const void *value, size_t len)
+{
+	c->value = xcalloc(1, len);
+	c->len = len;
+	if (len)
+		memcpy(c->value, value, len);
+}
+
+static void enqueue(struct store_call *c)
+{
+	struct call_queue *q =
+		is_write(c->kind) ? &c->st->writes : &c->st->reads;
+
+	*q->last = c;
+	q->last = &c->next;
+	dispatch(c->st);
+}
+
+static void refill(struct call_queue *q, double seconds)
+{
+	double burst = q->rate * BURST_SHARE;
+
+	if (burst < 1)
+		burst = 1;
+	q->tokens += q->rate * (1 - BURST_SHARE) * seconds;
+	if (q->tokens > burst)
+		q->tokens = burst;
+}
+
+/* Ends a call that was not sent. */
+static void fail_unsent(struct store_call *c, const char *why)
+{
+	counter_add(c->st->expired, 1);
+	c->reply.failed = error_set(&c->reply.err, ERROR_LAYER_PLATFORM,
+				    PLATFORM_UNREACHABLE, "%s of %s: %s",
+				    kind_names[c->kind], c->key, why);
+	loop_post(c->st->loop, finish_call, c);
+}
+
+/* Passes calls to the I/O threads while there are tokens. */
+static void drain_queue(struct store *st, struct call_queue *q, uint64_t now)
+{
+	while (q->first) {
+		struct store_call *c = q->first;
+		bool late = now - c->queued_us > QUEUE_TIMEOUT_US;
+
+		if (!late && q->tokens < 1)
+			break;
+		q->first = c->next;
+		if (!q->first)
+			q->last = &q->first;
+		c->next = NULL;
+		if (late) {
+			fail_unsent(c, "no call budget");
+			continue;
+		}
+		q->tokens -= 1;
+		if (io_pool_submit(c->kind == CALL_WATCH ? st->watches
+							 : st->calls,
+				   run_call, c) < 0)
+			fail_unsent(c, "too many calls");
+	}
+}
+
+static void dispatch(void *arg)
+{
+	struct store *st = arg;
+	uint64_t now = clock_now_us();
+	double seconds = (double)(now - st->refilled_us) / 1e6;
+
+	if (!st->calls || atomic_load(&st->stopping))
+		return;
+	st->refilled_us = now;
+	refill(&st->reads, seconds);
+	refill(&st->writes, seconds);
+	drain_queue(st, &st->reads, now);
+	drain_queue(st, &st->writes, now);
+}
+
+/* Makes the call; runs in an I/O thread. */
+static int call_platform(struct store_call *c)
+{
+	struct platform *p = c->st->platform;
+	struct store_reply *r = &c->reply;
+
+	switch (c->kind) {
+	case CALL_GET:
+	case CALL_WATCH:
+		return p->ops->get(p, c->key, c->recurse, c->index, c->wait_us,
+				   &r->kv, &r->err);
+	case CALL_PUT:
+		return p->ops->put_cas(p, c->key, c->value, c->len, c->index,
+				       &r->applied, &r->err);
+	case CALL_ACQUIRE:
+		return p->ops->acquire(p, c->key, c->value, c->len, c->session,
+				       &r->applied, &r->err);
+	case CALL_RELEASE:
+		return p->ops->release(p, c->key, c->session, &r->err);
+	case CALL_DELETE:
+		return p->ops->del(p, c->key, c->recurse, &r->err);
+	case CALL_LIST_VMS:
+		return p->ops->list_vms(p, &r->vms, &r->err);
+	case CALL_SESSION_CREATE:
+		return p->ops->session_create(p, c->st->lease_us, c->session,
+					      &r->err);
+	case CALL_SESSION_RENEW:
+		return p->ops->session_renew(p, c->session, &r->err);
+	default:
+		return -1;
+	}
+}
+
+static void run_call(void *job)
+{
+	struct store_call *c = job;
+	struct store *st = c->st;
+	uint64_t now = clock_now_us();
+
+	if (atomic_load(&st->stopping) ||
+	    now - c->queued_us > QUEUE_TIMEOUT_US) {
+		fail_unsent(c, "waited too long");
+		return;
+	}
+	c->reply.sent_us = now;
+	counter_add(st->sent[c->kind], 1);
+	c->reply.failed = call_platform(c);
+	if (c->reply.failed)
+		counter_add(st->failed[c->kind], 1);
+	if (c->reply.failed && c->reply.err.code == PLATFORM_UNKNOWN)
+		counter_add(st->unknown, 1);
+	if (!c->reply.failed || c->reply.err.code == PLATFORM_REFUSED)
+		atomic_store(&st->last_contact_us, clock_now_us());
+	loop_post(st->loop, finish_call, c);
+}
+
+static void finish_call(void *arg)
+{
+	struct store_call *c = arg;
+
+	if (c->kind == CALL_SESSION_CREATE || c->kind == CALL_SESSION_RENEW)
+		session_done(c, &c->reply);
+	else if (c->fn)
+		c->fn(c->arg, &c->reply);
+	free_call(c);
+}
+
+void store_get(struct store *st, const char *key, bool recurse, uint64_t index,
+	       uint64_t wait_us, store_fn *fn, void *arg)
+{
+	struct store_call *c =
+		new_call(st, index ? CALL_WATCH : CALL_GET, key, fn, arg);
+
+	c->recurse = recurse;
+	c->index = index;
+	c->wait_us = wait_us < WATCH_MAX_US ? wait_us : WATCH_MAX_US;
+	enqueue(c);
+}
+
+void store_put(struct store *st, const char *key, const void *value, size_t len,
+	       uint64_t modify_index, store_fn *fn, void *arg)
+{
+	struct store_call *c = new_call(st, CALL_PUT, key, fn, arg);
+
+	set_value(c, value, len);
+	c->index = modify_index;
+	enqueue(c);
+}
+
+void store_acquire(struct store *st, const char *key, const void *value,
+		   size_t len, store_fn *fn, void *arg)
+{
+	struct store_call *c = new_call(st, CALL_ACQUIRE, key, fn, arg);
+
+	set_value(c, value, len);
+	snprintf(c->session, sizeof(c->session), "%s", st->session);
+	if (!st->session[0])
+		fail_unsent(c, "no session");
+	else
+		enqueue(c);
+}
+
+void store_release(struct store *st, const char *key, store_fn *fn, void *arg)
+{
+	struct store_call *c = new_call(st, CALL_RELEASE, key, fn, arg);
+
+	snprintf(c->session, sizeof(c->session), "%s", st->session);
+	if (!st->session[0])
+		fail_unsent(c, "no session");
+	else
+		enqueue(c);
+}
+
+void store_delete(struct store *st, const char *key, bool recurse, store_fn *fn,
+		  void *arg)
+{
+	struct store_call *c = new_call(st, CALL_DELETE, key, fn, arg);
+
+	c->recurse = recurse;
+	enqueue(c);
+}
+
+void store_list_vms(struct store *st, store_fn *fn, void *arg)
+{
+	enqueue(new_call(st, CALL_LIST_VMS, "vms", fn, arg));
+}
+
+void store_set_sharers(struct store *st, uint32_t entry_vms)
+{
+	if (!entry_vms)
+		entry_vms = 1;
+	st->writes.rate = (double)st->write_budget / entry_vms;
+	st->reads.rate = (double)st->read_budget / entry_vms;
+}
+
+/*
+ * Creates or renews the session when it is time. These calls take their token
+ * without waiting for it, because a late renewal ends every lease.
+ */
+static void keep_session(void *arg)
+{
+	struct store *st = arg;
+	uint64_t now = clock_now_us();
+	struct store_call *c;
+
+	if (st->session_busy || now < st->next_session_us ||
+	    atomic_load(&st->stopping))
+		return;
+	c = new_call(st,
+		     st->session[0] ? CALL_SESSION_RENEW : CALL_SESSION_CREATE,
+		     "session", NULL, NULL);
+	snprintf(c->session, sizeof(c->session), "%s", st->session);
+	st->writes.tokens -= 1;
+	st->session_busy = true;
+	if (io_pool_submit(st->sessions, run_call, c) < 0)
+		fail_unsent(c, "too many calls");
+}
+
+/* Sets the time of the next session call after a failure. */
+static void back_off(struct store *st)
+{
+	double jitter = 0.5 + rng_unit(&st->rng);
+
+	st->next_session_us =
+		clock_now_us() + (uint64_t)((double)st->backoff_us * jitter);
+	st->backoff_us *= 2;
+	if (st->backoff_us > BACKOFF_MAX_US)
+		st->backoff_us = BACKOFF_MAX_US;
+}
+
+static void session_done(void *arg, struct store_reply *reply)
+{
+	struct store_call *c = arg;
+	struct store *st = c->st;
+
+	st->session_busy = false;
+	if (!reply->failed) {
+		snprintf(st->session, sizeof(st->session), "%s", c->session);
+		st->lease_until_us = reply->sent_us + st->lease_us;
+		st->next_session_us = reply->sent_us + st->lease_us / 3;
+		st->backoff_us = BACKOFF_MIN_US;
+		return;
+	}
+	/* Only the store's word ends a session; a lost answer does not. */
+	if (c->kind == CALL_SESSION_RENEW &&
+	    reply->err.code == PLATFORM_REFUSED) {
+		log_event(LOG_WARNING, "session-ended", "session=%s",
+			  st->session);
+		st->session[0] = '\0';
+		st->lease_until_us = 0;
+	}
+	back_off(st);
+}
+
+const char *store_session(struct store *st)
+{
+	return st->session;
+}
+
+uint64_t store_lease_until_us(struct store *st)
+{
+	return st->lease_until_us;
+}
+
+uint64_t store_last_contact_us(struct store *st)
+{
+	return atomic_load(&st->last_contact_us);
+}
+
+struct platform *store_platform(struct store *st)
+{
+	return st->platform;
+}
