Add the log of a shard and the claims as its client

Cause: ownership and at-most-once rest on one log per shard that can be sealed (docs/design.md 5.1, 5.2).

--- /dev/null
+++ b/src/claims-table.c
@@ -0,0 +1,190 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "claims-table.h"
+
+#define FIRST_CAPACITY 64u
+/* What the allocator adds to a stored answer, about. */
+#define ANSWER_OVERHEAD_BYTES 16u
+
+static void grow(struct claims_table *t);
+static void link_bucket(struct claims_table *t, uint32_t i);
+static void unlink_age(struct claims_table *t, uint32_t i);
+static void append_age(struct claims_table *t, uint32_t i);
+
+void claims_table_init(struct claims_table *t)
+{
+	memset(t, 0, sizeof(*t));
+	t->free = CLAIM_NONE;
+	t->oldest = CLAIM_NONE;
+	t->newest = CLAIM_NONE;
+	t->answer_cursor = CLAIM_NONE;
+}
+
+void claims_table_free(struct claims_table *t)
+{
+	for (uint32_t i = 0; i < t->capacity; i++)
+		free(t->claims[i].answer);
+	free(t->claims);
+	free(t->buckets);
+	claims_table_init(t);
+}
+
+static uint32_t bucket_of(const struct claims_table *t, const uint64_t hash[2])
+{
+	return (uint32_t)(hash[0] ^ hash[1] >> 32) & (t->bucket_count - 1);
+}
+
+static void link_bucket(struct claims_table *t, uint32_t i)
+{
+	uint32_t b = bucket_of(t, t->claims[i].hash);
+
+	t->claims[i].chain = t->buckets[b];
+	t->buckets[b] = i;
+}
+
+/* Doubles the array; there is one bucket for each claim. */
+static void grow(struct claims_table *t)
+{
+	uint32_t old = t->capacity;
+	uint32_t new = old ? 2 * old : FIRST_CAPACITY;
+
+	t->claims = xrealloc(t->claims, new * sizeof(*t->claims));
+	memset(t->claims + old, 0, (new - old) * sizeof(*t->claims));
+	free(t->buckets);
+	t->buckets = xcalloc(new, sizeof(*t->buckets));
+	t->capacity = new;
+	t->bucket_count = new;
+	for (uint32_t b = 0; b < new; b++)
+		t->buckets[b] = CLAIM_NONE;
+	/* The array grows only when it is full. */
+	for (uint32_t i = 0; i < old; i++)
+		link_bucket(t, i);
+	for (uint32_t i = new; i-- > old;) {
+		t->claims[i].chain = t->free;
+		t->free = i;
+	}
+}
+
+uint32_t claims_table_find(const struct claims_table *t, const uint64_t hash[2])
+{
+	uint32_t i = t->count ? t->buckets[bucket_of(t, hash)] : CLAIM_NONE;
+
+	while (i != CLAIM_NONE && (t->claims[i].hash[0] != hash[0] ||
+				   t->claims[i].hash[1] != hash[1]))
+		i = t->claims[i].chain;
+	return i;
+}
+
+static void append_age(struct claims_table *t, uint32_t i)
+{
+	struct claim *c = &t->claims[i];
+
+	c->older = t->newest;
+	c->newer = CLAIM_NONE;
+	if (t->newest != CLAIM_NONE)
+		t->claims[t->newest].newer = i;
+	else
+		t->oldest = i;
+	t->newest = i;
+	if (t->answer_cursor == CLAIM_NONE)
+		t->answer_cursor = i;
+}
+
+static void unlink_age(struct claims_table *t, uint32_t i)
+{
+	struct claim *c = &t->claims[i];
+
+	if (t->answer_cursor == i)
+		t->answer_cursor = c->newer;
+	if (c->older != CLAIM_NONE)
+		t->claims[c->older].newer = c->newer;
+	else
+		t->oldest = c->newer;
+	if (c->newer != CLAIM_NONE)
+		t->claims[c->newer].older = c->older;
+	else
+		t->newest = c->older;
+}
+
+uint32_t claims_table_add(struct claims_table *t, const uint64_t hash[2])
+{
+	struct claim *c;
+	uint32_t i;
+
+	if (t->free == CLAIM_NONE)
+		grow(t);
+	i = t->free;
+	c = &t->claims[i];
+	t->free = c->chain;
+	memset(c, 0, sizeof(*c));
+	memcpy(c->hash, hash, sizeof(c->hash));
+	c->waiter = CLAIM_NONE;
+	link_bucket(t, i);
+	append_age(t, i);
+	t->count++;
+	return i;
+}
+
+void claims_table_remove(struct claims_table *t, uint32_t i)
+{
+	struct claim *c = &t->claims[i];
+	uint32_t *link = &t->buckets[bucket_of(t, c->hash)];
+
+	while (*link != i)
+		link = &t->claims[*link].chain;
+	*link = c->chain;
+	unlink_age(t, i);
+	claims_table_answer(t, i, 0, NULL, 0);
+	c->state = CLAIM_STATE_FREE;
+	c->chain = t->free;
+	t->free = i;
+	t->count--;
+}
+
+void claims_table_touch(struct claims_table *t, uint32_t i, uint32_t at_s)
+{
+	unlink_age(t, i);
+	append_age(t, i);
+	t->claims[i].at_s = at_s;
+}
+
+void claims_table_answer(struct claims_table *t, uint32_t i, int status,
+			 const void *data, size_t len)
+{
+	struct claim *c = &t->claims[i];
+
+	if (c->answer)
+		t->answer_bytes -= c->answer_len + ANSWER_OVERHEAD_BYTES;
+	free(c->answer);
+	c->answer = NULL;
+	c->answer_len = 0;
+	c->status = 0;
+	if (!data)
+		return;
+	c->answer = xcalloc(1, len);
+	memcpy(c->answer, data, len);
+	c->answer_len = (uint32_t)len;
+	c->status = (uint16_t)status;
+	t->answer_bytes += len + ANSWER_OVERHEAD_BYTES;
+}
+
+bool claims_table_drop_answer(struct claims_table *t)
+{
+	while (t->answer_cursor != CLAIM_NONE) {
+		uint32_t i = t->answer_cursor;
+
+		t->answer_cursor = t->claims[i].newer;
+		if (!t->claims[i].answer)
+			continue;
+		claims_table_answer(t, i, 0, NULL, 0);
+		return true;
+	}
+	return false;
+}
+
+size_t claims_table_memory(const struct claims_table *t)
+{
+	return t->capacity * (sizeof(*t->claims) + sizeof(*t->buckets)) +
+	       t->answer_bytes;
+}
--- /dev/null
+++ b/src/oplog-internal.h
@@ -0,0 +1,156 @@
+#ifndef OPLOG_INTERNAL_H
+#define OPLOG_INTERNAL_H
+
+#include "oplog-codec.h"
+#include "oplog.h"
+#include "rng.h"
+
+/*
+ * NAME
+ *	oplog-internal - state shared by oplog.c, oplog-load.c and
+ *	oplog-snapshot.c
+ */
+
+#define OPLOG_ACTIONS_MAX 16u
+#define OPLOG_BACKOFF_MIN_US 100000u
+#define OPLOG_BACKOFF_MAX_US 2000000u
+
+/* The call in flight that moves the log on; there is one at a time. */
+enum op_phase {
+	OP_IDLE,
+	OP_LOAD_SNAPSHOT,
+	OP_LOAD_PARTS,
+	OP_LOAD_EPOCH,
+	OP_APPEND,
+	OP_READ_BACK,
+	OP_CHECK_SNAPSHOT,
+};
+
+enum snapshot_phase {
+	SNAP_NONE,
+	SNAP_TAKEN, /* stands for the record in flight */
+	SNAP_PART,
+	SNAP_MANIFEST,
+	SNAP_READ_BACK,
+};
+
+struct token {
+	struct oplog_client *client;
+	uint64_t token;
+};
+
+struct token_list {
+	struct token *items;
+	uint32_t count;
+	uint32_t capacity;
+};
+
+/* The record whose append is not yet settled. */
+struct unsettled {
+	bool present;
+	bool refused; /* the number was taken at some time */
+	uint64_t nonce;
+	uint64_t next;
+	uint64_t chosen_us; /* when its number was chosen */
+	struct buffer data;
+	struct token_list tokens;
+};
+
+struct oplog {
+	enum oplog_state state;
+	char writer[OPLOG_WRITER_BYTES];
+	struct rng rng;
+	struct oplog_client *clients[OPLOG_CLIENTS_MAX];
+	uint32_t client_count;
+	bool lease_held;
+	bool draining;
+	uint64_t lease_gained_us;
+	uint64_t interval_us;
+	uint64_t last_id;
+
+	/* Position: seq is the last record of epoch that exists. */
+	uint64_t epoch;
+	uint64_t seq;
+	uint64_t fence; /* epoch of the take-over; stays the same later */
+	uint64_t verified_us;
+	uint64_t replayed;
+	uint32_t chain; /* epochs after the snapshot */
+
+	enum op_phase phase;
+	bool waiting; /* repeats phase at retry_us */
+	uint64_t id;
+	uint64_t issued_us;
+	uint64_t retry_us;
+	uint64_t backoff_us;
+	bool found; /* OP_CHECK_SNAPSHOT: the read-back found our record */
+	struct unsettled rec;
+	uint64_t last_check_us;
+
+	struct buffer pending; /* packed entries */
+	uint32_t pending_count;
+	struct token_list pending_tokens;
+	bool pending_urgent;
+	uint64_t pending_since_us; /* 0: at the next step */
+	uint64_t appended_us;	   /* when the last append was sent */
+
+	uint64_t log_records; /* since the snapshot */
+	uint64_t log_bytes;
+
+	enum snapshot_phase snap_phase;
+	bool snap_waiting;
+	uint64_t snap_id;
+	uint64_t snap_retry_us;
+	uint64_t snap_backoff_us;
+	uint64_t snap_part;
+	uint64_t snap_index;	    /* modify index of the key */
+	struct oplog_snapshot snap; /* the one being written or loaded */
+	struct buffer snap_value;
+
+	uint64_t covered_epoch; /* every epoch below it can be deleted */
+	uint64_t covered_us;
+	uint64_t oldest;
+	uint64_t delete_id; /* 0: none in flight */
+	uint64_t delete_retry_us;
+
+	struct oplog_action actions[OPLOG_ACTIONS_MAX];
+	uint32_t action_head;
+	uint32_t action_count;
+	struct oplog_counts counts;
+};
+
+/* Adds an action with a new id; the caller fills the rest. */
+struct oplog_action *oplog_push(struct oplog *log, enum oplog_action_type type);
+
+/* Starts the phase's call. */
+void oplog_issue(struct oplog *log, uint64_t now_us, enum op_phase phase);
+
+/* Repeats the phase's call after a jittered time. */
+void oplog_back_off(struct oplog *log, uint64_t now_us);
+
+/* Returns the time of a repetition and doubles *backoff_us. */
+uint64_t oplog_jitter(struct oplog *log, uint64_t now_us, uint64_t *backoff_us);
+
+/* Ends ownership or load; loads again while the lease is held. */
+void oplog_drop(struct oplog *log, uint64_t now_us, const char *why);
+
+/* oplog-load.c */
+void oplog_load_start(struct oplog *log, uint64_t now_us);
+void oplog_load_snapshot(struct oplog *log, uint64_t now_us,
+			 const struct oplog_event *e);
+void oplog_load_parts(struct oplog *log, uint64_t now_us,
+		      const struct oplog_event *e);
+void oplog_load_epoch(struct oplog *log, uint64_t now_us,
+		      const struct oplog_event *e);
+
+/* oplog-snapshot.c */
+void oplog_snapshot_take(struct oplog *log);
+bool oplog_snapshot_due(const struct oplog *log);
+void oplog_snapshot_write(struct oplog *log);
+void oplog_snapshot_event(struct oplog *log, uint64_t now_us,
+			  const struct oplog_event *e);
+void oplog_snapshot_tick(struct oplog *log, uint64_t now_us);
+
+/* oplog.c: creates the seal at the end of a load. */
+void oplog_seal(struct oplog *log, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/oplog-snapshot.c
@@ -0,0 +1,224 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "oplog-internal.h"
+
+/* Bounds the calls of a load: one is made for each epoch. */
+#define CHAIN_MAX 8u
+
+static void send_part(struct oplog *log);
+static void send_manifest(struct oplog *log);
+static void read_back(struct oplog *log);
+static void retry(struct oplog *log, uint64_t now);
+static void manifest_read(struct oplog *log, uint64_t now,
+			  const struct oplog_event *e);
+static void delete_next(struct oplog *log);
+
+bool oplog_snapshot_due(const struct oplog *log)
+{
+	return log->snap_phase == SNAP_NONE &&
+	       (log->log_records + 1 >= OPLOG_SNAPSHOT_RECORDS ||
+		log->log_bytes >= OPLOG_SNAPSHOT_BYTES ||
+		log->chain >= CHAIN_MAX);
+}
+
+/* Collects the clients' state; it stands for all records before next/1. */
+void oplog_snapshot_take(struct oplog *log)
+{
+	struct oplog_snapshot *s = &log->snap;
+	struct buffer part = BUFFER_INIT;
+
+	buffer_free(&s->state);
+	memset(s, 0, sizeof(*s));
+	oplog_pack_array(&s->state, 2u * log->client_count);
+	for (uint32_t i = 0; i < log->client_count; i++) {
+		struct oplog_client *c = log->clients[i];
+
+		buffer_reset(&part);
+		c->ops->snapshot(c, &part);
+		oplog_pack_entry(&s->state, (int)c->ops->type, part.data,
+				 part.len);
+	}
+	buffer_free(&part);
+	snprintf(s->writer, sizeof(s->writer), "%s", log->writer);
+	s->nonce = rng_next(&log->rng);
+	s->epoch = log->rec.next;
+	s->length = s->state.len;
+	s->hash = oplog_hash(s->state.data, s->state.len);
+	if (s->length > OPLOG_PART_BYTES)
+		s->parts =
+			(s->length + OPLOG_PART_BYTES - 1) / OPLOG_PART_BYTES;
+	log->snap_phase = SNAP_TAKEN;
+	log->snap_part = 0;
+	log->snap_backoff_us = OPLOG_BACKOFF_MIN_US;
+}
+
+/* The record that the snapshot includes is durable: writes the snapshot. */
+void oplog_snapshot_write(struct oplog *log)
+{
+	log->chain = 0;
+	log->log_records = 0;
+	log->log_bytes = 0;
+	if (log->snap.parts)
+		send_part(log);
+	else
+		send_manifest(log);
+}
+
+static void send_part(struct oplog *log)
+{
+	struct oplog_action *a = oplog_push(log, OPLOG_WRITE_PART);
+	size_t start = log->snap_part * OPLOG_PART_BYTES;
+	size_t left = log->snap.state.len - start;
+
+	log->snap_phase = SNAP_PART;
+	log->snap_id = a->id;
+	a->epoch = log->snap.epoch;
+	a->seq = log->snap_part;
+	a->data = log->snap.state.data + start;
+	a->len = left < OPLOG_PART_BYTES ? left : OPLOG_PART_BYTES;
+}
+
+static void send_manifest(struct oplog *log)
+{
+	struct oplog_action *a = oplog_push(log, OPLOG_WRITE_SNAPSHOT);
+
+	log->snap_phase = SNAP_MANIFEST;
+	log->snap_id = a->id;
+	log->snap.oldest = log->oldest;
+	buffer_reset(&log->snap_value);
+	oplog_pack_snapshot(&log->snap_value, &log->snap);
+	a->epoch = log->snap.epoch;
+	a->modify_index = log->snap_index;
+	a->data = log->snap_value.data;
+	a->len = log->snap_value.len;
+}
+
+/* The answer to a write has no index; reading it back also settles losses. */
+static void read_back(struct oplog *log)
+{
+	struct oplog_action *a = oplog_push(log, OPLOG_READ_SNAPSHOT);
+
+	log->snap_phase = SNAP_READ_BACK;
+	log->snap_id = a->id;
+}
+
+static void retry(struct oplog *log, uint64_t now)
+{
+	log->snap_waiting = true;
+	log->snap_id = 0;
+	log->snap_retry_us = oplog_jitter(log, now, &log->snap_backoff_us);
+}
+
+static void manifest_read(struct oplog *log, uint64_t now,
+			  const struct oplog_event *e)
+{
+	struct oplog_snapshot s = { 0 };
+	const char *fault;
+	bool ours;
+
+	if (e->result != OPLOG_APPLIED) {
+		retry(log, now);
+		return;
+	}
+	if (e->count &&
+	    (oplog_unpack_snapshot(e->values[0].data, e->values[0].len, &s,
+				   &fault) < 0 ||
+	     s.epoch > log->snap.epoch)) {
+		buffer_free(&s.state);
+		oplog_drop(log, now, "a later owner wrote a snapshot");
+		return;
+	}
+	ours = e->count && !strcmp(s.writer, log->snap.writer) &&
+	       s.nonce == log->snap.nonce;
+	buffer_free(&s.state);
+	log->snap_index = e->count ? e->modify_index : 0;
+	if (!ours) {
+		/* An earlier owner's write came late, or ours was lost. */
+		log->snap_phase = SNAP_MANIFEST;
+		retry(log, now);
+		return;
+	}
+	log->counts.snapshots++;
+	log->covered_epoch = log->snap.epoch;
+	log->covered_us = now;
+	log->snap_phase = SNAP_NONE;
+	log->snap_id = 0;
+	buffer_free(&log->snap.state);
+	buffer_free(&log->snap_value);
+}
+
+static void part_done(struct oplog *log, uint64_t now,
+		      const struct oplog_event *e)
+{
+	/* Only this owner writes parts of this epoch: refused means there. */
+	if (e->result == OPLOG_UNKNOWN || e->result == OPLOG_UNREACHABLE) {
+		retry(log, now);
+		return;
+	}
+	log->snap_part++;
+	if (log->snap_part < log->snap.parts)
+		send_part(log);
+	else
+		send_manifest(log);
+}
+
+static void delete_done(struct oplog *log, uint64_t now,
+			const struct oplog_event *e)
+{
+	log->delete_id = 0;
+	if (e->result == OPLOG_APPLIED)
+		log->oldest++;
+	else
+		log->delete_retry_us = now + OPLOG_BACKOFF_MAX_US;
+}
+
+void oplog_snapshot_event(struct oplog *log, uint64_t now,
+			  const struct oplog_event *e)
+{
+	if (e->id == log->delete_id) {
+		delete_done(log, now, e);
+		return;
+	}
+	switch (log->snap_phase) {
+	case SNAP_PART:
+		part_done(log, now, e);
+		break;
+	case SNAP_MANIFEST:
+		if (e->result == OPLOG_UNREACHABLE)
+			retry(log, now);
+		else
+			read_back(log);
+		break;
+	case SNAP_READ_BACK:
+		manifest_read(log, now, e);
+		break;
+	default:
+		break;
+	}
+}
+
+static void delete_next(struct oplog *log)
+{
+	struct oplog_action *a = oplog_push(log, OPLOG_DELETE_EPOCH);
+
+	log->delete_id = a->id;
+	a->epoch = log->oldest;
+}
+
+void oplog_snapshot_tick(struct oplog *log, uint64_t now)
+{
+	if (log->snap_waiting && now >= log->snap_retry_us) {
+		log->snap_waiting = false;
+		if (log->snap_phase == SNAP_PART)
+			send_part(log);
+		else if (log->snap_phase == SNAP_MANIFEST)
+			send_manifest(log);
+		else
+			read_back(log);
+	}
+	if (!log->delete_id && log->oldest < log->covered_epoch &&
+	    now >= log->covered_us + OPLOG_DELETE_AFTER_US &&
+	    now >= log->delete_retry_us)
+		delete_next(log);
+}
--- /dev/null
+++ b/src/oplog.c
@@ -0,0 +1,627 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "oplog-internal.h"
+
+/* An owner without appends reads this often whether the log is sealed. */
+#define IDLE_CHECK_US 60000000u
+/* The same while the lease is not held; another may have taken over. */
+#define SUSPECT_CHECK_US 3000000u
+
+static void start_append(struct oplog *log, uint64_t now);
+static void send_append(struct oplog *log, uint64_t now);
+static void verify(struct oplog *log, uint64_t now);
+static void commit(struct oplog *log, uint64_t now);
+static void known_open(struct oplog *log, uint64_t now, uint64_t read_us);
+static void become_owner(struct oplog *log, uint64_t now);
+static void append_done(struct oplog *log, uint64_t now,
+			const struct oplog_event *e);
+static void record_read(struct oplog *log, uint64_t now,
+			const struct oplog_event *e);
+static void snapshot_read(struct oplog *log, uint64_t now,
+			  const struct oplog_event *e);
+static void move_on(struct oplog *log, uint64_t now);
+
+struct oplog *oplog_create(const char *writer, uint64_t seed)
+{
+	struct oplog *log = xcalloc(1, sizeof(*log));
+
+	snprintf(log->writer, sizeof(log->writer), "%s", writer);
+	log->rng.state = seed;
+	log->backoff_us = OPLOG_BACKOFF_MIN_US;
+	return log;
+}
+
+static void clear_rec(struct oplog *log)
+{
+	buffer_free(&log->rec.data);
+	free(log->rec.tokens.items);
+	memset(&log->rec, 0, sizeof(log->rec));
+}
+
+static void clear_pending(struct oplog *log)
+{
+	buffer_reset(&log->pending);
+	log->pending_count = 0;
+	log->pending_tokens.count = 0;
+	log->pending_urgent = false;
+	log->pending_since_us = 0;
+}
+
+void oplog_destroy(struct oplog *log)
+{
+	if (!log)
+		return;
+	clear_rec(log);
+	buffer_free(&log->pending);
+	free(log->pending_tokens.items);
+	buffer_free(&log->snap.state);
+	buffer_free(&log->snap_value);
+	free(log);
+}
+
+int oplog_add_client(struct oplog *log, struct oplog_client *client)
+{
+	if (log->client_count == OPLOG_CLIENTS_MAX)
+		return -1;
+	log->clients[log->client_count++] = client;
+	return 0;
+}
+
+void oplog_set_interval(struct oplog *log, uint64_t interval_us)
+{
+	log->interval_us = interval_us;
+}
+
+bool oplog_is_owner(const struct oplog *log)
+{
+	return log->state == OPLOG_OWNER;
+}
+
+uint64_t oplog_epoch(const struct oplog *log)
+{
+	return log->fence;
+}
+
+uint64_t oplog_last_append_us(const struct oplog *log)
+{
+	return log->state == OPLOG_OWNER ? log->verified_us : 0;
+}
+
+enum oplog_state oplog_get_state(const struct oplog *log)
+{
+	return log->state;
+}
+
+const struct oplog_counts *oplog_get_counts(const struct oplog *log)
+{
+	return &log->counts;
+}
+
+struct oplog_action *oplog_push(struct oplog *log, enum oplog_action_type type)
+{
+	uint32_t tail =
+		(log->action_head + log->action_count) % OPLOG_ACTIONS_MAX;
+	struct oplog_action *a = &log->actions[tail];
+
+	/* At most one call of each kind is in flight, so it cannot fill up. */
+	if (log->action_count == OPLOG_ACTIONS_MAX)
+		abort();
+	log->action_count++;
+	memset(a, 0, sizeof(*a));
+	a->type = type;
+	a->id = ++log->last_id;
+	return a;
+}
+
+bool oplog_next_action(struct oplog *log, struct oplog_action *out)
+{
+	if (!log->action_count)
+		return false;
+	*out = log->actions[log->action_head];
+	log->action_head = (log->action_head + 1) % OPLOG_ACTIONS_MAX;
+	log->action_count--;
+	return true;
+}
+
+/* ---- entries of the clients ---- */
+
+static void add_token(struct token_list *l, struct oplog_client *client,
+		      uint64_t token)
+{
+	if (l->count == l->capacity) {
+		l->capacity = l->capacity ? 2 * l->capacity : 16;
+		l->items = xrealloc(l->items, l->capacity * sizeof(*l->items));
+	}
+	l->items[l->count++] = (struct token){ client, token };
+}
+
+static struct oplog_client *find_client(struct oplog *log, int type)
+{
+	for (uint32_t i = 0; i < log->client_count; i++)
+		if ((int)log->clients[i]->ops->type == type)
+			return log->clients[i];
+	return NULL;
+}
+
+static int add_entry(struct oplog *log, enum oplog_entry_type type,
+		     const void *data, size_t len, uint64_t token)
+{
+	struct oplog_client *client = find_client(log, (int)type);
+
+	if (log->state != OPLOG_OWNER || log->draining || !client ||
+	    log->pending.len + len > OPLOG_PENDING_MAX_BYTES)
+		return -1;
+	oplog_pack_entry(&log->pending, (int)type, data, len);
+	add_token(&log->pending_tokens, client, token);
+	log->pending_count++;
+	return 0;
+}
+
+int oplog_append(struct oplog *log, enum oplog_entry_type type,
+		 const void *data, size_t len, uint64_t token)
+{
+	if (add_entry(log, type, data, len, token) < 0)
+		return -1;
+	log->pending_urgent = true;
+	return 0;
+}
+
+int oplog_append_later(struct oplog *log, enum oplog_entry_type type,
+		       const void *data, size_t len, uint64_t token)
+{
+	return add_entry(log, type, data, len, token);
+}
+
+/* ---- calls ---- */
+
+void oplog_issue(struct oplog *log, uint64_t now, enum op_phase phase)
+{
+	static const enum oplog_action_type types[] = {
+		[OP_LOAD_SNAPSHOT] = OPLOG_READ_SNAPSHOT,
+		[OP_LOAD_PARTS] = OPLOG_READ_PARTS,
+		[OP_LOAD_EPOCH] = OPLOG_READ_EPOCH,
+		[OP_APPEND] = OPLOG_APPEND,
+		[OP_READ_BACK] = OPLOG_READ_RECORD,
+		[OP_CHECK_SNAPSHOT] = OPLOG_READ_SNAPSHOT,
+	};
+	struct oplog_action *a = oplog_push(log, types[phase]);
+
+	log->phase = phase;
+	log->waiting = false;
+	log->id = a->id;
+	log->issued_us = now;
+	a->epoch = phase == OP_LOAD_PARTS ? log->snap.epoch : log->epoch;
+	a->seq = log->seq + 1;
+	if (phase == OP_APPEND) {
+		a->data = log->rec.data.data;
+		a->len = log->rec.data.len;
+	}
+}
+
+uint64_t oplog_jitter(struct oplog *log, uint64_t now, uint64_t *backoff_us)
+{
+	uint64_t base = *backoff_us ? *backoff_us : OPLOG_BACKOFF_MIN_US;
+
+	*backoff_us = 2 * base;
+	if (*backoff_us > OPLOG_BACKOFF_MAX_US)
+		*backoff_us = OPLOG_BACKOFF_MAX_US;
+	return now + base / 2 + rng_below(&log->rng, (uint32_t)base);
+}
+
+void oplog_back_off(struct oplog *log, uint64_t now)
+{
+	log->waiting = true;
+	log->id = 0;
+	log->retry_us = oplog_jitter(log, now, &log->backoff_us);
+}
+
+/* Puts everything back to the state of a process that is not the owner. */
+static void reset(struct oplog *log)
+{
+	log->state = OPLOG_FOLLOWER;
+	log->phase = OP_IDLE;
+	log->waiting = false;
+	log->id = 0;
+	log->snap_phase = SNAP_NONE;
+	log->snap_waiting = false;
+	log->snap_id = 0;
+	log->delete_id = 0;
+	log->covered_epoch = 0;
+	log->fence = 0;
+	log->verified_us = 0;
+	clear_rec(log);
+	clear_pending(log);
+	for (uint32_t i = 0; i < log->client_count; i++)
+		log->clients[i]->ops->reset(log->clients[i]);
+}
+
+void oplog_drop(struct oplog *log, uint64_t now, const char *why)
+{
+	struct oplog_action *a = oplog_push(log, OPLOG_DROPPED);
+
+	a->epoch = log->fence;
+	snprintf(a->text, sizeof(a->text), "%s", why);
+	reset(log);
+	if (!log->lease_held || log->draining)
+		return;
+	/* Waits, so that two who seal each other do not do so in a loop. */
+	log->state = OPLOG_LOADING;
+	log->phase = OP_LOAD_SNAPSHOT;
+	oplog_back_off(log, now);
+}
+
+/* ---- append, and recognition after a lost answer ---- */
+
+static void build_record(struct oplog *log, uint64_t next,
+			 const struct buffer *entries, uint32_t count)
+{
+	log->rec.present = true;
+	log->rec.nonce = rng_next(&log->rng);
+	log->rec.next = next;
+	buffer_reset(&log->rec.data);
+	oplog_pack_record(&log->rec.data, log->writer, log->rec.nonce, next,
+			  entries, count);
+}
+
+void oplog_seal(struct oplog *log, uint64_t now)
+{
+	struct buffer none = BUFFER_INIT;
+
+	buffer_append(&none, "", 0);
+	log->state = OPLOG_SEALING;
+	clear_rec(log);
+	build_record(log, log->epoch + 1, &none, 0);
+	buffer_free(&none);
+	log->rec.chosen_us = now;
+	send_append(log, now);
+}
+
+/* Moves the entries that wait into one record and sends it. */
+static void start_append(struct oplog *log, uint64_t now)
+{
+	bool roll = oplog_snapshot_due(log);
+	struct token_list spare;
+
+	clear_rec(log);
+	build_record(log, roll ? log->epoch + 1 : 0, &log->pending,
+		     log->pending_count);
+	spare = log->rec.tokens;
+	log->rec.tokens = log->pending_tokens;
+	log->pending_tokens = spare;
+	clear_pending(log);
+	/* The clients' state now stands for all entries up to this record. */
+	if (roll)
+		oplog_snapshot_take(log);
+	log->rec.chosen_us = now;
+	log->appended_us = now;
+	send_append(log, now);
+}
+
+/* Sends the record under its number, unless that must be verified first. */
+static void send_append(struct oplog *log, uint64_t now)
+{
+	if (now - log->rec.chosen_us > OPLOG_APPEND_MAX_US ||
+	    now - log->verified_us > OPLOG_VERIFIED_US) {
+		if (log->state == OPLOG_SEALING)
+			oplog_drop(log, now, "the load took too long");
+		else
+			verify(log, now);
+		return;
+	}
+	oplog_issue(log, now, OP_APPEND);
+}
+
+/* Reads the next number: is it free, ours or another's? */
+static void verify(struct oplog *log, uint64_t now)
+{
+	log->last_check_us = now;
+	oplog_issue(log, now, OP_READ_BACK);
+}
+
+static void append_done(struct oplog *log, uint64_t now,
+			const struct oplog_event *e)
+{
+	switch (e->result) {
+	case OPLOG_APPLIED:
+		if (now - log->rec.chosen_us <= OPLOG_APPEND_MAX_US)
+			commit(log, now);
+		else
+			verify(log, now);
+		break;
+	case OPLOG_REFUSED:
+		log->rec.refused = true;
+		verify(log, now);
+		break;
+	case OPLOG_UNKNOWN:
+		log->counts.lost_answers++;
+		verify(log, now);
+		break;
+	case OPLOG_UNREACHABLE:
+		oplog_back_off(log, now);
+		break;
+	}
+}
+
+static bool is_ours(struct oplog *log, const struct oplog_value *v)
+{
+	struct oplog_record r;
+	const char *fault;
+	bool ours;
+
+	if (!log->rec.present ||
+	    oplog_unpack_record(v->data, v->len, &r, &fault) < 0)
+		return false;
+	ours = !strcmp(r.writer, log->writer) && r.nonce == log->rec.nonce;
+	oplog_record_free(&r);
+	return ours;
+}
+
+/* True when no epoch can have been deleted before the last read. */
+static bool read_in_time(struct oplog *log)
+{
+	if (log->rec.present)
+		return log->issued_us - log->rec.chosen_us <=
+		       OPLOG_APPEND_MAX_US;
+	return log->issued_us - log->verified_us <= OPLOG_VERIFIED_US;
+}
+
+/*
+ * Another writer has the number. An owner is deposed by it. A seal can also
+ * meet a last append of the owner before, which is replayed like the others.
+ */
+static void taken_by_other(struct oplog *log, uint64_t now)
+{
+	if (log->state == OPLOG_OWNER) {
+		oplog_drop(log, now, "sealed by another owner");
+		return;
+	}
+	clear_rec(log);
+	log->state = OPLOG_LOADING;
+	oplog_issue(log, now, OP_LOAD_EPOCH);
+}
+
+static void record_read(struct oplog *log, uint64_t now,
+			const struct oplog_event *e)
+{
+	uint64_t read_us = log->issued_us;
+
+	if (e->result != OPLOG_APPLIED) {
+		oplog_back_off(log, now);
+		return;
+	}
+	if (e->count && !is_ours(log, &e->values[0])) {
+		taken_by_other(log, now);
+		return;
+	}
+	if (!e->count && log->rec.refused) {
+		oplog_drop(log, now, "epoch deleted");
+		return;
+	}
+	log->found = e->count > 0;
+	if (!read_in_time(log) ||
+	    (log->found && now - log->rec.chosen_us > OPLOG_APPEND_MAX_US)) {
+		oplog_issue(log, now, OP_CHECK_SNAPSHOT);
+		/* What counts is when the record was read. */
+		log->issued_us = read_us;
+		return;
+	}
+	if (log->found)
+		commit(log, now);
+	else
+		known_open(log, now, read_us);
+}
+
+/* A snapshot that does not cover the epoch proves that it still exists. */
+static void snapshot_read(struct oplog *log, uint64_t now,
+			  const struct oplog_event *e)
+{
+	struct oplog_snapshot s = { 0 };
+	const char *fault;
+	uint64_t read_us = log->issued_us;
+
+	if (e->result != OPLOG_APPLIED) {
+		log->phase = OP_READ_BACK;
+		oplog_back_off(log, now);
+		return;
+	}
+	if (e->count &&
+	    (oplog_unpack_snapshot(e->values[0].data, e->values[0].len, &s,
+				   &fault) < 0 ||
+	     s.epoch > log->epoch))
+		oplog_drop(log, now, "a later owner wrote a snapshot");
+	else if (log->found)
+		commit(log, now);
+	else
+		known_open(log, now, read_us);
+	buffer_free(&s.state);
+}
+
+/* The next number was free at read_us and the epoch not sealed. */
+static void known_open(struct oplog *log, uint64_t now, uint64_t read_us)
+{
+	if (read_us > log->verified_us)
+		log->verified_us = read_us;
+	log->phase = OP_IDLE;
+	if (!log->rec.present)
+		return;
+	log->rec.chosen_us = now;
+	send_append(log, now);
+}
+
+/* The record in flight exists; its entries are durable. */
+static void commit(struct oplog *log, uint64_t now)
+{
+	struct token_list done = log->rec.tokens;
+	uint64_t next = log->rec.next;
+
+	if (log->phase != OP_APPEND)
+		log->counts.recognised++;
+	memset(&log->rec.tokens, 0, sizeof(log->rec.tokens));
+	if (log->rec.chosen_us > log->verified_us)
+		log->verified_us = log->rec.chosen_us;
+	log->counts.records++;
+	log->counts.record_bytes += log->rec.data.len;
+	log->counts.entries += done.count;
+	log->log_records++;
+	log->log_bytes += log->rec.data.len;
+	log->seq++;
+	log->phase = OP_IDLE;
+	log->backoff_us = OPLOG_BACKOFF_MIN_US;
+	clear_rec(log);
+	if (next) {
+		log->epoch = next;
+		log->seq = 0;
+		log->chain++;
+	}
+	if (log->state == OPLOG_SEALING)
+		become_owner(log, now);
+	else if (log->snap_phase == SNAP_TAKEN)
+		oplog_snapshot_write(log);
+	for (uint32_t i = 0; i < done.count; i++)
+		done.items[i].client->ops->committed(done.items[i].client,
+						     done.items[i].token, now);
+	free(done.items);
+}
+
+static void become_owner(struct oplog *log, uint64_t now)
+{
+	struct oplog_action *a = oplog_push(log, OPLOG_OWNED);
+
+	log->state = OPLOG_OWNER;
+	log->fence = log->epoch;
+	a->epoch = log->epoch;
+	a->records = log->replayed;
+	a->took_us = now - log->lease_gained_us;
+	for (uint32_t i = 0; i < log->client_count; i++)
+		log->clients[i]->ops->owned(log->clients[i], log->epoch, now);
+}
+
+/* ---- events ---- */
+
+/* True when the entries that wait should be written now. */
+static bool ready_to_append(struct oplog *log, uint64_t now)
+{
+	if (!log->pending_count)
+		return false;
+	if (!log->pending_since_us)
+		log->pending_since_us = now;
+	if (log->draining)
+		return true;
+	if (log->appended_us && now - log->appended_us < log->interval_us)
+		return false;
+	return log->pending_urgent ||
+	       now - log->pending_since_us >= OPLOG_LATER_US;
+}
+
+static bool check_due(const struct oplog *log, uint64_t now)
+{
+	uint64_t last = log->last_check_us > log->verified_us
+				? log->last_check_us
+				: log->verified_us;
+
+	return now - last >=
+	       (log->lease_held ? IDLE_CHECK_US : SUSPECT_CHECK_US);
+}
+
+static void release(struct oplog *log)
+{
+	oplog_push(log, OPLOG_RELEASED)->epoch = log->fence;
+	reset(log);
+}
+
+/* Does what time or new entries ask for. */
+static void move_on(struct oplog *log, uint64_t now)
+{
+	if (log->waiting && now >= log->retry_us) {
+		log->waiting = false;
+		if (log->phase == OP_APPEND)
+			send_append(log, now);
+		else if (log->phase == OP_READ_BACK)
+			verify(log, now);
+		else if (log->phase == OP_LOAD_SNAPSHOT)
+			oplog_load_start(log, now);
+		else
+			oplog_issue(log, now, log->phase);
+	}
+	if (log->state != OPLOG_OWNER)
+		return;
+	if (log->phase == OP_IDLE) {
+		if (ready_to_append(log, now))
+			start_append(log, now);
+		else if (check_due(log, now))
+			verify(log, now);
+		else if (log->draining && !log->pending_count)
+			release(log);
+	}
+	if (log->state == OPLOG_OWNER)
+		oplog_snapshot_tick(log, now);
+}
+
+static void lease_gained(struct oplog *log, uint64_t now)
+{
+	if (log->lease_held || log->draining)
+		return;
+	log->lease_held = true;
+	log->lease_gained_us = now;
+	log->backoff_us = OPLOG_BACKOFF_MIN_US;
+	if (log->state == OPLOG_FOLLOWER)
+		oplog_load_start(log, now);
+}
+
+/* An owner stays one until an append or a read shows the seal. */
+static void lease_lost(struct oplog *log, uint64_t now)
+{
+	log->lease_held = false;
+	if (log->state == OPLOG_LOADING || log->state == OPLOG_SEALING)
+		oplog_drop(log, now, "lease lost during the load");
+}
+
+static void drain(struct oplog *log)
+{
+	log->draining = true;
+	if (log->state != OPLOG_OWNER)
+		release(log);
+}
+
+static void answer(struct oplog *log, uint64_t now, const struct oplog_event *e)
+{
+	static void (*const fns[])(struct oplog *, uint64_t,
+				   const struct oplog_event *) = {
+		[OP_LOAD_SNAPSHOT] = oplog_load_snapshot,
+		[OP_LOAD_PARTS] = oplog_load_parts,
+		[OP_LOAD_EPOCH] = oplog_load_epoch,
+		[OP_APPEND] = append_done,
+		[OP_READ_BACK] = record_read,
+		[OP_CHECK_SNAPSHOT] = snapshot_read,
+	};
+
+	if (log->phase != OP_IDLE && e->id == log->id)
+		fns[log->phase](log, now, e);
+	else if (e->id == log->snap_id || e->id == log->delete_id)
+		oplog_snapshot_event(log, now, e);
+}
+
+void oplog_step(struct oplog *log, uint64_t now_us, const struct oplog_event *e)
+{
+	switch (e->type) {
+	case OPLOG_LEASE_GAINED:
+		lease_gained(log, now_us);
+		break;
+	case OPLOG_LEASE_LOST:
+		lease_lost(log, now_us);
+		break;
+	case OPLOG_DRAIN:
+		drain(log);
+		break;
+	case OPLOG_TICK:
+		break;
+	default:
+		/* Answers to calls of an earlier load or ownership are late. */
+		if (e->id)
+			answer(log, now_us, e);
+		break;
+	}
+	move_on(log, now_us);
+}
