--- /dev/null
+++ b/src/histogram.c
@@ -0,0 +1,61 @@
+#include "histogram.h"
+
+static uint32_t bucket_of(uint64_t value)
+{
+	uint32_t shift;
+
+	if (value < HISTOGRAM_SUB)
+		return (uint32_t)value;
+	shift = 63u - (uint32_t)__builtin_clzll(value) - HISTOGRAM_SUB_BITS;
+	/* The top bit of value >> shift is always set and selects no bucket. */
+	return (shift + 1) * HISTOGRAM_SUB +
+	       ((uint32_t)(value >> shift) - HISTOGRAM_SUB);
+}
+
+/* Highest value that falls into a bucket. */
+static uint64_t bucket_top(uint32_t bucket)
+{
+	uint32_t shift;
+
+	if (bucket < HISTOGRAM_SUB)
+		return bucket;
+	shift = bucket / HISTOGRAM_SUB - 1;
+	return ((uint64_t)(HISTOGRAM_SUB + bucket % HISTOGRAM_SUB + 1)
+		<< shift) -
+	       1;
+}
+
+void histogram_add(struct histogram *h, uint64_t value)
+{
+	if (value > HISTOGRAM_MAX)
+		value = HISTOGRAM_MAX;
+	h->counts[bucket_of(value)]++;
+	h->total++;
+}
+
+uint64_t histogram_quantile(const struct histogram *h, double q)
+{
+	uint64_t rank = (uint64_t)(q * (double)h->total);
+	uint64_t seen = 0;
+
+	if (h->total == 0)
+		return 0;
+	/* The smallest value with at least q * total values up to it. */
+	if ((double)rank < q * (double)h->total || rank == 0)
+		rank++;
+	for (uint32_t i = 0; i < HISTOGRAM_BUCKETS; i++) {
+		seen += h->counts[i];
+		if (seen >= rank)
+			return bucket_top(i);
+	}
+	return HISTOGRAM_MAX;
+}
+
+void histogram_decay(struct histogram *h)
+{
+	h->total = 0;
+	for (uint32_t i = 0; i < HISTOGRAM_BUCKETS; i++) {
+		h->counts[i] /= 2;
+		h->total += h->counts[i];
+	}
+}
