--- a/src/core.h
+++ b/src/core.h
@@ -109,6 +109,16 @@
 	};
 };
 
+/* Why a target was chosen over the one passed over. */
+enum flow_why {
+	FLOW_WHY_ONLY,	      /* the only target with a free own slot */
+	FLOW_WHY_LATENCY,     /* lower expected completion */
+	FLOW_WHY_OUTSTANDING, /* fewer requests; a latency was not known */
+	FLOW_WHY_RANDOM,      /* baseline */
+	FLOW_WHY_TRIAL,	      /* trial request of an open breaker */
+	FLOW_WHY_OTHER,	      /* the other one failed this request before */
+};
+
 enum flow_action_type {
 	FLOW_SEND,   /* send the request to the target now */
 	FLOW_FINISH, /* no further attempt; tell the caller the outcome */
@@ -124,6 +134,8 @@
 	uint32_t attempt;
 	enum flow_outcome outcome; /* FLOW_FINISH */
 	enum flow_reason reason;
+	enum flow_why why;   /* FLOW_SEND */
+	bool hedge;	     /* FLOW_SEND: an earlier attempt still runs */
 	uint64_t queued_us;  /* time spent in the queue */
 	uint64_t timeout_us; /* FLOW_SEND: give up after this time */
 };
@@ -145,11 +157,64 @@
 
 struct flow;
 
+enum flow_breaker {
+	FLOW_BREAKER_CLOSED,
+	FLOW_BREAKER_OPEN,
+	FLOW_BREAKER_TRIAL
+};
+
+/* What the core knows of a target, for status pages and tests. */
+struct flow_target_info {
+	bool present;
+	bool leaving;
+	bool draining;
+	enum flow_breaker breaker;
+	uint32_t own_slots;
+	uint32_t own_connections;
+	uint32_t outstanding; /* attempts sent and not ended */
+	uint32_t abandoned;   /* given up; the target may still run them */
+	uint64_t latency_us;  /* EWMA; 0: not known */
+};
+
+struct flow_kind_info {
+	char user[SHEET_NAME_BYTES];
+	char name[SHEET_NAME_BYTES];
+	uint32_t queued;
+	uint32_t running;
+	uint64_t p95_us; /* 0: not known */
+	uint64_t service_us;
+};
+
+struct flow_totals {
+	uint32_t capacity; /* own slots of the targets in use */
+	uint32_t queued;
+	uint32_t running;
+	uint64_t first_sends;
+	uint64_t retries;
+	uint64_t hedges;
+};
+
+/*
+ * The driver may use a handle again once it has got FLOW_FINISH or
+ * FLOW_REFUSE for it and has posted a FLOW_RESULT for each of its FLOW_SEND;
+ * a target's handle once the target is gone and no attempt at it runs.
+ * flow_step() appends to out, whose items it may reallocate.
+ */
 struct flow *flow_create(const struct flow_options *o);
 void flow_destroy(struct flow *f);
 void flow_step(struct flow *f, uint64_t now_us, const struct flow_event *e,
 	       struct flow_actions *out);
 
+/* Returns -1 when the handle or index is not in use. */
+int flow_target_info(const struct flow *f, uint32_t target,
+		     struct flow_target_info *out);
+int flow_kind_info(const struct flow *f, uint32_t kind,
+		   struct flow_kind_info *out);
+void flow_totals(const struct flow *f, struct flow_totals *out);
+const char *flow_reason_name(enum flow_reason reason);
+const char *flow_outcome_name(enum flow_outcome outcome);
+const char *flow_why_name(enum flow_why why);
+
 /* ---- place: placement and task life cycle ---- */
 
 #define PLACE_NAME_BYTES 64
--- /dev/null
+++ b/src/flow-admit.c
@@ -0,0 +1,376 @@
+#include <string.h>
+
+#include "buffer.h"
+#include "flow-internal.h"
+
+/* Cost of a turn of a kind whose service time is not known yet. */
+#define DEFAULT_COST_US 10000.0
+#define SERVICE_WEIGHT 0.125
+/*
+ * Without new samples the service time counts as unknown, since a kind whose
+ * requests are all refused as too slow gets no sample that could correct it.
+ */
+#define SERVICE_MAX_AGE_US 2000000u
+#define INTERVAL_WEIGHT_SHIFT 3
+#define QUANTILE_MIN_SAMPLES 20
+
+/* Part of the slots and of the queue that a kind uses, against its share. */
+static double use_of_share(const struct flow *f, const struct flow_kind *k)
+{
+	double room = f->capacity + f->options.queue_limit;
+
+	return (k->running + k->queued) - k->share * room;
+}
+
+static double known_service_us(const struct flow_kind *k, uint64_t now_us)
+{
+	if (!k->sample_us || now_us - k->sample_us > SERVICE_MAX_AGE_US)
+		return 0;
+	return k->service_us + k->deviation_us;
+}
+
+/* Time between two sends of a queue, from its sends or else its share. */
+static double interval_us(const struct flow *f, const struct flow_kind *k,
+			  const struct flow_queue *q, uint64_t now_us)
+{
+	uint64_t waited = q->last_send_us ? now_us - q->last_send_us : 0;
+	double slots;
+
+	if (q->interval_us)
+		return waited > q->interval_us ? (double)waited
+					       : (double)q->interval_us;
+	slots = k->share * f->capacity;
+	if (slots < 1)
+		slots = 1;
+	return known_service_us(k, now_us) / slots;
+}
+
+/* Expected time in the queue for one more request. */
+static double expected_wait_us(const struct flow *f, const struct flow_kind *k,
+			       const struct flow_queue *q, uint64_t now_us)
+{
+	if (q->queued == 0)
+		return 0;
+	return interval_us(f, k, q, now_us) * (q->queued + 1);
+}
+
+/* Reason to refuse a request whatever its kind uses; NONE to accept it. */
+static enum flow_reason check_limits(const struct flow *f,
+				     const struct flow_request *r,
+				     uint64_t now_us)
+{
+	const struct flow_kind *k = &f->kinds[r->kind];
+	const struct flow_team *t = &f->teams[r->team];
+
+	if (f->capacity == 0)
+		return FLOW_REASON_NO_TARGET;
+	if (k->limit && k->in_flight >= k->limit)
+		return FLOW_REASON_KIND_LIMIT;
+	if (t->limit && t->in_flight >= t->limit)
+		return FLOW_REASON_TEAM_LIMIT;
+	if (f->options.team_bytes_limit &&
+	    t->queued_bytes + r->bytes > f->options.team_bytes_limit)
+		return FLOW_REASON_MEMORY;
+	if (r->deadline_us <= now_us)
+		return FLOW_REASON_DEADLINE;
+	if (f->options.fifo_admission)
+		return FLOW_REASON_NONE;
+	if ((double)now_us +
+		    expected_wait_us(f, k, &f->queues[r->queue], now_us) +
+		    known_service_us(k, now_us) >
+	    (double)r->deadline_us)
+		return FLOW_REASON_DEADLINE;
+	return FLOW_REASON_NONE;
+}
+
+/* Kind above its share, the lowest priority first, then the largest excess. */
+static uint32_t displaced_kind(const struct flow *f)
+{
+	uint32_t found = FLOW_NONE;
+	double excess = 0;
+
+	for (uint32_t i = 0; i < f->active_count; i++) {
+		const struct flow_kind *k = &f->kinds[f->active[i]];
+		double use = use_of_share(f, k);
+
+		if (use <= 0)
+			continue;
+		if (found != FLOW_NONE &&
+		    (k->priority < f->kinds[found].priority ||
+		     (k->priority == f->kinds[found].priority &&
+		      use <= excess)))
+			continue;
+		found = f->active[i];
+		excess = use;
+	}
+	return found;
+}
+
+/* Newest, least urgent request of the kind's longest queue for its weight. */
+static uint32_t displaced_request(const struct flow *f, uint32_t kind)
+{
+	const struct flow_kind *k = &f->kinds[kind];
+	const struct flow_queue *longest = NULL;
+
+	for (uint32_t i = 0; i < k->queue_count; i++) {
+		const struct flow_queue *q = &f->queues[k->queue_first + i];
+
+		if (q->queued &&
+		    (!longest ||
+		     q->queued * longest->weight > longest->queued * q->weight))
+			longest = q;
+	}
+	for (int u = URGENCY_COUNT - 1; u >= 0; u--)
+		if (longest->tail[u] != FLOW_NONE)
+			return longest->tail[u];
+	return FLOW_NONE;
+}
+
+/* Makes room in a full queue; -1 when the arriving request must go. */
+static int make_room(struct flow *f, const struct flow_kind *arriving,
+		     uint64_t now_us, struct flow_actions *out)
+{
+	uint32_t kind, victim;
+
+	if (f->options.fifo_admission || use_of_share(f, arriving) >= 0)
+		return -1;
+	kind = displaced_kind(f);
+	if (kind == FLOW_NONE)
+		return -1;
+	victim = displaced_request(f, kind);
+	queue_remove(f, victim);
+	flow_refuse(f, victim, FLOW_REASON_DISPLACED, now_us, out);
+	return 0;
+}
+
+void admit_request(struct flow *f, uint32_t handle, uint64_t now_us,
+		   struct flow_actions *out)
+{
+	struct flow_request *r = &f->requests[handle];
+	struct flow_kind *k = &f->kinds[r->kind];
+	enum flow_reason reason;
+
+	k->in_flight++;
+	f->teams[r->team].in_flight++;
+	reason = check_limits(f, r, now_us);
+	/* A request that can be sent at once needs no place in the queue. */
+	if (!reason && f->queued >= f->options.queue_limit &&
+	    (f->free_count == 0 || f->queued > 0) &&
+	    make_room(f, k, now_us, out) < 0)
+		reason = FLOW_REASON_QUEUE_FULL;
+	if (reason) {
+		flow_refuse(f, handle, reason, now_us, out);
+		return;
+	}
+	queue_push(f, handle, false);
+	queue_push_all(f, handle, false);
+}
+
+void admit_done(struct flow *f, uint32_t handle)
+{
+	struct flow_request *r = &f->requests[handle];
+
+	f->teams[r->team].in_flight--;
+	if (r->kind >= 0)
+		f->kinds[r->kind].in_flight--;
+}
+
+/* ---- turns ---- */
+
+/* Kind below its guarantee that uses the smallest part of it. */
+static uint32_t guaranteed_kind(const struct flow *f)
+{
+	uint32_t found = FLOW_NONE;
+	double lowest = 1;
+
+	for (uint32_t i = 0; i < f->active_count; i++) {
+		const struct flow_kind *k = &f->kinds[f->active[i]];
+		double slots = k->share * f->capacity;
+		double part;
+
+		if (k->running >= slots)
+			continue;
+		part = k->running / slots;
+		if (found != FLOW_NONE &&
+		    (part > lowest ||
+		     (part == lowest &&
+		      k->last_send_us >= f->kinds[found].last_send_us)))
+			continue;
+		found = f->active[i];
+		lowest = part;
+	}
+	return found;
+}
+
+static double start_of(double finish, double virtual_now)
+{
+	return finish > virtual_now ? finish : virtual_now;
+}
+
+/* Kind whose turn it is for a slot that no guarantee claims. */
+static uint32_t lent_kind(const struct flow *f)
+{
+	uint32_t found = FLOW_NONE;
+	double earliest = 0;
+
+	for (uint32_t i = 0; i < f->active_count; i++) {
+		const struct flow_kind *k = &f->kinds[f->active[i]];
+		double start = start_of(k->finish, f->virtual);
+
+		if (found != FLOW_NONE && start >= earliest)
+			continue;
+		found = f->active[i];
+		earliest = start;
+	}
+	return found;
+}
+
+/* Queue of the kind's team whose turn it is. */
+static const struct flow_queue *next_queue(const struct flow *f,
+					   const struct flow_kind *k)
+{
+	const struct flow_queue *found = NULL;
+
+	for (uint32_t i = 0; i < k->queue_count; i++) {
+		const struct flow_queue *q = &f->queues[k->queue_first + i];
+
+		if (q->queued &&
+		    (!found || start_of(q->finish, k->virtual) <
+				       start_of(found->finish, k->virtual)))
+			found = q;
+	}
+	return found;
+}
+
+uint32_t admit_next(struct flow *f)
+{
+	const struct flow_queue *q;
+	uint32_t kind;
+
+	if (f->options.fifo_admission || f->active_count == 0)
+		return f->all_head;
+	kind = guaranteed_kind(f);
+	if (kind == FLOW_NONE)
+		kind = lent_kind(f);
+	q = next_queue(f, &f->kinds[kind]);
+	for (int u = 0; u < URGENCY_COUNT; u++)
+		if (q->head[u] != FLOW_NONE)
+			return q->head[u];
+	return FLOW_NONE;
+}
+
+/* Charges the turn: teams always, kinds only for slots beyond the guarantee. */
+static void charge(struct flow *f, struct flow_kind *k, struct flow_queue *q)
+{
+	double cost = k->sample_us ? k->service_us : DEFAULT_COST_US;
+
+	k->virtual = start_of(q->finish, k->virtual);
+	q->finish = k->virtual + cost / q->weight;
+	if (k->running < k->share * f->capacity)
+		return;
+	f->virtual = start_of(k->finish, f->virtual);
+	k->finish = f->virtual + cost / k->weight;
+}
+
+void admit_sent(struct flow *f, uint32_t handle, uint64_t now_us)
+{
+	struct flow_request *r = &f->requests[handle];
+	struct flow_kind *k = &f->kinds[r->kind];
+	struct flow_queue *q = &f->queues[r->queue];
+
+	queue_remove(f, handle);
+	charge(f, k, q);
+	k->last_send_us = now_us;
+	if (q->last_send_us) {
+		int64_t gap = (int64_t)(now_us - q->last_send_us);
+		int64_t old = (int64_t)q->interval_us;
+
+		q->interval_us = (uint64_t)(old + ((gap - old) >>
+						   INTERVAL_WEIGHT_SHIFT));
+	}
+	/* A gap during which nothing waited says nothing about the rate. */
+	q->last_send_us = q->queued ? now_us : 0;
+}
+
+bool admit_too_late(const struct flow *f, uint32_t handle, uint64_t now_us)
+{
+	const struct flow_request *r = &f->requests[handle];
+	const struct flow_kind *k = &f->kinds[r->kind];
+	double service = 0;
+
+	if (!f->options.fifo_admission && k->sample_us &&
+	    now_us - k->sample_us <= SERVICE_MAX_AGE_US)
+		service = k->service_us;
+	return (double)now_us + service >= (double)r->deadline_us;
+}
+
+void admit_tick(struct flow *f, uint64_t now_us, struct flow_actions *out)
+{
+	uint32_t handle = f->all_head;
+
+	while (handle != FLOW_NONE) {
+		uint32_t next = f->requests[handle].all_next;
+
+		if (admit_too_late(f, handle, now_us)) {
+			queue_remove(f, handle);
+			flow_refuse(f, handle, FLOW_REASON_DEADLINE, now_us,
+				    out);
+		}
+		handle = next;
+	}
+}
+
+/* ---- measurements ---- */
+
+void admit_sample(struct flow *f, int32_t kind, uint64_t service_us,
+		  uint64_t now_us)
+{
+	struct flow_kind *k;
+	double error;
+
+	if (kind < 0)
+		return;
+	k = &f->kinds[kind];
+	if (!k->latency)
+		k->latency = xcalloc(1, sizeof(*k->latency));
+	histogram_add(k->latency, service_us);
+	if (!k->sample_us)
+		k->service_us = (double)service_us;
+	error = (double)service_us - k->service_us;
+	k->service_us += SERVICE_WEIGHT * error;
+	k->deviation_us += SERVICE_WEIGHT *
+			   ((error < 0 ? -error : error) - k->deviation_us);
+	k->sample_us = now_us;
+}
+
+void admit_quantiles(struct flow *f, bool decay)
+{
+	for (uint32_t i = 0; i < f->kind_count; i++) {
+		struct flow_kind *k = &f->kinds[i];
+
+		if (!k->latency)
+			continue;
+		if (decay)
+			histogram_decay(k->latency);
+		k->p95_us = k->latency->total < QUANTILE_MIN_SAMPLES
+				    ? 0
+				    : histogram_quantile(k->latency, 0.95);
+	}
+}
+
+int flow_kind_info(const struct flow *f, uint32_t kind,
+		   struct flow_kind_info *out)
+{
+	const struct flow_kind *k;
+
+	if (kind >= f->kind_count)
+		return -1;
+	k = &f->kinds[kind];
+	memcpy(out->user, k->user, sizeof(out->user));
+	memcpy(out->name, k->name, sizeof(out->name));
+	out->queued = k->queued;
+	out->running = k->running;
+	out->p95_us = k->p95_us;
+	out->service_us = (uint64_t)k->service_us;
+	return 0;
+}
--- /dev/null
+++ b/src/flow-internal.h
@@ -0,0 +1,231 @@
+#ifndef FLOW_INTERNAL_H
+#define FLOW_INTERNAL_H
+
+#include "core.h"
+#include "histogram.h"
+#include "share.h"
+
+/*
+ * NAME
+ *	flow-internal - state shared by the files flow*.c
+ *
+ * DESCRIPTION
+ *	flow.c handles events, attempts, retries and hedges; flow-policy.c
+ *	builds the tables of a sheet; flow-queue.c links requests into them;
+ *	flow-admit.c decides on refusals and turns; flow-route.c owns targets
+ *	and breakers.
+ */
+
+#define FLOW_REQUESTS_MAX 65536u
+#define FLOW_NONE UINT32_MAX
+#define FLOW_ATTEMPTS_RUNNING 2
+#define FLOW_CONNECTIONS_DEFAULT 64
+
+enum request_state {
+	REQUEST_FREE,
+	REQUEST_QUEUED,
+	REQUEST_RUNNING,  /* at least one attempt is out */
+	REQUEST_FINISHED, /* answered; an attempt is still out */
+};
+
+struct flow_attempt {
+	uint32_t number;
+	uint32_t target; /* FLOW_NONE: unused */
+	uint64_t sent_us;
+};
+
+struct flow_request {
+	enum request_state state;
+	enum urgency urgency;
+	bool idempotent;
+	bool may_have_run; /* an attempt ended and may have taken effect */
+	bool hedged;
+	bool cancelled;
+	bool counted; /* its first send has been counted */
+	int32_t kind; /* -1: the kind left the sheet */
+	uint32_t team;
+	uint32_t queue;
+	uint32_t bytes;
+	uint32_t attempts; /* sent so far */
+	uint32_t avoid;	   /* target of the last failure */
+	struct flow_attempt out[FLOW_ATTEMPTS_RUNNING];
+	uint64_t arrived_us;
+	uint64_t queued_us;
+	uint64_t deadline_us;
+	/* Links of the queue while queued, of the hedge list while running. */
+	uint32_t next;
+	uint32_t previous;
+	uint32_t all_next; /* all queued requests by arrival */
+	uint32_t all_previous;
+	bool in_hedge_list;
+};
+
+/* Waiting requests of one kind and team, a list for each urgency. */
+struct flow_queue {
+	uint32_t head[URGENCY_COUNT];
+	uint32_t tail[URGENCY_COUNT];
+	uint32_t queued;
+	uint32_t team;
+	double weight;
+	double finish;	       /* virtual time at which its last turn ends */
+	uint64_t interval_us;  /* between two sends while requests wait */
+	uint64_t last_send_us; /* 0: nothing waited after the last send */
+};
+
+struct flow_team {
+	char user[SHEET_NAME_BYTES];
+	char name[SHEET_NAME_BYTES];
+	uint32_t limit;
+	uint32_t in_flight; /* queued and running */
+	uint64_t queued_bytes;
+};
+
+struct flow_kind {
+	char user[SHEET_NAME_BYTES];
+	char name[SHEET_NAME_BYTES];
+	enum urgency priority;
+	double share; /* part of the capacity, 0 to 1 */
+	double weight;
+	double finish;	/* virtual time at which its last turn ends */
+	double virtual; /* virtual time of its teams */
+	uint32_t limit;
+	uint32_t in_flight; /* requests not yet answered */
+	uint32_t queued;
+	uint32_t running; /* attempts, each of which holds a slot */
+	uint32_t queue_first;
+	uint32_t queue_count;
+	uint32_t active_at; /* position among the kinds with a queue */
+	uint64_t last_send_us;
+	double service_us; /* mean time of an attempt */
+	double deviation_us;
+	uint64_t sample_us; /* time of the last sample, 0: none */
+	uint64_t p95_us;
+	struct histogram *latency;
+	uint32_t hedge_head; /* running, idempotent, not hedged */
+	uint32_t hedge_tail;
+};
+
+struct flow_target {
+	bool present;
+	bool leaving;
+	bool draining;
+	bool asked;
+	enum flow_breaker breaker;
+	uint64_t hash;
+	uint32_t slots;
+	uint32_t connections;
+	uint32_t own_slots;
+	uint32_t own_connections;
+	uint32_t outstanding;
+	uint32_t abandoned;
+	uint32_t failures; /* in a row */
+	uint32_t free_at;  /* position among the targets with a free slot */
+	uint32_t counted;  /* its part of the capacity */
+	uint64_t open_until_us;
+	uint64_t pause_us;
+	uint64_t asked_us;
+	uint64_t abandoned_us; /* when the last one was given up */
+	double latency_us;
+	uint64_t sample_us; /* time of the last sample, 0: none */
+	uint64_t last_ok_us;
+	uint64_t trial_us; /* when the trial request was sent, 0: not yet */
+};
+
+struct flow {
+	struct flow_options options;
+	struct rng rng;
+	bool has_policy;
+	struct flow_request *requests;
+	uint32_t request_high; /* handles below it may be in use */
+	/* Admission. */
+	struct flow_kind *kinds;
+	uint32_t kind_count;
+	struct flow_team *teams; /* of the sheet, then one a kind for "none" */
+	uint32_t team_count;
+	struct flow_queue *queues;
+	uint32_t queue_count;
+	uint32_t *active; /* kinds with a queue */
+	uint32_t active_count;
+	double virtual;
+	uint32_t all_head;
+	uint32_t all_tail;
+	uint32_t queued;
+	uint32_t running;
+	/* Routing. */
+	struct flow_target *targets;
+	uint32_t target_count;
+	uint32_t *free_targets;
+	uint32_t free_count;
+	uint32_t capacity;
+	struct share_split split;
+	/* Retries and hedges. */
+	int64_t budget; /* in hundredths of a request */
+	uint64_t first_sends;
+	uint64_t retries;
+	uint64_t hedges;
+	uint64_t next_quantile_us;
+	uint64_t next_decay_us;
+};
+
+/* flow.c */
+struct flow_action *flow_emit(struct flow_actions *out,
+			      enum flow_action_type type, uint32_t handle);
+void flow_refuse(struct flow *f, uint32_t handle, enum flow_reason reason,
+		 uint64_t now_us, struct flow_actions *out);
+
+/* flow-queue.c */
+void queue_push(struct flow *f, uint32_t handle, bool at_head);
+void queue_push_all(struct flow *f, uint32_t handle, bool at_head);
+void queue_remove_all(struct flow *f, uint32_t handle);
+/* Puts a request whose attempt failed at the head of its queue. */
+void queue_again(struct flow *f, uint32_t handle, uint64_t now_us);
+/* Takes a request out of its queue. */
+void queue_remove(struct flow *f, uint32_t handle);
+/* List of running requests that may be hedged, by time of sending. */
+void hedge_list_add(struct flow *f, uint32_t handle);
+void hedge_list_remove(struct flow *f, uint32_t handle);
+
+/* flow-policy.c */
+void admit_policy(struct flow *f, const struct sheet *sheet, uint64_t now_us,
+		  struct flow_actions *out);
+void admit_free(struct flow *f);
+/* Finds queue and team of a request; team is an index of the sheet or -1. */
+void admit_place(struct flow *f, uint32_t handle, int32_t team);
+
+/* flow-admit.c */
+/* Queues the request or refuses it. */
+void admit_request(struct flow *f, uint32_t handle, uint64_t now_us,
+		   struct flow_actions *out);
+/* Returns the request whose turn it is, still queued, or FLOW_NONE. */
+uint32_t admit_next(struct flow *f);
+/* Takes the request out of its queue and charges its turn. */
+void admit_sent(struct flow *f, uint32_t handle, uint64_t now_us);
+/* The request got its final action. */
+void admit_done(struct flow *f, uint32_t handle);
+/* Refuses queued requests that can no longer meet their deadline. */
+void admit_tick(struct flow *f, uint64_t now_us, struct flow_actions *out);
+/* Whether the request would end after its deadline if it were sent now. */
+bool admit_too_late(const struct flow *f, uint32_t handle, uint64_t now_us);
+void admit_sample(struct flow *f, int32_t kind, uint64_t service_us,
+		  uint64_t now_us);
+void admit_quantiles(struct flow *f, bool decay);
+
+/* flow-route.c */
+void route_free(struct flow *f);
+void route_target(struct flow *f, const struct flow_event *e, uint64_t now_us);
+void route_gone(struct flow *f, uint32_t target);
+void route_seat(struct flow *f, const struct flow_event *e);
+void route_probe(struct flow *f, const struct flow_event *e, uint64_t now_us);
+void route_tick(struct flow *f, uint64_t now_us, struct flow_actions *out);
+/* Chooses among the targets with a free own slot; FLOW_NONE: none. */
+uint32_t route_choose(struct flow *f, const struct flow_request *r,
+		      uint64_t now_us, uint32_t *passed_over,
+		      enum flow_why *why);
+void route_sent(struct flow *f, uint32_t target, uint64_t now_us);
+void route_result(struct flow *f, uint32_t target, enum flow_outcome outcome,
+		  uint64_t sent_us, uint64_t service_us, uint64_t now_us);
+/* An attempt has run for elapsed_us without an answer. */
+void route_slow(struct flow *f, uint32_t target, uint64_t elapsed_us,
+		uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/flow-route.c
@@ -0,0 +1,415 @@
+#include <stdlib.h>
+
+#include "buffer.h"
+#include "flow-internal.h"
+
+/*
+ * Weight of a new sample. A quarter follows a runner that slows down within
+ * about eight answers; see docs/notes/routing.md.
+ */
+#define EWMA_WEIGHT 0.25
+/* An older sample says nothing about the load of now. */
+#define SAMPLE_MAX_AGE_US 5000000u
+/* A failure counts as a latency of this, so that fast errors attract no load.
+ */
+#define FAILURE_LATENCY_US 1000000.0
+#define BREAKER_FAILURES 3
+#define BREAKER_PAUSE_US 500000u
+#define BREAKER_PAUSE_MAX_US 8000000u
+/* With a probe timeout of 1 s a draining target is known within 3 s. */
+#define PROBE_INTERVAL_US 1500000u
+#define PROBE_LOST_US 3000000u
+/*
+ * A request that was given up may run on; its slot is used again when the
+ * target reports room, and without a report after the longest deadline.
+ */
+#define ABANDONED_MAX_US 30000000u
+
+static void update_target(struct flow *f, uint32_t target);
+
+void route_free(struct flow *f)
+{
+	free(f->targets);
+	free(f->free_targets);
+}
+
+/* Makes room for a handle. */
+static void grow_targets(struct flow *f, uint32_t target)
+{
+	uint32_t count = f->target_count ? f->target_count : 64;
+
+	if (target < f->target_count)
+		return;
+	while (count <= target)
+		count *= 2;
+	f->targets = xrealloc(f->targets, count * sizeof(*f->targets));
+	f->free_targets =
+		xrealloc(f->free_targets, count * sizeof(*f->free_targets));
+	for (uint32_t i = f->target_count; i < count; i++)
+		f->targets[i] = (struct flow_target){ .free_at = FLOW_NONE };
+	f->target_count = count;
+}
+
+static void split_target(struct flow *f, uint32_t target)
+{
+	struct flow_target *t = &f->targets[target];
+
+	t->own_slots = share_count(&f->split, t->hash, t->slots);
+	t->own_connections = share_count(&f->split, t->hash, t->connections);
+	update_target(f, target);
+}
+
+void route_target(struct flow *f, const struct flow_event *e, uint64_t now_us)
+{
+	uint32_t target = e->target.target;
+	struct flow_target *t;
+
+	grow_targets(f, target);
+	t = &f->targets[target];
+	if (!t->present) {
+		uint32_t outstanding = t->outstanding;
+		uint32_t free_at = t->free_at;
+		uint32_t counted = t->counted;
+
+		*t = (struct flow_target){ .present = true,
+					   .outstanding = outstanding,
+					   .free_at = free_at,
+					   .counted = counted,
+					   .pause_us = BREAKER_PAUSE_US };
+		/* The first probe is due now; later ones are spread. */
+		t->asked_us = now_us - PROBE_INTERVAL_US;
+	}
+	t->hash = e->target.hash;
+	t->slots = e->target.slots;
+	t->connections = e->target.connections ? e->target.connections
+					       : FLOW_CONNECTIONS_DEFAULT;
+	t->leaving = e->target.leaving;
+	split_target(f, target);
+}
+
+void route_gone(struct flow *f, uint32_t target)
+{
+	if (target >= f->target_count)
+		return;
+	f->targets[target].present = false;
+	update_target(f, target);
+}
+
+void route_seat(struct flow *f, const struct flow_event *e)
+{
+	f->split = (struct share_split){
+		.index = e->seat.index,
+		.count = e->seat.count,
+		.previous_index = e->seat.previous_index,
+		.previous_count = e->seat.previous_count,
+	};
+	for (uint32_t i = 0; i < f->target_count; i++)
+		if (f->targets[i].present)
+			split_target(f, i);
+}
+
+/* Whether the target may get one more request now. */
+static bool has_free_slot(const struct flow_target *t)
+{
+	uint32_t used = t->outstanding + t->abandoned;
+
+	if (!t->present || t->leaving || t->draining)
+		return false;
+	if (t->breaker == FLOW_BREAKER_OPEN)
+		return false;
+	if (t->breaker == FLOW_BREAKER_TRIAL && t->outstanding > 0)
+		return false;
+	return used < t->own_slots && t->outstanding < t->own_connections;
+}
+
+/* Slots that the target adds to the capacity. */
+static uint32_t capacity_of(const struct flow_target *t)
+{
+	if (!t->present || t->leaving || t->draining)
+		return 0;
+	if (t->breaker == FLOW_BREAKER_CLOSED)
+		return t->own_slots;
+	return t->breaker == FLOW_BREAKER_TRIAL && t->own_slots > 0;
+}
+
+/* Brings the list of free targets and the capacity up to date. */
+static void update_target(struct flow *f, uint32_t target)
+{
+	struct flow_target *t = &f->targets[target];
+	uint32_t counted = capacity_of(t);
+	bool is_free = has_free_slot(t);
+
+	f->capacity = f->capacity - t->counted + counted;
+	t->counted = counted;
+	if (is_free && t->free_at == FLOW_NONE) {
+		t->free_at = f->free_count;
+		f->free_targets[f->free_count++] = target;
+	} else if (!is_free && t->free_at != FLOW_NONE) {
+		uint32_t last = f->free_targets[--f->free_count];
+
+		f->free_targets[t->free_at] = last;
+		f->targets[last].free_at = t->free_at;
+		t->free_at = FLOW_NONE;
+	}
+}
+
+static bool latency_known(const struct flow_target *t, uint64_t now_us)
+{
+	return t->sample_us && now_us - t->sample_us <= SAMPLE_MAX_AGE_US;
+}
+
+/* Whether target a is the better of two. */
+static bool is_better(const struct flow *f, uint32_t a, uint32_t b,
+		      uint64_t now_us, enum flow_why *why)
+{
+	const struct flow_target *x = &f->targets[a], *y = &f->targets[b];
+
+	if (latency_known(x, now_us) && latency_known(y, now_us)) {
+		*why = FLOW_WHY_LATENCY;
+		return x->latency_us * (x->outstanding + 1) <=
+		       y->latency_us * (y->outstanding + 1);
+	}
+	*why = FLOW_WHY_OUTSTANDING;
+	return x->outstanding <= y->outstanding;
+}
+
+/* Whether a request should rather go elsewhere when there is a choice. */
+static bool is_unsuited(const struct flow *f, const struct flow_request *r,
+			uint32_t target)
+{
+	if (target == r->avoid || target == r->out[0].target ||
+	    target == r->out[1].target)
+		return true;
+	/* A trial may fail, and only an idempotent request can be repeated. */
+	return f->targets[target].breaker == FLOW_BREAKER_TRIAL &&
+	       !r->idempotent;
+}
+
+uint32_t route_choose(struct flow *f, const struct flow_request *r,
+		      uint64_t now_us, uint32_t *passed_over,
+		      enum flow_why *why)
+{
+	uint32_t a, b, i, j;
+
+	*passed_over = FLOW_NONE;
+	*why = FLOW_WHY_ONLY;
+	if (f->free_count == 0)
+		return FLOW_NONE;
+	i = rng_below(&f->rng, f->free_count);
+	a = f->free_targets[i];
+	if (f->options.random_routing || f->free_count == 1) {
+		if (f->options.random_routing)
+			*why = FLOW_WHY_RANDOM;
+		return a;
+	}
+	j = rng_below(&f->rng, f->free_count - 1);
+	b = f->free_targets[j + (j >= i)];
+	if (is_unsuited(f, r, a) != is_unsuited(f, r, b)) {
+		*why = FLOW_WHY_OTHER;
+		if (is_unsuited(f, r, a)) {
+			*passed_over = a;
+			return b;
+		}
+		*passed_over = b;
+		return a;
+	}
+	if (!is_better(f, a, b, now_us, why)) {
+		uint32_t swap = a;
+
+		a = b;
+		b = swap;
+	}
+	*passed_over = b;
+	if (f->targets[a].breaker == FLOW_BREAKER_TRIAL)
+		*why = FLOW_WHY_TRIAL;
+	return a;
+}
+
+void route_sent(struct flow *f, uint32_t target, uint64_t now_us)
+{
+	struct flow_target *t = &f->targets[target];
+
+	t->outstanding++;
+	if (t->breaker == FLOW_BREAKER_TRIAL)
+		t->trial_us = now_us;
+	update_target(f, target);
+}
+
+static void add_sample(struct flow_target *t, double latency_us,
+		       uint64_t now_us)
+{
+	if (!latency_known(t, now_us))
+		t->latency_us = latency_us;
+	else
+		t->latency_us += EWMA_WEIGHT * (latency_us - t->latency_us);
+	t->sample_us = now_us;
+}
+
+/* Opens the breaker; each pause after a failed trial is twice as long. */
+static void open_breaker(struct flow_target *t, uint64_t now_us)
+{
+	if (t->breaker == FLOW_BREAKER_TRIAL) {
+		t->pause_us *= 2;
+		if (t->pause_us > BREAKER_PAUSE_MAX_US)
+			t->pause_us = BREAKER_PAUSE_MAX_US;
+	}
+	t->breaker = FLOW_BREAKER_OPEN;
+	t->open_until_us = now_us + t->pause_us;
+}
+
+/* Whether an attempt sent at that time is the trial of an open breaker. */
+static bool is_trial(const struct flow_target *t, uint64_t sent_us)
+{
+	return t->breaker == FLOW_BREAKER_TRIAL && t->trial_us &&
+	       sent_us >= t->trial_us;
+}
+
+static void count_failure(struct flow_target *t, uint64_t sent_us,
+			  uint64_t now_us)
+{
+	t->failures++;
+	if (is_trial(t, sent_us) || (t->breaker == FLOW_BREAKER_CLOSED &&
+				     t->failures >= BREAKER_FAILURES))
+		open_breaker(t, now_us);
+}
+
+static void count_success(struct flow_target *t, uint64_t sent_us,
+			  uint64_t now_us)
+{
+	t->failures = 0;
+	t->last_ok_us = now_us;
+	if (is_trial(t, sent_us)) {
+		t->breaker = FLOW_BREAKER_CLOSED;
+		t->pause_us = BREAKER_PAUSE_US;
+	}
+}
+
+void route_result(struct flow *f, uint32_t target, enum flow_outcome outcome,
+		  uint64_t sent_us, uint64_t service_us, uint64_t now_us)
+{
+	struct flow_target *t = &f->targets[target];
+	double latency_us = (double)(now_us - sent_us);
+
+	t->outstanding--;
+	if (outcome == FLOW_OK) {
+		add_sample(t, (double)service_us, now_us);
+		count_success(t, sent_us, now_us);
+		goto out;
+	}
+	if (latency_us < FAILURE_LATENCY_US)
+		latency_us = FAILURE_LATENCY_US;
+	add_sample(t, latency_us, now_us);
+	count_failure(t, sent_us, now_us);
+	if (outcome == FLOW_TIMEOUT || outcome == FLOW_LOST) {
+		t->abandoned++;
+		t->abandoned_us = now_us;
+		t->asked_us = 0; /* ask at the next tick */
+	}
+	if (outcome == FLOW_REFUSED)
+		t->asked_us = 0;
+out:
+	update_target(f, target);
+}
+
+void route_slow(struct flow *f, uint32_t target, uint64_t elapsed_us,
+		uint64_t now_us)
+{
+	struct flow_target *t = &f->targets[target];
+
+	if (t->last_ok_us + elapsed_us > now_us)
+		return; /* it answers other requests */
+	add_sample(t, 2.0 * (double)elapsed_us, now_us);
+}
+
+/*
+ * Takes the slots of given-up requests back when the target reports room for
+ * them, even if all other seats used their whole part.
+ */
+static void recover_slots(struct flow_target *t, uint32_t busy,
+			  uint64_t sampled_us)
+{
+	uint32_t others = t->slots - t->own_slots;
+
+	if (t->abandoned && sampled_us > t->abandoned_us &&
+	    busy <= t->outstanding + others)
+		t->abandoned = 0;
+}
+
+void route_probe(struct flow *f, const struct flow_event *e, uint64_t now_us)
+{
+	uint32_t target = e->probe.target;
+	struct flow_target *t;
+
+	if (target >= f->target_count || !f->targets[target].present)
+		return;
+	t = &f->targets[target];
+	t->asked = false;
+	if (!e->probe.answered) {
+		count_failure(t, 0, now_us);
+		if (t->breaker == FLOW_BREAKER_OPEN)
+			t->open_until_us = now_us + t->pause_us;
+		goto out;
+	}
+	t->draining = e->probe.draining;
+	recover_slots(t, e->probe.busy, e->probe.sampled_us);
+	if (t->breaker == FLOW_BREAKER_OPEN && now_us >= t->open_until_us) {
+		t->breaker = FLOW_BREAKER_TRIAL;
+		t->trial_us = 0;
+	}
+out:
+	update_target(f, target);
+}
+
+/* Whether the target's status is due to be asked. */
+static bool probe_is_due(const struct flow_target *t, uint64_t now_us)
+{
+	if (t->own_slots == 0)
+		return false;
+	if (t->asked)
+		return now_us - t->asked_us >= PROBE_LOST_US;
+	if (t->breaker == FLOW_BREAKER_OPEN && now_us >= t->open_until_us)
+		return true;
+	return now_us - t->asked_us >= PROBE_INTERVAL_US;
+}
+
+void route_tick(struct flow *f, uint64_t now_us, struct flow_actions *out)
+{
+	for (uint32_t i = 0; i < f->target_count; i++) {
+		struct flow_target *t = &f->targets[i];
+
+		if (!t->present)
+			continue;
+		if (t->abandoned &&
+		    now_us - t->abandoned_us >= ABANDONED_MAX_US) {
+			t->abandoned = 0;
+			update_target(f, i);
+		}
+		if (!probe_is_due(t, now_us))
+			continue;
+		t->asked = true;
+		t->asked_us = now_us;
+		flow_emit(out, FLOW_ASK, FLOW_NONE)->target = i;
+	}
+}
+
+int flow_target_info(const struct flow *f, uint32_t target,
+		     struct flow_target_info *out)
+{
+	const struct flow_target *t;
+
+	if (target >= f->target_count || !f->targets[target].present)
+		return -1;
+	t = &f->targets[target];
+	*out = (struct flow_target_info){
+		.present = true,
+		.leaving = t->leaving,
+		.draining = t->draining,
+		.breaker = t->breaker,
+		.own_slots = t->own_slots,
+		.own_connections = t->own_connections,
+		.outstanding = t->outstanding,
+		.abandoned = t->abandoned,
+		.latency_us = (uint64_t)t->latency_us,
+	};
+	return 0;
+}
--- /dev/null
+++ b/src/flow.c
@@ -0,0 +1,492 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+#include "flow-internal.h"
+
+/* Attempts for one request; an end to loops when the budget is unlimited. */
+#define ATTEMPTS_MAX 100
+/* Tokens kept for later: at most this many retries in a burst. */
+#define BUDGET_MAX (100 * 100)
+#define BUDGET_RETRY_COST 100
+#define QUANTILE_INTERVAL_US 100000u
+#define DECAY_INTERVAL_US 10000000u
+
+static void dispatch(struct flow *f, uint64_t now_us, struct flow_actions *out);
+static void on_request(struct flow *f, uint64_t now_us,
+		       const struct flow_event *e, struct flow_actions *out);
+static void on_cancel(struct flow *f, uint64_t now_us,
+		      const struct flow_event *e, struct flow_actions *out);
+static void on_result(struct flow *f, uint64_t now_us,
+		      const struct flow_event *e, struct flow_actions *out);
+static void on_tick(struct flow *f, uint64_t now_us, struct flow_actions *out);
+
+struct flow *flow_create(const struct flow_options *o)
+{
+	struct flow *f = xcalloc(1, sizeof(*f));
+
+	f->options = *o;
+	f->rng.state = o->seed;
+	/* Pages of handles that are never used are never touched. */
+	f->requests = xcalloc(FLOW_REQUESTS_MAX, sizeof(*f->requests));
+	f->all_head = FLOW_NONE;
+	f->all_tail = FLOW_NONE;
+	return f;
+}
+
+void flow_destroy(struct flow *f)
+{
+	if (!f)
+		return;
+	admit_free(f);
+	route_free(f);
+	free(f->requests);
+	free(f);
+}
+
+struct flow_action *flow_emit(struct flow_actions *out,
+			      enum flow_action_type type, uint32_t handle)
+{
+	struct flow_action *a;
+
+	if (out->count == out->capacity) {
+		out->capacity = out->capacity ? out->capacity * 2 : 64;
+		out->items = xrealloc(out->items,
+				      out->capacity * sizeof(*out->items));
+	}
+	a = &out->items[out->count++];
+	memset(a, 0, sizeof(*a));
+	a->type = type;
+	a->handle = handle;
+	a->target = FLOW_NONE;
+	a->passed_over = FLOW_NONE;
+	return a;
+}
+
+static bool has_attempts(const struct flow_request *r)
+{
+	for (int i = 0; i < FLOW_ATTEMPTS_RUNNING; i++)
+		if (r->out[i].target != FLOW_NONE)
+			return true;
+	return false;
+}
+
+/* Ends a request; its handle is free once no attempt is out. */
+static void close_request(struct flow *f, uint32_t handle)
+{
+	struct flow_request *r = &f->requests[handle];
+
+	hedge_list_remove(f, handle);
+	admit_done(f, handle);
+	r->state = has_attempts(r) ? REQUEST_FINISHED : REQUEST_FREE;
+}
+
+static void finish(struct flow *f, uint32_t handle, enum flow_outcome outcome,
+		   const struct flow_event *e, struct flow_actions *out)
+{
+	struct flow_action *a = flow_emit(out, FLOW_FINISH, handle);
+
+	a->outcome = outcome;
+	if (e) {
+		a->target = e->result.target;
+		a->attempt = e->result.attempt;
+	}
+	close_request(f, handle);
+}
+
+/*
+ * Ends a request without an answer: "not run" when that is certain, else as
+ * one that may have run.
+ */
+void flow_refuse(struct flow *f, uint32_t handle, enum flow_reason reason,
+		 uint64_t now_us, struct flow_actions *out)
+{
+	struct flow_request *r = &f->requests[handle];
+	struct flow_action *a;
+
+	a = flow_emit(out, r->may_have_run ? FLOW_FINISH : FLOW_REFUSE, handle);
+	a->outcome = FLOW_LOST;
+	a->reason = reason;
+	a->queued_us = now_us - r->queued_us;
+	close_request(f, handle);
+}
+
+void flow_step(struct flow *f, uint64_t now_us, const struct flow_event *e,
+	       struct flow_actions *out)
+{
+	switch (e->type) {
+	case FLOW_REQUEST:
+		on_request(f, now_us, e, out);
+		break;
+	case FLOW_CANCEL:
+		on_cancel(f, now_us, e, out);
+		break;
+	case FLOW_RESULT:
+		on_result(f, now_us, e, out);
+		break;
+	case FLOW_TARGET:
+		route_target(f, e, now_us);
+		break;
+	case FLOW_TARGET_GONE:
+		route_gone(f, e->target.target);
+		break;
+	case FLOW_PROBE:
+		route_probe(f, e, now_us);
+		break;
+	case FLOW_SEAT:
+		route_seat(f, e);
+		break;
+	case FLOW_POLICY:
+		admit_policy(f, e->policy, now_us, out);
+		break;
+	case FLOW_TICK:
+		on_tick(f, now_us, out);
+		break;
+	}
+	dispatch(f, now_us, out);
+}
+
+static void on_request(struct flow *f, uint64_t now_us,
+		       const struct flow_event *e, struct flow_actions *out)
+{
+	uint32_t handle = e->request.handle;
+	enum flow_reason reason = FLOW_REASON_NONE;
+	struct flow_request *r;
+
+	if (handle >= FLOW_REQUESTS_MAX ||
+	    f->requests[handle].state != REQUEST_FREE)
+		return;
+	if (!f->has_policy)
+		reason = FLOW_REASON_NO_POLICY;
+	else if (e->request.kind < 0 ||
+		 (uint32_t)e->request.kind >= f->kind_count)
+		reason = FLOW_REASON_UNKNOWN_KIND;
+	if (reason) {
+		flow_emit(out, FLOW_REFUSE, handle)->reason = reason;
+		return;
+	}
+	if (handle >= f->request_high)
+		f->request_high = handle + 1;
+	r = &f->requests[handle];
+	*r = (struct flow_request){
+		.urgency = e->request.urgency,
+		.idempotent = e->request.idempotent,
+		.kind = e->request.kind,
+		.bytes = e->request.bytes,
+		.avoid = FLOW_NONE,
+		.arrived_us = now_us,
+		.queued_us = now_us,
+		.deadline_us = e->request.deadline_us,
+	};
+	for (int i = 0; i < FLOW_ATTEMPTS_RUNNING; i++)
+		r->out[i].target = FLOW_NONE;
+	admit_place(f, handle, e->request.team);
+	admit_request(f, handle, now_us, out);
+}
+
+static void on_cancel(struct flow *f, uint64_t now_us,
+		      const struct flow_event *e, struct flow_actions *out)
+{
+	uint32_t handle = e->cancel.handle;
+	struct flow_request *r;
+
+	if (handle >= f->request_high)
+		return;
+	r = &f->requests[handle];
+	r->cancelled = true;
+	if (r->state == REQUEST_QUEUED) {
+		queue_remove(f, handle);
+		flow_refuse(f, handle, FLOW_REASON_NONE, now_us, out);
+	} else if (r->state == REQUEST_RUNNING) {
+		hedge_list_remove(f, handle);
+	}
+}
+
+/* Records an attempt and tells the driver to send it. */
+static void send(struct flow *f, uint32_t handle, uint32_t target,
+		 uint32_t passed_over, enum flow_why why, uint64_t now_us,
+		 struct flow_actions *out)
+{
+	struct flow_request *r = &f->requests[handle];
+	struct flow_action *a = flow_emit(out, FLOW_SEND, handle);
+	int i = r->out[0].target == FLOW_NONE ? 0 : 1;
+
+	r->out[i].target = target;
+	r->out[i].number = r->attempts++;
+	r->out[i].sent_us = now_us;
+	a->target = target;
+	a->passed_over = passed_over;
+	a->attempt = r->out[i].number;
+	a->why = why;
+	a->hedge = r->state == REQUEST_RUNNING;
+	a->queued_us = a->hedge ? 0 : now_us - r->queued_us;
+	a->timeout_us = r->deadline_us;
+	if (r->kind >= 0)
+		f->kinds[r->kind].running++;
+	f->running++;
+	route_sent(f, target, now_us);
+}
+
+/* Adds the budget that a request's first send earns. */
+static void earn_budget(struct flow *f, struct flow_request *r)
+{
+	if (r->counted)
+		return;
+	r->counted = true;
+	f->first_sends++;
+	f->budget += f->options.retry_budget_percent;
+	if (f->budget > BUDGET_MAX)
+		f->budget = BUDGET_MAX;
+}
+
+static bool spend_budget(struct flow *f)
+{
+	if (f->options.retry_budget_percent == 0)
+		return true;
+	if (f->budget < BUDGET_RETRY_COST)
+		return false;
+	f->budget -= BUDGET_RETRY_COST;
+	return true;
+}
+
+/* Sends queued requests while targets have free slots. */
+static void dispatch(struct flow *f, uint64_t now_us, struct flow_actions *out)
+{
+	while (f->free_count > 0 && f->queued > 0) {
+		uint32_t handle = admit_next(f);
+		struct flow_request *r = &f->requests[handle];
+		uint32_t target, passed_over;
+		enum flow_why why;
+
+		if (admit_too_late(f, handle, now_us)) {
+			queue_remove(f, handle);
+			flow_refuse(f, handle, FLOW_REASON_DEADLINE, now_us,
+				    out);
+			continue;
+		}
+		target = route_choose(f, r, now_us, &passed_over, &why);
+		admit_sent(f, handle, now_us);
+		earn_budget(f, r);
+		send(f, handle, target, passed_over, why, now_us, out);
+		r->state = REQUEST_RUNNING;
+		if (r->idempotent && !r->hedged && !r->cancelled)
+			hedge_list_add(f, handle);
+	}
+}
+
+/* Whether a failed request may be sent once more; spends the budget. */
+static bool may_retry(struct flow *f, uint32_t handle,
+		      enum flow_outcome outcome, uint64_t now_us,
+		      enum flow_reason *reason)
+{
+	const struct flow_request *r = &f->requests[handle];
+
+	*reason = FLOW_REASON_TARGET_FAILED;
+	if (!r->idempotent && outcome != FLOW_NOT_SENT)
+		return false;
+	if (r->cancelled || r->attempts >= ATTEMPTS_MAX)
+		return false;
+	if (r->kind < 0 || f->capacity == 0)
+		return false;
+	if (admit_too_late(f, handle, now_us)) {
+		*reason = FLOW_REASON_DEADLINE;
+		return false;
+	}
+	if (!spend_budget(f)) {
+		*reason = FLOW_REASON_RETRY_BUDGET;
+		return false;
+	}
+	f->retries++;
+	return true;
+}
+
+/* An attempt failed and no other runs: tries again or ends the request. */
+static void fail_request(struct flow *f, uint32_t handle, uint64_t now_us,
+			 const struct flow_event *e, struct flow_actions *out)
+{
+	struct flow_request *r = &f->requests[handle];
+	enum flow_outcome outcome = e->result.outcome;
+	enum flow_reason reason;
+
+	hedge_list_remove(f, handle);
+	if (may_retry(f, handle, outcome, now_us, &reason)) {
+		r->avoid = e->result.target;
+		queue_again(f, handle, now_us);
+	} else if (outcome == FLOW_NOT_SENT || outcome == FLOW_REFUSED) {
+		flow_refuse(f, handle, reason, now_us, out);
+	} else {
+		finish(f, handle, outcome, e, out);
+	}
+}
+
+/* Returns the attempt that a result belongs to, or NULL. */
+static struct flow_attempt *find_attempt(struct flow *f,
+					 const struct flow_event *e)
+{
+	struct flow_request *r;
+
+	if (e->result.handle >= f->request_high)
+		return NULL;
+	r = &f->requests[e->result.handle];
+	if (r->state != REQUEST_RUNNING && r->state != REQUEST_FINISHED)
+		return NULL;
+	for (int i = 0; i < FLOW_ATTEMPTS_RUNNING; i++)
+		if (r->out[i].target == e->result.target &&
+		    r->out[i].number == e->result.attempt)
+			return &r->out[i];
+	return NULL;
+}
+
+static bool may_have_run(enum flow_outcome outcome)
+{
+	return outcome != FLOW_NOT_SENT && outcome != FLOW_REFUSED;
+}
+
+static void on_result(struct flow *f, uint64_t now_us,
+		      const struct flow_event *e, struct flow_actions *out)
+{
+	uint32_t handle = e->result.handle;
+	struct flow_attempt *a = find_attempt(f, e);
+	struct flow_request *r;
+
+	if (!a)
+		return;
+	r = &f->requests[handle];
+	route_result(f, a->target, e->result.outcome, a->sent_us,
+		     e->result.service_us, now_us);
+	a->target = FLOW_NONE;
+	f->running--;
+	if (r->kind >= 0)
+		f->kinds[r->kind].running--;
+	if (e->result.outcome == FLOW_OK)
+		admit_sample(f, r->kind, e->result.service_us, now_us);
+	if (r->state == REQUEST_FINISHED) {
+		if (!has_attempts(r))
+			r->state = REQUEST_FREE;
+		return;
+	}
+	if (e->result.outcome == FLOW_OK) {
+		finish(f, handle, FLOW_OK, e, out);
+		return;
+	}
+	if (may_have_run(e->result.outcome))
+		r->may_have_run = true;
+	if (!has_attempts(r))
+		fail_request(f, handle, now_us, e, out);
+}
+
+/* Sends a second attempt of a slow request. Returns whether that was done. */
+static bool hedge(struct flow *f, uint32_t handle, uint64_t now_us,
+		  struct flow_actions *out)
+{
+	struct flow_request *r = &f->requests[handle];
+	uint32_t target, passed_over;
+	enum flow_why why;
+
+	target = route_choose(f, r, now_us, &passed_over, &why);
+	if (target == FLOW_NONE || target == r->out[0].target ||
+	    target == r->out[1].target)
+		return false;
+	if (!spend_budget(f))
+		return false;
+	r->hedged = true;
+	f->hedges++;
+	send(f, handle, target, passed_over, why, now_us, out);
+	return true;
+}
+
+/* Hedges the requests of a kind that run longer than its 95th percentile. */
+static void hedge_kind(struct flow *f, struct flow_kind *k, uint64_t now_us,
+		       struct flow_actions *out)
+{
+	uint32_t next;
+
+	for (uint32_t h = k->hedge_head; h != FLOW_NONE; h = next) {
+		struct flow_request *r = &f->requests[h];
+		const struct flow_attempt *a =
+			&r->out[r->out[0].target == FLOW_NONE];
+		uint64_t elapsed = now_us - a->sent_us;
+
+		next = r->next;
+		if (elapsed <= k->p95_us)
+			return; /* later ones were sent later */
+		route_slow(f, a->target, elapsed, now_us);
+		if (!hedge(f, h, now_us, out))
+			return;
+		hedge_list_remove(f, h);
+	}
+}
+
+static void on_tick(struct flow *f, uint64_t now_us, struct flow_actions *out)
+{
+	route_tick(f, now_us, out);
+	admit_tick(f, now_us, out);
+	if (now_us >= f->next_quantile_us) {
+		bool decay = now_us >= f->next_decay_us;
+
+		f->next_quantile_us = now_us + QUANTILE_INTERVAL_US;
+		if (decay)
+			f->next_decay_us = now_us + DECAY_INTERVAL_US;
+		admit_quantiles(f, decay);
+	}
+	/* Waiting requests have a better claim on a free slot than a hedge. */
+	for (uint32_t i = 0; i < f->kind_count; i++)
+		if (f->kinds[i].p95_us && f->queued == 0 && f->free_count)
+			hedge_kind(f, &f->kinds[i], now_us, out);
+}
+
+void flow_totals(const struct flow *f, struct flow_totals *out)
+{
+	out->capacity = f->capacity;
+	out->queued = f->queued;
+	out->running = f->running;
+	out->first_sends = f->first_sends;
+	out->retries = f->retries;
+	out->hedges = f->hedges;
+}
+
+const char *flow_reason_name(enum flow_reason reason)
+{
+	static const char *const names[] = {
+		[FLOW_REASON_NONE] = "none",
+		[FLOW_REASON_QUEUE_FULL] = "queue-full",
+		[FLOW_REASON_DEADLINE] = "deadline",
+		[FLOW_REASON_KIND_LIMIT] = "kind-limit",
+		[FLOW_REASON_TEAM_LIMIT] = "team-limit",
+		[FLOW_REASON_MEMORY] = "memory",
+		[FLOW_REASON_NO_TARGET] = "no-target",
+		[FLOW_REASON_NO_POLICY] = "no-policy",
+		[FLOW_REASON_UNKNOWN_KIND] = "unknown-kind",
+		[FLOW_REASON_DRAINING] = "draining",
+		[FLOW_REASON_DISPLACED] = "displaced",
+		[FLOW_REASON_RETRY_BUDGET] = "retry-budget",
+		[FLOW_REASON_TARGET_FAILED] = "target-failed",
+	};
+
+	return names[reason];
+}
+
+const char *flow_outcome_name(enum flow_outcome outcome)
+{
+	static const char *const names[] = {
+		[FLOW_OK] = "ok",	    [FLOW_FAILED] = "failed",
+		[FLOW_REFUSED] = "refused", [FLOW_NOT_SENT] = "not-sent",
+		[FLOW_TIMEOUT] = "timeout", [FLOW_LOST] = "lost",
+	};
+
+	return names[outcome];
+}
+
+const char *flow_why_name(enum flow_why why)
+{
+	static const char *const names[] = {
+		[FLOW_WHY_ONLY] = "only",
+		[FLOW_WHY_LATENCY] = "latency",
+		[FLOW_WHY_OUTSTANDING] = "outstanding",
+		[FLOW_WHY_RANDOM] = "random",
+		[FLOW_WHY_TRIAL] = "trial",
+		[FLOW_WHY_OTHER] = "other-failed",
+	};
+
+	return names[why];
+}
