--- a/src/core.h
+++ b/src/core.h
@@ -186,16 +186,21 @@
 
 enum place_event_type {
 	PLACE_CREATE, /* an operator's placement */
+	PLACE_CHANGE, /* new count, urgency and yields of a placement */
 	PLACE_CANCEL,
 	PLACE_WORKER,	    /* a worker appeared or changed */
 	PLACE_WORKER_GONE,  /* the VM no longer exists */
 	PLACE_STARTED,	    /* answer to PLACE_START */
 	PLACE_STOPPED,	    /* answer to PLACE_STOP */
 	PLACE_CHECKPOINTED, /* answer to PLACE_CHECKPOINT */
+	PLACE_RENEWED,	    /* answer to PLACE_RENEW */
+	PLACE_MISSING,	    /* a renewal named this task as not running */
 	PLACE_REPORT,	    /* a task's state on a worker, read or in usage */
+	PLACE_READ_END,	    /* all reports of one PLACE_READ were passed */
 	PLACE_USAGE,	    /* a lagging usage sample of one task */
-	PLACE_POLICY,	    /* a new sheet */
-	PLACE_TICK,
+	PLACE_WORKER_USAGE, /* the same of a whole worker, after its tasks */
+	PLACE_POLICY,	    /* a new sheet; its pointer stays valid */
+	PLACE_TICK,	    /* every 20 ms or so */
 };
 
 enum place_answer {
@@ -204,25 +209,33 @@
 	PLACE_ANSWER_NO_ROOM,
 	PLACE_ANSWER_STALE,
 	PLACE_ANSWER_FAILED,
-	PLACE_ANSWER_UNKNOWN, /* it may have taken effect */
+	PLACE_ANSWER_NOT_SENT, /* it did not take effect */
+	PLACE_ANSWER_UNKNOWN,  /* it may have taken effect */
 };
 
 struct place_event {
 	enum place_event_type type;
-	const struct placement_spec *placement; /* PLACE_CREATE */
+	const struct placement_spec *placement; /* PLACE_CREATE, _CHANGE */
 	const char *id;		/* placement, worker or task id */
-	const char *worker;	/* PLACE_REPORT, PLACE_USAGE */
+	const char *worker;	/* calls on tasks, PLACE_REPORT, _USAGE */
 	const char *rack;	/* PLACE_WORKER */
 	const char *checkpoint; /* or NULL */
+	uint64_t request;	/* of an operator; returned by PLACE_REPLY */
 	uint32_t attempt;
 	enum place_answer answer;
-	enum task_state state; /* PLACE_REPORT */
-	bool leaving;	       /* PLACE_WORKER */
+	enum task_state state; /* PLACE_REPORT; TASK_EVICTED: lease ended */
+	bool read;	       /* PLACE_REPORT: part of a PLACE_READ */
+	bool leaving;	       /* PLACE_WORKER: leaves, or a planned stop */
 	uint32_t cpu_milli;    /* capacity or usage */
 	uint32_t memory_mb;
 	uint32_t accelerators;
 	uint32_t latency_p99_us; /* PLACE_USAGE of a service; 0: none */
-	uint64_t at_us;		 /* time of the usage sample */
+	uint32_t progress;	 /* PLACE_USAGE, permille */
+	/*
+	 * When the call left (answers and reports), the time of the sample
+	 * (usage), or the time of the log's last append (PLACE_TICK).
+	 */
+	uint64_t at_us;
 	const struct sheet *policy;
 };
 
@@ -231,20 +244,33 @@
 	PLACE_STOP,
 	PLACE_CHECKPOINT,
 	PLACE_THROTTLE,
-	PLACE_RENEW,  /* all tasks of one worker */
-	PLACE_APPEND, /* a log entry; executed before later actions */
+	PLACE_RENEW, /* all tasks of one worker, see place_each_renewed() */
+	PLACE_READ,  /* raise the worker's fencing token and read its tasks */
+	PLACE_REPLY, /* an operator's request is durable, or was refused */
+};
+
+enum place_refusal {
+	PLACE_ACCEPTED,
+	PLACE_REFUSED_EXISTS,
+	PLACE_REFUSED_UNKNOWN,
+	PLACE_REFUSED_INVALID,
+	PLACE_REFUSED_NOT_OWNER,
 };
 
 struct place_action {
 	enum place_action_type type;
 	char task[PLACE_NAME_BYTES + 12];
 	char worker[PLACE_NAME_BYTES];
+	char passed_over[PLACE_NAME_BYTES]; /* PLACE_START; "" for none */
 	char checkpoint[PLACE_NAME_BYTES];
+	const char *reason; /* static text of the decision */
+	uint64_t request;   /* PLACE_REPLY */
+	enum place_refusal refusal;
 	uint32_t attempt;
 	uint32_t cpu_milli;
 	uint32_t memory_mb;
 	uint32_t accelerators;
-	uint32_t percent; /* PLACE_THROTTLE */
+	uint32_t percent; /* PLACE_THROTTLE: of its CPU that a task keeps */
 	char spec[PLACE_SPEC_BYTES];
 };
 
--- /dev/null
+++ b/src/place-apply.c
@@ -0,0 +1,450 @@
+#include <search.h>
+#include <stdlib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "place-internal.h"
+
+static int apply_create(struct place *p, const struct change *c);
+static int apply_update(struct place *p, const struct change *c);
+static int apply_cancel(struct place *p, struct placement *pl);
+static void cancel_task(struct place *p, struct task *t);
+static void apply_forget(struct place *p, struct placement *pl);
+static int apply_start(struct place *p, const struct change *c);
+static int apply_task(struct place *p, const struct change *c);
+static void account(struct place *p, struct task *t, int sign);
+static void set_state(struct place *p, struct task *t, enum task_state state);
+static void free_placement(struct placement *pl);
+
+static int compare_placements(const void *a, const void *b)
+{
+	const struct placement *x = a, *y = b;
+
+	return strcmp(x->id, y->id);
+}
+
+struct placement *placement_find(struct place *p, const char *id)
+{
+	struct placement key = { .id = (char *)id };
+	struct placement **found;
+
+	found = tfind(&key, &p->placements_by_id, compare_placements);
+	return found ? *found : NULL;
+}
+
+/* A task's id is its placement's, a dot and its number. */
+struct task *task_find(struct place *p, const char *id)
+{
+	const char *dot = strrchr(id, '.');
+	char name[PLACE_NAME_BYTES];
+	struct placement *pl;
+	char *end;
+	unsigned long n;
+
+	if (!dot || (size_t)(dot - id) >= sizeof(name))
+		return NULL;
+	memcpy(name, id, (size_t)(dot - id));
+	name[dot - id] = '\0';
+	pl = placement_find(p, name);
+	n = strtoul(dot + 1, &end, 10);
+	if (!pl || *end || end == dot + 1 || n >= pl->count)
+		return NULL;
+	return &pl->tasks[n];
+}
+
+uint32_t team_get(struct place *p, const char *user, const char *name)
+{
+	struct team *t;
+
+	for (uint32_t i = 0; i < p->team_count; i++)
+		if (!strcmp(p->teams[i].name, name) &&
+		    !strcmp(p->teams[i].user, user))
+			return i;
+	if (p->team_count == PLACE_TEAMS_MAX)
+		return PLACE_TEAMS_MAX - 1;
+	if (p->team_count == p->team_capacity) {
+		p->team_capacity = p->team_capacity ? 2 * p->team_capacity : 8;
+		p->teams = xrealloc(p->teams,
+				    p->team_capacity * sizeof(*p->teams));
+	}
+	t = &p->teams[p->team_count];
+	memset(t, 0, sizeof(*t));
+	snprintf(t->user, sizeof(t->user), "%s", user);
+	snprintf(t->name, sizeof(t->name), "%s", name);
+	queue_share(p, t);
+	return p->team_count++;
+}
+
+uint32_t kind_get(struct place *p, const char *user, const char *name,
+		  bool service)
+{
+	struct kind *k;
+
+	for (uint32_t i = 0; i < p->kind_count; i++)
+		if (!strcmp(p->kinds[i].name, name) &&
+		    !strcmp(p->kinds[i].user, user))
+			return i;
+	if (p->kind_count == PLACE_KINDS_MAX)
+		return PLACE_KINDS_MAX - 1;
+	if (p->kind_count == p->kind_capacity) {
+		p->kind_capacity = p->kind_capacity ? 2 * p->kind_capacity : 8;
+		p->kinds = xrealloc(p->kinds,
+				    p->kind_capacity * sizeof(*p->kinds));
+	}
+	k = &p->kinds[p->kind_count];
+	memset(k, 0, sizeof(*k));
+	snprintf(k->user, sizeof(k->user), "%s", user);
+	snprintf(k->name, sizeof(k->name), "%s", name);
+	k->service = service;
+	return p->kind_count++;
+}
+
+struct pair *kind_pair(struct place *p, uint32_t service, uint32_t other)
+{
+	struct kind *k = &p->kinds[service];
+
+	if (!k->pairs)
+		k->pairs = xcalloc(PLACE_KINDS_MAX, sizeof(*k->pairs));
+	return &k->pairs[other];
+}
+
+int change_apply(struct place *p, const struct change *c)
+{
+	struct placement *pl = NULL;
+	struct worker *w;
+
+	if (c->slot < p->slot_count)
+		pl = p->slots[c->slot];
+	switch (c->type) {
+	case CHANGE_CREATE:
+		return apply_create(p, c);
+	case CHANGE_UPDATE:
+		return pl ? apply_update(p, c) : -1;
+	case CHANGE_CANCEL:
+		return pl ? apply_cancel(p, pl) : -1;
+	case CHANGE_FORGET:
+		if (!pl)
+			return -1;
+		apply_forget(p, pl);
+		return 0;
+	case CHANGE_START:
+		return pl && c->number < pl->count ? apply_start(p, c) : -1;
+	case CHANGE_TASK:
+		return pl && c->number < pl->count ? apply_task(p, c) : -1;
+	case CHANGE_WORKER:
+		w = worker_get(p, c->worker);
+		w->failures = (uint8_t)c->failures;
+		w->quarantines = (uint8_t)c->attempt;
+		if (w->quarantines)
+			w->quarantine_us = 1;
+		return 0;
+	default:
+		return 0;
+	}
+}
+
+static int apply_create(struct place *p, const struct change *c)
+{
+	const struct placement_spec *s = c->spec;
+	struct placement *pl;
+
+	if (c->slot > p->slot_count || placement_find(p, s->id) ||
+	    (c->slot < p->slot_count && p->slots[c->slot]))
+		return -1;
+	if (c->slot == p->slot_capacity) {
+		p->slot_capacity = p->slot_capacity ? 2 * p->slot_capacity : 64;
+		p->slots = xrealloc(p->slots,
+				    p->slot_capacity * sizeof(*p->slots));
+	}
+	if (c->slot == p->slot_count)
+		p->slot_count++;
+	pl = xcalloc(1, sizeof(*pl));
+	p->slots[c->slot] = pl;
+	pl->id = xstrdup(s->id);
+	pl->spec = xstrdup(s->spec);
+	pl->team = (uint16_t)team_get(p, s->user, s->team);
+	pl->kind = (uint16_t)kind_get(p, s->user, s->kind, s->service);
+	pl->slot = c->slot;
+	pl->need[RES_CPU] = s->cpu_milli;
+	pl->need[RES_MEMORY] = s->memory_mb;
+	pl->need[RES_ACCELERATORS] = s->accelerators;
+	pl->max_run_ms = s->max_run_ms;
+	pl->urgency = (uint8_t)s->urgency;
+	pl->service = s->service;
+	pl->yields = s->yields;
+	pl->spread_racks = s->spread_racks;
+	if (pl->spread_racks)
+		pl->rack_tasks =
+			xcalloc(PLACE_RACKS_MAX, sizeof(*pl->rack_tasks));
+	tsearch(pl, &p->placements_by_id, compare_placements);
+	return apply_update(p, c);
+}
+
+/* Moves the tasks of a placement to a larger table. */
+static void grow_tasks(struct place *p, struct placement *pl, uint32_t count)
+{
+	struct task *old = pl->tasks;
+
+	pl->tasks = xcalloc(count, sizeof(*pl->tasks));
+	for (uint32_t i = 0; i < pl->count; i++) {
+		struct task *t = &old[i], *to = &pl->tasks[i];
+
+		*to = *t;
+		if (!t->worker)
+			continue;
+		if (t->prev)
+			t->prev->next = to;
+		else
+			t->worker->tasks.first = to;
+		if (t->next)
+			t->next->prev = to;
+		else
+			t->worker->tasks.last = to;
+	}
+	for (uint32_t i = pl->count; i < count; i++) {
+		pl->tasks[i].placement = pl;
+		pl->tasks[i].number = i;
+		pl->tasks[i].percent = 100;
+		pl->tasks[i].since_us = p->now_us;
+	}
+	free(old);
+	pl->count = count;
+}
+
+/* Cancels the tasks from the new count on and revives those below it. */
+static int apply_update(struct place *p, const struct change *c)
+{
+	struct placement *pl = p->slots[c->slot];
+	uint32_t count = c->spec->count;
+
+	for (uint32_t i = 0; i < pl->count; i++)
+		if (task_is_pending(&pl->tasks[i]))
+			queue_remove(p, &pl->tasks[i]);
+	pl->urgency = (uint8_t)c->spec->urgency;
+	pl->yields = c->spec->yields;
+	if (count > pl->count)
+		grow_tasks(p, pl, count);
+	pl->wanted = count;
+	for (uint32_t i = 0; i < pl->count; i++) {
+		struct task *t = &pl->tasks[i];
+
+		if (task_is_pending(t))
+			queue_add(p, t);
+		if (i >= count)
+			cancel_task(p, t);
+		else if (t->state == TASK_CANCELLED && !pl->cancelled)
+			set_state(p, t, TASK_PENDING);
+	}
+	p->dirty = true;
+	return 0;
+}
+
+static void cancel_task(struct place *p, struct task *t)
+{
+	if (task_is_pending(t) || t->state == TASK_IMPOSSIBLE)
+		set_state(p, t, TASK_CANCELLED);
+	else if (t->state == TASK_STARTING || t->state == TASK_RUNNING)
+		set_state(p, t, TASK_STOPPING);
+}
+
+static int apply_cancel(struct place *p, struct placement *pl)
+{
+	pl->cancelled = true;
+	for (uint32_t i = 0; i < pl->count; i++)
+		cancel_task(p, &pl->tasks[i]);
+	return 0;
+}
+
+static void apply_forget(struct place *p, struct placement *pl)
+{
+	tdelete(pl, &p->placements_by_id, compare_placements);
+	p->slots[pl->slot] = NULL;
+	for (uint32_t i = 0; i < pl->count; i++) {
+		struct task *t = &pl->tasks[i];
+
+		if (t->worker) {
+			account(p, t, -1);
+			worker_remove_task(p, t);
+		} else if (task_is_pending(t)) {
+			queue_remove(p, t);
+		} else if (t->state == TASK_IMPOSSIBLE) {
+			p->impossible_count--;
+		}
+	}
+	free_placement(pl);
+}
+
+static int apply_start(struct place *p, const struct change *c)
+{
+	struct task *t = &p->slots[c->slot]->tasks[c->number];
+	struct worker *w = worker_get(p, c->worker);
+
+	if (t->worker)
+		return -1;
+	set_state(p, t, TASK_STARTING);
+	t->attempt = c->attempt;
+	for (int r = 0; r < RES_COUNT; r++)
+		t->reserved[r] = (int32_t)c->reserved[r];
+	t->percent = 100;
+	t->settled_us = NOT_SETTLED;
+	t->call_us = 0;
+	t->preempt_us = 0;
+	t->sampled_us = 0;
+	t->used_cpu_milli = 0;
+	t->used_memory_mb = 0;
+	t->peak_memory_mb = 0;
+	t->latency_us = 0;
+	t->progress = 0;
+	t->lease_end_us = 0;
+	t->sent = false;
+	t->checkpointing = false;
+	t->checkpointed = false;
+	worker_add_task(p, w, t);
+	account(p, t, 1);
+	return 0;
+}
+
+static int apply_task(struct place *p, const struct change *c)
+{
+	struct task *t = &p->slots[c->slot]->tasks[c->number];
+	struct worker *w = t->worker;
+	bool active = c->state >= TASK_STARTING && c->state <= TASK_STOPPING;
+
+	if (active && !w)
+		return -1;
+	t->attempt = c->attempt;
+	t->reason = (uint8_t)c->reason;
+	if (c->checkpoint && c->checkpoint[0] &&
+	    (!t->checkpoint || strcmp(t->checkpoint, c->checkpoint))) {
+		free(t->checkpoint);
+		t->checkpoint = xstrdup(c->checkpoint);
+	}
+	if (w && !active) {
+		account(p, t, -1);
+		worker_remove_task(p, t);
+	}
+	if (c->state == TASK_RUNNING || c->state == TASK_EVICTED)
+		t->ran = true;
+	set_state(p, t, c->state);
+	if (!w || active)
+		return 0;
+	if (c->state == TASK_DONE) {
+		worker_succeeded(p, w);
+	} else if (c->reason == REASON_START_FAILED ||
+		   c->reason == REASON_TASK_FAILED) {
+		/*
+		 * A task that failed on two workers says little of a third,
+		 * but a trial needs a success to end the quarantine.
+		 */
+		if (t->failures < 2 || w->trial)
+			worker_blame(p, w);
+		t->avoid = w->handle + 1;
+		if (t->failures < UINT8_MAX)
+			t->failures++;
+	}
+	return 0;
+}
+
+/* Adds a task's reservation to its team's use, or takes it away. */
+static void account(struct place *p, struct task *t, int sign)
+{
+	struct placement *pl = t->placement;
+	struct team *team = &p->teams[pl->team];
+
+	for (int r = 0; r < 2; r++)
+		team->used[r] += (uint64_t)(sign * (int64_t)pl->need[r]);
+	if (pl->rack_tasks)
+		pl->rack_tasks[t->worker->rack] =
+			(uint16_t)(pl->rack_tasks[t->worker->rack] + sign);
+}
+
+/* Moves a task between the pending list and the states without one. */
+static void set_state(struct place *p, struct task *t, enum task_state state)
+{
+	struct placement *pl = t->placement;
+	bool was_final = task_is_final(t);
+
+	if (task_is_pending(t))
+		queue_remove(p, t);
+	if (t->state == TASK_IMPOSSIBLE)
+		p->impossible_count--;
+	t->state = (uint8_t)state;
+	t->since_us = p->now_us;
+	if (task_is_pending(t))
+		queue_add(p, t);
+	if (state == TASK_IMPOSSIBLE)
+		p->impossible_count++;
+	if (task_is_final(t) && !was_final)
+		pl->ended++;
+	else if (was_final && !task_is_final(t))
+		pl->ended--;
+	if (pl->ended == pl->count)
+		pl->ended_us = p->now_us;
+	p->dirty = true;
+}
+
+void placement_to_spec(const struct place *p, const struct placement *pl,
+		       struct placement_spec *out)
+{
+	const struct team *team = &p->teams[pl->team];
+
+	memset(out, 0, sizeof(*out));
+	snprintf(out->id, sizeof(out->id), "%s", pl->id);
+	snprintf(out->user, sizeof(out->user), "%s", team->user);
+	snprintf(out->team, sizeof(out->team), "%s", team->name);
+	snprintf(out->kind, sizeof(out->kind), "%s", p->kinds[pl->kind].name);
+	snprintf(out->spec, sizeof(out->spec), "%s", pl->spec);
+	out->service = pl->service;
+	out->urgency = (enum urgency)pl->urgency;
+	out->count = pl->count;
+	out->cpu_milli = pl->need[RES_CPU];
+	out->memory_mb = pl->need[RES_MEMORY];
+	out->accelerators = pl->need[RES_ACCELERATORS];
+	out->yields = pl->yields;
+	out->spread_racks = pl->spread_racks;
+	out->max_run_ms = pl->max_run_ms;
+}
+
+static void free_placement(struct placement *pl)
+{
+	for (uint32_t i = 0; i < pl->count; i++)
+		free(pl->tasks[i].checkpoint);
+	free(pl->tasks);
+	free(pl->rack_tasks);
+	free(pl->id);
+	free(pl->spec);
+	free(pl);
+}
+
+static void keep_node(void *node)
+{
+	(void)node;
+}
+
+/* Drops the state that the log holds, and the workers. */
+void place_clear(struct place *p)
+{
+	tdestroy(p->placements_by_id, keep_node);
+	p->placements_by_id = NULL;
+	for (uint32_t i = 0; i < p->slot_count; i++)
+		if (p->slots[i])
+			free_placement(p->slots[i]);
+	p->slot_count = 0;
+	tdestroy(p->workers_by_id, keep_node);
+	p->workers_by_id = NULL;
+	for (uint32_t i = 0; i < p->worker_count; i++)
+		free(p->workers[i]);
+	p->worker_count = 0;
+	p->rack_count = 0;
+	p->impossible_count = 0;
+	memset(p->total, 0, sizeof(p->total));
+	index_free(&p->free_index);
+	index_free(&p->yield_index);
+	index_free(&p->capacity_index);
+	for (uint32_t i = 0; i < p->kind_count; i++)
+		free(p->kinds[i].pairs);
+	p->team_count = 0;
+	p->kind_count = 0;
+	p->action_count = 0;
+	p->waiter_count = 0;
+}
--- /dev/null
+++ b/src/place-internal.h
@@ -0,0 +1,392 @@
+#ifndef PLACE_INTERNAL_H
+#define PLACE_INTERNAL_H
+
+#include "place.h"
+
+/*
+ * NAME
+ *	place-internal - state of the place core, shared by its files only
+ *
+ * DESCRIPTION
+ *	Every lasting change is a struct change: place_commit() applies it
+ *	and appends it to the log; replay applies the decoded entries with
+ *	the same function. A snapshot is the sequence of changes that leads
+ *	to the state.
+ */
+
+enum { RES_CPU, RES_MEMORY, RES_ACCELERATORS, RES_COUNT };
+#define PLACE_RACKS_MAX 256
+#define PLACE_KINDS_MAX 256
+#define PLACE_TEAMS_MAX 1024
+
+enum place_reason {
+	REASON_NONE,
+	REASON_OPERATOR,
+	REASON_NO_ROOM,
+	REASON_START_FAILED,
+	REASON_NOT_SENT,
+	REASON_ANSWER_LOST,
+	REASON_STALE,
+	REASON_WORKER_GONE,
+	REASON_WORKER_LEAVING,
+	REASON_UNREACHABLE,
+	REASON_EXPIRED,
+	REASON_MISSING,
+	REASON_PRESSURE,
+	REASON_MEMORY,
+	REASON_PREEMPTED,
+	REASON_MAX_RUN,
+	REASON_TASK_FAILED,
+	REASON_TOO_MUCH_CPU,
+	REASON_TOO_MUCH_MEMORY,
+	REASON_TOO_MANY_ACCELERATORS,
+	REASON_TOO_LARGE_TOGETHER,
+	REASON_OVER_QUOTA,
+	REASON_COUNT,
+};
+
+struct worker;
+struct placement;
+
+struct task {
+	struct placement *placement;
+	struct worker *worker; /* in the states starting to stopping */
+	struct task *prev;     /* on the worker, or pending */
+	struct task *next;
+	char *checkpoint;      /* or NULL */
+	uint64_t since_us;     /* of the state */
+	uint64_t lease_end_us; /* provable end of the lease */
+	uint64_t settled_us;   /* absence in a later read is conclusive */
+	uint64_t call_us;      /* last stop or checkpoint call */
+	uint64_t preempt_us;   /* room was asked for by eviction */
+	uint64_t sampled_us;   /* last usage sample */
+	uint32_t number;
+	uint32_t attempt;
+	uint32_t avoid; /* handle + 1 of the worker of the last failure */
+	int32_t reserved[RES_COUNT];
+	uint32_t used_cpu_milli;
+	uint32_t used_memory_mb;
+	uint32_t peak_memory_mb;
+	uint32_t latency_us;
+	uint32_t progress;
+	uint8_t state;
+	uint8_t reason;
+	uint8_t failures; /* on workers, of its own */
+	uint8_t percent;  /* of its CPU that it keeps */
+	bool ran;	  /* a start was confirmed once */
+	bool sent;	  /* the start left in this epoch, or may have before */
+	bool checkpointing;
+	bool checkpointed;
+	bool counted; /* its size is in the kind's statistics */
+	bool seen;    /* in the current read of its worker */
+};
+
+/* Value of settled_us while the start is not durable or not answered. */
+#define NOT_SETTLED UINT64_MAX
+
+struct task_list {
+	struct task *first;
+	struct task *last;
+};
+
+struct placement {
+	char *id;
+	char *spec;
+	uint16_t team;
+	uint16_t kind;
+	uint32_t slot;
+	uint32_t count;
+	uint32_t wanted;	  /* tasks from this number on are cancelled */
+	uint32_t need[RES_COUNT]; /* declared */
+	uint32_t max_run_ms;
+	uint8_t urgency;
+	bool service;
+	bool yields;
+	bool spread_racks;
+	bool cancelled;
+	struct task *tasks;
+	struct task_list pending;
+	uint32_t ended; /* tasks in a final state */
+	uint64_t ended_us;
+	uint16_t *rack_tasks;	/* PLACE_RACKS_MAX, when spread */
+	struct placement *prev; /* in the team's queue */
+	struct placement *next;
+};
+
+struct placement_list {
+	struct placement *first;
+	struct placement *last;
+};
+
+struct team {
+	char user[SHEET_NAME_BYTES];
+	char name[SHEET_NAME_BYTES];
+	uint32_t share_percent;
+	uint64_t quota[2]; /* CPU, memory; 0: none */
+	uint64_t used[2];
+	struct placement_list queue[URGENCY_COUNT];
+	struct placement *cursor; /* of a pass of the scheduler */
+};
+
+/* Log-linear counts, 4 to a doubling, of values from 1 to 2^32. */
+#define SIZE_BUCKETS 128
+struct sizes {
+	uint16_t counts[SIZE_BUCKETS];
+	uint32_t total;
+};
+
+/* Slowdown of a service kind per share of a worker's CPU that another uses. */
+struct pair {
+	float mean;
+	float variance;
+};
+
+struct kind {
+	char user[SHEET_NAME_BYTES];
+	char name[SHEET_NAME_BYTES];
+	bool service;
+	struct sizes cpu;	   /* milli */
+	struct sizes memory;	   /* MB */
+	struct sizes cpu_ratio;	   /* permille of the declared size */
+	struct sizes memory_ratio; /* permille of the declared size */
+	struct pair *pairs;	   /* PLACE_KINDS_MAX, of a service, or NULL */
+	double base_us;		   /* latency of a service when alone */
+	double base_weight;
+	uint64_t first_start_us;
+};
+
+struct worker {
+	char id[PLACE_NAME_BYTES];
+	uint32_t handle;
+	uint16_t rack;
+	int32_t capacity[RES_COUNT];
+	int32_t free[RES_COUNT];
+	int32_t reclaimable[RES_COUNT]; /* by evicting what yields */
+	bool known;			/* in the list of VMs */
+	bool leaving;
+	bool fenced; /* read in this epoch */
+	bool reading;
+	bool trial; /* its one start after a quarantine may go, or went */
+	bool trial_used;
+	uint8_t failures; /* in a row */
+	uint8_t quarantines;
+	uint64_t quarantine_us; /* end of the quarantine; 0: none */
+	uint64_t gone_us;
+	uint64_t renewed_us; /* last renewal that was asked for */
+	uint64_t answered_us;
+	uint64_t read_us;
+	uint64_t acted_us; /* last throttle, checkpoint or eviction */
+	uint64_t sampled_us;
+	uint32_t used_cpu_milli;
+	uint32_t used_memory_mb;
+	uint32_t strikes; /* samples in a row above the bound */
+	struct task_list tasks;
+};
+
+struct index_tree {
+	uint32_t leaves; /* power of two */
+	int32_t (*max)[RES_COUNT];
+};
+
+enum waiter_type { WAIT_START, WAIT_REPLY };
+
+struct waiter {
+	uint64_t token;
+	enum waiter_type type;
+	uint32_t slot;
+	uint32_t number;
+	uint32_t attempt;
+	uint64_t request;
+	struct worker *passed_over; /* WAIT_START, or NULL */
+	const char *why;
+	uint64_t since_us;
+};
+
+struct place {
+	struct oplog_client client;
+	struct place_options options;
+	struct rng rng;
+	bool owner;
+	bool dirty; /* room or pending tasks changed since the last pass */
+	uint64_t epoch;
+	uint64_t now_us;
+	uint64_t owned_us;
+	uint64_t last_append_us;
+	uint64_t heartbeat_us;
+	uint64_t sweep_us;
+	uint64_t token;
+	uint64_t evictions;
+	uint64_t decisions;
+
+	struct placement **slots;
+	uint32_t slot_count;
+	uint32_t slot_capacity;
+	uint32_t free_slot; /* maybe a free one */
+	uint32_t forget_slot;
+	void *placements_by_id; /* tsearch() tree */
+	uint32_t impossible_count;
+
+	struct worker **workers;
+	uint32_t worker_count;
+	uint32_t worker_capacity;
+	void *workers_by_id; /* tsearch() tree */
+	char racks[PLACE_RACKS_MAX][PLACE_NAME_BYTES];
+	uint32_t rack_count;
+	int64_t total[RES_COUNT]; /* capacity of the known workers */
+
+	struct team *teams;
+	uint32_t team_count;
+	struct kind *kinds;
+	uint32_t kind_count;
+	uint32_t team_capacity;
+	uint32_t kind_capacity;
+	const struct sheet *policy;
+
+	struct index_tree free_index;	  /* free room of usable workers */
+	struct index_tree yield_index;	  /* the same with what yields */
+	struct index_tree capacity_index; /* all known workers */
+
+	struct place_action *actions; /* ring */
+	uint32_t action_head;
+	uint32_t action_count;
+	uint32_t action_capacity;
+	struct waiter *waiters; /* ring */
+	uint32_t waiter_head;
+	uint32_t waiter_count;
+	uint32_t waiter_capacity;
+};
+
+/* ---- place-log.c ---- */
+
+enum change_type {
+	CHANGE_NONE, /* shows that the log can be written */
+	CHANGE_CREATE,
+	CHANGE_UPDATE,
+	CHANGE_CANCEL,
+	CHANGE_FORGET,
+	CHANGE_START,
+	CHANGE_TASK,
+	CHANGE_KIND,   /* snapshot only */
+	CHANGE_WORKER, /* snapshot only */
+	CHANGE_PAIR,   /* snapshot only */
+};
+
+struct change {
+	enum change_type type;
+	uint32_t slot;
+	uint32_t number;
+	enum task_state state;
+	uint32_t attempt;
+	const char *worker;
+	const char *checkpoint;
+	uint32_t failures;
+	enum place_reason reason;
+	uint32_t reserved[RES_COUNT];
+	const struct placement_spec *spec;
+	struct kind *kind;
+	struct kind *other;
+	struct pair pair;
+};
+
+/* Applies a change and appends it; returns its token, or 0 when refused. */
+uint64_t place_commit(struct place *p, const struct change *c);
+int place_replay(struct place *p, const void *data, size_t len);
+void place_write_snapshot(struct place *p, struct buffer *out);
+
+/* ---- place-apply.c ---- */
+
+int change_apply(struct place *p, const struct change *c);
+void placement_to_spec(const struct place *p, const struct placement *pl,
+		       struct placement_spec *out);
+void place_clear(struct place *p);
+struct placement *placement_find(struct place *p, const char *id);
+struct task *task_find(struct place *p, const char *id);
+uint32_t team_get(struct place *p, const char *user, const char *name);
+uint32_t kind_get(struct place *p, const char *user, const char *name,
+		  bool service);
+
+/* ---- place.c ---- */
+
+struct place_action *place_emit(struct place *p, enum place_action_type type);
+void place_wait(struct place *p, const struct waiter *w);
+void task_id(const struct task *t, char out[PLACE_NAME_BYTES + 12]);
+const char *reason_text(enum place_reason r);
+bool task_is_active(const struct task *t);
+bool task_is_final(const struct task *t);
+bool task_is_pending(const struct task *t);
+bool task_unwanted(const struct task *t);
+struct pair *kind_pair(struct place *p, uint32_t service, uint32_t other);
+
+/* ---- place-index.c ---- */
+
+void index_resize(struct index_tree *x, uint32_t leaves);
+void index_set(struct index_tree *x, uint32_t leaf,
+	       const int32_t value[RES_COUNT]);
+/* Returns the first leaf from `from` on with room for need, or -1. */
+int index_find(const struct index_tree *x, const int32_t need[RES_COUNT],
+	       uint32_t from);
+void index_free(struct index_tree *x);
+
+/* ---- place-worker.c ---- */
+
+struct worker *worker_find(struct place *p, const char *id);
+struct worker *worker_get(struct place *p, const char *id);
+void worker_reindex(struct place *p, struct worker *w);
+void worker_add_task(struct place *p, struct worker *w, struct task *t);
+void worker_remove_task(struct place *p, struct task *t);
+void worker_set_reserved(struct place *p, struct task *t,
+			 const int32_t reserved[RES_COUNT]);
+void worker_blame(struct place *p, struct worker *w);
+void worker_succeeded(struct place *p, struct worker *w);
+/* Begins the quarantine again that the log shows. */
+void worker_restored(struct place *p, struct worker *w);
+void worker_event(struct place *p, const struct place_event *e);
+void worker_tick(struct place *p, struct worker *w);
+void worker_read(struct place *p, struct worker *w);
+bool worker_usable(const struct place *p, const struct worker *w);
+
+/* ---- place-task.c ---- */
+
+void task_begin(struct place *p, struct task *t, struct worker *w,
+		const int32_t need[RES_COUNT], struct worker *passed_over,
+		const char *why);
+void task_set(struct place *p, struct task *t, enum task_state state,
+	      enum place_reason reason, const char *checkpoint);
+/* Stops a task on its worker; it resumes elsewhere unless cancelled. */
+void task_stop(struct place *p, struct task *t, enum place_reason reason,
+	       bool checkpoint_first);
+/* The task does not run on its worker any more. */
+void task_freed(struct place *p, struct task *t, const char *checkpoint);
+void task_started_durable(struct place *p, const struct waiter *w);
+void task_event(struct place *p, const struct place_event *e);
+void task_tick(struct place *p, struct task *t);
+void task_absent(struct place *p, struct task *t, uint64_t sent_us);
+
+/* ---- place-queue.c ---- */
+
+void queue_add(struct place *p, struct task *t);
+void queue_remove(struct place *p, struct task *t);
+void queue_share(struct place *p, struct team *t);
+void queue_policy(struct place *p, const struct sheet *s);
+void queue_pass(struct place *p);
+/* Lets impossible tasks wait again that a worker or quota now allows. */
+void queue_recheck(struct place *p);
+
+/* ---- place-usage.c ---- */
+
+/* Fills the room to reserve for the next start of a task. */
+void usage_need(const struct place *p, const struct placement *pl,
+		int32_t need[RES_COUNT]);
+void usage_event(struct place *p, const struct place_event *e);
+void usage_guard(struct place *p, struct worker *w);
+struct task *usage_cheapest(struct worker *w, enum urgency above);
+
+/* ---- place-pair.c ---- */
+
+struct worker *pair_choose(struct place *p, const struct task *t,
+			   const int32_t need[RES_COUNT],
+			   struct worker **passed_over, const char **why);
+void pair_learn(struct place *p, struct worker *w);
+void pair_relieve(struct place *p, struct worker *w);
+
+#endif
--- /dev/null
+++ b/src/place-task.c
@@ -0,0 +1,377 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "place-internal.h"
+
+#define STOP_EVERY_US 2000000u
+#define TASK_FAILURES_MAX 5
+#define READ_EVERY_US 1000000u
+#define RUN_PROVEN_US 10000000u
+
+static void started(struct place *p, struct task *t,
+		    const struct place_event *e);
+static void stopped(struct place *p, struct task *t,
+		    const struct place_event *e);
+static void checkpointed(struct place *p, struct task *t,
+			 const struct place_event *e);
+static void reported(struct place *p, struct task *t,
+		     const struct place_event *e);
+static void failed(struct place *p, struct task *t, enum place_reason reason);
+static void tick_starting(struct place *p, struct task *t);
+static void tick_running(struct place *p, struct task *t);
+static void tick_stopping(struct place *p, struct task *t);
+
+/* Appends an action on a task and its worker. */
+static struct place_action *emit(struct place *p, enum place_action_type type,
+				 const struct task *t)
+{
+	struct place_action *a = place_emit(p, type);
+
+	task_id(t, a->task);
+	snprintf(a->worker, sizeof(a->worker), "%s", t->worker->id);
+	a->attempt = t->attempt;
+	a->reason = reason_text((enum place_reason)t->reason);
+	return a;
+}
+
+static void emit_stop(struct place *p, struct task *t)
+{
+	t->call_us = p->now_us;
+	t->checkpointing = false;
+	emit(p, PLACE_STOP, t);
+}
+
+/* Chooses the worker of a task's next attempt; the call waits for the log. */
+void task_begin(struct place *p, struct task *t, struct worker *w,
+		const int32_t need[RES_COUNT], struct worker *passed_over,
+		const char *why)
+{
+	struct change c = { .type = CHANGE_START };
+	struct waiter wait = { .type = WAIT_START };
+	struct kind *k = &p->kinds[t->placement->kind];
+
+	c.slot = t->placement->slot;
+	c.number = t->number;
+	c.attempt = t->attempt + 1;
+	c.worker = w->id;
+	for (int r = 0; r < RES_COUNT; r++)
+		c.reserved[r] = (uint32_t)need[r];
+	if (!w->tasks.first)
+		w->answered_us = p->now_us;
+	wait.token = place_commit(p, &c);
+	if (!wait.token)
+		return;
+	wait.slot = c.slot;
+	wait.number = c.number;
+	wait.attempt = c.attempt;
+	wait.passed_over = passed_over;
+	wait.why = why;
+	wait.since_us = p->now_us;
+	place_wait(p, &wait);
+	p->decisions++;
+	if (!k->first_start_us)
+		k->first_start_us = p->now_us;
+}
+
+/* Commits a new state of a task. */
+void task_set(struct place *p, struct task *t, enum task_state state,
+	      enum place_reason reason, const char *checkpoint)
+{
+	struct change c = { .type = CHANGE_TASK,
+			    .slot = t->placement->slot,
+			    .number = t->number,
+			    .attempt = t->attempt,
+			    .state = state,
+			    .reason = reason,
+			    .checkpoint = checkpoint };
+
+	place_commit(p, &c);
+}
+
+/* The entry of a start is durable, so the call may leave. */
+void task_started_durable(struct place *p, const struct waiter *w)
+{
+	struct placement *pl = NULL;
+	struct place_action *a;
+	struct task *t;
+
+	if (w->slot < p->slot_count)
+		pl = p->slots[w->slot];
+	if (!pl || w->number >= pl->count)
+		return;
+	t = &pl->tasks[w->number];
+	if (!t->worker || t->attempt != w->attempt || t->sent)
+		return;
+	if (t->state != TASK_STARTING || !worker_usable(p, t->worker)) {
+		/* The trial of a quarantine is in use by this task itself. */
+		if (t->state != TASK_STARTING || !t->worker->trial_used ||
+		    !t->worker->known || t->worker->leaving ||
+		    !t->worker->fenced) {
+			t->reason = REASON_NOT_SENT;
+			task_freed(p, t, NULL);
+			return;
+		}
+	}
+	t->sent = true;
+	t->lease_end_us = p->now_us + PLACE_CALL_MAX_US + PLACE_LATE_US +
+			  PLACE_TASK_LEASE_US;
+	a = emit(p, PLACE_START, t);
+	a->reason = w->why ? w->why : "";
+	a->cpu_milli = (uint32_t)t->reserved[RES_CPU];
+	a->memory_mb = (uint32_t)t->reserved[RES_MEMORY];
+	a->accelerators = (uint32_t)t->reserved[RES_ACCELERATORS];
+	snprintf(a->spec, sizeof(a->spec), "%s", pl->spec);
+	if (t->checkpoint)
+		snprintf(a->checkpoint, sizeof(a->checkpoint), "%s",
+			 t->checkpoint);
+	if (w->passed_over)
+		snprintf(a->passed_over, sizeof(a->passed_over), "%s",
+			 w->passed_over->id);
+}
+
+void task_stop(struct place *p, struct task *t, enum place_reason reason,
+	       bool checkpoint_first)
+{
+	if (t->state != TASK_RUNNING && t->state != TASK_STARTING)
+		return;
+	task_set(p, t, TASK_STOPPING, reason, NULL);
+	if (t->state != TASK_STOPPING || t->settled_us == NOT_SETTLED)
+		return;
+	if (!checkpoint_first) {
+		emit_stop(p, t);
+		return;
+	}
+	t->call_us = p->now_us;
+	t->checkpointing = true;
+	emit(p, PLACE_CHECKPOINT, t);
+}
+
+void task_freed(struct place *p, struct task *t, const char *checkpoint)
+{
+	enum place_reason reason = (enum place_reason)t->reason;
+	bool ran = t->ran || t->checkpoint || (checkpoint && checkpoint[0]);
+
+	if (task_unwanted(t)) {
+		task_set(p, t, TASK_CANCELLED, REASON_OPERATOR, checkpoint);
+	} else if (t->state == TASK_STOPPING && reason == REASON_MAX_RUN) {
+		task_set(p, t, TASK_FAILED, reason, checkpoint);
+	} else {
+		if (t->state != TASK_STARTING)
+			p->evictions++;
+		task_set(p, t, ran ? TASK_EVICTED : TASK_PENDING, reason,
+			 checkpoint);
+	}
+}
+
+/* A failed attempt: another worker is tried, a few times. */
+static void failed(struct place *p, struct task *t, enum place_reason reason)
+{
+	enum task_state next = t->ran ? TASK_EVICTED : TASK_PENDING;
+
+	if (t->failures + 1 >= TASK_FAILURES_MAX)
+		next = TASK_FAILED;
+	if (task_unwanted(t))
+		next = TASK_CANCELLED;
+	task_set(p, t, next, reason, NULL);
+}
+
+void task_event(struct place *p, const struct place_event *e)
+{
+	struct task *t = task_find(p, e->id);
+	struct worker *w = worker_find(p, e->worker);
+
+	if (e->type == PLACE_REPORT) {
+		reported(p, t, e);
+		return;
+	}
+	if (!t || !w || t->worker != w)
+		return;
+	if (e->type == PLACE_MISSING) {
+		if (t->state == TASK_RUNNING)
+			worker_read(p, w);
+		return;
+	}
+	if (e->attempt != t->attempt || !t->sent)
+		return;
+	if (e->answer == PLACE_ANSWER_OK)
+		w->answered_us = p->now_us;
+	if (e->type == PLACE_STARTED)
+		started(p, t, e);
+	else if (e->type == PLACE_STOPPED)
+		stopped(p, t, e);
+	else
+		checkpointed(p, t, e);
+}
+
+static void started(struct place *p, struct task *t,
+		    const struct place_event *e)
+{
+	struct worker *w = t->worker;
+
+	if (t->settled_us != NOT_SETTLED)
+		return;
+	t->settled_us = p->now_us;
+	switch (e->answer) {
+	case PLACE_ANSWER_OK:
+		if (t->state == TASK_STARTING)
+			task_set(p, t, TASK_RUNNING, REASON_NONE, NULL);
+		else
+			emit_stop(p, t);
+		return;
+	case PLACE_ANSWER_UNKNOWN:
+		/* It may still reach the worker; reads settle what became. */
+		t->settled_us = p->now_us + PLACE_LATE_US;
+		t->reason = REASON_ANSWER_LOST;
+		break;
+	case PLACE_ANSWER_FAILED:
+		failed(p, t, REASON_START_FAILED);
+		return;
+	case PLACE_ANSWER_NO_ROOM:
+		t->reason = REASON_NO_ROOM;
+		task_freed(p, t, NULL);
+		break;
+	case PLACE_ANSWER_STALE:
+	case PLACE_ANSWER_ABSENT:
+		t->reason = REASON_STALE;
+		task_freed(p, t, NULL);
+		break;
+	case PLACE_ANSWER_NOT_SENT:
+		t->reason = REASON_NOT_SENT;
+		task_freed(p, t, NULL);
+		break;
+	}
+	/* Nothing new goes there until the worker was read again. */
+	w->fenced = false;
+	worker_reindex(p, w);
+}
+
+static void stopped(struct place *p, struct task *t,
+		    const struct place_event *e)
+{
+	if (t->state != TASK_STOPPING)
+		return;
+	if (e->answer == PLACE_ANSWER_OK)
+		task_freed(p, t, e->checkpoint);
+	else if (e->answer == PLACE_ANSWER_ABSENT)
+		task_absent(p, t, e->at_us);
+}
+
+static void checkpointed(struct place *p, struct task *t,
+			 const struct place_event *e)
+{
+	if (e->answer == PLACE_ANSWER_OK && e->checkpoint)
+		task_set(p, t, (enum task_state)t->state,
+			 (enum place_reason)t->reason, e->checkpoint);
+	if (t->state == TASK_STOPPING && t->checkpointing)
+		emit_stop(p, t);
+}
+
+/* The worker did not have the task when a call that left at sent_us came. */
+void task_absent(struct place *p, struct task *t, uint64_t sent_us)
+{
+	if (!t->sent || t->settled_us == NOT_SETTLED || sent_us < t->settled_us)
+		return;
+	if (t->state == TASK_RUNNING)
+		t->reason = REASON_MISSING;
+	task_freed(p, t, NULL);
+}
+
+/* A worker's report of an attempt, from a read or a usage sample. */
+static void reported(struct place *p, struct task *t,
+		     const struct place_event *e)
+{
+	struct place_action *a;
+
+	if (!t || !t->worker || t->attempt != e->attempt ||
+	    strcmp(t->worker->id, e->worker) != 0) {
+		/*
+		 * Only a read is fresh enough to show that an attempt which
+		 * the log does not know still runs.
+		 */
+		if (!e->read || e->state != TASK_RUNNING)
+			return;
+		a = place_emit(p, PLACE_STOP);
+		snprintf(a->task, sizeof(a->task), "%s", e->id);
+		snprintf(a->worker, sizeof(a->worker), "%s", e->worker);
+		a->attempt = e->attempt;
+		a->reason = "not in the log";
+		return;
+	}
+	if (e->read)
+		t->seen = true;
+	switch (e->state) {
+	case TASK_RUNNING:
+		if (t->state == TASK_STARTING && t->sent) {
+			if (t->settled_us == NOT_SETTLED ||
+			    t->settled_us > p->now_us)
+				t->settled_us = p->now_us;
+			task_set(p, t, TASK_RUNNING, REASON_NONE, NULL);
+		}
+		break;
+	case TASK_DONE:
+		task_set(p, t, TASK_DONE, REASON_NONE, e->checkpoint);
+		break;
+	case TASK_FAILED:
+		failed(p, t, REASON_TASK_FAILED);
+		break;
+	case TASK_EVICTED:
+		if (t->state != TASK_STOPPING)
+			t->reason = REASON_EXPIRED;
+		task_freed(p, t, e->checkpoint);
+		break;
+	default:
+		break;
+	}
+}
+
+void task_tick(struct place *p, struct task *t)
+{
+	bool ended = t->sent && t->lease_end_us &&
+		     p->now_us > t->lease_end_us &&
+		     t->settled_us != NOT_SETTLED;
+
+	if (ended) {
+		if (t->state != TASK_STOPPING)
+			t->reason = REASON_EXPIRED;
+		task_freed(p, t, NULL);
+	} else if (t->state == TASK_STOPPING) {
+		tick_stopping(p, t);
+	} else if (t->state == TASK_STARTING) {
+		tick_starting(p, t);
+	} else if (t->state == TASK_RUNNING) {
+		tick_running(p, t);
+	}
+}
+
+/* Reads the worker until it shows what became of an unanswered start. */
+static void tick_starting(struct place *p, struct task *t)
+{
+	struct worker *w = t->worker;
+
+	if (t->sent && t->settled_us != NOT_SETTLED && w->known &&
+	    p->now_us - w->read_us >= READ_EVERY_US)
+		worker_read(p, w);
+}
+
+static void tick_running(struct place *p, struct task *t)
+{
+	uint64_t run_us = p->now_us - t->since_us;
+	uint32_t max_ms = t->placement->max_run_ms;
+
+	if (max_ms && run_us > (uint64_t)max_ms * 1000u)
+		task_stop(p, t, REASON_MAX_RUN, false);
+	else if (t->worker->leaving)
+		task_stop(p, t, REASON_WORKER_LEAVING, true);
+	else if (t->worker->failures && run_us > RUN_PROVEN_US &&
+		 !t->worker->quarantine_us)
+		worker_succeeded(p, t->worker);
+}
+
+/* Repeats the stop until it is confirmed. */
+static void tick_stopping(struct place *p, struct task *t)
+{
+	if (!t->sent || t->settled_us == NOT_SETTLED || !t->worker->known)
+		return;
+	if (!t->call_us || p->now_us - t->call_us >= STOP_EVERY_US)
+		emit_stop(p, t);
+}
--- /dev/null
+++ b/src/place-usage.c
@@ -0,0 +1,166 @@
+#include <string.h>
+
+#include "place-internal.h"
+
+/* A kind is known once this many of its tasks were seen. */
+#define KNOWN_TASKS 5
+#define MARGIN 1.1
+#define TOTAL_MAX 1000
+
+static int bucket_of(uint32_t value)
+{
+	int log = 0;
+
+	if (value < 4)
+		return (int)value;
+	while (value >> (log + 3))
+		log++;
+	return 4 * log + (int)(value >> log);
+}
+
+/* The upper end of a bucket's values. */
+static uint32_t bucket_top(int bucket)
+{
+	int log = bucket < 8 ? 0 : bucket / 4 - 1;
+
+	return ((uint32_t)(bucket - 4 * log + 1) << log) - 1;
+}
+
+/* Adds a value; old ones lose half their weight at the limit. */
+static void sizes_add(struct sizes *s, uint32_t value)
+{
+	s->counts[bucket_of(value)]++;
+	if (++s->total < TOTAL_MAX)
+		return;
+	s->total = 0;
+	for (int i = 0; i < SIZE_BUCKETS; i++) {
+		s->counts[i] /= 2;
+		s->total += s->counts[i];
+	}
+}
+
+static uint32_t sizes_percentile(const struct sizes *s, uint32_t percent)
+{
+	uint64_t rank = ((uint64_t)s->total * percent + 99) / 100;
+	uint64_t seen = 0;
+
+	for (int i = 0; i < SIZE_BUCKETS; i++) {
+		seen += s->counts[i];
+		if (seen >= rank && seen)
+			return bucket_top(i);
+	}
+	return 0;
+}
+
+/* Reserves the p95 of what was seen, else the declared size. */
+static int32_t size_need(const struct sizes *absolute,
+			 const struct sizes *ratio, uint32_t declared)
+{
+	double top, by_ratio, spread, ratio_spread;
+
+	if (absolute->total < KNOWN_TASKS)
+		return (int32_t)declared;
+	top = sizes_percentile(absolute, 95);
+	by_ratio = sizes_percentile(ratio, 95);
+	spread = top / (sizes_percentile(absolute, 50) + 1.0);
+	ratio_spread = by_ratio / (sizes_percentile(ratio, 50) + 1.0);
+	/* The narrower of the two predicts better. */
+	if (ratio_spread < spread)
+		top = by_ratio * declared / 1000.0;
+	return (int32_t)(top * MARGIN) + 1;
+}
+
+void usage_need(const struct place *p, const struct placement *pl,
+		int32_t need[RES_COUNT])
+{
+	const struct kind *k = &p->kinds[pl->kind];
+	const int32_t *top = NULL;
+
+	for (int r = 0; r < RES_COUNT; r++)
+		need[r] = (int32_t)pl->need[r];
+	if (p->options.policy != PLACEMENT_LEARNED)
+		return;
+	need[RES_CPU] = size_need(&k->cpu, &k->cpu_ratio, pl->need[RES_CPU]);
+	need[RES_MEMORY] =
+		size_need(&k->memory, &k->memory_ratio, pl->need[RES_MEMORY]);
+	/* Never above the capacity of the largest worker. */
+	if (p->capacity_index.leaves)
+		top = p->capacity_index.max[1];
+	for (int r = 0; top && r < RES_COUNT; r++)
+		if (need[r] > top[r] && top[r] > 0)
+			need[r] = top[r] > (int32_t)pl->need[r]
+					  ? top[r]
+					  : (int32_t)pl->need[r];
+}
+
+/* Takes a usage sample of a task into its kind's statistics. */
+static void learn_sizes(struct place *p, struct task *t)
+{
+	struct placement *pl = t->placement;
+	struct kind *k = &p->kinds[pl->kind];
+
+	if (t->counted)
+		return;
+	t->counted = true;
+	sizes_add(&k->cpu, t->used_cpu_milli);
+	sizes_add(&k->memory, t->used_memory_mb);
+	sizes_add(&k->cpu_ratio, (uint32_t)(t->used_cpu_milli * 1000ull /
+					    (pl->need[RES_CPU] + 1)));
+	sizes_add(&k->memory_ratio, (uint32_t)(t->used_memory_mb * 1000ull /
+					       (pl->need[RES_MEMORY] + 1)));
+}
+
+void usage_event(struct place *p, const struct place_event *e)
+{
+	struct worker *w;
+	struct task *t;
+
+	if (e->type == PLACE_WORKER_USAGE) {
+		w = worker_find(p, e->id);
+		if (!w || e->at_us <= w->sampled_us)
+			return;
+		w->sampled_us = e->at_us;
+		w->used_cpu_milli = e->cpu_milli;
+		w->used_memory_mb = e->memory_mb;
+		pair_learn(p, w);
+		return;
+	}
+	t = task_find(p, e->id);
+	if (!t || !t->worker || t->attempt != e->attempt ||
+	    t->state != TASK_RUNNING || strcmp(t->worker->id, e->worker) != 0)
+		return;
+	t->sampled_us = e->at_us;
+	t->used_cpu_milli = e->cpu_milli;
+	t->used_memory_mb = e->memory_mb;
+	t->latency_us = e->latency_p99_us;
+	t->progress = e->progress;
+	if (t->used_memory_mb > t->peak_memory_mb)
+		t->peak_memory_mb = t->used_memory_mb;
+	learn_sizes(p, t);
+}
+
+/* Relieves a worker that runs short of memory or slows a service. */
+void usage_guard(struct place *p, struct worker *w)
+{
+	(void)p;
+	(void)w;
+}
+
+/* The yielding batch task below an urgency whose loss costs least. */
+struct task *usage_cheapest(struct worker *w, enum urgency above)
+{
+	struct task *best = NULL;
+
+	for (struct task *t = w->tasks.first; t; t = t->next) {
+		const struct placement *pl = t->placement;
+
+		if (t->state != TASK_RUNNING || pl->service || !pl->yields ||
+		    pl->urgency <= (int)above)
+			continue;
+		if (!best || pl->urgency > best->placement->urgency ||
+		    (pl->urgency == best->placement->urgency &&
+		     t->since_us > best->since_us))
+			best = t;
+	}
+	return best;
+}
--- /dev/null
+++ b/src/place-worker.c
@@ -0,0 +1,367 @@
+#include <search.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "place-internal.h"
+
+#define FAILURES_MAX 3
+#define QUARANTINE_US 60000000u
+#define QUARANTINE_DOUBLINGS_MAX 4
+/* Two renewals and a third of one may fail before tasks are given up. */
+#define UNREACHABLE_US 8000000u
+#define READ_EVERY_US 1000000u
+/* A start that holds for this long ends a row of failures. */
+#define PROVEN_US 10000000u
+
+static void appear(struct place *p, const struct place_event *e);
+static void renew(struct place *p, struct worker *w);
+static void give_up(struct place *p, struct worker *w);
+static void end_quarantine(struct place *p, struct worker *w);
+static uint16_t rack_get(struct place *p, const char *name);
+
+static int compare_workers(const void *a, const void *b)
+{
+	const struct worker *x = a, *y = b;
+
+	return strcmp(x->id, y->id);
+}
+
+struct worker *worker_find(struct place *p, const char *id)
+{
+	struct worker key;
+	struct worker **found;
+
+	snprintf(key.id, sizeof(key.id), "%s", id);
+	found = tfind(&key, &p->workers_by_id, compare_workers);
+	return found ? *found : NULL;
+}
+
+/* Returns the worker; the log can name it before the list of VMs does. */
+struct worker *worker_get(struct place *p, const char *id)
+{
+	struct worker *w = worker_find(p, id);
+
+	if (w)
+		return w;
+	if (p->worker_count == p->worker_capacity) {
+		p->worker_capacity =
+			p->worker_capacity ? 2 * p->worker_capacity : 16;
+		p->workers = xrealloc(p->workers,
+				      p->worker_capacity * sizeof(*p->workers));
+	}
+	w = xcalloc(1, sizeof(*w));
+	snprintf(w->id, sizeof(w->id), "%s", id);
+	w->handle = p->worker_count;
+	p->workers[p->worker_count++] = w;
+	index_resize(&p->free_index, p->worker_count);
+	index_resize(&p->yield_index, p->worker_count);
+	index_resize(&p->capacity_index, p->worker_count);
+	tsearch(w, &p->workers_by_id, compare_workers);
+	worker_reindex(p, w);
+	return w;
+}
+
+bool worker_usable(const struct place *p, const struct worker *w)
+{
+	if (!p->owner || !w->known || w->leaving || !w->fenced)
+		return false;
+	return !w->quarantine_us || (w->trial && !w->trial_used);
+}
+
+/* Sets the worker's leaves of the three indices. */
+void worker_reindex(struct place *p, struct worker *w)
+{
+	static const int32_t none[RES_COUNT] = { -1, -1, -1 };
+	int32_t yield[RES_COUNT];
+	bool usable = worker_usable(p, w);
+
+	for (int r = 0; r < RES_COUNT; r++)
+		yield[r] = w->free[r] + w->reclaimable[r];
+	index_set(&p->free_index, w->handle, usable ? w->free : none);
+	index_set(&p->yield_index, w->handle,
+		  usable && !w->quarantine_us ? yield : none);
+	index_set(&p->capacity_index, w->handle, w->known ? w->capacity : none);
+}
+
+/* Adds a task's reservation to the worker's sums, or takes it away. */
+static void reserve(struct worker *w, const struct task *t, int sign)
+{
+	bool yields = t->placement->yields && !t->placement->service;
+
+	for (int r = 0; r < RES_COUNT; r++) {
+		w->free[r] -= sign * t->reserved[r];
+		if (yields)
+			w->reclaimable[r] += sign * t->reserved[r];
+	}
+}
+
+void worker_add_task(struct place *p, struct worker *w, struct task *t)
+{
+	t->worker = w;
+	t->prev = w->tasks.last;
+	t->next = NULL;
+	if (t->prev)
+		t->prev->next = t;
+	else
+		w->tasks.first = t;
+	w->tasks.last = t;
+	reserve(w, t, 1);
+	if (w->quarantine_us)
+		w->trial_used = true;
+	worker_reindex(p, w);
+}
+
+void worker_remove_task(struct place *p, struct task *t)
+{
+	struct worker *w = t->worker;
+
+	if (t->prev)
+		t->prev->next = t->next;
+	else
+		w->tasks.first = t->next;
+	if (t->next)
+		t->next->prev = t->prev;
+	else
+		w->tasks.last = t->prev;
+	t->prev = NULL;
+	t->next = NULL;
+	t->worker = NULL;
+	reserve(w, t, -1);
+	worker_reindex(p, w);
+	p->dirty = true;
+}
+
+void worker_set_reserved(struct place *p, struct task *t,
+			 const int32_t reserved[RES_COUNT])
+{
+	reserve(t->worker, t, -1);
+	memcpy(t->reserved, reserved, sizeof(t->reserved));
+	reserve(t->worker, t, 1);
+	worker_reindex(p, t->worker);
+	p->dirty = true;
+}
+
+/* Counts a failed start; a third in a row, or a failed trial, quarantines. */
+void worker_blame(struct place *p, struct worker *w)
+{
+	uint32_t doublings = w->quarantines;
+
+	if (w->failures < UINT8_MAX)
+		w->failures++;
+	if (w->failures < FAILURES_MAX || (w->quarantine_us && !w->trial))
+		return;
+	if (doublings > QUARANTINE_DOUBLINGS_MAX)
+		doublings = QUARANTINE_DOUBLINGS_MAX;
+	if (w->quarantines < UINT8_MAX)
+		w->quarantines++;
+	w->trial = false;
+	w->trial_used = false;
+	w->quarantine_us = p->now_us + ((uint64_t)QUARANTINE_US << doublings);
+	worker_reindex(p, w);
+}
+
+void worker_restored(struct place *p, struct worker *w)
+{
+	if (w->quarantine_us)
+		w->quarantine_us = p->now_us + QUARANTINE_US;
+	w->trial = false;
+	w->trial_used = false;
+}
+
+void worker_succeeded(struct place *p, struct worker *w)
+{
+	w->failures = 0;
+	w->quarantines = 0;
+	w->quarantine_us = 0;
+	w->trial = false;
+	w->trial_used = false;
+	worker_reindex(p, w);
+	p->dirty = true;
+}
+
+/* Asks the worker for its tasks, which also raises its fencing token. */
+void worker_read(struct place *p, struct worker *w)
+{
+	struct place_action *a;
+
+	if (w->reading)
+		return;
+	w->reading = true;
+	w->read_us = p->now_us;
+	a = place_emit(p, PLACE_READ);
+	snprintf(a->worker, sizeof(a->worker), "%s", w->id);
+}
+
+void worker_event(struct place *p, const struct place_event *e)
+{
+	struct worker *w = worker_find(p, e->id);
+
+	if (e->type == PLACE_WORKER) {
+		appear(p, e);
+		return;
+	}
+	if (!w)
+		return;
+	if (e->type == PLACE_WORKER_GONE && w->known) {
+		w->known = false;
+		w->fenced = false;
+		w->gone_us = p->now_us;
+		for (int r = 0; r < RES_COUNT; r++)
+			p->total[r] -= w->capacity[r];
+	} else if (e->type == PLACE_RENEWED) {
+		if (e->answer == PLACE_ANSWER_OK)
+			w->answered_us = p->now_us;
+		else
+			w->fenced = false;
+	} else if (e->type == PLACE_READ_END) {
+		w->reading = false;
+		if (e->answer == PLACE_ANSWER_OK) {
+			struct task *next;
+
+			w->fenced = true;
+			w->answered_us = p->now_us;
+			for (struct task *t = w->tasks.first; t; t = next) {
+				bool seen = t->seen;
+
+				next = t->next;
+				t->seen = false;
+				if (!seen)
+					task_absent(p, t, e->at_us);
+			}
+		} else {
+			w->fenced = false;
+			for (struct task *t = w->tasks.first; t; t = t->next)
+				t->seen = false;
+		}
+	}
+	worker_reindex(p, w);
+	p->dirty = true;
+}
+
+/* Takes a worker of the platform's list. */
+static void appear(struct place *p, const struct place_event *e)
+{
+	struct worker *w = worker_get(p, e->id);
+	int32_t capacity[RES_COUNT] = { (int32_t)e->cpu_milli,
+					(int32_t)e->memory_mb,
+					(int32_t)e->accelerators };
+	bool grown = !w->known;
+
+	if (w->known && w->leaving == e->leaving &&
+	    !memcmp(w->capacity, capacity, sizeof(capacity)))
+		return;
+	if (!w->known) {
+		w->rack = rack_get(p, e->rack ? e->rack : "");
+		w->answered_us = p->now_us;
+	}
+	for (int r = 0; r < RES_COUNT; r++) {
+		p->total[r] += capacity[r] - (w->known ? w->capacity[r] : 0);
+		grown |= capacity[r] > w->capacity[r];
+		w->free[r] += capacity[r] - w->capacity[r];
+		w->capacity[r] = capacity[r];
+	}
+	w->known = true;
+	w->gone_us = 0;
+	w->leaving = e->leaving;
+	if (!w->fenced)
+		worker_read(p, w);
+	worker_reindex(p, w);
+	p->dirty = true;
+	if (grown && p->impossible_count)
+		queue_recheck(p);
+}
+
+static uint16_t rack_get(struct place *p, const char *name)
+{
+	for (uint32_t i = 0; i < p->rack_count; i++)
+		if (!strcmp(p->racks[i], name))
+			return (uint16_t)i;
+	if (p->rack_count == PLACE_RACKS_MAX)
+		return PLACE_RACKS_MAX - 1;
+	snprintf(p->racks[p->rack_count], PLACE_NAME_BYTES, "%s", name);
+	return (uint16_t)p->rack_count++;
+}
+
+/* Periodic work of a worker and its tasks. */
+void worker_tick(struct place *p, struct worker *w)
+{
+	struct task *next;
+
+	if (w->known && !w->fenced && p->now_us - w->read_us >= READ_EVERY_US)
+		worker_read(p, w);
+	if (w->quarantine_us)
+		end_quarantine(p, w);
+	if (!w->tasks.first)
+		return;
+	if (w->known && p->now_us - w->renewed_us >= PLACE_RENEW_US)
+		renew(p, w);
+	if (p->now_us - w->answered_us > UNREACHABLE_US)
+		give_up(p, w);
+	for (struct task *t = w->tasks.first; t; t = next) {
+		next = t->next;
+		if (w->gone_us &&
+		    t->lease_end_us > w->gone_us + PLACE_TASK_LEASE_US)
+			t->lease_end_us = w->gone_us + PLACE_TASK_LEASE_US;
+		task_tick(p, t);
+	}
+	if (!w->leaving)
+		usage_guard(p, w);
+}
+
+/* Renews the leases of the running tasks, up to the outage horizon. */
+static void renew(struct place *p, struct worker *w)
+{
+	bool any = false;
+	struct place_action *a;
+
+	if (p->now_us - p->last_append_us > p->options.outage_horizon_us)
+		return;
+	for (struct task *t = w->tasks.first; t && !any; t = t->next)
+		any = t->state == TASK_RUNNING;
+	if (!any) {
+		/* Nothing to renew: the worker cannot fail to answer. */
+		if (w->fenced)
+			w->answered_us = p->now_us;
+		return;
+	}
+	w->renewed_us = p->now_us;
+	a = place_emit(p, PLACE_RENEW);
+	snprintf(a->worker, sizeof(a->worker), "%s", w->id);
+}
+
+/* Ends the renewals of tasks whose worker does not answer. */
+static void give_up(struct place *p, struct worker *w)
+{
+	enum place_reason reason =
+		w->known ? REASON_UNREACHABLE : REASON_WORKER_GONE;
+	struct task *next;
+
+	for (struct task *t = w->tasks.first; t; t = next) {
+		next = t->next;
+		if (t->state == TASK_RUNNING)
+			task_set(p, t, TASK_STOPPING, reason, NULL);
+	}
+}
+
+static void end_quarantine(struct place *p, struct worker *w)
+{
+	bool running = w->tasks.first && w->tasks.first->state == TASK_RUNNING;
+
+	if (!w->trial) {
+		if (p->now_us < w->quarantine_us)
+			return;
+		w->trial = true;
+		w->trial_used = false;
+		worker_reindex(p, w);
+		p->dirty = true;
+	} else if (w->trial_used && !w->tasks.first) {
+		/* The trial ended without a verdict, for example cancelled. */
+		w->trial_used = false;
+		worker_reindex(p, w);
+		p->dirty = true;
+	} else if (w->trial_used && running &&
+		   p->now_us - w->tasks.first->since_us > PROVEN_US) {
+		worker_succeeded(p, w);
+	}
+}
--- /dev/null
+++ b/src/place.h
@@ -0,0 +1,97 @@
+#ifndef PLACE_H
+#define PLACE_H
+
+#include "core.h"
+#include "oplog.h"
+#include "settings.h"
+
+/*
+ * NAME
+ *	place - decision core of placement, a client of a shard's log
+ *
+ * DESCRIPTION
+ *	One instance a shard. place_client() is registered with the shard's
+ *	log, which resets, restores and replays the state and tells when
+ *	this process owns the shard. The driver passes events with the time
+ *	and executes the actions that place_next_action() returns, the calls
+ *	on one worker in the order of the actions. A PLACE_START is returned
+ *	only after its log entry is durable. See docs/design.md 5.3 and 5.4.
+ *
+ *	A call may leave at most PLACE_CALL_MAX_US after its action was
+ *	returned, and a start only while the epoch is unchanged.
+ *
+ * UNITS
+ *	Times are microseconds of CLOCK_BOOTTIME.
+ */
+
+#define PLACE_TASK_LEASE_US 10000000u
+#define PLACE_RENEW_US 3000000u
+/* Longest time from an action to the end of its call. */
+#define PLACE_CALL_MAX_US 3000000u
+/* A call that ended without an answer reaches its worker within this time. */
+#define PLACE_LATE_US 5000000u
+
+typedef int place_append_fn(void *arg, const void *data, size_t len,
+			    uint64_t token);
+
+struct place_options {
+	enum settings_placement policy;
+	uint64_t outage_horizon_us;
+	uint64_t report_lag_us; /* of usage reports; 0: 2 s */
+	uint64_t seed;
+	place_append_fn *append; /* oplog_append() of the shard's log */
+	void *append_arg;
+};
+
+struct place;
+
+struct place *place_create(const struct place_options *o);
+void place_destroy(struct place *p);
+struct oplog_client *place_client(struct place *p);
+
+void place_step(struct place *p, uint64_t now_us, const struct place_event *e);
+
+/* Returns false when there is no further action. */
+bool place_next_action(struct place *p, struct place_action *out);
+
+/* Calls fn for each task whose lease a PLACE_RENEW of this worker extends. */
+void place_each_renewed(struct place *p, const char *worker,
+			void (*fn)(void *arg, const char *task), void *arg);
+
+struct place_task_view {
+	char id[PLACE_NAME_BYTES + 12];
+	enum task_state state;
+	uint32_t attempt;
+	char worker[PLACE_NAME_BYTES]; /* "" when it is on none */
+	char checkpoint[PLACE_NAME_BYTES];
+	const char *reason; /* static; "" for none */
+	uint32_t cpu_milli; /* reserved, or needed next */
+	uint32_t memory_mb;
+	uint32_t percent;
+	uint64_t since_us; /* of the state; 0 before this owner */
+};
+
+struct place_counts {
+	uint32_t placements;
+	uint32_t tasks[TASK_IMPOSSIBLE + 1]; /* by state */
+	uint32_t workers;
+	uint32_t quarantined;
+	uint32_t leaving;
+	uint64_t evictions; /* since this process owns the shard */
+	uint64_t decisions;
+};
+
+/* Return false when the id is unknown. */
+bool place_view_task(struct place *p, const char *id,
+		     struct place_task_view *out);
+bool place_view_placement(struct place *p, const char *id,
+			  struct placement_spec *out, bool *cancelled);
+
+/* Calls fn with the id of each placement. */
+void place_each(struct place *p, void (*fn)(void *arg, const char *id),
+		void *arg);
+void place_count(struct place *p, struct place_counts *out);
+
+const char *task_state_name(enum task_state s);
+
+#endif
--- /dev/null
+++ b/tests/support-place.c
@@ -0,0 +1,184 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "support-place.h"
+
+static int append(void *arg, const void *data, size_t len, uint64_t token)
+{
+	struct shard *s = arg;
+	struct shard_entry *e;
+
+	if (s->sealed)
+		return -1;
+	if (s->count == s->capacity) {
+		s->capacity = s->capacity ? 2 * s->capacity : 64;
+		s->entries =
+			xrealloc(s->entries, s->capacity * sizeof(*s->entries));
+	}
+	e = &s->entries[s->count++];
+	e->data = xcalloc(1, len + 1);
+	memcpy(e->data, data, len);
+	e->len = len;
+	e->token = token;
+	return 0;
+}
+
+static const struct oplog_client_ops *ops(struct shard *s)
+{
+	return place_client(s->place)->ops;
+}
+
+void shard_init(struct shard *s, enum settings_placement policy)
+{
+	memset(s, 0, sizeof(*s));
+	s->options.policy = policy;
+	s->options.outage_horizon_us = 60000000u;
+	s->options.seed = 1;
+	s->options.append = append;
+	s->options.append_arg = s;
+	s->now_us = 1000000000u;
+	s->epoch = 1;
+	s->place = place_create(&s->options);
+	ops(s)->reset(s->place);
+	ops(s)->owned(s->place, s->epoch, s->now_us);
+}
+
+static void drop_entries(struct shard *s, size_t from)
+{
+	for (size_t i = from; i < s->count; i++)
+		free(s->entries[i].data);
+	s->count = from;
+	if (s->durable > from)
+		s->durable = from;
+}
+
+void shard_free(struct shard *s)
+{
+	place_destroy(s->place);
+	drop_entries(s, 0);
+	free(s->entries);
+}
+
+void shard_commit(struct shard *s, size_t n)
+{
+	while (n-- && s->durable < s->count) {
+		uint64_t token = s->entries[s->durable++].token;
+
+		ops(s)->committed(s->place, token, s->now_us);
+	}
+}
+
+void shard_replace(struct shard *s, bool through_snapshot)
+{
+	struct buffer snapshot = BUFFER_INIT;
+	struct place *next = place_create(&s->options);
+	int failed = 0;
+
+	drop_entries(s, s->durable);
+	ops(s)->reset(next);
+	for (size_t i = 0; i < s->durable; i++)
+		failed |= ops(s)->replay(next, s->entries[i].data,
+					 s->entries[i].len);
+	if (through_snapshot) {
+		ops(s)->snapshot(next, &snapshot);
+		ops(s)->reset(next);
+		failed |= ops(s)->restore(next, snapshot.data, snapshot.len);
+		buffer_free(&snapshot);
+	}
+	if (failed) {
+		fprintf(stderr, "replay failed\n");
+		abort();
+	}
+	place_destroy(s->place);
+	s->place = next;
+	s->epoch++;
+	ops(s)->owned(next, s->epoch, s->now_us);
+}
+
+void shard_step(struct shard *s, const struct place_event *e)
+{
+	place_step(s->place, s->now_us, e);
+}
+
+void shard_tick(struct shard *s, uint64_t us)
+{
+	struct place_event e = { .type = PLACE_TICK };
+
+	s->now_us += us;
+	e.at_us = s->now_us;
+	shard_step(s, &e);
+}
+
+bool shard_next(struct shard *s, enum place_action_type type,
+		struct place_action *out)
+{
+	while (place_next_action(s->place, out))
+		if (out->type == type)
+			return true;
+	return false;
+}
+
+void shard_worker(struct shard *s, const char *id, uint32_t cpu,
+		  uint32_t memory)
+{
+	struct place_event e = { .type = PLACE_WORKER,
+				 .id = id,
+				 .rack = "rack1",
+				 .cpu_milli = cpu,
+				 .memory_mb = memory };
+
+	shard_step(s, &e);
+}
+
+void shard_create(struct shard *s, const char *id, uint32_t count, uint32_t cpu,
+		  uint32_t memory)
+{
+	struct placement_spec spec = { .user = "u",
+				       .team = "t",
+				       .kind = "batch",
+				       .urgency = URGENCY_NORMAL,
+				       .count = count,
+				       .cpu_milli = cpu,
+				       .memory_mb = memory,
+				       .yields = true };
+	struct place_event e = { .type = PLACE_CREATE, .placement = &spec };
+
+	snprintf(spec.id, sizeof(spec.id), "%s", id);
+	shard_step(s, &e);
+}
+
+void shard_answer(struct shard *s, enum place_event_type type,
+		  const struct place_action *a, enum place_answer answer)
+{
+	struct place_event e = { .type = type,
+				 .id = a->task,
+				 .worker = a->worker,
+				 .attempt = a->attempt,
+				 .answer = answer,
+				 .at_us = s->now_us };
+
+	if (type == PLACE_READ_END || type == PLACE_RENEWED)
+		e.id = a->worker;
+	shard_step(s, &e);
+}
+
+/* Answers the reads that were asked for: the workers run nothing. */
+void shard_read_all(struct shard *s)
+{
+	struct place_action a;
+
+	while (shard_next(s, PLACE_READ, &a))
+		shard_answer(s, PLACE_READ_END, &a, PLACE_ANSWER_OK);
+}
+
+enum task_state shard_state(struct shard *s, const char *task)
+{
+	struct place_task_view v;
+
+	if (!place_view_task(s->place, task, &v)) {
+		fprintf(stderr, "no task %s\n", task);
+		abort();
+	}
+	return v.state;
+}
--- /dev/null
+++ b/tests/support-place.h
@@ -0,0 +1,58 @@
+#ifndef SUPPORT_PLACE_H
+#define SUPPORT_PLACE_H
+
+#include "place.h"
+
+/*
+ * NAME
+ *	support-place - a place core with a log in memory, for tests
+ *
+ * DESCRIPTION
+ *	Entries become durable with shard_commit(). shard_replace() makes a
+ *	new core from a snapshot of the durable prefix, as a take-over does.
+ */
+
+struct shard_entry {
+	char *data;
+	size_t len;
+	uint64_t token;
+};
+
+struct shard {
+	struct place *place;
+	struct place_options options;
+	struct shard_entry *entries;
+	size_t count;
+	size_t capacity;
+	size_t durable;
+	uint64_t now_us;
+	uint64_t epoch;
+	bool sealed; /* appends fail */
+};
+
+void shard_init(struct shard *s, enum settings_placement policy);
+void shard_free(struct shard *s);
+
+/* Makes up to n more entries durable. */
+void shard_commit(struct shard *s, size_t n);
+
+/* A new owner; entries that are not durable are lost. */
+void shard_replace(struct shard *s, bool through_snapshot);
+void shard_step(struct shard *s, const struct place_event *e);
+void shard_tick(struct shard *s, uint64_t us);
+
+/* Returns the next action of a type, dropping others; false for none. */
+bool shard_next(struct shard *s, enum place_action_type type,
+		struct place_action *out);
+
+/* Shorthands for events. */
+void shard_worker(struct shard *s, const char *id, uint32_t cpu,
+		  uint32_t memory);
+void shard_create(struct shard *s, const char *id, uint32_t count, uint32_t cpu,
+		  uint32_t memory);
+void shard_answer(struct shard *s, enum place_event_type type,
+		  const struct place_action *a, enum place_answer answer);
+void shard_read_all(struct shard *s);
+enum task_state shard_state(struct shard *s, const char *task);
+
+#endif
--- /dev/null
+++ b/tests/test-place.c
@@ -0,0 +1,292 @@
+#include <string.h>
+
+#include "place.h"
+#include "support-place.h"
+#include "support-unit.h"
+
+static struct shard s;
+static struct place_action a;
+
+/* A shard with two workers of 4 cores and 8 GB that were read. */
+static void set_up(enum settings_placement policy)
+{
+	shard_init(&s, policy);
+	shard_worker(&s, "w1", 4000, 8192);
+	shard_worker(&s, "w2", 4000, 8192);
+	shard_read_all(&s);
+}
+
+/* Starts z.p with one task and confirms it; the action stays in a. */
+static void run_one(void)
+{
+	shard_create(&s, "z.p", 1, 1000, 1024);
+	shard_tick(&s, 20000);
+	shard_commit(&s, 100);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_START, &a));
+	shard_answer(&s, PLACE_STARTED, &a, PLACE_ANSWER_OK);
+}
+
+/* Guards against a start call that leaves before its entry is durable. */
+static void test_start_waits_for_the_log(void)
+{
+	set_up(PLACEMENT_FIRST_FIT);
+	shard_create(&s, "z.p", 1, 1000, 1024);
+	shard_tick(&s, 20000);
+	CU_ASSERT_FALSE(shard_next(&s, PLACE_START, &a));
+	CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_STARTING);
+	shard_commit(&s, 100);
+	CU_ASSERT_TRUE(shard_next(&s, PLACE_START, &a));
+	CU_ASSERT_STRING_EQUAL(a.task, "z.p.0");
+	CU_ASSERT_STRING_EQUAL(a.worker, "w1");
+	CU_ASSERT_EQUAL(a.attempt, 1);
+	shard_free(&s);
+}
+
+/* Guards against a task placed on a worker that was not read yet. */
+static void test_no_start_before_the_read(void)
+{
+	shard_init(&s, PLACEMENT_FIRST_FIT);
+	shard_worker(&s, "w1", 4000, 8192);
+	shard_create(&s, "z.p", 1, 1000, 1024);
+	shard_tick(&s, 20000);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_PENDING);
+	shard_read_all(&s);
+	shard_tick(&s, 20000);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_STARTING);
+	shard_free(&s);
+}
+
+/* Guards against a second start while the first may still arrive. */
+static void test_lost_start_waits(void)
+{
+	set_up(PLACEMENT_FIRST_FIT);
+	shard_create(&s, "z.p", 1, 1000, 1024);
+	shard_tick(&s, 20000);
+	shard_commit(&s, 100);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_START, &a));
+	shard_answer(&s, PLACE_STARTED, &a, PLACE_ANSWER_UNKNOWN);
+	for (int i = 0; i < 40; i++) {
+		shard_tick(&s, 100000);
+		shard_read_all(&s);
+		CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_STARTING);
+	}
+	a.type = PLACE_READ;
+	for (int i = 0; i < 40 && a.type != PLACE_START; i++) {
+		shard_tick(&s, 100000);
+		shard_commit(&s, 100);
+		while (place_next_action(s.place, &a) && a.type == PLACE_READ)
+			shard_answer(&s, PLACE_READ_END, &a, PLACE_ANSWER_OK);
+	}
+	CU_ASSERT_EQUAL(a.type, PLACE_START);
+	CU_ASSERT_EQUAL(a.attempt, 2);
+	shard_free(&s);
+}
+
+/* Guards against a new owner that starts a task which still runs. */
+static void test_new_owner_adopts(void)
+{
+	struct place_event e = { .type = PLACE_REPORT,
+				 .id = "z.p.0",
+				 .worker = "w1",
+				 .attempt = 1,
+				 .state = TASK_RUNNING,
+				 .read = true };
+
+	set_up(PLACEMENT_FIRST_FIT);
+	run_one();
+	shard_commit(&s, 100);
+	shard_replace(&s, true);
+	shard_worker(&s, "w1", 4000, 8192);
+	shard_worker(&s, "w2", 4000, 8192);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_READ, &a));
+	CU_ASSERT_STRING_EQUAL(a.worker, "w1");
+	shard_step(&s, &e);
+	shard_answer(&s, PLACE_READ_END, &a, PLACE_ANSWER_OK);
+	shard_read_all(&s);
+	shard_tick(&s, 100000);
+	shard_commit(&s, 100);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_RUNNING);
+	CU_ASSERT_FALSE(shard_next(&s, PLACE_START, &a));
+	shard_free(&s);
+}
+
+/* Guards against a task resumed before its lease has provably ended. */
+static void test_unreachable_worker_holds_its_task(void)
+{
+	uint64_t free_us;
+
+	set_up(PLACEMENT_FIRST_FIT);
+	run_one();
+	shard_commit(&s, 100);
+	shard_replace(&s, false);
+	free_us = s.now_us + 60000000u + 10000000u + 5000000u;
+	shard_worker(&s, "w1", 4000, 8192);
+	shard_worker(&s, "w2", 4000, 8192);
+	while (shard_next(&s, PLACE_READ, &a))
+		shard_answer(&s, PLACE_READ_END, &a,
+			     strcmp(a.worker, "w2") ? PLACE_ANSWER_UNKNOWN
+						    : PLACE_ANSWER_OK);
+	while (s.now_us < free_us) {
+		shard_tick(&s, 100000);
+		shard_commit(&s, 100);
+		CU_ASSERT_FALSE(shard_next(&s, PLACE_START, &a));
+	}
+	shard_tick(&s, 200000);
+	shard_tick(&s, 200000);
+	shard_commit(&s, 100);
+	CU_ASSERT_TRUE(shard_next(&s, PLACE_START, &a));
+	CU_ASSERT_STRING_EQUAL(a.worker, "w2");
+	CU_ASSERT_EQUAL(a.attempt, 2);
+	shard_free(&s);
+}
+
+/* Guards against a cancelled task that is resumed instead of ended. */
+static void test_cancel_stops_and_ends(void)
+{
+	struct place_event e = { .type = PLACE_CANCEL,
+				 .id = "z.p",
+				 .request = 7 };
+
+	set_up(PLACEMENT_FIRST_FIT);
+	run_one();
+	shard_commit(&s, 100);
+	shard_step(&s, &e);
+	CU_ASSERT_FALSE(shard_next(&s, PLACE_REPLY, &a));
+	shard_commit(&s, 100);
+	CU_ASSERT_TRUE(shard_next(&s, PLACE_REPLY, &a));
+	CU_ASSERT_EQUAL(a.request, 7);
+	shard_tick(&s, 100000);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_STOP, &a));
+	shard_answer(&s, PLACE_STOPPED, &a, PLACE_ANSWER_OK);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_CANCELLED);
+	shard_free(&s);
+}
+
+/* Guards against a checkpoint that is lost between two workers. */
+static void test_leaving_worker_moves_its_task(void)
+{
+	struct place_event e = { .type = PLACE_WORKER,
+				 .id = "w1",
+				 .rack = "rack1",
+				 .leaving = true,
+				 .cpu_milli = 4000,
+				 .memory_mb = 8192 };
+	struct place_event done = { .type = PLACE_CHECKPOINTED,
+				    .checkpoint = "c9" };
+
+	set_up(PLACEMENT_FIRST_FIT);
+	run_one();
+	shard_step(&s, &e);
+	shard_tick(&s, 100000);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_CHECKPOINT, &a));
+	done.id = a.task;
+	done.worker = a.worker;
+	done.attempt = a.attempt;
+	shard_step(&s, &done);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_STOP, &a));
+	shard_answer(&s, PLACE_STOPPED, &a, PLACE_ANSWER_OK);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_EVICTED);
+	shard_tick(&s, 100000);
+	shard_commit(&s, 100);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_START, &a));
+	CU_ASSERT_STRING_EQUAL(a.worker, "w2");
+	CU_ASSERT_STRING_EQUAL(a.checkpoint, "c9");
+	shard_free(&s);
+}
+
+/* Guards against a job that blocks others, or waits without a reason. */
+static void test_impossible_is_named(void)
+{
+	struct place_task_view v;
+
+	set_up(PLACEMENT_FIRST_FIT);
+	for (int i = 0; i < 60; i++)
+		shard_tick(&s, 100000);
+	shard_create(&s, "z.big", 1, 1000, 9000);
+	run_one();
+	CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_RUNNING);
+	CU_ASSERT_TRUE_FATAL(place_view_task(s.place, "z.big.0", &v));
+	CU_ASSERT_EQUAL(v.state, TASK_IMPOSSIBLE);
+	CU_ASSERT_STRING_EQUAL(v.reason, "no worker has this much memory");
+	shard_worker(&s, "w3", 4000, 16384);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.big.0"), TASK_PENDING);
+	shard_free(&s);
+}
+
+/* Guards against a worker that fails everything and stays in use. */
+static void test_quarantine_and_one_trial(void)
+{
+	int starts = 0, trials = 0;
+
+	set_up(PLACEMENT_FIRST_FIT);
+	for (int i = 0; i < 10; i++) {
+		char id[16] = "z.a";
+
+		id[2] = (char)('a' + i);
+		shard_create(&s, id, 1, 2000, 1024);
+	}
+	for (int i = 0; i < 100; i++) {
+		shard_tick(&s, 100000);
+		shard_commit(&s, 100);
+		while (shard_next(&s, PLACE_START, &a)) {
+			bool bad = !strcmp(a.worker, "w1");
+
+			starts += bad;
+			shard_answer(&s, PLACE_STARTED, &a,
+				     bad ? PLACE_ANSWER_FAILED
+					 : PLACE_ANSWER_OK);
+		}
+	}
+	/* Two of 2 cores fit at once, so a fourth may be in flight. */
+	CU_ASSERT(starts >= 3 && starts <= 4);
+	for (int i = 0; i < 700; i++) {
+		shard_tick(&s, 100000);
+		shard_commit(&s, 100);
+		while (place_next_action(s.place, &a)) {
+			if (a.type == PLACE_START) {
+				trials += !strcmp(a.worker, "w1");
+				shard_answer(&s, PLACE_STARTED, &a,
+					     PLACE_ANSWER_FAILED);
+			} else if (a.type == PLACE_RENEW) {
+				shard_answer(&s, PLACE_RENEWED, &a,
+					     PLACE_ANSWER_OK);
+			}
+		}
+	}
+	CU_ASSERT_EQUAL(trials, 1);
+	shard_free(&s);
+}
+
+/* Guards against a worker given more than it can hold. */
+static void test_capacity_is_kept(void)
+{
+	struct place_counts c;
+
+	set_up(PLACEMENT_FIRST_FIT);
+	shard_create(&s, "z.p", 20, 1500, 1024);
+	shard_tick(&s, 20000);
+	place_count(s.place, &c);
+	CU_ASSERT_EQUAL(c.tasks[TASK_STARTING], 4);
+	CU_ASSERT_EQUAL(c.tasks[TASK_PENDING], 16);
+	shard_free(&s);
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "start waits for the log", test_start_waits_for_the_log },
+		{ "no start before the read", test_no_start_before_the_read },
+		{ "lost start waits", test_lost_start_waits },
+		{ "new owner adopts", test_new_owner_adopts },
+		{ "unreachable worker holds its task",
+		  test_unreachable_worker_holds_its_task },
+		{ "cancel stops and ends", test_cancel_stops_and_ends },
+		{ "leaving worker moves its task",
+		  test_leaving_worker_moves_its_task },
+		{ "impossible is named", test_impossible_is_named },
+		{ "quarantine and one trial", test_quarantine_and_one_trial },
+		{ "capacity is kept", test_capacity_is_kept },
+	};
+
+	return RUN_SUITE("place", tests);
+}
