Drive the place core: services workers and placement

Cause: decisions of the core must reach workers, and operators the core of the shard's owner, which can be another process.

--- a/src/place-apply.c
+++ b/src/place-apply.c
@@ -23,7 +23,7 @@
 	return strcmp(x->id, y->id);
 }
 
-struct placement *placement_find(struct place *p, const char *id)
+struct placement *place_find(struct place *p, const char *id)
 {
 	struct placement key = { .id = (char *)id };
 	struct placement **found;
@@ -45,7 +45,7 @@
 		return NULL;
 	memcpy(name, id, (size_t)(dot - id));
 	name[dot - id] = '\0';
-	pl = placement_find(p, name);
+	pl = place_find(p, name);
 	n = strtoul(dot + 1, &end, 10);
 	if (!pl || *end || end == dot + 1 || n >= pl->count)
 		return NULL;
@@ -148,7 +148,7 @@
 	const struct placement_spec *s = c->spec;
 	struct placement *pl;
 
-	if (c->slot > p->slot_count || placement_find(p, s->id) ||
+	if (c->slot > p->slot_count || place_find(p, s->id) ||
 	    (c->slot < p->slot_count && p->slots[c->slot]))
 		return -1;
 	if (c->slot == p->slot_capacity) {
@@ -241,6 +241,8 @@
 
 static void cancel_task(struct place *p, struct task *t)
 {
+	if (!task_is_final(t))
+		t->reason = REASON_OPERATOR;
 	if (task_is_pending(t) || t->state == TASK_IMPOSSIBLE)
 		set_state(p, t, TASK_CANCELLED);
 	else if (t->state == TASK_STARTING || t->state == TASK_RUNNING)
@@ -383,8 +385,8 @@
 	p->dirty = true;
 }
 
-void placement_to_spec(const struct place *p, const struct placement *pl,
-		       struct placement_spec *out)
+void place_to_spec(const struct place *p, const struct placement *pl,
+		   struct placement_spec *out)
 {
 	const struct team *team = &p->teams[pl->team];
 
--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -296,10 +296,10 @@
 /* ---- place-apply.c ---- */
 
 int change_apply(struct place *p, const struct change *c);
-void placement_to_spec(const struct place *p, const struct placement *pl,
-		       struct placement_spec *out);
+void place_to_spec(const struct place *p, const struct placement *pl,
+		   struct placement_spec *out);
 void place_clear(struct place *p);
-struct placement *placement_find(struct place *p, const char *id);
+struct placement *place_find(struct place *p, const char *id);
 struct task *task_find(struct place *p, const char *id);
 uint32_t team_get(struct place *p, const char *user, const char *name);
 uint32_t kind_get(struct place *p, const char *user, const char *name,
--- a/src/place-log.c
+++ b/src/place-log.c
@@ -232,7 +232,8 @@
 	o = &r->items[r->next++];
 	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size)
 		goto bad;
-	memcpy(out, o->via.str.ptr, o->via.str.size);
+	if (o->via.str.size)
+		memcpy(out, o->via.str.ptr, o->via.str.size);
 	out[o->via.str.size] = '\0';
 	return;
 bad:
@@ -397,7 +398,7 @@
 	struct placement_spec spec;
 	struct change c = { .slot = pl->slot, .spec = &spec };
 
-	placement_to_spec(p, pl, &spec);
+	place_to_spec(p, pl, &spec);
 	c.type = CHANGE_CREATE;
 	encode(p, &c, k);
 	for (uint32_t i = 0; i < pl->count; i++) {
--- a/src/place-view.c
+++ b/src/place-view.c
@@ -35,11 +35,11 @@
 bool place_view_placement(struct place *p, const char *id,
 			  struct placement_spec *out, bool *cancelled)
 {
-	struct placement *pl = placement_find(p, id);
+	struct placement *pl = place_find(p, id);
 
 	if (!pl)
 		return false;
-	placement_to_spec(p, pl, out);
+	place_to_spec(p, pl, out);
 	out->count = pl->wanted;
 	*cancelled = pl->cancelled;
 	return true;
--- a/src/place-worker.c
+++ b/src/place-worker.c
@@ -203,12 +203,14 @@
 	}
 	if (!w)
 		return;
-	if (e->type == PLACE_WORKER_GONE && w->known) {
+	if (e->type == PLACE_WORKER_GONE) {
+		if (w->gone_us)
+			return;
+		for (int r = 0; w->known && r < RES_COUNT; r++)
+			p->total[r] -= w->capacity[r];
 		w->known = false;
 		w->fenced = false;
 		w->gone_us = p->now_us;
-		for (int r = 0; r < RES_COUNT; r++)
-			p->total[r] -= w->capacity[r];
 	} else if (e->type == PLACE_RENEWED) {
 		if (e->answer == PLACE_ANSWER_OK)
 			w->answered_us = p->now_us;
--- a/src/place.c
+++ b/src/place.c
@@ -352,7 +352,7 @@
 
 	if (!spec_is_valid(e->placement))
 		refusal = PLACE_REFUSED_INVALID;
-	else if (placement_find(p, e->placement->id))
+	else if (place_find(p, e->placement->id))
 		refusal = PLACE_REFUSED_EXISTS;
 	if (refusal != PLACE_ACCEPTED) {
 		reply(p, e->request, refusal);
@@ -366,7 +366,7 @@
 
 static void change_placement(struct place *p, const struct place_event *e)
 {
-	struct placement *pl = placement_find(p, e->placement->id);
+	struct placement *pl = place_find(p, e->placement->id);
 	struct change c = { .type = CHANGE_UPDATE, .spec = e->placement };
 
 	if (!pl || pl->cancelled) {
@@ -381,7 +381,7 @@
 
 static void cancel_placement(struct place *p, const struct place_event *e)
 {
-	struct placement *pl = placement_find(p, e->id);
+	struct placement *pl = place_find(p, e->id);
 	struct change c = { .type = CHANGE_CANCEL };
 
 	if (!pl) {
--- /dev/null
+++ b/src/svc-placement-calls.c
@@ -0,0 +1,473 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "log.h"
+#include "svc-placement-internal.h"
+
+/* Together below PLACE_CALL_MAX_US, with room for the control thread. */
+#define LEAVE_WITHIN_US 1000000u
+#define CALL_TIMEOUT_US 1500000u
+
+struct task_call {
+	struct place_shard *shard;
+	struct place_action action;
+};
+
+static void call_start(struct task_call *t, struct worker_call *c);
+static void call_stop(struct task_call *t, struct worker_call *c);
+static void call_checkpoint(struct task_call *t, struct worker_call *c);
+static void call_throttle(struct task_call *t, struct worker_call *c);
+static void call_renew(struct task_call *t, struct worker_call *c);
+static void call_read(struct task_call *t, struct worker_call *c);
+static void done_task(struct worker_call *c);
+static void done_renew(struct worker_call *c);
+static void done_read(struct worker_call *c);
+static void done_usage(struct worker_call *c);
+
+static const struct {
+	const char *name;
+	void (*fill)(struct task_call *t, struct worker_call *c);
+	worker_call_fn *done;
+	bool logged; /* a decision, not upkeep */
+} calls[] = {
+	[PLACE_START] = { "start", call_start, done_task, true },
+	[PLACE_STOP] = { "stop", call_stop, done_task, true },
+	[PLACE_CHECKPOINT] = { "checkpoint", call_checkpoint, done_task, true },
+	[PLACE_THROTTLE] = { "throttle", call_throttle, done_task, true },
+	[PLACE_RENEW] = { "renew", call_renew, done_renew, false },
+	[PLACE_READ] = { "read", call_read, done_read, false },
+};
+
+static const struct known_worker *find_known(const struct place_shard *s,
+					     const char *id)
+{
+	for (uint32_t i = 0; i < s->known_count; i++)
+		if (!strcmp(s->known[i].id, id))
+			return &s->known[i];
+	return NULL;
+}
+
+/* Writes the decision's log line. */
+static void log_decision(struct place_shard *s, const struct place_action *a)
+{
+	const char *name = calls[a->type].name;
+
+	if (a->type == PLACE_START)
+		placement_decide(s->svc, a->task,
+				 "decision=%s worker=%s passed_over=%s "
+				 "why=\"%s\" attempt=%u cpu_milli=%u "
+				 "memory_mb=%u",
+				 name, a->worker,
+				 a->passed_over[0] ? a->passed_over : "-",
+				 a->reason, a->attempt, a->cpu_milli,
+				 a->memory_mb);
+	else if (a->type == PLACE_THROTTLE)
+		placement_decide(s->svc, a->task,
+				 "decision=%s worker=%s why=\"%s\" percent=%u",
+				 name, a->worker, a->reason, a->percent);
+	else
+		placement_decide(s->svc, a->task,
+				 "decision=%s worker=%s why=\"%s\" attempt=%u",
+				 name, a->worker, a->reason, a->attempt);
+}
+
+void placement_call(struct place_shard *s, const struct place_action *a)
+{
+	const struct known_worker *k = find_known(s, a->worker);
+	struct worker_call *c = xcalloc(1, sizeof(*c));
+	struct task_call *t = xcalloc(1, sizeof(*t));
+
+	if (calls[a->type].logged)
+		log_decision(s, a);
+	t->shard = s;
+	t->action = *a;
+	snprintf(c->lane, sizeof(c->lane), "%s", a->worker);
+	if (k)
+		c->address = k->address;
+	c->leave_by_us = k ? clock_now_us() + LEAVE_WITHIN_US : 0;
+	c->timeout_us = CALL_TIMEOUT_US;
+	c->gate = &s->gate;
+	c->epoch = s->epoch;
+	c->done = calls[a->type].done;
+	c->arg = t;
+	calls[a->type].fill(t, c);
+	workers_submit(s->svc->workers, c);
+}
+
+/* Sets a path below the task, or below the worker when it has none. */
+static void set_path(struct task_call *t, struct worker_call *c,
+		     const char *suffix)
+{
+	const struct place_action *a = &t->action;
+
+	if (a->task[0])
+		snprintf(c->path, sizeof(c->path),
+			 "/workers/%s/tasks/%s%s?fence=%llu", a->worker,
+			 a->task, suffix, (unsigned long long)c->epoch);
+	else
+		snprintf(c->path, sizeof(c->path), "/workers/%s%s?fence=%llu",
+			 a->worker, suffix, (unsigned long long)c->epoch);
+}
+
+static void call_start(struct task_call *t, struct worker_call *c)
+{
+	const struct place_action *a = &t->action;
+	struct buffer b = BUFFER_INIT;
+
+	c->method = "PUT";
+	set_path(t, c, "");
+	buffer_printf(&b,
+		      "{\"attempt\":%u,\"cpu_milli\":%u,\"memory_mb\":%u,"
+		      "\"accelerators\":%u,\"lease_ms\":%u,\"checkpoint\":",
+		      a->attempt, a->cpu_milli, a->memory_mb, a->accelerators,
+		      PLACE_TASK_LEASE_US / 1000u);
+	json_append_string(&b, a->checkpoint);
+	buffer_append_str(&b, ",\"spec\":");
+	json_append_string(&b, a->spec);
+	buffer_append_str(&b, "}");
+	c->body = buffer_detach(&b, NULL);
+}
+
+static void call_stop(struct task_call *t, struct worker_call *c)
+{
+	c->method = "DELETE";
+	set_path(t, c, "");
+}
+
+static void call_checkpoint(struct task_call *t, struct worker_call *c)
+{
+	c->method = "POST";
+	set_path(t, c, "/checkpoint");
+}
+
+static void call_throttle(struct task_call *t, struct worker_call *c)
+{
+	struct buffer b = BUFFER_INIT;
+
+	c->method = "POST";
+	set_path(t, c, "/throttle");
+	buffer_printf(&b, "{\"percent\":%u}", t->action.percent);
+	c->body = buffer_detach(&b, NULL);
+}
+
+struct id_list {
+	struct buffer json;
+	bool first;
+};
+
+static void append_id(void *arg, const char *task)
+{
+	struct id_list *l = arg;
+
+	if (!l->first)
+		buffer_append_str(&l->json, ",");
+	l->first = false;
+	json_append_string(&l->json, task);
+}
+
+static void call_renew(struct task_call *t, struct worker_call *c)
+{
+	struct id_list l = { .first = true };
+
+	c->method = "POST";
+	set_path(t, c, "/renew");
+	buffer_printf(&l.json, "{\"lease_ms\":%u,\"tasks\":[",
+		      PLACE_TASK_LEASE_US / 1000u);
+	place_each_renewed(t->shard->place, t->action.worker, append_id, &l);
+	buffer_append_str(&l.json, "]}");
+	c->body = buffer_detach(&l.json, NULL);
+}
+
+static void call_read(struct task_call *t, struct worker_call *c)
+{
+	c->method = "GET";
+	set_path(t, c, "");
+}
+
+/* Tells how a call ended, in the terms of the core. */
+static enum place_answer answer_of(const struct worker_call *c)
+{
+	if (!c->left)
+		return PLACE_ANSWER_NOT_SENT;
+	if (c->failed) {
+		switch (c->err.code) {
+		case PLATFORM_UNREACHABLE:
+			return PLACE_ANSWER_NOT_SENT;
+		case PLATFORM_STALE:
+			return PLACE_ANSWER_STALE;
+		case PLATFORM_NO_ROOM:
+			return PLACE_ANSWER_NO_ROOM;
+		case PLATFORM_REFUSED:
+			break;
+		default:
+			return PLACE_ANSWER_UNKNOWN;
+		}
+	}
+	switch (c->status) {
+	case 200:
+	case 201:
+		return PLACE_ANSWER_OK;
+	case 404:
+		return PLACE_ANSWER_ABSENT;
+	case 409:
+		return PLACE_ANSWER_STALE;
+	case 507:
+		return PLACE_ANSWER_NO_ROOM;
+	case 500:
+		return PLACE_ANSWER_FAILED;
+	default:
+		return PLACE_ANSWER_UNKNOWN;
+	}
+}
+
+/* Whether the answer still concerns this ownership of the shard. */
+static bool is_current(const struct task_call *t, const struct worker_call *c)
+{
+	return t->shard->epoch && t->shard->epoch == c->epoch;
+}
+
+static const char *text_member(json_t *o, const char *name)
+{
+	const char *s = json_string_value(json_object_get(o, name));
+
+	return s ? s : "";
+}
+
+static uint32_t uint_member(json_t *o, const char *name)
+{
+	json_int_t v = json_integer_value(json_object_get(o, name));
+
+	return v > 0 && v <= UINT32_MAX ? (uint32_t)v : 0;
+}
+
+/* Passes a step and executes what follows from it. */
+static void step(struct place_shard *s, const struct place_event *e)
+{
+	place_step(s->place, clock_now_us(), e);
+	placement_drain_actions(s);
+}
+
+/* Fills state from a worker's word for it; returns whether it is known. */
+static bool parse_state(const char *text, enum task_state *state)
+{
+	static const struct {
+		const char *text;
+		enum task_state state;
+	} states[] = {
+		{ "running", TASK_RUNNING },
+		{ "done", TASK_DONE },
+		{ "failed", TASK_FAILED },
+		{ "expired", TASK_EVICTED },
+	};
+
+	for (size_t i = 0; i < sizeof(states) / sizeof(states[0]); i++) {
+		if (strcmp(states[i].text, text) != 0)
+			continue;
+		*state = states[i].state;
+		return true;
+	}
+	return false;
+}
+
+/* Answers to start, stop, checkpoint and throttle. */
+static void done_task(struct worker_call *c)
+{
+	static const enum place_event_type events[] = {
+		[PLACE_START] = PLACE_STARTED,
+		[PLACE_STOP] = PLACE_STOPPED,
+		[PLACE_CHECKPOINT] = PLACE_CHECKPOINTED,
+	};
+	struct task_call *t = c->arg;
+	const struct place_action *a = &t->action;
+	struct place_event e = { .id = a->task,
+				 .worker = a->worker,
+				 .attempt = a->attempt,
+				 .at_us = c->sent_us };
+	json_t *body = NULL;
+
+	if (a->type == PLACE_THROTTLE || !is_current(t, c))
+		goto out;
+	e.type = events[a->type];
+	e.answer = answer_of(c);
+	body = json_loadb(c->answer.data ? c->answer.data : "", c->answer.len,
+			  0, NULL);
+	e.checkpoint = text_member(body, "checkpoint");
+	if (a->type == PLACE_CHECKPOINT && !e.checkpoint[0])
+		e.checkpoint = NULL;
+	if (a->type == PLACE_STOP && e.answer == PLACE_ANSWER_OK &&
+	    parse_state(text_member(body, "state"), &e.state) &&
+	    e.state != TASK_RUNNING)
+		e.type = PLACE_REPORT;
+	step(t->shard, &e);
+out:
+	json_decref(body);
+	free(t);
+}
+
+static void done_renew(struct worker_call *c)
+{
+	struct task_call *t = c->arg;
+	struct place_event e = { .type = PLACE_RENEWED,
+				 .id = t->action.worker,
+				 .answer = answer_of(c),
+				 .at_us = c->sent_us };
+	json_t *body = NULL;
+	json_t *id;
+	size_t i;
+
+	if (!is_current(t, c))
+		goto out;
+	step(t->shard, &e);
+	body = json_loadb(c->answer.data ? c->answer.data : "", c->answer.len,
+			  0, NULL);
+	e.type = PLACE_MISSING;
+	e.worker = t->action.worker;
+	json_array_foreach(json_object_get(body, "missing"), i, id)
+	{
+		e.id = json_string_value(id);
+		if (e.id && e.answer == PLACE_ANSWER_OK)
+			step(t->shard, &e);
+	}
+out:
+	json_decref(body);
+	free(t);
+}
+
+/* Reports the tasks of a worker's array; returns false when it has none. */
+static bool report_tasks(struct place_shard *s, const char *worker, json_t *o,
+			 uint64_t sent_us, bool read)
+{
+	json_t *tasks = json_object_get(o, "tasks");
+	json_t *item;
+	size_t i;
+
+	if (!json_is_array(tasks))
+		return false;
+	json_array_foreach(tasks, i, item)
+	{
+		struct place_event e = {
+			.type = PLACE_REPORT,
+			.id = text_member(item, "id"),
+			.worker = worker,
+			.checkpoint = text_member(item, "checkpoint"),
+			.attempt = uint_member(item, "attempt"),
+			.at_us = sent_us,
+			.read = read,
+		};
+
+		if (parse_state(text_member(item, "state"), &e.state))
+			place_step(s->place, clock_now_us(), &e);
+	}
+	return true;
+}
+
+static void done_read(struct worker_call *c)
+{
+	struct task_call *t = c->arg;
+	struct place_event e = { .type = PLACE_READ_END,
+				 .id = t->action.worker,
+				 .answer = answer_of(c),
+				 .at_us = c->sent_us };
+	json_t *body = NULL;
+
+	if (!is_current(t, c))
+		goto out;
+	body = json_loadb(c->answer.data ? c->answer.data : "", c->answer.len,
+			  0, NULL);
+	if (e.answer == PLACE_ANSWER_OK &&
+	    !report_tasks(t->shard, t->action.worker, body, c->sent_us, true))
+		e.answer = PLACE_ANSWER_UNKNOWN;
+	step(t->shard, &e);
+out:
+	json_decref(body);
+	free(t);
+}
+
+/* Passes the usage of one worker's tasks, then of the worker. */
+static void take_usage(struct place_shard *s, json_t *worker, uint64_t at_us)
+{
+	const char *id = text_member(worker, "id");
+	struct place_event e = { .at_us = at_us };
+	json_t *item;
+	size_t i;
+
+	report_tasks(s, id, worker, at_us, false);
+	json_array_foreach(json_object_get(worker, "tasks"), i, item)
+	{
+		json_t *progress = json_object_get(item, "progress");
+
+		e.type = PLACE_USAGE;
+		e.id = text_member(item, "id");
+		e.worker = id;
+		e.attempt = uint_member(item, "attempt");
+		e.cpu_milli = uint_member(item, "cpu_milli");
+		e.memory_mb = uint_member(item, "memory_mb");
+		e.latency_p99_us = uint_member(item, "latency_p99_us");
+		e.progress = (uint32_t)(1000 * json_number_value(progress));
+		place_step(s->place, clock_now_us(), &e);
+	}
+	e.type = PLACE_WORKER_USAGE;
+	e.id = id;
+	e.cpu_milli = uint_member(worker, "cpu_milli");
+	e.memory_mb = uint_member(worker, "memory_mb");
+	place_step(s->place, clock_now_us(), &e);
+}
+
+static void done_usage(struct worker_call *c)
+{
+	struct place_shard *s = c->arg;
+	json_t *body = NULL;
+	json_t *worker;
+	uint64_t at_us;
+	size_t i;
+
+	if (!s->epoch || s->epoch != c->epoch ||
+	    answer_of(c) != PLACE_ANSWER_OK)
+		return;
+	body = json_loadb(c->answer.data, c->answer.len, 0, NULL);
+	/* The worker's clock only orders its own samples. */
+	at_us = (uint64_t)json_integer_value(json_object_get(body, "at_ms")) *
+		1000u;
+	json_array_foreach(json_object_get(body, "workers"), i, worker)
+		take_usage(s, worker, at_us);
+	json_decref(body);
+	placement_drain_actions(s);
+}
+
+static bool same_address(const struct settings_address *a,
+			 const struct settings_address *b)
+{
+	return a->port == b->port && !strcmp(a->host, b->host);
+}
+
+void placement_poll_usage(struct place_shard *s)
+{
+	for (uint32_t i = 0; i < s->known_count; i++) {
+		const struct known_worker *k = &s->known[i];
+		struct worker_call *c;
+		bool asked = !k->present;
+
+		/* One call serves all workers of an address. */
+		for (uint32_t j = 0; j < i && !asked; j++)
+			asked = s->known[j].present &&
+				same_address(&s->known[j].address, &k->address);
+		if (asked)
+			continue;
+		c = xcalloc(1, sizeof(*c));
+		snprintf(c->lane, sizeof(c->lane), "usage:%s:%u",
+			 k->address.host, k->address.port);
+		c->address = k->address;
+		c->method = "GET";
+		snprintf(c->path, sizeof(c->path), "/usage");
+		c->leave_by_us = clock_now_us() + LEAVE_WITHIN_US;
+		c->timeout_us = CALL_TIMEOUT_US;
+		c->gate = &s->gate;
+		c->epoch = s->epoch;
+		c->done = done_usage;
+		c->arg = s;
+		workers_submit(s->svc->workers, c);
+	}
+}
--- /dev/null
+++ b/src/svc-placement-internal.h
@@ -0,0 +1,139 @@
+#ifndef SVC_PLACEMENT_INTERNAL_H
+#define SVC_PLACEMENT_INTERNAL_H
+
+#include <pthread.h>
+
+#include "place.h"
+#include "svc-config.h"
+#include "svc-loop.h"
+#include "svc-members.h"
+#include "svc-owner.h"
+#include "svc-peers.h"
+#include "svc-placement.h"
+#include "svc-targets.h"
+#include "svc-workers.h"
+
+/*
+ * NAME
+ *	svc-placement-internal - state shared by the service's own files
+ *
+ * DESCRIPTION
+ *	All of it belongs to the control thread, but for the outcome of an
+ *	operator's request, which its lock guards.
+ */
+
+#define SHARDS_MAX 32
+#define DECISIONS_MAX 2048
+
+struct placement_svc;
+
+/* A worker that this process saw in the platform's list. */
+struct known_worker {
+	char id[64];
+	struct settings_address address;
+	bool present;
+	uint64_t absent_us;
+};
+
+struct place_shard {
+	struct placement_svc *svc;
+	char name[64];
+	struct oplog *log;
+	struct place *place;
+	struct worker_gate gate;
+	uint64_t epoch; /* 0: not the owner */
+	struct known_worker *known;
+	uint32_t known_count;
+	uint32_t known_capacity;
+};
+
+struct decision {
+	char task[PLACE_NAME_BYTES + 12];
+	char text[180];
+	uint64_t wall_us;
+	uint64_t revision;
+};
+
+/* An operator's request, of this process or forwarded by a peer. */
+struct op {
+	struct op *next;
+	uint64_t id;
+	char method[8];
+	char placement[PLACE_NAME_BYTES];
+	char *body;
+	size_t body_len;
+	char sender[PEER_ID_BYTES]; /* "" for a request of this process */
+	uint64_t sender_id;	    /* its id at the sender */
+	uint64_t created_us;
+	uint64_t expires_us;
+	uint64_t forwarded_us;
+	bool forwarded; /* the answer comes from a peer */
+	bool started;	/* the core has it, or the answers are collected */
+	uint32_t parts; /* answers of other shards still missing */
+	bool answered;
+	int status;
+	struct buffer json;
+	/* A caller that waits in another thread; it frees the op. */
+	bool waited;
+	pthread_mutex_t lock;
+	pthread_cond_t done_cond;
+	bool done; /* guarded by lock */
+};
+
+struct placement_svc {
+	struct service service;
+	struct settings settings;
+	struct loop *loop;
+	struct owner *owner;
+	struct peers *peers;
+	struct members *members;
+	struct config_svc *config;
+	struct targets *targets;
+	struct workers *workers;
+	struct place_shard *shards[SHARDS_MAX];
+	uint32_t shard_count;
+	struct decision *decisions; /* ring of DECISIONS_MAX */
+	uint64_t decision_count;
+	struct op *ops;
+	uint64_t next_op;
+	uint64_t fed_us;
+	uint64_t polled_us;
+	bool stopping;
+};
+
+/* ---- svc-placement.c ---- */
+
+struct place_shard *placement_shard(struct placement_svc *p, const char *name);
+void placement_drain_actions(struct place_shard *s);
+void placement_decide(struct placement_svc *p, const char *task,
+		      const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+/* ---- svc-placement-calls.c ---- */
+
+/* Turns an action into a call on its worker. */
+void placement_call(struct place_shard *s, const struct place_action *a);
+
+/* Asks each address of the shard's workers for usage. */
+void placement_poll_usage(struct place_shard *s);
+
+/* ---- svc-placement-ops.c ---- */
+
+void placement_ops_start(struct placement_svc *p);
+void placement_ops_tick(struct placement_svc *p);
+void placement_ops_stop(struct placement_svc *p);
+void placement_ops_reply(struct place_shard *s, const struct place_action *a);
+
+/* ---- svc-placement-json.c ---- */
+
+/*
+ * Reads a placement from JSON; base holds the values of missing members.
+ * Returns 0, or -1 with the reason in message.
+ */
+int placement_from_json(const char *text, size_t len, const struct sheet *sheet,
+			struct placement_spec *spec, char message[128]);
+/* Appends the placement, with its tasks, as one JSON object. */
+void placement_to_json(struct place *pl, const char *id, struct buffer *out);
+void json_append_string(struct buffer *out, const char *text);
+
+#endif
--- /dev/null
+++ b/src/svc-placement-ops.c
@@ -0,0 +1,532 @@
+#include <jansson.h>
+#include <msgpack.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "log.h"
+#include "svc-placement-internal.h"
+
+/*
+ * An operator's request is kept until its caller was answered. A forwarded
+ * one is repeated, because messages can be lost; the owner keeps its answer
+ * to repeat that as well, so that a repeated create is not refused.
+ */
+
+#define REPEAT_US 300000u
+#define KEEP_ANSWER_US 30000000u
+#define OPS_MAX 1024
+
+static void handle(struct placement_svc *p, struct op *op);
+static void handle_list(struct placement_svc *p, struct op *op);
+static void handle_local(struct place_shard *s, struct op *op);
+static void finish(struct placement_svc *p, struct op *op, int status);
+static void forward(struct placement_svc *p, struct op *op, const char *owner);
+static void on_op(void *arg, const char *sender, const void *body, size_t len);
+static void on_reply(void *arg, const char *sender, const void *body,
+		     size_t len);
+
+static struct op *op_find(struct placement_svc *p, uint64_t id)
+{
+	struct op *op = p->ops;
+
+	while (op && op->id != id)
+		op = op->next;
+	return op;
+}
+
+static void op_free(struct op *op)
+{
+	free(op->body);
+	buffer_free(&op->json);
+	pthread_mutex_destroy(&op->lock);
+	pthread_cond_destroy(&op->done_cond);
+	free(op);
+}
+
+static void op_unlink(struct placement_svc *p, struct op *op)
+{
+	struct op **at = &p->ops;
+
+	while (*at != op)
+		at = &(*at)->next;
+	*at = op->next;
+}
+
+static struct op *op_create(const char *method, const char *id,
+			    const char *body, size_t len, uint64_t timeout_us)
+{
+	struct op *op = xcalloc(1, sizeof(*op));
+
+	pthread_mutex_init(&op->lock, NULL);
+	pthread_cond_init(&op->done_cond, NULL);
+	snprintf(op->method, sizeof(op->method), "%s", method);
+	snprintf(op->placement, sizeof(op->placement), "%s", id ? id : "");
+	op->body = xcalloc(1, len + 1);
+	if (len)
+		memcpy(op->body, body, len);
+	op->body_len = len;
+	op->created_us = clock_now_us();
+	op->expires_us = op->created_us + timeout_us;
+	return op;
+}
+
+/* Answers with a message. */
+static void refuse(struct placement_svc *p, struct op *op, int status,
+		   const char *message)
+{
+	buffer_reset(&op->json);
+	buffer_append_str(&op->json, "{\"error\":");
+	json_append_string(&op->json, message);
+	buffer_append_str(&op->json, "}");
+	finish(p, op, status);
+}
+
+struct submit {
+	struct placement_svc *svc;
+	struct op *op;
+};
+
+static void submit_on_loop(void *arg)
+{
+	struct submit *s = arg;
+	struct op *op = s->op;
+
+	op->id = ++s->svc->next_op;
+	op->next = s->svc->ops;
+	s->svc->ops = op;
+	if (s->svc->stopping)
+		refuse(s->svc, op, 503, "the process is stopping");
+	else
+		handle(s->svc, op);
+}
+
+void placement_request(struct placement_svc *p, const char *method,
+		       const char *id, const char *body, size_t len,
+		       uint64_t timeout_us, int *status, struct buffer *json)
+{
+	struct op *op = op_create(method, id, body, len, timeout_us);
+	struct submit s = { .svc = p, .op = op };
+
+	op->waited = true;
+	loop_call(p->loop, submit_on_loop, &s);
+	/* The control thread answers every request once it expires. */
+	pthread_mutex_lock(&op->lock);
+	while (!op->done)
+		pthread_cond_wait(&op->done_cond, &op->lock);
+	pthread_mutex_unlock(&op->lock);
+	*status = op->status;
+	buffer_append(json, op->json.data, op->json.len);
+	op_free(op);
+}
+
+/* Fills the shard that the id names. */
+static void shard_of(const struct op *op, char zone[64])
+{
+	size_t n = strcspn(op->placement, ".");
+
+	if (n >= 64)
+		n = 63;
+	memcpy(zone, op->placement, n);
+	zone[n] = '\0';
+}
+
+/* A create names its placement in the body. */
+static void take_id_from_body(struct op *op)
+{
+	json_t *o = json_loadb(op->body, op->body_len, 0, NULL);
+	const char *id = json_string_value(json_object_get(o, "id"));
+
+	if (id && !op->placement[0])
+		snprintf(op->placement, sizeof(op->placement), "%s", id);
+	json_decref(o);
+}
+
+/* Serves the request here, or passes it to the shard's owner. */
+static void handle(struct placement_svc *p, struct op *op)
+{
+	struct place_shard *s;
+	char zone[64];
+	char owner[64] = "";
+
+	if (!strcmp(op->method, "POST"))
+		take_id_from_body(op);
+	if (!op->placement[0] && !strcmp(op->method, "GET")) {
+		handle_list(p, op);
+		return;
+	}
+	if (!op->placement[0]) {
+		refuse(p, op, 400, "the id of the placement is missing");
+		return;
+	}
+	/* An answer from another owner would not tell what became of it. */
+	if (op->started)
+		return;
+	shard_of(op, zone);
+	s = placement_shard(p, zone);
+	if (!s) {
+		refuse(p, op, 404, "no availability zone of that name");
+		return;
+	}
+	if (s->epoch) {
+		handle_local(s, op);
+		return;
+	}
+	owner_of_shard(p->owner, zone, owner);
+	/* A request is passed on once; an owner in between is waited for. */
+	if (op->sender[0])
+		refuse(p, op, 503, "this process does not own the shard");
+	else if (owner[0] && strcmp(owner, p->settings.node.id) != 0)
+		forward(p, op, owner);
+}
+
+static void list_one(void *arg, const char *id)
+{
+	struct {
+		struct place *place;
+		struct buffer *out;
+	} *l = arg;
+
+	if (l->out->len)
+		buffer_append_str(l->out, ",");
+	placement_to_json(l->place, id, l->out);
+}
+
+/* Collects the placements of all shards, here and at their owners. */
+static void handle_list(struct placement_svc *p, struct op *op)
+{
+	struct {
+		struct place *place;
+		struct buffer *out;
+	} l = { .out = &op->json };
+
+	if (!op->started) {
+		for (uint32_t i = 0; i < p->shard_count; i++) {
+			struct place_shard *s = p->shards[i];
+
+			l.place = s->place;
+			if (s->epoch)
+				place_each(s->place, list_one, &l);
+		}
+		op->started = true;
+	}
+	if (op->sender[0]) {
+		finish(p, op, 200);
+		return;
+	}
+	forward(p, op, "");
+}
+
+static void handle_local(struct place_shard *s, struct op *op)
+{
+	const struct config *c = config_read(s->svc->config);
+	struct placement_spec spec = { .urgency = URGENCY_COUNT, .count = 1 };
+	struct place_event e = { .placement = &spec, .request = op->id };
+	char message[128] = "";
+	bool cancelled;
+
+	op->forwarded = false;
+	op->started = true;
+	e.id = op->placement;
+	if (!strcmp(op->method, "GET")) {
+		placement_to_json(s->place, op->placement, &op->json);
+		if (op->json.len)
+			finish(s->svc, op, 200);
+		else
+			refuse(s->svc, op, 404, "unknown placement");
+		return;
+	}
+	if (!strcmp(op->method, "DELETE")) {
+		e.type = PLACE_CANCEL;
+	} else if (!strcmp(op->method, "POST")) {
+		e.type = PLACE_CREATE;
+	} else if (!strcmp(op->method, "PUT")) {
+		e.type = PLACE_CHANGE;
+		if (!place_view_placement(s->place, op->placement, &spec,
+					  &cancelled)) {
+			refuse(s->svc, op, 404, "unknown placement");
+			return;
+		}
+	} else {
+		refuse(s->svc, op, 405, "unknown method");
+		return;
+	}
+	if (e.type != PLACE_CANCEL &&
+	    placement_from_json(op->body, op->body_len, c ? c->sheet : NULL,
+				&spec, message) < 0) {
+		refuse(s->svc, op, 422, message);
+		return;
+	}
+	/* The part before the first dot chose this shard. */
+	snprintf(spec.id, sizeof(spec.id), "%s", op->placement);
+	place_step(s->place, clock_now_us(), &e);
+	placement_drain_actions(s);
+}
+
+/* The core's answer: the change is durable, or was refused. */
+void placement_ops_reply(struct place_shard *s, const struct place_action *a)
+{
+	static const struct {
+		int status;
+		const char *message;
+	} refusals[] = {
+		[PLACE_REFUSED_EXISTS] = { 409, "the placement exists" },
+		[PLACE_REFUSED_UNKNOWN] = { 404, "unknown placement" },
+		[PLACE_REFUSED_INVALID] = { 422, "a size is out of range" },
+		[PLACE_REFUSED_NOT_OWNER] = { 503,
+					      "this process does not own the "
+					      "shard" },
+	};
+	struct op *op = op_find(s->svc, a->request);
+
+	if (!op || op->answered)
+		return;
+	if (a->refusal != PLACE_ACCEPTED) {
+		refuse(s->svc, op, refusals[a->refusal].status,
+		       refusals[a->refusal].message);
+		return;
+	}
+	buffer_reset(&op->json);
+	placement_to_json(s->place, op->placement, &op->json);
+	placement_decide(s->svc, op->placement, "decision=%s",
+			 op->method[0] == 'D'	? "cancel"
+			 : op->method[1] == 'U' ? "change"
+						: "create");
+	finish(s->svc, op, op->method[1] == 'O' ? 201 : 200);
+}
+
+static void send_reply(struct placement_svc *p, const struct op *op)
+{
+	msgpack_sbuffer b;
+	msgpack_packer k;
+
+	msgpack_sbuffer_init(&b);
+	msgpack_packer_init(&k, &b, msgpack_sbuffer_write);
+	msgpack_pack_array(&k, 3);
+	msgpack_pack_uint64(&k, op->sender_id);
+	msgpack_pack_int(&k, op->status);
+	msgpack_pack_str(&k, op->json.len);
+	msgpack_pack_str_body(&k, op->json.data ? op->json.data : "",
+			      op->json.len);
+	if (b.size < PEER_MESSAGE_MAX_BYTES)
+		peers_send(p->peers, op->sender, PEER_PLACEMENT_REPLY, b.data,
+			   b.size);
+	else
+		log_event(LOG_WARNING, "placement-reply-too-large",
+			  "bytes=%zu peer=%s", b.size, op->sender);
+	msgpack_sbuffer_destroy(&b);
+}
+
+/* Answers the request's caller. */
+static void finish(struct placement_svc *p, struct op *op, int status)
+{
+	op->status = status;
+	op->answered = true;
+	op->expires_us = clock_now_us() + KEEP_ANSWER_US;
+	if (op->sender[0]) {
+		send_reply(p, op);
+		return;
+	}
+	if (!op->placement[0] && status == 200) {
+		struct buffer all = BUFFER_INIT;
+
+		buffer_append_str(&all, "{\"placements\":[");
+		buffer_append(&all, op->json.data, op->json.len);
+		buffer_printf(&all, "],\"complete\":%s}",
+			      op->parts ? "false" : "true");
+		buffer_free(&op->json);
+		op->json = all;
+	}
+	op_unlink(p, op);
+	pthread_mutex_lock(&op->lock);
+	op->done = true;
+	pthread_cond_signal(&op->done_cond);
+	pthread_mutex_unlock(&op->lock);
+}
+
+/* Sends the request to its shard's owner, or a list request to all. */
+static void forward(struct placement_svc *p, struct op *op, const char *owner)
+{
+	msgpack_sbuffer b;
+	msgpack_packer k;
+	uint64_t now_us = clock_now_us();
+
+	if (op->forwarded && now_us - op->forwarded_us < REPEAT_US)
+		return;
+	msgpack_sbuffer_init(&b);
+	msgpack_packer_init(&k, &b, msgpack_sbuffer_write);
+	msgpack_pack_array(&k, 5);
+	msgpack_pack_uint64(&k, op->id);
+	msgpack_pack_str(&k, strlen(op->method));
+	msgpack_pack_str_body(&k, op->method, strlen(op->method));
+	msgpack_pack_str(&k, strlen(op->placement));
+	msgpack_pack_str_body(&k, op->placement, strlen(op->placement));
+	msgpack_pack_str(&k, op->body_len);
+	msgpack_pack_str_body(&k, op->body, op->body_len);
+	msgpack_pack_uint64(&k, op->expires_us - now_us);
+	if (owner[0]) {
+		peers_send(p->peers, owner, PEER_PLACEMENT_OP, b.data, b.size);
+	} else if (!op->forwarded) {
+		struct member *m = xcalloc(MEMBERS_MAX, sizeof(*m));
+		uint32_t n = members_list(p->members, m, MEMBERS_MAX);
+
+		for (uint32_t i = 1; i < n; i++)
+			if (m[i].live &&
+			    peers_send(p->peers, m[i].id, PEER_PLACEMENT_OP,
+				       b.data, b.size) == 0)
+				op->parts++;
+		free(m);
+	}
+	op->forwarded = true;
+	op->forwarded_us = now_us;
+	msgpack_sbuffer_destroy(&b);
+	if (!owner[0] && !op->parts)
+		finish(p, op, 200);
+}
+
+static bool read_text(const msgpack_object *o, char *out, size_t size)
+{
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size)
+		return false;
+	if (o->via.str.size)
+		memcpy(out, o->via.str.ptr, o->via.str.size);
+	out[o->via.str.size] = '\0';
+	return true;
+}
+
+/* Unpacks an array of at least count items; the caller destroys u. */
+static const msgpack_object *unpack(msgpack_unpacked *u, const void *body,
+				    size_t len, uint32_t count)
+{
+	size_t off = 0;
+
+	msgpack_unpacked_init(u);
+	if (msgpack_unpack_next(u, body, len, &off) != MSGPACK_UNPACK_SUCCESS ||
+	    u->data.type != MSGPACK_OBJECT_ARRAY ||
+	    u->data.via.array.size < count)
+		return NULL;
+	return u->data.via.array.ptr;
+}
+
+/* A peer's operator request for a shard that this process may own. */
+static void on_op(void *arg, const char *sender, const void *body, size_t len)
+{
+	struct placement_svc *p = arg;
+	msgpack_unpacked u;
+	const msgpack_object *o = unpack(&u, body, len, 5);
+	char method[8], id[PLACE_NAME_BYTES];
+	struct op *op = NULL;
+	uint32_t count = 0;
+
+	if (!o || o[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    !read_text(&o[1], method, sizeof(method)) ||
+	    !read_text(&o[2], id, sizeof(id)) ||
+	    o[3].type != MSGPACK_OBJECT_STR ||
+	    o[4].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		goto out;
+	for (op = p->ops; op; op = op->next, count++)
+		if (op->sender_id == o[0].via.u64 &&
+		    !strcmp(op->sender, sender))
+			break;
+	if (op && op->answered) {
+		send_reply(p, op);
+	} else if (!op && count < OPS_MAX && !p->stopping) {
+		op = op_create(method, id, o[3].via.str.ptr, o[3].via.str.size,
+			       o[4].via.u64 < KEEP_ANSWER_US ? o[4].via.u64
+							     : KEEP_ANSWER_US);
+		op->sender_id = o[0].via.u64;
+		snprintf(op->sender, sizeof(op->sender), "%s", sender);
+		op->id = ++p->next_op;
+		op->next = p->ops;
+		p->ops = op;
+		handle(p, op);
+	}
+out:
+	msgpack_unpacked_destroy(&u);
+}
+
+static void on_reply(void *arg, const char *sender, const void *body,
+		     size_t len)
+{
+	struct placement_svc *p = arg;
+	msgpack_unpacked u;
+	const msgpack_object *o = unpack(&u, body, len, 3);
+	struct op *op = NULL;
+	int status;
+
+	(void)sender;
+	if (!o || o[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    o[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    o[2].type != MSGPACK_OBJECT_STR)
+		goto out;
+	op = op_find(p, o[0].via.u64);
+	if (!op || op->answered || op->sender[0] || !op->forwarded)
+		goto out;
+	status = (int)o[1].via.u64;
+	/* An owner that lost the shard did nothing; the next one is asked. */
+	if (status == 503)
+		goto out;
+	if (op->json.len && o[2].via.str.size)
+		buffer_append_str(&op->json, ",");
+	if (o[2].via.str.size)
+		buffer_append(&op->json, o[2].via.str.ptr, o[2].via.str.size);
+	if (op->parts && --op->parts)
+		goto out;
+	finish(p, op, status);
+out:
+	msgpack_unpacked_destroy(&u);
+}
+
+void placement_ops_start(struct placement_svc *p)
+{
+	peers_handle(p->peers, PEER_PLACEMENT_OP, on_op, p);
+	peers_handle(p->peers, PEER_PLACEMENT_REPLY, on_reply, p);
+}
+
+/* Ends a request without an answer. */
+static void expire(struct placement_svc *p, struct op *op)
+{
+	if (!op->placement[0] && op->started)
+		finish(p, op, 200);
+	else if (op->started || op->forwarded)
+		refuse(p, op, 504, "no answer in time; it may take effect");
+	else
+		refuse(p, op, 503, "the shard has no owner now");
+}
+
+/* Repeats and expires requests. */
+void placement_ops_tick(struct placement_svc *p)
+{
+	uint64_t now_us = clock_now_us();
+	struct op *next;
+
+	for (struct op *op = p->ops; op; op = next) {
+		next = op->next;
+		if (op->answered && now_us >= op->expires_us) {
+			op_unlink(p, op);
+			op_free(op);
+		} else if (op->answered) {
+			continue;
+		} else if (now_us >= op->expires_us) {
+			expire(p, op);
+		} else if (!op->sender[0] && op->placement[0]) {
+			handle(p, op);
+		}
+	}
+}
+
+/* Answers all who wait; the control thread still runs. */
+void placement_ops_stop(struct placement_svc *p)
+{
+	while (p->ops) {
+		struct op *op = p->ops;
+
+		if (op->sender[0]) {
+			op_unlink(p, op);
+			op_free(op);
+		} else {
+			expire(p, op);
+		}
+	}
+}
