Add the store part of the platform stand-in

Cause: the services that use the store need something to run against. Change: fake-platform serves the Consul KV subset with sessions and watches, the VM list with a lag, injected faults and call counts, and journals every write. libevent becomes a build dependency of the tools, for the stand-ins that follow.

--- a/Makefile
+++ b/Makefile
@@ -60,10 +60,10 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(TOOLS): $(BUILD)/%: $(BUILD)/tests/%.o $(SUPPORT) $(LIB)
-	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	$(CC) $(LDFLAGS) -o $@ $^ -levent $(LDLIBS)
 
 $(TESTS) $(ITESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(SUPPORT) $(LIB)
-	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
+	$(CC) $(LDFLAGS) -o $@ $^ -lcunit -levent $(LDLIBS)
 
 deps:
 	scripts/install-deps
--- /dev/null
+++ b/tests/fake-platform.c
@@ -0,0 +1,113 @@
+/*
+ * Stand-in for the platform: the key-value service with the VM list, and the
+ * workers of one address. See docs/design.md 3.3.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+
+#include "clock.h"
+#include "support-journal.h"
+#include "support-store.h"
+
+#define TICK_US 20000
+/* A watch and a held call keep a thread each. */
+#define STORE_THREADS 512
+
+struct arguments {
+	struct arg_str *store;
+	struct arg_str *workers;
+	struct arg_str *vms;
+	struct arg_int *list_lag_ms;
+	struct arg_int *report_lag_ms;
+	struct arg_int *seed;
+	struct arg_str *journal;
+	struct arg_lit *help;
+	struct arg_end *end;
+};
+
+static volatile sig_atomic_t stopping;
+
+static void on_signal(int number);
+static int run(const struct arguments *a);
+
+static void on_signal(int number)
+{
+	(void)number;
+	stopping = 1;
+}
+
+static int run(const struct arguments *a)
+{
+	uint64_t seed = (uint64_t)a->seed->ival[0];
+	struct httpd *store_http = NULL;
+	struct store store;
+	int rc = 1;
+
+	store_init(&store, a->vms->count ? a->vms->sval[0] : NULL,
+		   (uint64_t)a->list_lag_ms->ival[0] * 1000, seed);
+	if (a->store->count) {
+		store_http = httpd_start(a->store->sval[0], STORE_THREADS,
+					 store_handle, &store);
+		if (!store_http)
+			goto out;
+	}
+	printf("ready seed=%llu\n", (unsigned long long)seed);
+	fflush(stdout);
+	while (!stopping) {
+		store_tick(&store);
+		clock_sleep_us(TICK_US);
+	}
+	rc = 0;
+out:
+	fault_release(&store.fault);
+	httpd_stop(store_http);
+	store_free(&store);
+	return rc;
+}
+
+int main(int argc, char **argv)
+{
+	struct arguments a = {
+		.store = arg_str0(NULL, "store", "IP:PORT",
+				  "serve the key-value service and VM list"),
+		.workers = arg_str0(NULL, "workers", "IP:PORT",
+				    "serve the workers with this address"),
+		.vms = arg_str0(NULL, "vms", "FILE", "list of VMs, JSON"),
+		.list_lag_ms = arg_int0(NULL, "list-lag-ms", "MS",
+					"publish the list this late"),
+		.report_lag_ms = arg_int0(NULL, "report-lag-ms", "MS",
+					  "publish usage this late"),
+		.seed = arg_int0(NULL, "seed", "N", "seed of the faults"),
+		.journal = arg_str0(NULL, "journal", "FILE", "append events"),
+		.help = arg_lit0("h", "help", "print this text"),
+		.end = arg_end(8),
+	};
+	void *table = &a;
+	int rc = 2;
+
+	a.list_lag_ms->ival[0] = 0;
+	a.report_lag_ms->ival[0] = 1000;
+	a.seed->ival[0] = 1;
+	if (arg_parse(argc, argv, table) || a.help->count) {
+		arg_print_errors(stderr, a.end, "fake-platform");
+		arg_print_glossary(stderr, table, "%-28s %s\n");
+		goto out;
+	}
+	if (!a.store->count && !a.workers->count) {
+		fprintf(stderr, "fake-platform: give --store or --workers\n");
+		goto out;
+	}
+	if (a.journal->count && journal_open(a.journal->sval[0]) < 0)
+		goto out;
+	signal(SIGTERM, on_signal);
+	signal(SIGINT, on_signal);
+	rc = run(&a);
+out:
+	journal_close();
+	arg_freetable(table, sizeof(a) / sizeof(void *));
+	return rc;
+}
--- /dev/null
+++ b/tests/support-kv.h
@@ -0,0 +1,94 @@
+#ifndef SUPPORT_KV_H
+#define SUPPORT_KV_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	support-kv - key-value tables of the platform stand-in
+ *
+ * DESCRIPTION
+ *	Keys sorted by name with Consul's indices and sessions. A deleted key
+ *	stays as a tombstone for KV_TOMBSTONE_US, so that a watch of its
+ *	prefix sees the deletion. No locks and no clock: the caller holds one
+ *	mutex and passes the time in microseconds.
+ */
+
+#define KV_TOMBSTONE_US (900u * 1000000u)
+#define KV_SESSION_BYTES 40
+
+struct kv_entry {
+	char *key;
+	char *value;
+	size_t value_len;
+	uint64_t create_index;
+	uint64_t modify_index;
+	uint64_t lock_index;
+	char session[KV_SESSION_BYTES]; /* empty when none holds the key */
+	bool deleted;
+	uint64_t deleted_us;
+};
+
+struct kv_session {
+	char id[KV_SESSION_BYTES];
+	uint64_t ttl_us;
+	uint64_t expires_us;
+};
+
+struct kv {
+	struct kv_entry **entries; /* sorted by key */
+	size_t count;
+	size_t capacity;
+	struct kv_session *sessions;
+	size_t session_count;
+	uint64_t index;	 /* of the last change */
+	uint64_t serial; /* of the last session */
+	uint64_t swept_us;
+};
+
+enum kv_verdict { KV_APPLIED, KV_NOT_APPLIED, KV_INVALID_SESSION };
+
+void kv_init(struct kv *kv);
+void kv_free(struct kv *kv);
+
+/* Returns the live entry, or NULL. */
+const struct kv_entry *kv_find(const struct kv *kv, const char *key);
+
+/* Position of the first entry, live or not, that is not below prefix. */
+size_t kv_lower_bound(const struct kv *kv, const char *prefix);
+
+/*
+ * Index of the last change of the key, or of a key with that prefix when
+ * recurse; deletions count. 0 when there was none.
+ */
+uint64_t kv_index_of(const struct kv *kv, const char *key, bool recurse);
+
+/* cas: NULL for none; *cas 0 creates only if absent. */
+enum kv_verdict kv_put(struct kv *kv, const char *key, const void *value,
+		       size_t len, const uint64_t *cas);
+enum kv_verdict kv_acquire(struct kv *kv, const char *key, const void *value,
+			   size_t len, const char *session);
+enum kv_verdict kv_release(struct kv *kv, const char *key, const void *value,
+			   size_t len, const char *session);
+/* cas: a value of 0 deletes nothing, as in Consul. */
+enum kv_verdict kv_delete(struct kv *kv, const char *key, const uint64_t *cas,
+			  bool recurse, uint64_t now_us);
+
+/* Writes the new session's id. */
+void kv_session_create(struct kv *kv, uint64_t ttl_us, uint64_t now_us,
+		       char id[KV_SESSION_BYTES]);
+/* Returns -1 when the session has ended. */
+int kv_session_renew(struct kv *kv, const char *id, uint64_t now_us);
+/* Ends a session and deletes the keys that it holds. */
+void kv_session_destroy(struct kv *kv, const char *id, uint64_t now_us);
+
+/*
+ * Ends the sessions whose time is over, passing each id to fn first, and
+ * drops old tombstones. Returns the number of sessions ended.
+ */
+size_t kv_expire(struct kv *kv, uint64_t now_us,
+		 void (*fn)(void *arg, const char *id), void *arg);
+
+#endif
