Serve a caller's request from HTTP to a runner and back

Cause: the request path needs its services before its policies can be measured end to end. Conclusion: a request is served end to end with true outcomes.

--- a/src/core.h
+++ b/src/core.h
@@ -138,6 +138,8 @@
 	bool hedge;	     /* FLOW_SEND: an earlier attempt still runs */
 	uint64_t queued_us;  /* time spent in the queue */
 	uint64_t timeout_us; /* FLOW_SEND: give up after this time */
+	/* FLOW_SEND, FLOW_ASK: own part of the target's connections */
+	uint32_t connections;
 };
 
 struct flow_actions {
--- a/src/flow-admit.c
+++ b/src/flow-admit.c
@@ -120,7 +120,7 @@
 		     q->queued * longest->weight > longest->queued * q->weight))
 			longest = q;
 	}
-	for (int u = URGENCY_COUNT - 1; u >= 0; u--)
+	for (int u = URGENCY_COUNT - 1; longest && u >= 0; u--)
 		if (longest->tail[u] != FLOW_NONE)
 			return longest->tail[u];
 	return FLOW_NONE;
--- a/src/flow-route.c
+++ b/src/flow-route.c
@@ -376,6 +376,7 @@
 {
 	for (uint32_t i = 0; i < f->target_count; i++) {
 		struct flow_target *t = &f->targets[i];
+		struct flow_action *a;
 
 		if (!t->present)
 			continue;
@@ -388,7 +389,9 @@
 			continue;
 		t->asked = true;
 		t->asked_us = now_us;
-		flow_emit(out, FLOW_ASK, FLOW_NONE)->target = i;
+		a = flow_emit(out, FLOW_ASK, FLOW_NONE);
+		a->target = i;
+		a->connections = t->own_connections;
 	}
 }
 
--- a/src/flow.c
+++ b/src/flow.c
@@ -221,6 +221,7 @@
 	a->hedge = r->state == REQUEST_RUNNING;
 	a->queued_us = a->hedge ? 0 : now_us - r->queued_us;
 	a->timeout_us = r->deadline_us;
+	a->connections = f->targets[target].own_connections;
 	if (r->kind >= 0)
 		f->kinds[r->kind].running++;
 	f->running++;
--- /dev/null
+++ b/src/svc-flow-explain.c
@@ -0,0 +1,172 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "svc-flow-internal.h"
+
+static const char *const action_names[] = {
+	[FLOW_SEND] = "send",
+	[FLOW_FINISH] = "finish",
+	[FLOW_REFUSE] = "refuse",
+	[FLOW_ASK] = "ask",
+};
+
+static const char *const breaker_names[] = {
+	[FLOW_BREAKER_CLOSED] = "closed",
+	[FLOW_BREAKER_OPEN] = "open",
+	[FLOW_BREAKER_TRIAL] = "trial",
+};
+
+/* Copies a target's id. The table changes under the lock only. */
+static void copy_id(const struct flow_svc *f, uint32_t target, char id[64])
+{
+	id[0] = '\0';
+	if (target < f->table->count)
+		memcpy(id, f->table->rows[target].id, 64);
+}
+
+void flow_record_action(struct flow_svc *f, const struct flow_action *a)
+{
+	struct flow_record *r = &f->ring[f->ring_next++ % FLOW_RING_SIZE];
+	const struct flow_job *job = f->entries[a->handle].job;
+
+	memcpy(r->request, job->id, sizeof(r->request));
+	memcpy(r->user, job->user, sizeof(r->user));
+	memcpy(r->kind, job->kind, sizeof(r->kind));
+	memcpy(r->team, job->team, sizeof(r->team));
+	copy_id(f, a->target, r->target);
+	copy_id(f, a->passed_over, r->passed_over);
+	r->action = *a;
+	r->revision = job->revision;
+	r->at_us = clock_wall_us();
+}
+
+static json_t *record_json(const struct flow_record *r)
+{
+	const struct flow_action *a = &r->action;
+	json_t *o = json_pack(
+		"{s:s, s:I, s:I}", "action", action_names[a->type], "at_us",
+		(json_int_t)r->at_us, "revision", (json_int_t)r->revision);
+
+	if (r->target[0])
+		json_object_set_new(o, "target", json_string(r->target));
+	if (a->type == FLOW_SEND) {
+		json_object_set_new(o, "passed_over",
+				    json_string(r->passed_over));
+		json_object_set_new(o, "why",
+				    json_string(flow_why_name(a->why)));
+		json_object_set_new(o, "attempt", json_integer(a->attempt));
+		json_object_set_new(o, "hedge", json_boolean(a->hedge));
+		json_object_set_new(o, "queued_us",
+				    json_integer((json_int_t)a->queued_us));
+		return o;
+	}
+	json_object_set_new(o, "reason",
+			    json_string(flow_reason_name(a->reason)));
+	if (a->type == FLOW_FINISH)
+		json_object_set_new(o, "outcome",
+				    json_string(flow_outcome_name(a->outcome)));
+	return o;
+}
+
+/* Appends a JSON value and frees it. */
+static void append_json(struct buffer *b, json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT);
+
+	buffer_append_str(b, text ? text : "null");
+	free(text);
+	json_decref(value);
+}
+
+int flow_explain(struct flow_svc *f, const char *request_id,
+		 struct buffer *json)
+{
+	json_t *decisions = json_array();
+	json_t *root = NULL;
+	uint64_t first;
+
+	pthread_mutex_lock(&f->lock);
+	first = f->ring_next > FLOW_RING_SIZE ? f->ring_next - FLOW_RING_SIZE
+					      : 0;
+	for (uint64_t i = first; i < f->ring_next; i++) {
+		const struct flow_record *r = &f->ring[i % FLOW_RING_SIZE];
+
+		if (strcmp(r->request, request_id) != 0)
+			continue;
+		if (!root)
+			root = json_pack("{s:s, s:s, s:s, s:s}", "request",
+					 r->request, "user", r->user, "kind",
+					 r->kind, "team", r->team);
+		json_array_append_new(decisions, record_json(r));
+	}
+	pthread_mutex_unlock(&f->lock);
+	if (!root) {
+		json_decref(decisions);
+		return -1;
+	}
+	json_object_set_new(root, "decisions", decisions);
+	append_json(json, root);
+	return 0;
+}
+
+/* Targets as a JSON array. Lock held. */
+static json_t *targets_json(const struct flow_svc *f)
+{
+	json_t *list = json_array();
+	struct flow_target_info t;
+
+	for (uint32_t i = 0; i < f->table->count; i++) {
+		if (flow_target_info(f->core, i, &t) < 0)
+			continue;
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:i, s:i, s:i, s:i, s:I, s:s, s:b, "
+				  "s:b}",
+				  "id", f->table->rows[i].id, "own_slots",
+				  (int)t.own_slots, "own_connections",
+				  (int)t.own_connections, "outstanding",
+				  (int)t.outstanding, "abandoned",
+				  (int)t.abandoned, "latency_us",
+				  (json_int_t)t.latency_us, "breaker",
+				  breaker_names[t.breaker], "draining",
+				  t.draining, "leaving", t.leaving));
+	}
+	return list;
+}
+
+/* Kinds of the sheet as a JSON array. Lock held. */
+static json_t *kinds_json(const struct flow_svc *f)
+{
+	json_t *list = json_array();
+	struct flow_kind_info k;
+
+	for (uint32_t i = 0; flow_kind_info(f->core, i, &k) == 0; i++)
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:s, s:i, s:i, s:I, s:I}", "user",
+				  k.user, "kind", k.name, "queued",
+				  (int)k.queued, "running", (int)k.running,
+				  "p95_us", (json_int_t)k.p95_us, "service_us",
+				  (json_int_t)k.service_us));
+	return list;
+}
+
+void flow_status(struct flow_svc *f, struct buffer *json)
+{
+	struct flow_totals t;
+	json_t *root;
+
+	pthread_mutex_lock(&f->lock);
+	flow_totals(f->core, &t);
+	root = json_pack("{s:I, s:i, s:i, s:i, s:I, s:I, s:I, s:o, s:o}",
+			 "revision", (json_int_t)f->revision, "capacity",
+			 (int)t.capacity, "queued", (int)t.queued, "running",
+			 (int)t.running, "first_sends",
+			 (json_int_t)t.first_sends, "retries",
+			 (json_int_t)t.retries, "hedges", (json_int_t)t.hedges,
+			 "kinds", kinds_json(f), "targets", targets_json(f));
+	pthread_mutex_unlock(&f->lock);
+	append_json(json, root);
+}
--- /dev/null
+++ b/src/svc-flow-internal.h
@@ -0,0 +1,172 @@
+#ifndef SVC_FLOW_INTERNAL_H
+#define SVC_FLOW_INTERNAL_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "counter.h"
+#include "http-client.h"
+#include "io-pool.h"
+#include "svc-config.h"
+#include "svc-flow.h"
+#include "svc-loop.h"
+#include "svc-members.h"
+#include "svc-targets.h"
+
+/*
+ * NAME
+ *	svc-flow-internal - state of the service "flow"
+ *
+ * DESCRIPTION
+ *	svc-flow.c drives the core and waits for decisions; svc-flow-io.c
+ *	calls runners in threads of its own, since a request that was hedged is
+ *	answered while its first attempt still runs; svc-flow-targets.c keeps
+ *	the targets; svc-flow-explain.c answers operators.
+ *
+ *	The lock guards the core, the entries and the ring. It is never held
+ *	during input or output, which includes log lines.
+ */
+
+#define FLOW_RING_SIZE 4096u
+#define FLOW_TARGETS_MAX 4096u
+
+/* What the attempts of one request read; freed with its last reference. */
+struct flow_job {
+	atomic_uint references;
+	atomic_uint sending; /* attempts of which a byte may have left */
+	char id[FLOW_ID_BYTES];
+	char user[SHEET_NAME_BYTES];
+	char team[SHEET_NAME_BYTES];
+	char kind[SHEET_NAME_BYTES];
+	uint64_t deadline_us;
+	uint64_t revision;
+	size_t body_len;
+	char body[];
+};
+
+/* A request known to the core by its handle. */
+struct flow_entry {
+	bool used;
+	bool waited_for; /* a request thread waits for the decision */
+	bool decided;
+	bool may_have_run; /* an attempt ended and may have taken effect */
+	uint32_t attempts; /* running */
+	pthread_cond_t cond;
+	struct flow_action final;
+	int status; /* answer of the attempt that final names */
+	struct buffer body;
+	struct flow_job *job;
+	uint32_t next_free;
+};
+
+/* One attempt, queued for or run by a thread. */
+struct flow_send {
+	struct flow_send *next;
+	struct flow_svc *svc;
+	struct flow_job *job;
+	struct flow_action action;
+	uint64_t first_byte_us; /* 0: no byte left */
+};
+
+/* Row of the table that threads read under RCU. */
+struct flow_address {
+	char id[64];
+	struct settings_address address;
+	bool used;
+};
+
+struct flow_table {
+	uint32_t count;
+	struct flow_address rows[];
+};
+
+/* One decision or end of a request. */
+struct flow_record {
+	char request[FLOW_ID_BYTES];
+	char user[SHEET_NAME_BYTES];
+	char kind[SHEET_NAME_BYTES];
+	char team[SHEET_NAME_BYTES];
+	char target[64];
+	char passed_over[64];
+	struct flow_action action;
+	uint64_t revision;
+	uint64_t at_us; /* wall clock */
+};
+
+struct flow_counters {
+	struct counter *accepted;
+	struct counter *sends;
+	struct counter *hedges;
+	struct counter *done;
+	struct counter *unknown;
+	struct counter *not_run[FLOW_REASON_TARGET_FAILED + 1];
+	struct counter *outcome[FLOW_LOST + 1];
+	struct counter *queued;
+	struct counter *running;
+	struct counter *capacity;
+	struct counter *probes;
+};
+
+struct flow_svc {
+	struct service service;
+	struct settings settings;
+	struct config_svc *config;
+	struct members *members;
+	struct targets *target_list;
+	struct http_client *http;
+	struct io_pool *probe_pool;
+	struct flow_counters counters;
+	atomic_bool draining;
+	atomic_uint in_flight;
+	atomic_ullong last_tick_us;
+	struct flow_table *table; /* RCU */
+	pthread_mutex_t lock;
+	bool stopped; /* events are no longer passed to the core */
+	struct flow *core;
+	struct flow_actions actions;
+	uint64_t revision; /* of the sheet that the core has */
+	struct seat seat;  /* as the core knows it */
+	struct flow_entry *entries;
+	uint32_t entry_count;
+	uint32_t first_free;
+	uint32_t attempts_at[FLOW_TARGETS_MAX];
+	struct flow_record *ring;
+	uint64_t ring_next;
+	/* Threads for attempts; they are started when none is idle. */
+	pthread_mutex_t send_lock;
+	pthread_cond_t send_cond;
+	struct flow_send *send_first;
+	struct flow_send **send_last;
+	uint32_t send_queued;
+	uint32_t send_threads;
+	uint32_t send_idle;
+	bool stopping;
+};
+
+/* svc-flow.c */
+/* Passes an event to the core and executes its actions. Lock held. */
+void flow_post(struct flow_svc *f, const struct flow_event *e);
+void flow_job_release(struct flow_job *job);
+/* Frees an entry when its request and its attempts have ended. Lock held. */
+void flow_entry_release(struct flow_svc *f, uint32_t handle);
+
+/* svc-flow-io.c */
+void flow_io_start(struct flow_svc *f);
+void flow_io_stop(struct flow_svc *f);
+/* Queues an attempt. Lock held. */
+void flow_io_send(struct flow_svc *f, const struct flow_action *a);
+/* Queues a status probe. Lock held. */
+void flow_io_ask(struct flow_svc *f, const struct flow_action *a);
+
+/* svc-flow-targets.c */
+/* Passes a changed list of targets to the core. Control thread. */
+void flow_targets_changed(void *svc);
+/* Copies a row of the table; -1 when the handle is not in use. */
+int flow_target_row(struct flow_svc *f, uint32_t target,
+		    struct flow_address *out);
+
+/* svc-flow-explain.c */
+/* Records an action of the core in the ring. Lock held. */
+void flow_record_action(struct flow_svc *f, const struct flow_action *a);
+
+#endif
--- /dev/null
+++ b/src/svc-flow-targets.c
@@ -0,0 +1,149 @@
+#include <stdlib.h>
+#include <string.h>
+#include <urcu.h>
+#include <xxhash.h>
+
+#include "log.h"
+#include "svc-flow-internal.h"
+
+static uint32_t find_row(const struct flow_table *t, const char *id);
+
+int flow_target_row(struct flow_svc *f, uint32_t target,
+		    struct flow_address *out)
+{
+	const struct flow_table *t;
+	int result = -1;
+
+	rcu_read_lock();
+	t = rcu_dereference(f->table);
+	if (target < t->count && t->rows[target].used) {
+		*out = t->rows[target];
+		result = 0;
+	}
+	rcu_read_unlock();
+	return result;
+}
+
+/* Row of a target, or count when it has none. */
+static uint32_t find_row(const struct flow_table *t, const char *id)
+{
+	for (uint32_t i = 0; i < t->count; i++)
+		if (t->rows[i].used && !strcmp(t->rows[i].id, id))
+			return i;
+	return t->count;
+}
+
+/* A row that is not used, also not by an attempt that still runs. */
+static uint32_t free_row(const struct flow_svc *f, const struct flow_table *t)
+{
+	for (uint32_t i = 0; i < t->count; i++)
+		if (!t->rows[i].used && f->attempts_at[i] == 0)
+			return i;
+	return t->count;
+}
+
+static bool is_own(const struct flow_svc *f, const struct vm *vm)
+{
+	return vm->role == VM_RUNNER &&
+	       !strcmp(vm->availability_zone,
+		       f->settings.node.availability_zone);
+}
+
+/* Whether the list still holds the target. */
+static bool is_listed(const struct flow_svc *f, const struct vm_list *list,
+		      const char *id)
+{
+	for (size_t i = 0; i < list->count; i++)
+		if (is_own(f, &list->vms[i]) && !strcmp(list->vms[i].id, id))
+			return true;
+	return false;
+}
+
+/* Passes a target to the core. Lock held. */
+static void post_target(struct flow_svc *f, uint32_t row, const struct vm *vm)
+{
+	struct flow_event e = { .type = FLOW_TARGET };
+
+	e.target.target = row;
+	e.target.hash = XXH3_64bits(vm->id, strlen(vm->id));
+	e.target.slots = vm->slots;
+	e.target.connections = vm->connections;
+	e.target.leaving = vm->leaving;
+	flow_post(f, &e);
+}
+
+/* Removes the rows of targets that left the list. Lock held. */
+static void remove_gone(struct flow_svc *f, struct flow_table *t,
+			const struct vm_list *list)
+{
+	for (uint32_t i = 0; i < t->count; i++) {
+		struct flow_event e = { .type = FLOW_TARGET_GONE };
+
+		if (!t->rows[i].used || is_listed(f, list, t->rows[i].id))
+			continue;
+		t->rows[i].used = false;
+		e.target.target = i;
+		flow_post(f, &e);
+	}
+}
+
+/*
+ * Builds the next table from the list and passes the changes to the core. A
+ * target keeps its row, which is its handle, while it is listed. Lock held.
+ */
+static struct flow_table *next_table(struct flow_svc *f,
+				     const struct vm_list *list)
+{
+	size_t room = f->table->count + list->count;
+	struct flow_table *t;
+
+	if (room > FLOW_TARGETS_MAX)
+		room = FLOW_TARGETS_MAX;
+	t = xcalloc(1, sizeof(*t) + room * sizeof(t->rows[0]));
+	t->count = f->table->count;
+	memcpy(t->rows, f->table->rows, t->count * sizeof(t->rows[0]));
+	remove_gone(f, t, list);
+	return t;
+}
+
+void flow_targets_changed(void *svc)
+{
+	struct flow_svc *f = svc;
+	const struct vm_list *list = targets_list(f->target_list);
+	struct flow_table *old, *t;
+
+	pthread_mutex_lock(&f->lock);
+	old = f->table;
+	t = next_table(f, list);
+	for (size_t i = 0; i < list->count; i++) {
+		const struct vm *vm = &list->vms[i];
+		uint32_t row;
+
+		if (!is_own(f, vm))
+			continue;
+		row = find_row(t, vm->id);
+		if (row == t->count)
+			row = free_row(f, t);
+		if (row == FLOW_TARGETS_MAX) {
+			log_event(LOG_ERROR, "too-many-targets", "target=%s",
+				  vm->id);
+			continue;
+		}
+		if (row == t->count)
+			t->count++;
+		t->rows[row].used = true;
+		t->rows[row].address = vm->address;
+		memcpy(t->rows[row].id, vm->id, sizeof(vm->id));
+	}
+	/* Readers find a row before the core can choose its target. */
+	rcu_assign_pointer(f->table, t);
+	for (size_t i = 0; i < list->count; i++) {
+		uint32_t row = find_row(t, list->vms[i].id);
+
+		if (row < t->count && is_own(f, &list->vms[i]))
+			post_target(f, row, &list->vms[i]);
+	}
+	pthread_mutex_unlock(&f->lock);
+	synchronize_rcu();
+	free(old);
+}
--- /dev/null
+++ b/src/svc-front.c
@@ -0,0 +1,482 @@
+#include <civetweb.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/random.h>
+#include <urcu.h>
+#include <xxhash.h>
+
+#include "clock.h"
+#include "log.h"
+#include "svc-flow.h"
+#include "svc-owner.h"
+
+#define DEADLINE_MAX_MS 30000u
+#define KEY_MAX_BYTES 128
+#define RETRY_AFTER_S 1
+#define READ_TIMEOUT_MS "10000"
+/* An idle connection holds a thread, so it is closed soon. */
+#define KEEP_ALIVE_MS "1000"
+
+struct front {
+	struct service service;
+	struct settings settings;
+	struct mg_context *server;
+	struct flow_svc *flow;
+	struct owner *owner;
+	atomic_bool draining;
+	atomic_ullong next_id;
+	uint16_t port;
+};
+
+/* A caller's request as parsed, and the answer to it. */
+struct exchange {
+	struct front *front;
+	struct mg_connection *conn;
+	struct flow_call call;
+	const char *key;
+	struct buffer body;
+	int status;
+	const char *outcome;
+	const char *reason; /* NULL when the outcome is done */
+	bool replayed;
+	bool close;
+	uint64_t revision;
+	struct buffer answer;
+};
+
+static int front_start(struct service *svc, struct kernel *k,
+		       struct error *err);
+static void front_drain(struct service *svc);
+static void front_stop(struct service *svc);
+static void front_destroy(struct service *svc);
+static int handle_request(struct mg_connection *conn, void *arg);
+
+static const struct service_ops front_ops = {
+	.name = "front",
+	.start = front_start,
+	.drain = front_drain,
+	.stop = front_stop,
+	.destroy = front_destroy,
+};
+
+struct service *front_create(const struct settings *s)
+{
+	struct front *front = xcalloc(1, sizeof(*front));
+	uint64_t seed;
+
+	front->service.ops = &front_ops;
+	front->settings = *s;
+	/* Ids must differ between the lives of a process, too. */
+	if (getrandom(&seed, sizeof(seed), 0) < 0)
+		seed = clock_wall_us();
+	atomic_store(&front->next_id, seed);
+	return &front->service;
+}
+
+uint16_t front_port(struct kernel *k)
+{
+	return ((struct front *)kernel_find(k, "front"))->port;
+}
+
+static void *init_thread(const struct mg_context *ctx, int type)
+{
+	(void)ctx;
+	(void)type;
+	rcu_register_thread();
+	return NULL;
+}
+
+static void exit_thread(const struct mg_context *ctx, int type, void *data)
+{
+	(void)ctx;
+	(void)type;
+	(void)data;
+	rcu_unregister_thread();
+}
+
+static int log_message(const struct mg_connection *conn, const char *message)
+{
+	(void)conn;
+	log_event(LOG_WARNING, "http", "message=\"%s\"", message);
+	return 1;
+}
+
+static int front_start(struct service *svc, struct kernel *k, struct error *err)
+{
+	struct front *front = (struct front *)svc;
+	const struct settings_address *listen = &front->settings.front.listen;
+	char ports[64], threads[16];
+	const char *options[] = {
+		"listening_ports",
+		ports,
+		"num_threads",
+		threads,
+		"enable_keep_alive",
+		"yes",
+		"keep_alive_timeout_ms",
+		KEEP_ALIVE_MS,
+		"request_timeout_ms",
+		READ_TIMEOUT_MS,
+		"tcp_nodelay",
+		"1",
+		"connection_queue",
+		"1024",
+		"listen_backlog",
+		"1024",
+		NULL,
+	};
+	struct mg_callbacks callbacks = {
+		.init_thread = init_thread,
+		.exit_thread = exit_thread,
+		.log_message = log_message,
+	};
+	struct mg_server_port bound[1];
+
+	front->flow = flow_svc_find(k);
+	front->owner = owner_find(k);
+	snprintf(ports, sizeof(ports), "%s:%u", listen->host, listen->port);
+	snprintf(threads, sizeof(threads), "%u", front->settings.front.threads);
+	mg_init_library(0);
+	front->server = mg_start(&callbacks, front, options);
+	if (!front->server)
+		return error_set(err, ERROR_LAYER_SYSTEM, 1,
+				 "cannot listen on %s", ports);
+	front->port = listen->port;
+	if (mg_get_server_ports(front->server, 1, bound) == 1)
+		front->port = (uint16_t)bound[0].port;
+	mg_set_request_handler(front->server, "/v1/requests$", handle_request,
+			       front);
+	return 0;
+}
+
+static void front_drain(struct service *svc)
+{
+	atomic_store(&((struct front *)svc)->draining, true);
+}
+
+static void front_stop(struct service *svc)
+{
+	struct front *front = (struct front *)svc;
+
+	if (front->server)
+		mg_stop(front->server);
+	front->server = NULL;
+	mg_exit_library();
+}
+
+static void front_destroy(struct service *svc)
+{
+	free(svc);
+}
+
+/* ---- answers ---- */
+
+static void set_not_run(struct exchange *x, int status, const char *reason)
+{
+	x->status = status;
+	x->outcome = "not-run";
+	x->reason = reason;
+}
+
+static void set_unknown(struct exchange *x, const char *reason)
+{
+	x->status = 504;
+	x->outcome = "unknown";
+	x->reason = reason;
+}
+
+static void send_answer(struct exchange *x)
+{
+	struct buffer b = BUFFER_INIT;
+
+	if (x->reason) {
+		buffer_reset(&x->answer);
+		buffer_printf(&x->answer,
+			      "{\"outcome\":\"%s\",\"reason\":\"%s\"}\n",
+			      x->outcome, x->reason);
+	}
+	buffer_printf(&b,
+		      "HTTP/1.1 %d %s\r\nWaxwing-Outcome: %s\r\n"
+		      "Waxwing-Request-Id: %s\r\nWaxwing-Revision: %llu\r\n",
+		      x->status, mg_get_response_code_text(x->conn, x->status),
+		      x->outcome, x->call.id, (unsigned long long)x->revision);
+	if (x->reason)
+		buffer_printf(&b, "Waxwing-Reason: %s\r\n", x->reason);
+	if (x->replayed)
+		buffer_append_str(&b, "Waxwing-Replayed: yes\r\n");
+	if (x->status == 503)
+		buffer_printf(&b, "Retry-After: %d\r\n", RETRY_AFTER_S);
+	if (x->close)
+		mg_disable_connection_keep_alive(x->conn);
+	buffer_printf(&b, "Content-Type: %s\r\nContent-Length: %zu\r\n",
+		      x->reason ? "application/json"
+				: "application/octet-stream",
+		      x->answer.len);
+	buffer_printf(&b, "Connection: %s\r\n\r\n",
+		      x->close ? "close" : "keep-alive");
+	buffer_append(&b, x->answer.data, x->answer.len);
+	mg_write(x->conn, b.data, b.len);
+	buffer_free(&b);
+}
+
+/* ---- parsing ---- */
+
+static const char *header(const struct exchange *x, const char *name)
+{
+	const char *value = mg_get_header(x->conn, name);
+
+	return value ? value : "";
+}
+
+static int parse_deadline(struct exchange *x, uint64_t now_us)
+{
+	const char *text = header(x, "Waxwing-Deadline-Ms");
+	char *end;
+	unsigned long ms;
+
+	if (!*text)
+		text = "30000";
+	ms = strtoul(text, &end, 10);
+	if (*text < '0' || *text > '9' || *end || ms < 1 ||
+	    ms > DEADLINE_MAX_MS)
+		return -1;
+	x->call.deadline_us = now_us + ms * 1000u;
+	return 0;
+}
+
+static int parse_urgency(struct exchange *x)
+{
+	static const char *const names[] = { "urgent", "normal", "deferrable" };
+	const char *text = header(x, "Waxwing-Urgency");
+
+	x->call.urgency = -1;
+	if (!*text)
+		return 0;
+	for (int i = 0; i < URGENCY_COUNT; i++)
+		if (!strcmp(text, names[i]))
+			x->call.urgency = i;
+	return x->call.urgency < 0 ? -1 : 0;
+}
+
+/* Returns NULL, or why the headers are refused. */
+static const char *parse_headers(struct exchange *x, uint64_t now_us)
+{
+	const char *idempotent = header(x, "Waxwing-Idempotent");
+
+	x->call.user = header(x, "Waxwing-User");
+	x->call.team = header(x, "Waxwing-Team");
+	x->call.kind = header(x, "Waxwing-Kind");
+	x->key = header(x, "Idempotency-Key");
+	x->call.idempotent = !strcmp(idempotent, "yes");
+	if (!*x->call.user || !*x->call.kind)
+		return "user-or-kind-missing";
+	if (strlen(x->call.user) >= SHEET_NAME_BYTES ||
+	    strlen(x->call.kind) >= SHEET_NAME_BYTES ||
+	    strlen(x->call.team) >= SHEET_NAME_BYTES)
+		return "name-too-long";
+	if (parse_urgency(x) < 0)
+		return "bad-urgency";
+	if (parse_deadline(x, now_us) < 0)
+		return "bad-deadline";
+	if (*idempotent && !x->call.idempotent && strcmp(idempotent, "no") != 0)
+		return "bad-idempotent";
+	if (strlen(x->key) > KEY_MAX_BYTES)
+		return "key-too-long";
+	if (!x->call.idempotent && !*x->key)
+		return "key-missing";
+	return NULL;
+}
+
+/* Reads the body. Returns 0, or the HTTP status of the refusal. */
+static int read_body(struct exchange *x)
+{
+	long long length = mg_get_request_info(x->conn)->content_length;
+	size_t limit = x->front->settings.front.body_limit_bytes;
+	char chunk[8192];
+
+	/* With chunked transfer the length is not known before. */
+	if (length > (long long)limit)
+		return 413;
+	if (length < 0 && !*header(x, "Transfer-Encoding"))
+		return 0;
+	while (length < 0 || x->body.len < (size_t)length) {
+		int n = mg_read(x->conn, chunk, sizeof(chunk));
+
+		if (n < 0 || (n == 0 && length >= 0))
+			return 400;
+		if (n == 0)
+			break;
+		buffer_append(&x->body, chunk, (size_t)n);
+		if (x->body.len > limit)
+			return 413;
+	}
+	x->call.body = x->body.data;
+	x->call.body_len = x->body.len;
+	return 0;
+}
+
+/* ---- requests ---- */
+
+static int status_of_reason(enum flow_reason reason)
+{
+	switch (reason) {
+	case FLOW_REASON_UNKNOWN_KIND:
+		return 404;
+	case FLOW_REASON_KIND_LIMIT:
+	case FLOW_REASON_TEAM_LIMIT:
+		return 429;
+	default:
+		return 503;
+	}
+}
+
+/* Admits and runs the request; turns the reply into the answer. */
+static enum flow_reply_code run(struct exchange *x)
+{
+	struct flow_reply reply;
+
+	flow_serve(x->front->flow, &x->call, &reply);
+	x->revision = reply.revision;
+	switch (reply.code) {
+	case FLOW_REPLY_DONE:
+		x->status = reply.status;
+		x->outcome = "done";
+		x->answer = reply.body;
+		break;
+	case FLOW_REPLY_NOT_RUN:
+		set_not_run(x, status_of_reason(reply.reason),
+			    flow_reason_name(reply.reason));
+		break;
+	case FLOW_REPLY_UNKNOWN:
+		set_unknown(x, flow_outcome_name(reply.outcome));
+		break;
+	}
+	return reply.code;
+}
+
+static void make_key(const struct exchange *x, struct claim_key *key)
+{
+	XXH128_hash_t h;
+	struct buffer b = BUFFER_INIT;
+
+	/* The NUL bytes keep "a" + "bc" apart from "ab" + "c". */
+	buffer_append(&b, x->call.user, strlen(x->call.user) + 1);
+	buffer_append(&b, x->call.kind, strlen(x->call.kind) + 1);
+	buffer_append_str(&b, x->key);
+	h = XXH3_128bits(b.data, b.len);
+	buffer_free(&b);
+	memset(key, 0, sizeof(*key));
+	key->hash[0] = h.high64;
+	key->hash[1] = h.low64;
+	key->body_hash =
+		XXH3_64bits(x->call.body ? x->call.body : "", x->call.body_len);
+	if (getrandom(&key->nonce, sizeof(key->nonce), 0) < 0)
+		key->nonce = atomic_fetch_add(&x->front->next_id, 1);
+}
+
+/* Runs a request under its claim and reports how it ended. */
+static void run_claimed(struct exchange *x, const struct claim_key *key)
+{
+	enum claim_outcome outcome = CLAIM_MAY_HAVE_RUN;
+	int status = 0;
+	const void *body = NULL;
+	size_t len = 0;
+
+	switch (run(x)) {
+	case FLOW_REPLY_DONE:
+		outcome = CLAIM_DONE;
+		status = x->status;
+		body = x->answer.data;
+		len = x->answer.len;
+		break;
+	case FLOW_REPLY_NOT_RUN:
+		outcome = CLAIM_NOT_RUN;
+		break;
+	case FLOW_REPLY_UNKNOWN:
+		break;
+	}
+	claim_finish(x->front->owner, key, outcome, status, body, len);
+}
+
+/* A non-idempotent request runs only under a claim that is durable. */
+static void run_once(struct exchange *x)
+{
+	struct claim_answer claim = { 0 };
+	struct claim_key key;
+
+	make_key(x, &key);
+	claim_begin(x->front->owner, &key, x->call.deadline_us, &claim);
+	switch (claim.code) {
+	case CLAIM_GRANTED:
+		run_claimed(x, &key);
+		break;
+	case CLAIM_REPLAY:
+		x->status = claim.status;
+		x->outcome = "done";
+		x->replayed = true;
+		x->answer = claim.body;
+		memset(&claim.body, 0, sizeof(claim.body));
+		break;
+	case CLAIM_UNKNOWN:
+		set_unknown(x, "key-in-use");
+		break;
+	case CLAIM_KEY_REUSED:
+		set_not_run(x, 422, "key-reused");
+		break;
+	case CLAIM_UNAVAILABLE:
+		set_not_run(x, 503, "no-claim");
+		break;
+	}
+	buffer_free(&claim.body);
+}
+
+/* Reads and runs the request, or sets why it is refused. */
+static void serve(struct exchange *x, uint64_t now_us)
+{
+	const char *wrong = parse_headers(x, now_us);
+	int status;
+
+	if (strcmp(mg_get_request_info(x->conn)->request_method, "POST") != 0) {
+		x->close = true;
+		set_not_run(x, 405, "method");
+		return;
+	}
+	status = read_body(x);
+	if (status) {
+		/* The rest of the body would be taken for the next request. */
+		x->close = true;
+		set_not_run(x, status,
+			    status == 413 ? "too-large" : "body-incomplete");
+	} else if (wrong) {
+		set_not_run(x, 400, wrong);
+	} else if (atomic_load(&x->front->draining)) {
+		set_not_run(x, 503, "draining");
+	} else if (x->call.idempotent) {
+		run(x);
+	} else {
+		run_once(x);
+	}
+}
+
+static int handle_request(struct mg_connection *conn, void *arg)
+{
+	struct front *front = arg;
+	struct exchange x = { .front = front, .conn = conn };
+	uint64_t now = clock_now_us();
+
+	flow_enter(front->flow);
+	snprintf(x.call.id, sizeof(x.call.id), "%.40s-%016llx",
+		 front->settings.node.id,
+		 (unsigned long long)atomic_fetch_add(&front->next_id, 1));
+	serve(&x, now);
+	if (atomic_load(&front->draining))
+		x.close = true;
+	send_answer(&x);
+	buffer_free(&x.body);
+	buffer_free(&x.answer);
+	flow_leave(front->flow);
+	return x.status;
+}
--- /dev/null
+++ b/tests/test-front.c
@@ -0,0 +1,536 @@
+#include <civetweb.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu.h>
+
+#include "clock.h"
+#include "http-client.h"
+#include "log.h"
+#include "support-unit.h"
+#include "svc-config.h"
+#include "svc-flow.h"
+#include "svc-loop.h"
+#include "svc-members.h"
+#include "svc-owner.h"
+#include "svc-targets.h"
+
+/* ---- stand-ins of the services that the request path uses ---- */
+
+static struct sheet_kind kinds[] = {
+	{ .user = "court", .name = "draft", .share_percent = 50 },
+	{ .user = "court", .name = "one", .share_percent = 10, .limit = 1 },
+};
+static struct sheet sheet = { .kinds = kinds, .kind_count = 2 };
+static struct config config = { .revision = 7, .sheet = &sheet };
+static struct vm vms[1];
+static struct vm_list vm_list = { .vms = vms, .count = 1 };
+static enum claim_code claim_code;
+static int claims_finished;
+static enum claim_outcome claim_outcome;
+
+int sheet_find_kind(const struct sheet *s, const char *user, const char *kind)
+{
+	for (size_t i = 0; i < s->kind_count; i++)
+		if (!strcmp(s->kinds[i].name, kind) &&
+		    !strcmp(s->kinds[i].user, user))
+			return (int)i;
+	return -1;
+}
+
+int sheet_find_team(const struct sheet *s, const char *user, const char *team)
+{
+	(void)s;
+	(void)user;
+	(void)team;
+	return -1;
+}
+
+struct config_svc {
+	struct service service;
+};
+
+struct config_svc *config_find(struct kernel *k)
+{
+	return (struct config_svc *)kernel_find(k, "config");
+}
+
+const struct config *config_read(struct config_svc *c)
+{
+	(void)c;
+	return &config;
+}
+
+void config_on_change(struct config_svc *c, void (*fn)(void *arg), void *arg)
+{
+	(void)c;
+	(void)fn;
+	(void)arg;
+}
+
+struct members {
+	struct service service;
+};
+
+struct members *members_find(struct kernel *k)
+{
+	return (struct members *)kernel_find(k, "members");
+}
+
+void members_seat(struct members *m, struct seat *out)
+{
+	(void)m;
+	memset(out, 0, sizeof(*out));
+	out->revision = 1;
+	out->count = 1;
+}
+
+void members_on_seat(struct members *m, void (*fn)(void *arg), void *arg)
+{
+	(void)m;
+	(void)fn;
+	(void)arg;
+}
+
+struct targets {
+	struct service service;
+};
+
+struct targets *targets_find(struct kernel *k)
+{
+	return (struct targets *)kernel_find(k, "targets");
+}
+
+const struct vm_list *targets_list(struct targets *t)
+{
+	(void)t;
+	return &vm_list;
+}
+
+void targets_on_change(struct targets *t, void (*fn)(void *arg), void *arg)
+{
+	(void)t;
+	(void)fn;
+	(void)arg;
+}
+
+struct owner {
+	struct service service;
+};
+
+struct owner *owner_find(struct kernel *k)
+{
+	return (struct owner *)kernel_find(k, "owner");
+}
+
+void claim_begin(struct owner *o, const struct claim_key *key,
+		 uint64_t deadline_us, struct claim_answer *out)
+{
+	(void)o;
+	(void)key;
+	(void)deadline_us;
+	out->code = claim_code;
+	if (claim_code == CLAIM_REPLAY) {
+		out->status = 200;
+		buffer_append_str(&out->body, "stored");
+	}
+}
+
+void claim_finish(struct owner *o, const struct claim_key *key,
+		  enum claim_outcome outcome, int status, const void *body,
+		  size_t len)
+{
+	(void)o;
+	(void)key;
+	(void)status;
+	(void)body;
+	(void)len;
+	claims_finished++;
+	claim_outcome = outcome;
+}
+
+/* ---- a runner that does what the body says ---- */
+
+static struct mg_context *runner;
+static atomic_int runs;
+static atomic_int running;
+
+static void answer(struct mg_connection *conn, const char *status,
+		   const char *id, const char *extra, size_t length)
+{
+	mg_printf(conn,
+		  "HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s"
+		  "Content-Length: %zu\r\n\r\nanswer",
+		  status, id, extra, length);
+}
+
+static int handle_run(struct mg_connection *conn, void *arg)
+{
+	const char *id = mg_get_header(conn, "X-Request-Id");
+	char body[64] = "";
+
+	(void)arg;
+	atomic_fetch_add(&runs, 1);
+	atomic_fetch_add(&running, 1);
+	mg_read(conn, body, sizeof(body) - 1);
+	if (!strcmp(body, "ok"))
+		answer(conn, "200 OK", id, "", 6);
+	if (!strcmp(body, "fail"))
+		answer(conn, "500 Failed", id, "", 6);
+	if (!strcmp(body, "not-run"))
+		answer(conn, "503 Full", id, "X-Not-Run: true\r\n", 6);
+	if (!strcmp(body, "other"))
+		answer(conn, "200 OK", "other", "", 6);
+	if (!strcmp(body, "other-not-run"))
+		answer(conn, "503 Full", "other", "X-Not-Run: true\r\n", 6);
+	if (!strcmp(body, "short"))
+		answer(conn, "200 OK", id, "", 600);
+	if (!strcmp(body, "slow")) {
+		clock_sleep_us(400000);
+		answer(conn, "200 OK", id, "", 6);
+	}
+	if (strcmp(body, "ok") != 0)
+		mg_disable_connection_keep_alive(conn);
+	atomic_fetch_sub(&running, 1);
+	return 200;
+}
+
+static int handle_status(struct mg_connection *conn, void *arg)
+{
+	static const char text[] = "{\"slots\":8,\"busy\":0,"
+				   "\"connections\":0,\"draining\":false}";
+
+	(void)arg;
+	mg_printf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+		  sizeof(text) - 1, text);
+	return 200;
+}
+
+static uint16_t start_runner(void)
+{
+	const char *options[] = {
+		"listening_ports",   "127.0.0.1:0", "num_threads", "8",
+		"enable_keep_alive", "yes",	    NULL
+	};
+	struct mg_server_port port;
+
+	runner = mg_start(NULL, NULL, options);
+	mg_set_request_handler(runner, "/run$", handle_run, NULL);
+	mg_set_request_handler(runner, "/status$", handle_status, NULL);
+	mg_get_server_ports(runner, 1, &port);
+	return (uint16_t)port.port;
+}
+
+/* ---- calls ---- */
+
+static struct kernel *kernel;
+static struct http_client *client;
+
+struct result {
+	int status;
+	char outcome[32];
+	char reason[32];
+	char id[FLOW_ID_BYTES];
+	char body[64];
+	bool replayed;
+};
+
+static void copy(char *to, size_t size, const char *from)
+{
+	snprintf(to, size, "%s", from ? from : "");
+}
+
+static struct result post(const char *headers, const char *body)
+{
+	struct http_request req = { .method = "POST",
+				    .path = "/v1/requests",
+				    .headers = headers,
+				    .body = body,
+				    .body_len = strlen(body),
+				    .timeout_us = 10000000,
+				    .max_answer_bytes = 100000 };
+	struct result r = { 0 };
+	struct http_answer ans;
+	struct error err;
+
+	if (http_call(client, "127.0.0.1", front_port(kernel), &req, &ans,
+		      &err) < 0) {
+		fprintf(stderr, "%s\n", err.message);
+		return r;
+	}
+	r.status = ans.status;
+	copy(r.outcome, sizeof(r.outcome),
+	     http_answer_header(&ans, "Waxwing-Outcome"));
+	copy(r.reason, sizeof(r.reason),
+	     http_answer_header(&ans, "Waxwing-Reason"));
+	copy(r.id, sizeof(r.id),
+	     http_answer_header(&ans, "Waxwing-Request-Id"));
+	copy(r.body, sizeof(r.body), ans.body.data);
+	r.replayed = http_answer_header(&ans, "Waxwing-Replayed") != NULL;
+	http_answer_free(&ans);
+	return r;
+}
+
+#define IDEMPOTENT                                       \
+	"Waxwing-User: court\r\nWaxwing-Kind: draft\r\n" \
+	"Waxwing-Deadline-Ms: 2000\r\nWaxwing-Idempotent: yes\r\n"
+#define ONCE                                                      \
+	"Waxwing-User: court\r\nWaxwing-Kind: draft\r\n"          \
+	"Waxwing-Deadline-Ms: 2000\r\nWaxwing-Idempotent: no\r\n" \
+	"Idempotency-Key: k1\r\n"
+
+/* Guards against answers that are cut, mixed up or lack their headers. */
+static void test_whole_answer_is_returned(void)
+{
+	for (int i = 0; i < 20; i++) {
+		struct result r = post(IDEMPOTENT, "ok");
+
+		CU_ASSERT_EQUAL_FATAL(r.status, 200);
+		CU_ASSERT_STRING_EQUAL(r.outcome, "done");
+		CU_ASSERT_STRING_EQUAL(r.body, "answer");
+		CU_ASSERT(r.id[0] != '\0');
+	}
+}
+
+/* Guards against "not run" for a request that reached the runner. */
+static void test_lost_answers_are_unknown(void)
+{
+	static const char *const bodies[] = { "lost", "other", "short",
+					      "other-not-run" };
+
+	claim_code = CLAIM_GRANTED;
+	for (size_t i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++) {
+		int before = atomic_load(&runs);
+		struct result r = post(ONCE, bodies[i]);
+
+		CU_ASSERT_EQUAL(r.status, 504);
+		CU_ASSERT_STRING_EQUAL(r.outcome, "unknown");
+		CU_ASSERT_EQUAL(claim_outcome, CLAIM_MAY_HAVE_RUN);
+		CU_ASSERT_EQUAL(atomic_load(&runs) - before, 1);
+		/* The breaker opens after three failures in a row. */
+		CU_ASSERT_EQUAL(post(IDEMPOTENT, "ok").status, 200);
+	}
+}
+
+/* Guards against a refusal by the runner reported as "may have run". */
+static void test_runner_refusal_is_not_run(void)
+{
+	struct result r;
+
+	claim_code = CLAIM_GRANTED;
+	r = post(ONCE, "not-run");
+	CU_ASSERT_EQUAL(r.status, 503);
+	CU_ASSERT_STRING_EQUAL(r.outcome, "not-run");
+	CU_ASSERT_EQUAL(claim_outcome, CLAIM_NOT_RUN);
+	CU_ASSERT_EQUAL(post(IDEMPOTENT, "ok").status, 200);
+}
+
+/* Guards against a runner's error that the caller does not see. */
+static void test_runner_error_is_done(void)
+{
+	struct result r;
+
+	claim_code = CLAIM_GRANTED;
+	r = post(ONCE, "fail");
+	CU_ASSERT_EQUAL(r.status, 500);
+	CU_ASSERT_STRING_EQUAL(r.outcome, "done");
+	CU_ASSERT_EQUAL(claim_outcome, CLAIM_DONE);
+	CU_ASSERT_EQUAL(post(IDEMPOTENT, "ok").status, 200);
+}
+
+/* Guards against a non-idempotent request that is sent without a claim. */
+static void test_claim_decides(void)
+{
+	static const struct {
+		enum claim_code code;
+		int status;
+		const char *outcome;
+	} cases[] = {
+		{ CLAIM_REPLAY, 200, "done" },
+		{ CLAIM_UNKNOWN, 504, "unknown" },
+		{ CLAIM_KEY_REUSED, 422, "not-run" },
+		{ CLAIM_UNAVAILABLE, 503, "not-run" },
+	};
+	int before = atomic_load(&runs), finished = claims_finished;
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct result r;
+
+		claim_code = cases[i].code;
+		r = post(ONCE, "ok");
+		CU_ASSERT_EQUAL(r.status, cases[i].status);
+		CU_ASSERT_STRING_EQUAL(r.outcome, cases[i].outcome);
+		CU_ASSERT_EQUAL(r.replayed, cases[i].code == CLAIM_REPLAY);
+	}
+	CU_ASSERT_EQUAL(atomic_load(&runs), before);
+	CU_ASSERT_EQUAL(claims_finished, finished);
+}
+
+/* Guards against malformed requests that are run or answered as unknown. */
+static void test_bad_requests(void)
+{
+	static const struct {
+		const char *headers;
+		int status;
+	} cases[] = {
+		{ "", 400 },
+		{ "Waxwing-User: court\r\nWaxwing-Kind: draft\r\n", 400 },
+		{ IDEMPOTENT "Waxwing-Urgency: now\r\n", 400 },
+		{ "Waxwing-User: court\r\nWaxwing-Kind: none\r\n"
+		  "Waxwing-Idempotent: yes\r\n",
+		  404 },
+		{ "Waxwing-User: court\r\nWaxwing-Kind: draft\r\n"
+		  "Waxwing-Deadline-Ms: 30001\r\nWaxwing-Idempotent: yes\r\n",
+		  400 },
+	};
+	int before = atomic_load(&runs);
+	char large[2001];
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct result r = post(cases[i].headers, "ok");
+
+		CU_ASSERT_EQUAL(r.status, cases[i].status);
+		CU_ASSERT_STRING_EQUAL(r.outcome, "not-run");
+	}
+	memset(large, 'x', 2000);
+	large[2000] = '\0';
+	CU_ASSERT_EQUAL(post(IDEMPOTENT, large).status, 413);
+	CU_ASSERT_EQUAL(atomic_load(&runs), before);
+}
+
+/* Guards against answers that come after the caller's deadline. */
+static void test_deadline_ends_the_wait(void)
+{
+	uint64_t start = clock_now_us();
+	struct result r = post("Waxwing-User: court\r\nWaxwing-Kind: draft\r\n"
+			       "Waxwing-Deadline-Ms: 100\r\n"
+			       "Waxwing-Idempotent: yes\r\n",
+			       "slow");
+
+	CU_ASSERT_EQUAL(r.status, 504);
+	CU_ASSERT_STRING_EQUAL(r.outcome, "unknown");
+	CU_ASSERT(clock_now_us() - start < 350000);
+	while (atomic_load(&running) > 0)
+		clock_sleep_us(1000);
+}
+
+/* Guards against decisions that operators cannot look up. */
+static void test_explain_names_the_target(void)
+{
+	struct flow_svc *f = flow_svc_find(kernel);
+	struct buffer b = BUFFER_INIT;
+	struct result r = post(IDEMPOTENT, "ok");
+
+	CU_ASSERT_EQUAL(flow_explain(f, r.id, &b), 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(b.data, "\"target\":\"runner-1\""));
+	CU_ASSERT_EQUAL(flow_explain(f, "no-such-request", &b), -1);
+	buffer_reset(&b);
+	flow_status(f, &b);
+	CU_ASSERT_PTR_NOT_NULL(strstr(b.data, "\"own_slots\":8"));
+	buffer_free(&b);
+}
+
+/* Guards against a drain that accepts requests. Runs last. */
+static void test_drain_refuses(void)
+{
+	struct result r;
+
+	kernel_drain(kernel);
+	r = post(IDEMPOTENT, "ok");
+	CU_ASSERT_EQUAL(r.status, 503);
+	CU_ASSERT_STRING_EQUAL(r.outcome, "not-run");
+	CU_ASSERT_STRING_EQUAL(r.reason, "draining");
+	CU_ASSERT_EQUAL(flow_in_flight(flow_svc_find(kernel)), 0);
+}
+
+/* ---- set-up ---- */
+
+static const struct service_ops fake_ops[] = { { .name = "config" },
+					       { .name = "members" },
+					       { .name = "targets" },
+					       { .name = "owner" } };
+static struct service fakes[] = {
+	{ &fake_ops[0] }, { &fake_ops[1] }, { &fake_ops[2] }, { &fake_ops[3] }
+};
+
+static void make_settings(struct settings *s)
+{
+	memset(s, 0, sizeof(*s));
+	snprintf(s->node.id, sizeof(s->node.id), "entry-1");
+	snprintf(s->node.availability_zone, sizeof(s->node.availability_zone),
+		 "keamari");
+	snprintf(s->front.listen.host, sizeof(s->front.listen.host),
+		 "127.0.0.1");
+	s->front.threads = 16;
+	s->front.body_limit_bytes = 1000;
+	s->front.queue_limit = 100;
+	s->platform.lease_us = 3000000;
+	s->policy.retry_budget_percent = 10;
+}
+
+static void make_target(uint16_t port)
+{
+	struct vm *vm = &vms[0];
+
+	snprintf(vm->id, sizeof(vm->id), "runner-1");
+	snprintf(vm->availability_zone, sizeof(vm->availability_zone),
+		 "keamari");
+	snprintf(vm->address.host, sizeof(vm->address.host), "127.0.0.1");
+	vm->role = VM_RUNNER;
+	vm->address.port = port;
+	vm->slots = 8;
+	vm->connections = 64;
+}
+
+/* Waits until the core has targets, a seat and the sheet. */
+static void wait_for_service(void)
+{
+	uint64_t end = clock_now_us() + 10000000;
+
+	while (clock_now_us() < end && post(IDEMPOTENT, "ok").status != 200)
+		clock_sleep_us(5000);
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "whole answer is returned", test_whole_answer_is_returned },
+		{ "lost answers are unknown", test_lost_answers_are_unknown },
+		{ "runner's refusal is not run",
+		  test_runner_refusal_is_not_run },
+		{ "runner's error is done", test_runner_error_is_done },
+		{ "claim decides", test_claim_decides },
+		{ "bad requests", test_bad_requests },
+		{ "deadline ends the wait", test_deadline_ends_the_wait },
+		{ "explain names the target", test_explain_names_the_target },
+		{ "drain refuses", test_drain_refuses },
+	};
+	struct settings s;
+	struct error err;
+	int status;
+
+	rcu_register_thread();
+	log_set_level(LOG_WARNING);
+	make_settings(&s);
+	make_target(start_runner());
+	client = http_client_create(2);
+	kernel = kernel_create();
+	kernel_register(kernel, loop_create(), &err);
+	for (int i = 0; i < 4; i++)
+		kernel_register(kernel, &fakes[i], &err);
+	kernel_register(kernel, flow_svc_create(&s), &err);
+	kernel_register(kernel, front_create(&s), &err);
+	if (kernel_start(kernel, &err) < 0) {
+		fprintf(stderr, "%s\n", err.message);
+		return 1;
+	}
+	wait_for_service();
+	status = RUN_SUITE("front", tests);
+	http_client_destroy(client);
+	kernel_stop(kernel);
+	kernel_destroy(kernel);
+	mg_stop(runner);
+	rcu_unregister_thread();
+	return status;
+}
