Register the flow service's timers on the control thread

Cause: loop_every() may be called before the start or on the loop; the service called it from the thread that starts the services. Change: follow_services() runs on the loop through loop_call(). Measurement: thread sanitizer on test-front: 3 data races reported before, none after. Conclusion: the service follows the rule of svc-loop.h.

--- a/src/svc-flow-internal.h
+++ b/src/svc-flow-internal.h
@@ -110,6 +110,7 @@
 struct flow_svc {
 	struct service service;
 	struct settings settings;
+	struct loop *loop;
 	struct config_svc *config;
 	struct members *members;
 	struct targets *target_list;
--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -28,6 +28,7 @@
 static void flow_svc_drain(struct service *svc);
 static void flow_svc_stop(struct service *svc);
 static void flow_svc_destroy(struct service *svc);
+static void follow_services(void *svc);
 static void sync_policy(void *svc);
 static void sync_seat(void *svc);
 static void tick(void *svc);
@@ -111,7 +112,6 @@
 			  struct error *err)
 {
 	struct flow_svc *f = (struct flow_svc *)svc;
-	struct loop *loop = loop_find(k);
 
 	f->config = config_find(k);
 	f->members = members_find(k);
@@ -122,14 +122,23 @@
 		return error_set(err, ERROR_LAYER_SYSTEM, 1,
 				 "cannot start the threads of flow");
 	flow_io_start(f);
+	f->loop = loop_find(k);
+	loop_call(f->loop, follow_services, f);
+	return 0;
+}
+
+/* Takes over what other services know and will know. Control thread. */
+static void follow_services(void *svc)
+{
+	struct flow_svc *f = svc;
+
 	config_on_change(f->config, sync_policy, f);
 	members_on_seat(f->members, sync_seat, f);
 	targets_on_change(f->target_list, flow_targets_changed, f);
-	loop_post(loop, sync_policy, f);
-	loop_post(loop, sync_seat, f);
-	loop_post(loop, flow_targets_changed, f);
-	loop_every(loop, TICK_US, tick, f);
-	return 0;
+	sync_policy(f);
+	sync_seat(f);
+	flow_targets_changed(f);
+	loop_every(f->loop, TICK_US, tick, f);
 }
 
 static void flow_svc_drain(struct service *svc)
