--- a/src/flow-admit.c
+++ b/src/flow-admit.c
@@ -54,7 +54,7 @@
 	return interval_us(f, k, q, now_us) * (q->queued + 1);
 }
 
-/* Reason to refuse a request whatever its kind uses; NONE to accept it. */
+/* Reason to refuse a request, which is counted already; NONE to accept it. */
 static enum flow_reason check_limits(const struct flow *f,
 				     const struct flow_request *r,
 				     uint64_t now_us)
@@ -64,9 +64,9 @@
 
 	if (f->capacity == 0)
 		return FLOW_REASON_NO_TARGET;
-	if (k->limit && k->in_flight >= k->limit)
+	if (k->limit && k->in_flight > k->limit)
 		return FLOW_REASON_KIND_LIMIT;
-	if (t->limit && t->in_flight >= t->limit)
+	if (t->limit && t->in_flight > t->limit)
 		return FLOW_REASON_TEAM_LIMIT;
 	if (f->options.team_bytes_limit &&
 	    t->queued_bytes + r->bytes > f->options.team_bytes_limit)
