--- a/src/flow-route.c
+++ b/src/flow-route.c
@@ -246,9 +246,10 @@
 }
 
 /* Opens the breaker; each pause after a failed trial is twice as long. */
-static void open_breaker(struct flow_target *t, uint64_t now_us)
+static void open_breaker(struct flow_target *t, bool trial_failed,
+			 uint64_t now_us)
 {
-	if (t->breaker == FLOW_BREAKER_TRIAL) {
+	if (trial_failed) {
 		t->pause_us *= 2;
 		if (t->pause_us > BREAKER_PAUSE_MAX_US)
 			t->pause_us = BREAKER_PAUSE_MAX_US;
@@ -268,9 +269,11 @@
 			  uint64_t now_us)
 {
 	t->failures++;
-	if (is_trial(t, sent_us) || (t->breaker == FLOW_BREAKER_CLOSED &&
-				     t->failures >= BREAKER_FAILURES))
-		open_breaker(t, now_us);
+	/* Before the trial, a request sent earlier may fail as well. */
+	if (t->breaker == FLOW_BREAKER_TRIAL ||
+	    (t->breaker == FLOW_BREAKER_CLOSED &&
+	     t->failures >= BREAKER_FAILURES))
+		open_breaker(t, is_trial(t, sent_us), now_us);
 }
 
 static void count_success(struct flow_target *t, uint64_t sent_us,
--- a/src/flow.c
+++ b/src/flow.c
@@ -411,6 +411,10 @@
 		next = r->next;
 		if (elapsed <= k->p95_us)
 			return; /* later ones were sent later */
+		if (admit_too_late(f, h, now_us)) {
+			hedge_list_remove(f, h);
+			continue;
+		}
 		route_slow(f, a->target, elapsed, now_us);
 		if (!hedge(f, h, now_us, out))
 			return;
