--- a/src/flow.c
+++ b/src/flow.c
@@ -221,6 +221,7 @@
 	a->hedge = r->state == REQUEST_RUNNING;
 	a->queued_us = a->hedge ? 0 : now_us - r->queued_us;
 	a->timeout_us = r->deadline_us;
+	a->connections = f->targets[target].own_connections;
 	if (r->kind >= 0)
 		f->kinds[r->kind].running++;
 	f->running++;
@@ -410,6 +411,10 @@
 		next = r->next;
 		if (elapsed <= k->p95_us)
 			return; /* later ones were sent later */
+		if (admit_too_late(f, h, now_us)) {
+			hedge_list_remove(f, h);
+			continue;
+		}
 		route_slow(f, a->target, elapsed, now_us);
 		if (!hedge(f, h, now_us, out))
 			return;
