--- a/src/oplog-internal.h
+++ b/src/oplog-internal.h
@@ -66,6 +66,7 @@
 	bool draining;
 	uint64_t lease_gained_us;
 	uint64_t interval_us;
+	uint32_t snapshot_records;
 	uint64_t last_id;
 
 	/* Position: seq is the last record of epoch that exists. */
--- a/src/oplog-snapshot.c
+++ b/src/oplog-snapshot.c
@@ -17,7 +17,7 @@
 bool oplog_snapshot_due(const struct oplog *log)
 {
 	return log->snap_phase == SNAP_NONE &&
-	       (log->log_records + 1 >= OPLOG_SNAPSHOT_RECORDS ||
+	       (log->log_records + 1 >= log->snapshot_records ||
 		log->log_bytes >= OPLOG_SNAPSHOT_BYTES ||
 		log->chain >= CHAIN_MAX);
 }
--- a/src/oplog.c
+++ b/src/oplog.c
@@ -30,6 +30,7 @@
 	snprintf(log->writer, sizeof(log->writer), "%s", writer);
 	log->rng.state = seed;
 	log->backoff_us = OPLOG_BACKOFF_MIN_US;
+	log->snapshot_records = OPLOG_SNAPSHOT_RECORDS;
 	return log;
 }
 
@@ -74,6 +75,11 @@
 	log->interval_us = interval_us;
 }
 
+void oplog_set_snapshot_records(struct oplog *log, uint32_t records)
+{
+	log->snapshot_records = records;
+}
+
 bool oplog_is_owner(const struct oplog *log)
 {
 	return log->state == OPLOG_OWNER;
@@ -358,13 +364,14 @@
 	return ours;
 }
 
-/* True when no epoch can have been deleted before the last read. */
-static bool read_in_time(struct oplog *log)
+/*
+ * True when the epoch cannot have been deleted before this answer came, so
+ * that an absent record was not sealed and one of ours is in the log.
+ */
+static bool read_in_time(const struct oplog *log, uint64_t now)
 {
-	if (log->rec.present)
-		return log->issued_us - log->rec.chosen_us <=
-		       OPLOG_APPEND_MAX_US;
-	return log->issued_us - log->verified_us <= OPLOG_VERIFIED_US;
+	return now - log->verified_us <=
+	       OPLOG_VERIFIED_US + OPLOG_APPEND_MAX_US;
 }
 
 /*
@@ -400,8 +407,7 @@
 		return;
 	}
 	log->found = e->count > 0;
-	if (!read_in_time(log) ||
-	    (log->found && now - log->rec.chosen_us > OPLOG_APPEND_MAX_US)) {
+	if (!read_in_time(log, now)) {
 		oplog_issue(log, now, OP_CHECK_SNAPSHOT);
 		/* What counts is when the record was read. */
 		log->issued_us = read_us;
