--- a/tests/support-oplog.c
+++ b/tests/support-oplog.c
@@ -69,13 +69,16 @@
 	buffer_append(out, p->numbers, p->count * sizeof(*p->numbers));
 }
 
-/* A new owner must know exactly what the log holds. */
+/*
+ * A new owner must know exactly what the log holds up to its epoch. It can
+ * already be deposed by a later one.
+ */
 static void probe_owned(void *client, uint64_t epoch, uint64_t now_us)
 {
 	struct probe *p = client;
 	struct model *m = p->node->model;
 	uint32_t count;
-	uint32_t *truth = model_truth(m, &count);
+	uint32_t *truth = model_truth(m, epoch, &count);
 
 	(void)now_us;
 	m->owned++;
@@ -93,7 +96,7 @@
 	struct probe *p = client;
 	struct model *m = p->node->model;
 	uint32_t count, i;
-	uint32_t *truth = model_truth(m, &count);
+	uint32_t *truth = model_truth(m, 0, &count);
 
 	(void)now_us;
 	m->committed++;
@@ -265,13 +268,13 @@
 	return NULL;
 }
 
-uint32_t *model_truth(struct model *m, uint32_t *count)
+uint32_t *model_truth(struct model *m, uint64_t until, uint32_t *count)
 {
 	struct probe all = { 0 };
 	uint64_t epoch = 1, seq = 1;
 	const struct model_value *v;
 
-	while ((v = first_record(m, epoch, seq))) {
+	while (epoch != until && (v = first_record(m, epoch, seq))) {
 		struct oplog_record r;
 		const char *fault;
 
--- a/tests/support-oplog.h
+++ b/tests/support-oplog.h
@@ -120,8 +120,11 @@
 /* Effects and answers all calls, also those that follow. */
 void model_settle(struct model *m);
 
-/* The log's true sequence of numbers, as far as it goes; caller frees. */
-uint32_t *model_truth(struct model *m, uint32_t *count);
+/*
+ * The log's true sequence of numbers before epoch until, or as far as it goes
+ * when that is 0; the caller frees it.
+ */
+uint32_t *model_truth(struct model *m, uint64_t until, uint32_t *count);
 
 /* Appends the next number on the node; false when it is not the owner. */
 bool model_append(struct model *m, int node);
