--- a/src/place-apply.c
+++ b/src/place-apply.c
@@ -230,6 +230,8 @@
 
 		if (task_is_pending(t))
 			queue_add(p, t);
+		else if (t->worker)
+			worker_recount(p, t->worker);
 		if (i >= count)
 			cancel_task(p, t);
 		else if (t->state == TASK_CANCELLED && !pl->cancelled)
@@ -290,7 +292,7 @@
 	t->percent = 100;
 	t->settled_us = NOT_SETTLED;
 	t->call_us = 0;
-	t->preempt_us = 0;
+	t->held = 0;
 	t->sampled_us = 0;
 	t->used_cpu_milli = 0;
 	t->used_memory_mb = 0;
@@ -298,6 +300,7 @@
 	t->latency_us = 0;
 	t->progress = 0;
 	t->lease_end_us = 0;
+	t->ended_us = 0;
 	t->sent = false;
 	t->checkpointing = false;
 	t->checkpointed = false;
@@ -366,8 +369,10 @@
 	struct placement *pl = t->placement;
 	bool was_final = task_is_final(t);
 
-	if (task_is_pending(t))
+	if (task_is_pending(t)) {
 		queue_remove(p, t);
+		queue_release(p, t);
+	}
 	if (t->state == TASK_IMPOSSIBLE)
 		p->impossible_count--;
 	t->state = (uint8_t)state;
--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -56,9 +56,10 @@
 	char *checkpoint;      /* or NULL */
 	uint64_t since_us;     /* of the state */
 	uint64_t lease_end_us; /* provable end of the lease */
+	uint64_t ended_us;     /* the end of the lease was noticed; or 0 */
 	uint64_t settled_us;   /* absence in a later read is conclusive */
 	uint64_t call_us;      /* last stop or checkpoint call */
-	uint64_t preempt_us;   /* room was asked for by eviction */
+	uint32_t held;	       /* handle + 1 of the worker kept for it */
 	uint64_t sampled_us;   /* last usage sample */
 	uint32_t number;
 	uint32_t attempt;
@@ -106,7 +107,8 @@
 	bool cancelled;
 	struct task *tasks;
 	struct task_list pending;
-	uint32_t ended; /* tasks in a final state */
+	uint32_t checked; /* value of place.capacity_changes */
+	uint32_t ended;	  /* tasks in a final state */
 	uint64_t ended_us;
 	uint16_t *rack_tasks;	/* PLACE_RACKS_MAX, when spread */
 	struct placement *prev; /* in the team's queue */
@@ -179,6 +181,7 @@
 	uint64_t sampled_us;
 	uint32_t used_cpu_milli;
 	uint32_t used_memory_mb;
+	uint64_t held_us; /* end of its keeping for one task; 0: none */
 	uint32_t strikes; /* samples in a row above the bound */
 	struct task_list tasks;
 };
@@ -207,7 +210,8 @@
 	struct place_options options;
 	struct rng rng;
 	bool owner;
-	bool dirty; /* room or pending tasks changed since the last pass */
+	bool settled; /* owned long enough to call a job impossible */
+	bool dirty;   /* room or pending tasks changed since the last pass */
 	uint64_t epoch;
 	uint64_t now_us;
 	uint64_t owned_us;
@@ -232,7 +236,8 @@
 	void *workers_by_id; /* tsearch() tree */
 	char racks[PLACE_RACKS_MAX][PLACE_NAME_BYTES];
 	uint32_t rack_count;
-	int64_t total[RES_COUNT]; /* capacity of the known workers */
+	int64_t total[RES_COUNT];  /* capacity of the known workers */
+	uint32_t capacity_changes; /* of workers or quotas */
 
 	struct team *teams;
 	uint32_t team_count;
@@ -336,6 +341,7 @@
 void worker_remove_task(struct place *p, struct task *t);
 void worker_set_reserved(struct place *p, struct task *t,
 			 const int32_t reserved[RES_COUNT]);
+void worker_recount(struct place *p, struct worker *w);
 void worker_blame(struct place *p, struct worker *w);
 void worker_succeeded(struct place *p, struct worker *w);
 /* Begins the quarantine again that the log shows. */
@@ -372,6 +378,9 @@
 /* Lets impossible tasks wait again that a worker or quota now allows. */
 void queue_recheck(struct place *p);
 
+/* Ends the keeping of a worker for a task. */
+void queue_release(struct place *p, struct task *t);
+
 /* ---- place-usage.c ---- */
 
 /* Fills the room to reserve for the next start of a task. */
--- a/src/place-queue.c
+++ b/src/place-queue.c
@@ -10,8 +10,11 @@
 #define SHAPES_MAX 32
 /* Workers that a new owner has not heard of yet may still appear. */
 #define SETTLE_US 5000000u
-/* One eviction for an urgent task must show its effect before another. */
-#define PREEMPT_EVERY_US 5000000u
+/*
+ * A worker is kept for the urgent task that evictions make room for. Without
+ * that, lower tasks fill the room as it comes, and are evicted again.
+ */
+#define HOLD_US 10000000u
 
 /* What was not placed in this pass; nothing that needs more is tried. */
 struct shape {
@@ -30,6 +33,8 @@
 static bool quota_allows(const struct team *t, const struct placement *pl);
 static bool place_one(struct place *p, struct pass *pass, struct team *t);
 static bool mark_impossible(struct place *p, struct placement *pl);
+static struct worker *held_worker(struct place *p, struct task *t,
+				  const int32_t need[RES_COUNT]);
 static void make_room(struct place *p, struct task *t,
 		      const int32_t need[RES_COUNT]);
 
@@ -120,6 +125,7 @@
 	p->policy = s;
 	for (uint32_t i = 0; i < p->team_count; i++)
 		queue_share(p, &p->teams[i]);
+	p->capacity_changes++;
 	if (p->owner && p->impossible_count)
 		queue_recheck(p);
 	p->dirty = true;
@@ -131,6 +137,10 @@
 	struct pass pass = { 0 };
 	struct team *t;
 
+	if (!p->settled && p->now_us - p->owned_us >= SETTLE_US) {
+		p->settled = true;
+		p->dirty = true;
+	}
 	if (!p->dirty || !p->owner || p->waiter_count > STARTS_WAITING_MAX)
 		return;
 	if (p->waiter_count && p->waiters[p->waiter_head].since_us &&
@@ -220,9 +230,18 @@
 	int32_t need[RES_COUNT];
 
 	usage_need(p, pl, need);
-	if (!quota_allows(t, pl)) {
-		mark_impossible(p, pl);
+	if (mark_impossible(p, pl))
+		return false;
+	if (!quota_allows(t, pl))
 		goto skip;
+	if (task->held) {
+		w = held_worker(p, task, need);
+		if (!w)
+			goto skip;
+		why = "room made by eviction";
+		queue_release(p, task);
+		task_begin(p, task, w, need, NULL, why);
+		return true;
 	}
 	if (is_hopeless(pass, pl->kind, need))
 		goto skip;
@@ -231,8 +250,6 @@
 		task_begin(p, task, w, need, passed_over, why);
 		return true;
 	}
-	if (mark_impossible(p, pl))
-		return false;
 	if (pl->urgency == URGENCY_URGENT)
 		make_room(p, task, need);
 	if (pass->shape_count < SHAPES_MAX) {
@@ -247,6 +264,34 @@
 	return false;
 }
 
+void queue_release(struct place *p, struct task *t)
+{
+	struct worker *w = t->held ? p->workers[t->held - 1] : NULL;
+
+	t->held = 0;
+	if (!w || !w->held_us)
+		return;
+	w->held_us = 0;
+	worker_reindex(p, w);
+	p->dirty = true;
+}
+
+/* Returns the worker kept for the task once it fits there. */
+static struct worker *held_worker(struct place *p, struct task *t,
+				  const int32_t need[RES_COUNT])
+{
+	struct worker *w = p->workers[t->held - 1];
+
+	if (!w->held_us || !worker_usable(p, w)) {
+		queue_release(p, t);
+		return NULL;
+	}
+	for (int r = 0; r < RES_COUNT; r++)
+		if (w->free[r] < need[r])
+			return NULL;
+	return w;
+}
+
 /* Returns why no worker or quota could ever hold a task, or REASON_NONE. */
 static enum place_reason why_impossible(const struct place *p,
 					const struct placement *pl)
@@ -277,8 +322,10 @@
 {
 	enum place_reason reason;
 
-	if (!p->total[RES_CPU] || p->now_us - p->owned_us < SETTLE_US)
+	if (pl->checked == p->capacity_changes || !p->total[RES_CPU] ||
+	    !p->settled)
 		return false;
+	pl->checked = p->capacity_changes;
 	reason = why_impossible(p, pl);
 	if (reason == REASON_NONE)
 		return false;
@@ -311,14 +358,18 @@
 	struct worker *w;
 	int leaf;
 
-	if (t->preempt_us && p->now_us - t->preempt_us < PREEMPT_EVERY_US)
-		return;
 	leaf = index_find(&p->yield_index, need, 0);
 	if (leaf < 0)
 		return;
 	w = p->workers[leaf];
-	t->preempt_us = p->now_us;
+	t->held = w->handle + 1;
+	w->held_us = p->now_us + HOLD_US;
+	worker_reindex(p, w);
 	memcpy(room, w->free, sizeof(room));
+	/* What is being stopped already is room to come. */
+	for (struct task *o = w->tasks.first; o; o = o->next)
+		for (int r = 0; o->state == TASK_STOPPING && r < RES_COUNT; r++)
+			room[r] += o->reserved[r];
 	for (;;) {
 		struct task *victim;
 		bool enough = true;
--- a/src/place-task.c
+++ b/src/place-task.c
@@ -6,6 +6,7 @@
 #define STOP_EVERY_US 2000000u
 #define TASK_FAILURES_MAX 5
 #define READ_EVERY_US 1000000u
+#define ASK_ENDED_US 3000000u
 #define RUN_PROVEN_US 10000000u
 
 static void started(struct place *p, struct task *t,
@@ -17,6 +18,7 @@
 static void reported(struct place *p, struct task *t,
 		     const struct place_event *e);
 static void failed(struct place *p, struct task *t, enum place_reason reason);
+static void tick_ended(struct place *p, struct task *t);
 static void tick_starting(struct place *p, struct task *t);
 static void tick_running(struct place *p, struct task *t);
 static void tick_stopping(struct place *p, struct task *t);
@@ -252,8 +254,9 @@
 		return;
 	if (e->answer == PLACE_ANSWER_OK)
 		task_freed(p, t, e->checkpoint);
-	else if (e->answer == PLACE_ANSWER_ABSENT)
-		task_absent(p, t, e->at_us);
+	else if (e->answer == PLACE_ANSWER_ABSENT && e->at_us >= t->settled_us)
+		/* It may have ended on its own; a read tells how. */
+		worker_read(p, t->worker);
 }
 
 static void checkpointed(struct place *p, struct task *t,
@@ -326,21 +329,35 @@
 
 void task_tick(struct place *p, struct task *t)
 {
-	bool ended = t->sent && t->lease_end_us &&
-		     p->now_us > t->lease_end_us &&
-		     t->settled_us != NOT_SETTLED;
-
-	if (ended) {
-		if (t->state != TASK_STOPPING)
-			t->reason = REASON_EXPIRED;
-		task_freed(p, t, NULL);
-	} else if (t->state == TASK_STOPPING) {
+	if (t->sent && t->lease_end_us && p->now_us > t->lease_end_us &&
+	    t->settled_us != NOT_SETTLED)
+		tick_ended(p, t);
+	else if (t->state == TASK_STOPPING)
 		tick_stopping(p, t);
-	} else if (t->state == TASK_STARTING) {
+	else if (t->state == TASK_STARTING)
 		tick_starting(p, t);
-	} else if (t->state == TASK_RUNNING) {
+	else if (t->state == TASK_RUNNING)
 		tick_running(p, t);
+}
+
+/*
+ * The lease has provably ended. The worker is asked first how, because the
+ * task may be done; without an answer the task is taken for evicted.
+ */
+static void tick_ended(struct place *p, struct task *t)
+{
+	struct worker *w = t->worker;
+
+	if (!t->ended_us)
+		t->ended_us = p->now_us;
+	if (w->known && p->now_us - t->ended_us < ASK_ENDED_US) {
+		if (p->now_us - w->read_us >= READ_EVERY_US)
+			worker_read(p, w);
+		return;
 	}
+	if (t->state != TASK_STOPPING)
+		t->reason = REASON_EXPIRED;
+	task_freed(p, t, NULL);
 }
 
 /* Reads the worker until it shows what became of an unanswered start. */
--- a/src/place-usage.c
+++ b/src/place-usage.c
@@ -154,8 +154,8 @@
 	for (struct task *t = w->tasks.first; t; t = t->next) {
 		const struct placement *pl = t->placement;
 
-		if (t->state != TASK_RUNNING || pl->service || !pl->yields ||
-		    pl->urgency <= (int)above)
+		if ((t->state != TASK_RUNNING && t->state != TASK_STARTING) ||
+		    pl->service || !pl->yields || pl->urgency <= (int)above)
 			continue;
 		if (!best || pl->urgency > best->placement->urgency ||
 		    (pl->urgency == best->placement->urgency &&
--- a/src/place-worker.c
+++ b/src/place-worker.c
@@ -74,7 +74,7 @@
 {
 	static const int32_t none[RES_COUNT] = { -1, -1, -1 };
 	int32_t yield[RES_COUNT];
-	bool usable = worker_usable(p, w);
+	bool usable = worker_usable(p, w) && !w->held_us;
 
 	for (int r = 0; r < RES_COUNT; r++)
 		yield[r] = w->free[r] + w->reclaimable[r];
@@ -87,7 +87,8 @@
 /* Adds a task's reservation to the worker's sums, or takes it away. */
 static void reserve(struct worker *w, const struct task *t, int sign)
 {
-	bool yields = t->placement->yields && !t->placement->service;
+	bool yields = t->placement->yields && !t->placement->service &&
+		      t->placement->urgency > URGENCY_URGENT;
 
 	for (int r = 0; r < RES_COUNT; r++) {
 		w->free[r] -= sign * t->reserved[r];
@@ -132,6 +133,17 @@
 	p->dirty = true;
 }
 
+/* Counts again what yields, after a placement changed in that. */
+void worker_recount(struct place *p, struct worker *w)
+{
+	memset(w->reclaimable, 0, sizeof(w->reclaimable));
+	for (int r = 0; r < RES_COUNT; r++)
+		w->free[r] = w->capacity[r];
+	for (struct task *t = w->tasks.first; t; t = t->next)
+		reserve(w, t, 1);
+	worker_reindex(p, w);
+}
+
 void worker_set_reserved(struct place *p, struct task *t,
 			 const int32_t reserved[RES_COUNT])
 {
@@ -208,6 +220,7 @@
 			return;
 		for (int r = 0; w->known && r < RES_COUNT; r++)
 			p->total[r] -= w->capacity[r];
+		p->capacity_changes++;
 		w->known = false;
 		w->fenced = false;
 		w->gone_us = p->now_us;
@@ -263,6 +276,7 @@
 		w->free[r] += capacity[r] - w->capacity[r];
 		w->capacity[r] = capacity[r];
 	}
+	p->capacity_changes++;
 	w->known = true;
 	w->gone_us = 0;
 	w->leaving = e->leaving;
@@ -292,6 +306,11 @@
 
 	if (w->known && !w->fenced && p->now_us - w->read_us >= READ_EVERY_US)
 		worker_read(p, w);
+	if (w->held_us && p->now_us > w->held_us) {
+		w->held_us = 0;
+		worker_reindex(p, w);
+		p->dirty = true;
+	}
 	if (w->quarantine_us)
 		end_quarantine(p, w);
 	if (!w->tasks.first)
--- a/src/place.c
+++ b/src/place.c
@@ -169,6 +169,7 @@
 		       PLACE_TASK_LEASE_US + PLACE_LATE_US;
 
 	p->owner = true;
+	p->settled = false;
 	p->epoch = epoch;
 	p->now_us = now_us;
 	p->owned_us = now_us;
