Read the daemon's settings and report every fault

Cause: the daemon needs its settings checked whole, with file and line. Change: a const table of keys, a line-counting reader for inih and checks between keys. The secret key must belong to the public key.

--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,682 @@
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <errno.h>
+#include <ini.h>
+#include <limits.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "buffer.h"
+#include "settings.h"
+
+#define LINE_MAX_BYTES 1024
+#define FILE_MAX_BYTES (1024u * 1024u)
+#define CURVE_KEY_CHARS 40
+#define TOKEN_MIN_CHARS 16
+
+enum settings_error { SETTINGS_UNREADABLE = 1, SETTINGS_FAULT };
+
+enum value_type {
+	VALUE_NAME,    /* letters, digits, "-" and "_" */
+	VALUE_TOKEN,   /* printable characters without blanks */
+	VALUE_ADDRESS, /* IP:PORT */
+	VALUE_SEEDS,   /* addresses separated by commas */
+	VALUE_KEY,     /* CURVE key in Z85 */
+	VALUE_COUNT,   /* uint32_t */
+	VALUE_PERCENT, /* uint32_t */
+	VALUE_BYTES,   /* size_t */
+	VALUE_TIME,    /* uint64_t microseconds */
+	VALUE_CHOICE,  /* enum of names */
+};
+
+struct unit {
+	const char *suffix;
+	uint64_t factor;
+};
+
+/* One key; min and max are in the unit of the struct. */
+struct entry {
+	const char *section;
+	const char *name;
+	enum value_type type;
+	size_t offset;
+	uint64_t min;
+	uint64_t max;
+	bool required;
+	const char *const *choices;
+};
+
+struct parser {
+	struct settings *s;
+	const char *path;
+	settings_fault_fn *fn;
+	void *arg;
+	int faults;
+	const char *text; /* of the whole file */
+	size_t len;
+	size_t pos;
+	int line;
+	bool key_line;	   /* the current line must reach the handler */
+	bool handled;	   /* it did */
+	bool continuation; /* it begins with a blank */
+	bool skip;	   /* keys of an unknown section */
+	int *entry_lines;  /* line of each key, 0 = absent */
+	int *section_lines;
+};
+
+static const struct unit time_units[] = {
+	{ "ms", 1000u },
+	{ "s", 1000000u },
+	{ "m", 60000000u },
+	{ NULL, 0 },
+};
+static const struct unit byte_units[] = {
+	{ "B", 1u },
+	{ "KB", 1024u },
+	{ "MB", 1024u * 1024u },
+	{ NULL, 0 },
+};
+static const struct unit percent_units[] = { { "%", 1u }, { NULL, 0 } };
+
+static const char *const routing_names[] = { "least-latency", "random", NULL };
+static const char *const admission_names[] = { "fair", "fifo", NULL };
+static const char *const placement_names[] = { "learned", "first-fit",
+					       "threshold", NULL };
+static const char *const level_names[] = { "debug", "info", "warning", "error",
+					   NULL };
+
+static const char *const section_names[] = { "node",  "front",	  "operator",
+					     "peers", "platform", "policy",
+					     "log" };
+#define SECTIONS (sizeof(section_names) / sizeof(section_names[0]))
+
+#define AT(field) offsetof(struct settings, field)
+#define SECOND_US 1000000u
+#define MINUTE_US 60000000u
+
+/*
+ * The lease is at least 1 s because heartbeats come every 500 ms; a shorter
+ * one would lapse on a single lost message. The outage horizon is at least
+ * the lease of a task (10 s), which it extends.
+ */
+static const struct entry entries[] = {
+	{ "node", "id", VALUE_NAME, AT(node.id), 0, 0, true, NULL },
+	{ "node", "availability_zone", VALUE_NAME, AT(node.availability_zone),
+	  0, 0, true, NULL },
+	{ "node", "deployment", VALUE_NAME, AT(node.deployment), 0, 0, true,
+	  NULL },
+	{ "front", "listen", VALUE_ADDRESS, AT(front.listen), 0, 0, true,
+	  NULL },
+	{ "front", "threads", VALUE_COUNT, AT(front.threads), 2, 4096, false,
+	  NULL },
+	{ "front", "body_limit", VALUE_BYTES, AT(front.body_limit_bytes), 1,
+	  64u << 20, false, NULL },
+	{ "front", "queue_limit", VALUE_COUNT, AT(front.queue_limit), 1, 4096,
+	  false, NULL },
+	{ "operator", "listen", VALUE_ADDRESS, AT(operator.listen), 0, 0, true,
+	  NULL },
+	{ "operator", "token", VALUE_TOKEN, AT(operator.token), 0, 0, true,
+	  NULL },
+	{ "peers", "listen", VALUE_ADDRESS, AT(peers.listen), 0, 0, true,
+	  NULL },
+	{ "peers", "seeds", VALUE_SEEDS, AT(peers.seeds), 0, 0, false, NULL },
+	{ "peers", "curve_public", VALUE_KEY, AT(peers.curve_public), 0, 0,
+	  true, NULL },
+	{ "peers", "curve_secret", VALUE_KEY, AT(peers.curve_secret), 0, 0,
+	  true, NULL },
+	{ "platform", "address", VALUE_ADDRESS, AT(platform.address), 0, 0,
+	  true, NULL },
+	{ "platform", "lease", VALUE_TIME, AT(platform.lease_us), SECOND_US,
+	  MINUTE_US, false, NULL },
+	{ "platform", "write_budget", VALUE_COUNT, AT(platform.write_budget), 1,
+	  1000000, false, NULL },
+	{ "platform", "read_budget", VALUE_COUNT, AT(platform.read_budget), 1,
+	  1000000, false, NULL },
+	{ "policy", "routing", VALUE_CHOICE, AT(policy.routing), 0, 0, false,
+	  routing_names },
+	{ "policy", "admission", VALUE_CHOICE, AT(policy.admission), 0, 0,
+	  false, admission_names },
+	{ "policy", "placement", VALUE_CHOICE, AT(policy.placement), 0, 0,
+	  false, placement_names },
+	{ "policy", "retry_budget", VALUE_PERCENT,
+	  AT(policy.retry_budget_percent), 0, 100, false, NULL },
+	{ "policy", "outage_horizon", VALUE_TIME, AT(policy.outage_horizon_us),
+	  10u * SECOND_US, 1440ull * MINUTE_US, false, NULL },
+	{ "log", "level", VALUE_CHOICE, AT(log_level), 0, 0, false,
+	  level_names },
+};
+#define ENTRIES (sizeof(entries) / sizeof(entries[0]))
+
+static void fault(struct parser *p, int line, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+static int find_section(const char *name, size_t len);
+static int find_entry(const char *section, const char *name);
+static int parse_number(const char *text, uint64_t *value, const char **end);
+static bool parse_address(const char *text, struct settings_address *a);
+static void set_number(struct parser *p, const struct entry *e,
+		       const char *value, const struct unit *units);
+static void set_text(struct parser *p, const struct entry *e,
+		     const char *value);
+static void set_choice(struct parser *p, const struct entry *e,
+		       const char *value);
+static void set_seeds(struct parser *p, const char *value);
+static void set_value(struct parser *p, const struct entry *e,
+		      const char *value);
+static int on_key(void *arg, const char *section, const char *name,
+		  const char *value);
+static char *next_line(char *out, int size, void *stream);
+static void check_previous_line(struct parser *p);
+static void check_section(struct parser *p, const char *line);
+static void check_required(struct parser *p);
+static void check_addresses(struct parser *p);
+static void check_contradictions(struct parser *p);
+static char *read_file(const char *path, size_t *len, struct error *err);
+
+static void fault(struct parser *p, int line, const char *fmt, ...)
+{
+	char message[ERROR_MESSAGE_BYTES];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(message, sizeof(message), fmt, ap);
+	va_end(ap);
+	p->faults++;
+	if (p->fn)
+		p->fn(p->arg, p->path, line, message);
+}
+
+static int find_section(const char *name, size_t len)
+{
+	for (size_t i = 0; i < SECTIONS; i++)
+		if (strlen(section_names[i]) == len &&
+		    !memcmp(section_names[i], name, len))
+			return (int)i;
+	return -1;
+}
+
+static int find_entry(const char *section, const char *name)
+{
+	for (size_t i = 0; i < ENTRIES; i++)
+		if (!strcmp(entries[i].section, section) &&
+		    !strcmp(entries[i].name, name))
+			return (int)i;
+	return -1;
+}
+
+/* Parses decimal digits; -1 when there are none or too many. */
+static int parse_number(const char *text, uint64_t *value, const char **end)
+{
+	char *stop;
+
+	if (!isdigit((unsigned char)*text))
+		return -1;
+	errno = 0;
+	*value = strtoull(text, &stop, 10);
+	*end = stop;
+	return errno || *value > UINT64_MAX / MINUTE_US ? -1 : 0;
+}
+
+/* Accepts 192.0.2.1:80 and [2001:db8::1]:80 with a port of 1 to 65535. */
+static bool parse_address(const char *text, struct settings_address *a)
+{
+	unsigned char number[sizeof(struct in6_addr)];
+	const char *colon = strrchr(text, ':');
+	const char *host = text, *end;
+	size_t len;
+	uint64_t port;
+	int family = AF_INET;
+
+	if (!colon || parse_number(colon + 1, &port, &end) < 0 || *end ||
+	    port < 1 || port > 65535)
+		return false;
+	len = (size_t)(colon - text);
+	if (len > 2 && text[0] == '[' && text[len - 1] == ']') {
+		family = AF_INET6;
+		host++;
+		len -= 2;
+	}
+	if (len >= sizeof(a->host))
+		return false;
+	memcpy(a->host, host, len);
+	a->host[len] = '\0';
+	a->port = (uint16_t)port;
+	return inet_pton(family, a->host, number) == 1;
+}
+
+/* Parses a number with one of the units; zero needs none. */
+static void set_number(struct parser *p, const struct entry *e,
+		       const char *value, const struct unit *units)
+{
+	char *field = (char *)p->s + e->offset;
+	const char *suffix;
+	uint64_t n;
+	uint64_t factor = 1;
+
+	if (parse_number(value, &n, &suffix) < 0) {
+		fault(p, p->line, "%s: \"%s\" is not a number", e->name, value);
+		return;
+	}
+	while (isspace((unsigned char)*suffix))
+		suffix++;
+	if (units && (n || *suffix)) {
+		while (units->suffix && strcmp(units->suffix, suffix))
+			units++;
+		if (!units->suffix) {
+			fault(p, p->line, "%s: %s unit in \"%s\"", e->name,
+			      *suffix ? "unknown" : "missing", value);
+			return;
+		}
+		factor = units->factor;
+	} else if (*suffix) {
+		fault(p, p->line, "%s: unexpected unit in \"%s\"", e->name,
+		      value);
+		return;
+	}
+	n *= factor;
+	if (n < e->min || n > e->max) {
+		fault(p, p->line, "%s: \"%s\" is out of range", e->name, value);
+		return;
+	}
+	if (e->type == VALUE_TIME)
+		*(uint64_t *)(void *)field = n;
+	else if (e->type == VALUE_BYTES)
+		*(size_t *)(void *)field = (size_t)n;
+	else
+		*(uint32_t *)(void *)field = (uint32_t)n;
+}
+
+/* Checks and copies a name, a token or a key. */
+static void set_text(struct parser *p, const struct entry *e, const char *value)
+{
+	static const char z85[] = ".-:+=^!/*?&<>()[]{}@%$#";
+	char *field = (char *)p->s + e->offset;
+	size_t len = strlen(value);
+	const char *extra = e->type == VALUE_NAME ? "-_" : z85;
+
+	for (size_t i = 0; i < len; i++) {
+		unsigned char c = (unsigned char)value[i];
+
+		if (e->type == VALUE_TOKEN ? !isgraph(c)
+					   : !isalnum(c) && !strchr(extra, c)) {
+			fault(p, p->line, "%s: character %zu is not allowed",
+			      e->name, i + 1);
+			return;
+		}
+	}
+	if (e->type == VALUE_KEY && len != CURVE_KEY_CHARS) {
+		fault(p, p->line, "%s: a key has %d characters of Z85, not %zu",
+		      e->name, CURVE_KEY_CHARS, len);
+		return;
+	}
+	if (e->type == VALUE_TOKEN && len < TOKEN_MIN_CHARS) {
+		fault(p, p->line, "%s: shorter than %d characters", e->name,
+		      TOKEN_MIN_CHARS);
+		return;
+	}
+	if (!len || len >= SETTINGS_TEXT_BYTES) {
+		fault(p, p->line, "%s: must have 1 to %d characters", e->name,
+		      SETTINGS_TEXT_BYTES - 1);
+		return;
+	}
+	memcpy(field, value, len + 1);
+}
+
+static void set_choice(struct parser *p, const struct entry *e,
+		       const char *value)
+{
+	char list[128] = "";
+
+	for (int i = 0; e->choices[i]; i++) {
+		if (!strcmp(e->choices[i], value)) {
+			*(int *)(void *)((char *)p->s + e->offset) = i;
+			return;
+		}
+		strncat(list, i ? ", " : "", sizeof(list) - strlen(list) - 1);
+		strncat(list, e->choices[i], sizeof(list) - strlen(list) - 1);
+	}
+	fault(p, p->line, "%s: \"%s\" is none of %s", e->name, value, list);
+}
+
+/* Adds the addresses of a comma-separated list. */
+static void set_seeds(struct parser *p, const char *value)
+{
+	char copy[LINE_MAX_BYTES];
+	char *rest = copy, *word;
+
+	snprintf(copy, sizeof(copy), "%s", value);
+	while ((word = strsep(&rest, ","))) {
+		struct settings_address a;
+		char *end;
+
+		word += strspn(word, " \t");
+		end = word + strlen(word);
+		while (end > word && isspace((unsigned char)end[-1]))
+			*--end = '\0';
+		if (!*word && !rest)
+			continue; /* a closing comma before the next line */
+		if (!parse_address(word, &a))
+			fault(p, p->line, "seeds: \"%s\" is not IP:PORT", word);
+		else if (p->s->peers.seed_count == SETTINGS_SEEDS_MAX)
+			fault(p, p->line, "seeds: more than %d addresses",
+			      SETTINGS_SEEDS_MAX);
+		else
+			p->s->peers.seeds[p->s->peers.seed_count++] = a;
+	}
+}
+
+static void set_value(struct parser *p, const struct entry *e,
+		      const char *value)
+{
+	char *field = (char *)p->s + e->offset;
+
+	switch (e->type) {
+	case VALUE_NAME:
+	case VALUE_TOKEN:
+	case VALUE_KEY:
+		set_text(p, e, value);
+		break;
+	case VALUE_ADDRESS:
+		if (!parse_address(value,
+				   (struct settings_address *)(void *)field))
+			fault(p, p->line, "%s: \"%s\" is not IP:PORT", e->name,
+			      value);
+		break;
+	case VALUE_SEEDS:
+		set_seeds(p, value);
+		break;
+	case VALUE_COUNT:
+		set_number(p, e, value, NULL);
+		break;
+	case VALUE_PERCENT:
+		set_number(p, e, value, percent_units);
+		break;
+	case VALUE_BYTES:
+		set_number(p, e, value, byte_units);
+		break;
+	case VALUE_TIME:
+		set_number(p, e, value, time_units);
+		break;
+	case VALUE_CHOICE:
+		set_choice(p, e, value);
+		break;
+	}
+}
+
+/* Handler of inih; only seeds may continue on an indented line. */
+static int on_key(void *arg, const char *section, const char *name,
+		  const char *value)
+{
+	struct parser *p = arg;
+	int i;
+
+	p->handled = true;
+	if (p->skip)
+		return 1;
+	if (!*section) {
+		fault(p, p->line, "key \"%s\" before any section", name);
+		return 1;
+	}
+	i = find_entry(section, name);
+	if (i < 0) {
+		fault(p, p->line, "unknown key \"%s\" in [%s]", name, section);
+		return 1;
+	}
+	if (p->continuation && entries[i].type != VALUE_SEEDS) {
+		fault(p, p->line, "unexpected indented line after \"%s\"",
+		      name);
+		return 1;
+	}
+	if (p->entry_lines[i] && !p->continuation) {
+		fault(p, p->line, "\"%s\" was already given in line %d", name,
+		      p->entry_lines[i]);
+		return 1;
+	}
+	p->entry_lines[i] = p->line;
+	set_value(p, &entries[i], value);
+	return 1;
+}
+
+/* Reports a line that inih did not understand. */
+static void check_previous_line(struct parser *p)
+{
+	if (p->key_line && !p->handled)
+		fault(p, p->line, "neither \"[section]\" nor \"key = value\"");
+	p->key_line = false;
+	p->handled = false;
+}
+
+static void check_section(struct parser *p, const char *line)
+{
+	const char *end = strchr(line, ']');
+	int i;
+
+	p->skip = true;
+	if (!end) {
+		fault(p, p->line, "section without \"]\"");
+		return;
+	}
+	i = find_section(line + 1, (size_t)(end - line - 1));
+	if (i < 0) {
+		fault(p, p->line, "unknown section %.*s",
+		      (int)(end - line + 1 > 60 ? 60 : end - line + 1), line);
+		return;
+	}
+	end++;
+	end += strspn(end, " \t\r");
+	if (*end && *end != ';')
+		fault(p, p->line, "unexpected text after [%s]",
+		      section_names[i]);
+	if (p->section_lines[i])
+		fault(p, p->line, "section [%s] was already given in line %d",
+		      section_names[i], p->section_lines[i]);
+	p->section_lines[i] = p->line;
+	p->skip = false;
+}
+
+/*
+ * Reader of inih. Counts lines, because the handler is not told the number,
+ * and hands a line that could not be understood on as an empty one.
+ */
+static char *next_line(char *out, int size, void *stream)
+{
+	struct parser *p = stream;
+	const char *line = p->text + p->pos;
+	const char *end;
+	const char *start;
+	size_t len;
+
+	check_previous_line(p);
+	if (p->pos == p->len)
+		return NULL;
+	p->line++;
+	end = memchr(line, '\n', p->len - p->pos);
+	len = end ? (size_t)(end - line) : p->len - p->pos;
+	p->pos += len + (end ? 1 : 0);
+	out[0] = '\0';
+	if (len + 2 > (size_t)size) {
+		fault(p, p->line, "line of more than %d bytes", size - 2);
+	} else if (memchr(line, '\0', len)) {
+		fault(p, p->line, "NUL byte");
+	} else {
+		memcpy(out, line, len);
+		out[len] = '\0';
+	}
+	start = out;
+	if (p->line == 1 && !strncmp(start, "\xef\xbb\xbf", 3))
+		start += 3;
+	p->continuation = isspace((unsigned char)*start) != 0;
+	start += strspn(start, " \t\r\f\v");
+	if (*start == '[' && !p->continuation)
+		check_section(p, start);
+	else
+		p->key_line = *start && !strchr(";#", *start);
+	return out;
+}
+
+static void check_required(struct parser *p)
+{
+	for (size_t i = 0; i < ENTRIES; i++) {
+		const struct entry *e = &entries[i];
+		int section = find_section(e->section, strlen(e->section));
+		int line = p->section_lines[section];
+
+		if (!e->required || p->entry_lines[i])
+			continue;
+		fault(p,
+		      line	? line
+		      : p->line ? p->line
+				: 1,
+		      "missing key \"%s\" in [%s]", e->name, e->section);
+	}
+}
+
+/* Tells whether both addresses cannot be listened on at once. */
+static bool addresses_clash(const struct settings_address *a,
+			    const struct settings_address *b)
+{
+	if (a->port != b->port)
+		return false;
+	return !strcmp(a->host, b->host) || !strcmp(a->host, "0.0.0.0") ||
+	       !strcmp(b->host, "0.0.0.0") || !strcmp(a->host, "::") ||
+	       !strcmp(b->host, "::");
+}
+
+static void check_addresses(struct parser *p)
+{
+	static const char *const sections[] = { "front", "operator", "peers" };
+	const struct settings_address *listen[] = { &p->s->front.listen,
+						    &p->s->operator.listen,
+						    &p->s->peers.listen };
+	int lines[3];
+
+	for (int i = 0; i < 3; i++)
+		lines[i] = p->entry_lines[find_entry(sections[i], "listen")];
+	for (int i = 1; i < 3; i++)
+		for (int j = 0; j < i; j++)
+			if (lines[i] && lines[j] &&
+			    addresses_clash(listen[i], listen[j]))
+				fault(p, lines[i],
+				      "listen of [%s] is also that of [%s]",
+				      sections[i], sections[j]);
+	if (lines[2] && (!strcmp(listen[2]->host, "0.0.0.0") ||
+			 !strcmp(listen[2]->host, "::")))
+		fault(p, lines[2],
+		      "listen of [peers] must be the address that peers use");
+}
+
+/* Checks that hold between keys; runs only when each key is good. */
+static void check_contradictions(struct parser *p)
+{
+	int queue = p->entry_lines[find_entry("front", "queue_limit")];
+	int threads = p->entry_lines[find_entry("front", "threads")];
+	int key = p->entry_lines[find_entry("peers", "curve_secret")];
+	char public_key[CURVE_KEY_CHARS + 1];
+
+	check_addresses(p);
+	/* A queued request holds a thread of the HTTP server. */
+	if (p->s->front.queue_limit > p->s->front.threads)
+		fault(p, queue ? queue : threads,
+		      "queue_limit %u is above threads %u",
+		      p->s->front.queue_limit, p->s->front.threads);
+	if (zmq_curve_public(public_key, p->s->peers.curve_secret) < 0 ||
+	    strcmp(public_key, p->s->peers.curve_public))
+		fault(p, key, "curve_secret does not belong to curve_public");
+}
+
+static char *read_file(const char *path, size_t *len, struct error *err)
+{
+	struct buffer b = BUFFER_INIT;
+	char part[4096];
+	FILE *f = fopen(path, "r");
+	size_t n;
+	int failed;
+
+	if (!f) {
+		error_set(err, ERROR_LAYER_SETTINGS, SETTINGS_UNREADABLE,
+			  "%s:0: %s", path, strerror(errno));
+		return NULL;
+	}
+	while ((n = fread(part, 1, sizeof(part), f)) > 0 &&
+	       b.len <= FILE_MAX_BYTES)
+		buffer_append(&b, part, n);
+	failed = ferror(f);
+	fclose(f);
+	if (failed || b.len > FILE_MAX_BYTES) {
+		error_set(err, ERROR_LAYER_SETTINGS, SETTINGS_UNREADABLE,
+			  "%s:0: %s", path,
+			  failed ? "cannot be read" : "larger than 1 MB");
+		buffer_free(&b);
+		return NULL;
+	}
+	return buffer_detach(&b, len);
+}
+
+void settings_defaults(struct settings *s)
+{
+	memset(s, 0, sizeof(*s));
+	s->front.threads = 256;
+	s->front.body_limit_bytes = 256u * 1024u;
+	s->front.queue_limit = 192;
+	s->platform.lease_us = 3u * SECOND_US;
+	s->platform.write_budget = 300;
+	s->platform.read_budget = 1500;
+	s->policy.retry_budget_percent = 10;
+	s->policy.outage_horizon_us = 15u * MINUTE_US;
+	s->log_level = LOG_INFO;
+}
+
+int settings_check(const char *path, struct settings *s, settings_fault_fn *fn,
+		   void *arg)
+{
+	int entry_lines[ENTRIES] = { 0 };
+	int section_lines[SECTIONS] = { 0 };
+	struct settings filled;
+	struct parser p = { .s = &filled,
+			    .path = path,
+			    .fn = fn,
+			    .arg = arg,
+			    .entry_lines = entry_lines,
+			    .section_lines = section_lines };
+	struct error err;
+	char *text = read_file(path, &p.len, &err);
+
+	settings_defaults(&filled);
+	if (!text) {
+		fault(&p, 0, "%s", err.message + strlen(path) + 4);
+		return p.faults;
+	}
+	/* The packaged line buffer holds 200 bytes, too few for seeds. */
+	ini_use_stack = false;
+	ini_max_line = LINE_MAX_BYTES;
+	ini_initial_alloc = LINE_MAX_BYTES;
+	p.text = text;
+	if (ini_parse_stream(next_line, &p, on_key, &p) == -2)
+		fault(&p, 0, "out of memory");
+	check_required(&p);
+	if (!p.faults)
+		check_contradictions(&p);
+	if (!p.faults)
+		*s = filled;
+	free(text);
+	return p.faults;
+}
+
+/* Keeps the first fault for settings_load(). */
+static void keep_first(void *arg, const char *file, int line,
+		       const char *message)
+{
+	struct error *err = arg;
+
+	if (!err->code)
+		error_set(err, ERROR_LAYER_SETTINGS, SETTINGS_FAULT,
+			  "%s:%d: %s", file, line, message);
+}
+
+int settings_load(const char *path, struct settings *s, struct error *err)
+{
+	error_clear(err);
+	return settings_check(path, s, keep_first, err) ? -1 : 0;
+}
