Read the planners' sheet from CSV and JSON

Cause: the sheet has to be checked whole, each fault with line and column. Change: libcsv is fed up to each byte that may end a field, because it tells no positions; rows are sorted, so that lookups are binary searches and the JSON is canonical. Conclusion: faults are reported in the order of lines, 50,000 at most.

--- /dev/null
+++ b/src/sheet-draft.h
@@ -0,0 +1,79 @@
+#ifndef SHEET_DRAFT_H
+#define SHEET_DRAFT_H
+
+#include "sheet.h"
+
+/*
+ * NAME
+ *	sheet-draft - a sheet while it is read from CSV or JSON
+ *
+ * DESCRIPTION
+ *	Readers add rows with the line that they came from, and faults.
+ *	draft_finish() checks what holds between rows, sorts the rows and
+ *	returns the sheet, or NULL when there was any fault; it reports the
+ *	faults in the order of lines and frees the draft.
+ */
+
+/* Reading ends after this many faults. */
+#define SHEET_FAULTS_MAX 50000u
+
+/* Leaves room below the store's 1 MB for the revision around the sheet. */
+#define SHEET_JSON_MAX_BYTES 1000000u
+
+#define SHEET_LIMIT_MAX 1000000u
+#define SHEET_CPU_MAX_MILLI 1000000000u
+#define SHEET_MEMORY_MAX_MB 1000000000u
+#define SHEET_STOP_MAX_MINUTES (7u * 24u * 60u)
+
+enum sheet_error { SHEET_FAULT = 1, SHEET_MALFORMED };
+
+struct draft_kind {
+	struct sheet_kind v;
+	unsigned line;
+};
+
+struct draft_team {
+	struct sheet_team v;
+	unsigned line;
+};
+
+struct draft_stop {
+	struct sheet_stop v;
+	unsigned line;
+};
+
+struct draft_fault {
+	unsigned line;
+	unsigned column;
+	char *message;
+};
+
+struct draft {
+	struct draft_kind *kinds;
+	struct draft_team *teams;
+	struct draft_stop *stops;
+	struct draft_fault *faults;
+	size_t kind_count, kind_capacity;
+	size_t team_count, team_capacity;
+	size_t stop_count, stop_capacity;
+	size_t fault_count, fault_capacity;
+};
+
+extern const char *const urgency_names[];
+extern const char *const stop_scope_names[];
+
+void draft_add_kind(struct draft *d, const struct sheet_kind *v, unsigned line);
+void draft_add_team(struct draft *d, const struct sheet_team *v, unsigned line);
+void draft_add_stop(struct draft *d, const struct sheet_stop *v, unsigned line);
+void draft_fault(struct draft *d, unsigned line, unsigned column,
+		 const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+struct sheet *draft_finish(struct draft *d, sheet_fault_fn *fn, void *arg,
+			   struct error *err);
+
+/* Tells whether text is 1 to 47 letters, digits and "-_.". */
+bool sheet_name_is_good(const char *text);
+
+/* Returns the index of text in a NULL-terminated table, or -1. */
+int sheet_name_index(const char *const *names, const char *text);
+
+#endif
