Add the messages between entry VMs

Cause: entry VMs exchange heartbeats, the configuration and claims. Conclusion: not yet run between processes.

--- a/src/svc-peers.h
+++ b/src/svc-peers.h
@@ -37,6 +37,9 @@
 	PEER_MESSAGE_TYPES,
 };
 
+/* Errors of layer ERROR_LAYER_PEERS. */
+enum peers_error { PEERS_SOCKET = 1, PEERS_BIND };
+
 struct peers;
 
 typedef void peer_fn(void *arg, const char *sender, const void *body,
@@ -52,7 +55,17 @@
 /* Connects to an address; the id is learnt from the peer's heartbeat. */
 void peers_connect(struct peers *p, const struct settings_address *address);
 
-/* Returns 0 when queued, -1 when no peer of that id is known. */
+/* Tells that the peer of that id listens on the address, and connects. */
+void peers_name(struct peers *p, const char *id,
+		const struct settings_address *address);
+
+/* Closes the connection to an address, unless it is a seed. */
+void peers_disconnect(struct peers *p, const struct settings_address *address);
+
+/*
+ * Returns 0 when queued, -1 when no peer of that id is known or connected, or
+ * when its queue is full.
+ */
 int peers_send(struct peers *p, const char *id, enum peer_message_type type,
 	       const void *body, size_t len);
 
