Add membership, seats, configuration and targets

Cause: entry VMs share a zone's slots, the sheet and the list of VMs. Change: heartbeats and registration under the session; seats changed by compare-and-swap, where only a mark in the store lets a seat grow; the sheet stored with the nonces of the last changes, so that a lost answer is found again; the list of VMs read by one process per zone and passed on by version.

--- /dev/null
+++ b/src/config-value.h
@@ -0,0 +1,43 @@
+#ifndef CONFIG_VALUE_H
+#define CONFIG_VALUE_H
+
+#include <stdint.h>
+
+#include "sheet.h"
+
+/*
+ * NAME
+ *	config-value - the stored form of a configuration
+ *
+ * DESCRIPTION
+ *	JSON with the format's number, the revision, the nonces of the last
+ *	changes and the sheet. The nonces let a process whose answer was lost
+ *	find out whether its change was stored, even when others followed it.
+ */
+
+#define CONFIG_FORMAT 1
+#define CONFIG_NONCES 16
+
+struct config_value {
+	uint64_t revision;
+	uint32_t nonce_count;
+	uint64_t nonces[CONFIG_NONCES]; /* of revision, revision - 1, ... */
+	struct sheet *sheet;
+	char *json; /* canonical sheet */
+};
+
+/*
+ * Returns 0, or -1 with err set: CONFIG_MALFORMED or CONFIG_NEWER_FORMAT.
+ * Free with config_value_free().
+ */
+int config_value_parse(const char *text, size_t len, struct config_value *v,
+		       struct error *err);
+
+/* Returns text that the caller frees. */
+char *config_value_format(const struct config_value *v);
+
+/* Returns the revision that a nonce was stored with, or 0. */
+uint64_t config_value_find(const struct config_value *v, uint64_t nonce);
+void config_value_free(struct config_value *v);
+
+#endif
--- /dev/null
+++ b/src/members-private.h
@@ -0,0 +1,122 @@
+#ifndef MEMBERS_PRIVATE_H
+#define MEMBERS_PRIVATE_H
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "counter.h"
+#include "rng.h"
+#include "seats.h"
+#include "svc-loop.h"
+#include "svc-members.h"
+#include "svc-owner.h"
+#include "svc-peers.h"
+#include "svc-store.h"
+
+/*
+ * NAME
+ *	members-private - state that svc-members.c and svc-seats.c share
+ *
+ * DESCRIPTION
+ *	svc-members.c knows who is alive; svc-seats.c reads and changes the
+ *	zone's seats. All but the part under the lock belongs to the control
+ *	thread.
+ */
+
+#define MEMBER_SHARDS_MAX 32
+#define SEAT_LISTENERS_MAX 8
+
+struct owned_shard {
+	char name[64];
+	uint64_t epoch;
+};
+
+struct peer {
+	struct member member;
+	uint32_t shard_count;
+	struct owned_shard shards[MEMBER_SHARDS_MAX];
+};
+
+struct seat_listener {
+	void (*fn)(void *arg);
+	void *arg;
+};
+
+struct members {
+	struct service service;
+	const struct settings *s;
+	struct kernel *kernel;
+	struct loop *loop;
+	struct store *store;
+	struct peers *peers;
+	uint64_t started_us;	  /* wall clock; names this incarnation */
+	uint64_t started_boot_us; /* CLOCK_BOOTTIME */
+	bool draining;
+	struct member self;
+	struct peer table[MEMBERS_MAX];
+	uint32_t peer_count;
+	uint32_t sharers;
+	uint64_t heartbeats;
+	uint64_t next_heartbeat_us;
+	/* registration under the session */
+	char session[64];
+	char wanted_session[64];
+	bool registered;
+	bool registering;
+	uint64_t next_register_us;
+	/* ids with a key in the store, as last read */
+	char listed[MEMBERS_MAX][64];
+	uint32_t listed_count;
+	uint64_t list_read_us;
+	uint64_t list_tried_us;
+	bool listing;
+	/* seats of the zone */
+	char seat_name[SEAT_NAME_BYTES];
+	struct seats seats;
+	struct seats written; /* sent by the put in flight */
+	struct seats_progress progress;
+	uint64_t seats_index; /* ModifyIndex of the value; 0 = none read */
+	bool seats_known;     /* the store answered at least once */
+	bool seats_reading;
+	bool seats_writing;
+	bool seats_behind; /* a peer has a newer value */
+	uint64_t seats_read_us;
+	uint64_t seats_next_us;
+	uint64_t seats_retry_us; /* pause after the last failure, or 0 */
+	struct rng rng;
+	uint64_t next_applied_us;
+	uint64_t applied_sent_us;
+	struct seat_listener listeners[SEAT_LISTENERS_MAX];
+	uint32_t listener_count;
+	uint64_t resumed_us; /* end of the last pause */
+	bool revalidating;
+	/* any thread */
+	_Atomic uint64_t last_tick_us;
+	_Atomic uint64_t applied_revision;
+	atomic_bool left;
+	pthread_mutex_t lock; /* guards seat */
+	struct seat seat;
+	struct counter *live;
+	struct counter *pauses;
+	struct counter *malformed;
+	struct counter *seat_count;
+	struct counter *seat_revision;
+	struct counter *seat_confirmed;
+	struct counter *seat_changes;
+	struct counter *seat_conflicts;
+};
+
+/* Tells whether the id had a key when the store was last read. */
+bool members_registered(struct members *m, const char *id);
+
+void seats_begin(struct members *m);
+void seats_tick(struct members *m, uint64_t now);
+
+/* A peer of the zone has the value of that index; fresh: sent after a pause. */
+void seats_heard(struct members *m, uint64_t index, bool fresh);
+void seats_revalidate(struct members *m);
+
+/* A seat's holder is silent, so its key in the store decides. */
+bool seats_need_list(struct members *m);
+
+#endif
--- /dev/null
+++ b/src/seats.c
@@ -0,0 +1,213 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "seats.h"
+
+static int find_name(const char (*names)[SEAT_NAME_BYTES], uint32_t count,
+		     const char *name);
+static void begin_change(struct seats *s);
+static void finish_change(struct seats *s);
+static json_t *names_to_json(const char (*names)[SEAT_NAME_BYTES],
+			     uint32_t count);
+static int names_from_json(json_t *list, char names[][SEAT_NAME_BYTES],
+			   uint32_t *count);
+
+void seats_name(char out[SEAT_NAME_BYTES], const char *id, uint64_t started_us)
+{
+	snprintf(out, SEAT_NAME_BYTES, "%.63s/%" PRIu64, id, started_us);
+}
+
+void seats_id(const char *name, char out[64])
+{
+	snprintf(out, 64, "%.*s", (int)strcspn(name, "/"), name);
+}
+
+static int find_name(const char (*names)[SEAT_NAME_BYTES], uint32_t count,
+		     const char *name)
+{
+	for (uint32_t i = 0; i < count; i++)
+		if (!strcmp(names[i], name))
+			return (int)i;
+	return -1;
+}
+
+int seats_find(const struct seats *s, const char *name)
+{
+	return find_name(s->names, s->count, name);
+}
+
+static json_t *names_to_json(const char (*names)[SEAT_NAME_BYTES],
+			     uint32_t count)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < count; i++)
+		json_array_append_new(list, json_string(names[i]));
+	return list;
+}
+
+char *seats_format(const struct seats *s)
+{
+	json_t *root = json_pack(
+		"{s:i, s:I, s:b, s:o, s:o}", "format", SEATS_FORMAT, "revision",
+		(json_int_t)s->revision, "confirmed", s->confirmed, "seats",
+		names_to_json(s->names, s->count), "previous",
+		names_to_json(s->previous, s->previous_count));
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	return text;
+}
+
+static int names_from_json(json_t *list, char names[][SEAT_NAME_BYTES],
+			   uint32_t *count)
+{
+	*count = (uint32_t)json_array_size(list);
+	if (!json_is_array(list) || *count > SEATS_MAX)
+		return -1;
+	for (uint32_t i = 0; i < *count; i++) {
+		json_t *item = json_array_get(list, i);
+		const char *name = json_string_value(item);
+
+		if (!name || !*name || strlen(name) >= SEAT_NAME_BYTES ||
+		    find_name(names, i, name) >= 0)
+			return -1;
+		memcpy(names[i], name, strlen(name) + 1);
+	}
+	return 0;
+}
+
+int seats_parse(const char *text, size_t len, struct seats *s,
+		struct error *err)
+{
+	json_t *root, *names, *previous;
+	json_int_t revision;
+	int format = 0, confirmed, ret = -1;
+
+	memset(s, 0, sizeof(*s));
+	root = json_loadb(text, len, 0, NULL);
+	if (json_unpack(root, "{s:i}", "format", &format) == 0 &&
+	    format > SEATS_FORMAT) {
+		error_set(err, ERROR_LAYER_CORE, SEATS_NEWER_FORMAT,
+			  "seats of format %d", format);
+		goto out;
+	}
+	if (json_unpack(root, "{s:I, s:b, s:o, s:o}", "revision", &revision,
+			"confirmed", &confirmed, "seats", &names, "previous",
+			&previous) < 0 ||
+	    revision < 1 || names_from_json(names, s->names, &s->count) < 0 ||
+	    names_from_json(previous, s->previous, &s->previous_count) < 0) {
+		error_set(err, ERROR_LAYER_CORE, SEATS_MALFORMED,
+			  "malformed seats");
+		goto out;
+	}
+	s->revision = (uint64_t)revision;
+	s->confirmed = confirmed != 0;
+	ret = 0;
+out:
+	json_decref(root);
+	return ret;
+}
+
+/* Keeps the last confirmed split, which bounds the use until the next mark. */
+static void begin_change(struct seats *s)
+{
+	if (!s->confirmed && s->revision)
+		return;
+	memcpy(s->previous, s->names, sizeof(s->previous));
+	s->previous_count = s->count;
+}
+
+static void finish_change(struct seats *s)
+{
+	s->revision++;
+	s->confirmed = !s->previous_count;
+}
+
+int seats_add(struct seats *s, const char *name)
+{
+	if (seats_find(s, name) >= 0 || s->count == SEATS_MAX)
+		return -1;
+	begin_change(s);
+	snprintf(s->names[s->count++], SEAT_NAME_BYTES, "%s", name);
+	finish_change(s);
+	return 0;
+}
+
+int seats_remove(struct seats *s, const char *name)
+{
+	int i = seats_find(s, name);
+
+	if (i < 0)
+		return -1;
+	begin_change(s);
+	s->count--;
+	memmove(s->names[i], s->names[i + 1],
+		(s->count - (uint32_t)i) * sizeof(s->names[0]));
+	finish_change(s);
+	return 0;
+}
+
+void seats_split(const struct seats *s, const char *name, struct seat *out)
+{
+	int i = seats_find(s, name), previous;
+
+	memset(out, 0, sizeof(*out));
+	if (i < 0)
+		return;
+	ous->revision = s->revision;
+	ous->index = (uint32_t)i;
+	ous->count = s->count;
+	if (s->confirmed)
+		return;
+	previous = find_name(s->previous, s->previous_count, name);
+	ous->previous_count = s->previous_count;
+	ous->previous_index =
+		previous < 0 ? s->previous_count : (uint32_t)previous;
+}
+
+/*
+ * The time since which a seat is waited for starts again with each revision
+ * that it holds a seat in, and stays while it is absent.
+ */
+void seats_progress_seen(struct seats_progress *p, const struct seats *s,
+			 uint64_t now_us)
+{
+	struct seats_progress next = { .revision = s->revision };
+
+	if (p->revision == s->revision)
+		return;
+	next.count = s->previous_count;
+	memcpy(next.names, s->previous, sizeof(next.names));
+	for (uint32_t i = 0; i < next.count; i++) {
+		int old = find_name(p->names, p->count, next.names[i]);
+
+		next.present[i] = seats_find(s, next.names[i]) >= 0;
+		next.since_us[i] = now_us;
+		if (old >= 0 && !next.present[i] && !p->present[old])
+			next.since_us[i] = p->since_us[old];
+	}
+	*p = next;
+}
+
+void seats_progress_applied(struct seats_progress *p, const char *name,
+			    uint64_t revision)
+{
+	int i = find_name(p->names, p->count, name);
+
+	if (i >= 0 && revision >= p->revision)
+		p->applied[i] = true;
+}
+
+bool seats_progress_done(const struct seats_progress *p, const struct seats *s,
+			 uint64_t wait_us, uint64_t now_us)
+{
+	if (p->revision != s->revision)
+		return false;
+	for (uint32_t i = 0; i < p->count; i++)
+		if (!p->applied[i] && now_us - p->since_us[i] < wait_us)
+			return false;
+	return true;
+}
--- a/src/svc-config.h
+++ b/src/svc-config.h
@@ -13,7 +13,8 @@
  *	Readers on the request path call config_read() inside an RCU read-side
  *	critical section (rcu_read_lock(); the thread is registered with
  *	rcu_register_thread()) and must not keep the pointer outside it. The
- *	revision never decreases in the life of a process.
+ *	control thread, which alone replaces it, needs no critical section.
+ *	The revision never decreases in the life of a process.
  */
 
 struct config {
@@ -37,6 +38,15 @@
 	CONFIG_UNAVAILABLE, /* the store did not confirm */
 };
 
+/* Errors of layer ERROR_LAYER_CORE in a result. */
+enum config_error {
+	CONFIG_MALFORMED = 1, /* the stored value cannot be understood */
+	CONFIG_NEWER_FORMAT,  /* it was stored by a newer version */
+	CONFIG_BAD_SHEET,
+	CONFIG_TIMED_OUT,
+	CONFIG_STOPPING,
+};
+
 struct config_apply_result {
 	enum config_apply_code code;
 	uint64_t revision;
--- a/src/svc-members.h
+++ b/src/svc-members.h
@@ -16,6 +16,10 @@
  *	members_seat() gives this process's part of the split of the zone's
  *	targets (docs/design.md 5.5). Control thread only, but for
  *	members_seat(), which any thread may call.
+ *
+ *	members_seat() gives revision 0 from the moment when the process was
+ *	paused longer than the lease (CLOCK_BOOTTIME) until the store or a
+ *	peer of the zone has shown that the split is still the same.
  */
 
 #define MEMBERS_MAX 64
@@ -40,7 +44,7 @@
 	 * Seats of the split before, until its requests have ended: a slot
 	 * may be used only when it is this seat's in both splits.
 	 */
-	uint32_t previous_index;
+	uint32_t previous_index; /* previous_count: no seat in it */
 	uint32_t previous_count; /* 0 when the growth is confirmed */
 };
 
@@ -64,4 +68,23 @@
 /* Calls fn on the control thread after each change of the seat. */
 void members_on_seat(struct members *m, void (*fn)(void *arg), void *arg);
 
+/*
+ * Tells that no request of this process is above its share of the seat's
+ * revision any more, so that the other seats may grow. Without this call a
+ * revision counts as applied when no request is in flight, and at the latest
+ * after the lease and the longest deadline. Any thread.
+ */
+void members_applied(struct members *m, uint64_t revision);
+
+/*
+ * Tells whether this process is the zone's reader of the store: it holds the
+ * lowest live seat.
+ */
+bool members_is_reader(struct members *m);
+
+/* Tells whether a drain has given up the seat. Any thread. */
+bool members_left(struct members *m);
+
+/* Tells whether another live member was heard. */
+bool members_have_peers(struct members *m);
 #endif
