Add the daemon and the operators' interface

Change: waxwingd registers the services, drains on SIGTERM and reads its settings again on SIGHUP; service operator answers over HTTP with a token; weak stubs stand for services that are not in the tree. Measurement: make all tests and make lint pass.

--- a/src/config-value.c
+++ b/src/config-value.c
@@ -84,7 +84,7 @@
 uint64_t config_value_find(const struct config_value *v, uint64_t nonce)
 {
 	for (uint32_t i = 0; i < v->nonce_count; i++)
-		if (v->nonces[i] == nonce && i < v->revision)
+		if (i < v->revision && v->nonces[i] == nonce)
 			return v->revision - i;
 	return 0;
 }
--- /dev/null
+++ b/src/operator-private.h
@@ -0,0 +1,74 @@
+#ifndef OPERATOR_PRIVATE_H
+#define OPERATOR_PRIVATE_H
+
+#include <jansson.h>
+#include <pthread.h>
+
+#include "buffer.h"
+#include "counter.h"
+#include "svc-config.h"
+#include "svc-loop.h"
+#include "svc-members.h"
+#include "svc-operator.h"
+#include "svc-store.h"
+#include "svc-targets.h"
+
+/*
+ * NAME
+ *	operator-private - state that the files of the operator service share
+ */
+
+/* Sheets in force before, for the difference that a conflict reports. */
+#define OPERATOR_HISTORY 4
+
+struct operator_history {
+	uint64_t revision;
+	char *json;
+};
+
+struct operator_svc {
+	struct service service;
+	const struct settings *s;
+	struct kernel *kernel;
+	struct loop *loop;
+	struct members *members;
+	struct config_svc *config;
+	struct targets *targets;
+	struct store *store;
+	struct mg_context *http;
+	uint64_t started_us;
+	pthread_mutex_t lock; /* guards token and history */
+	char token[SETTINGS_TEXT_BYTES];
+	struct operator_history history[OPERATOR_HISTORY];
+	uint32_t history_next;
+	struct counter *calls;
+	struct counter *denied;
+};
+
+/* One request and its answer. */
+struct operator_call {
+	const char *method;
+	const char *query; /* or NULL */
+	struct buffer body;
+	int status;
+	const char *content_type;
+	struct buffer answer;
+};
+
+void operator_error(struct operator_call *call, int status, const char *text);
+
+/* Answers with a JSON value, whose reference is taken. */
+void operator_json(struct operator_call *call, int status, json_t *root);
+
+/* Copies a query parameter; false and "" when it is absent or too long. */
+bool operator_query(const struct operator_call *call, const char *name,
+		    char *out, size_t size);
+
+void operator_get_sheet(struct operator_svc *o, struct operator_call *call);
+void operator_put_sheet(struct operator_svc *o, struct operator_call *call);
+
+/* Keeps the sheets in force from now on. On the control thread. */
+void operator_watch_sheet(void *arg);
+void operator_free_history(struct operator_svc *o);
+
+#endif
--- a/src/seats.c
+++ b/src/seats.c
@@ -157,14 +157,14 @@
 	memset(out, 0, sizeof(*out));
 	if (i < 0)
 		return;
-	ous->revision = s->revision;
-	ous->index = (uint32_t)i;
-	ous->count = s->count;
+	out->revision = s->revision;
+	out->index = (uint32_t)i;
+	out->count = s->count;
 	if (s->confirmed)
 		return;
 	previous = find_name(s->previous, s->previous_count, name);
-	ous->previous_count = s->previous_count;
-	ous->previous_index =
+	out->previous_count = s->previous_count;
+	out->previous_index =
 		previous < 0 ? s->previous_count : (uint32_t)previous;
 }
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -156,6 +156,7 @@
 static int find_entry(const char *section, const char *name);
 static int parse_number(const char *text, uint64_t *value, const char **end);
 static bool parse_address(const char *text, struct settings_address *a);
+static size_t value_size(const struct entry *e);
 static void set_number(struct parser *p, const struct entry *e,
 		       const char *value, const struct unit *units);
 static void set_text(struct parser *p, const struct entry *e,
@@ -240,8 +241,8 @@
 	}
 	if (len >= sizeof(a->host))
 		return false;
+	memset(a, 0, sizeof(*a));
 	memcpy(a->host, host, len);
-	a->host[len] = '\0';
 	a->port = (uint16_t)port;
 	return inet_pton(family, a->host, number) == 1;
 }
@@ -680,3 +681,43 @@
 	error_clear(err);
 	return settings_check(path, s, keep_first, err) ? -1 : 0;
 }
+
+/* Returns the size of the field of an entry. */
+static size_t value_size(const struct entry *e)
+{
+	switch (e->type) {
+	case VALUE_NAME:
+	case VALUE_TOKEN:
+		return SETTINGS_TEXT_BYTES;
+	case VALUE_KEY:
+		return CURVE_KEY_CHARS + 1;
+	case VALUE_ADDRESS:
+		return sizeof(struct settings_address);
+	case VALUE_SEEDS:
+		return SETTINGS_SEEDS_MAX * sizeof(struct settings_address) +
+		       sizeof(uint32_t);
+	case VALUE_BYTES:
+		return sizeof(size_t);
+	case VALUE_TIME:
+		return sizeof(uint64_t);
+	case VALUE_COUNT:
+	case VALUE_PERCENT:
+	case VALUE_CHOICE:
+		break;
+	}
+	return sizeof(uint32_t);
+}
+
+void settings_compare(const struct settings *a, const struct settings *b,
+		      void (*fn)(void *arg, const char *section,
+				 const char *key),
+		      void *arg)
+{
+	for (size_t i = 0; i < ENTRIES; i++) {
+		const struct entry *e = &entries[i];
+
+		if (memcmp((const char *)a + e->offset,
+			   (const char *)b + e->offset, value_size(e)))
+			fn(arg, e->section, e->name);
+	}
+}
--- a/src/settings.h
+++ b/src/settings.h
@@ -91,4 +91,10 @@
 int settings_check(const char *path, struct settings *s, settings_fault_fn *fn,
 		   void *arg);
 
+/* Calls fn for each key whose value differs between a and b. */
+void settings_compare(const struct settings *a, const struct settings *b,
+		      void (*fn)(void *arg, const char *section,
+				 const char *key),
+		      void *arg);
+
 #endif
--- a/src/svc-config.c
+++ b/src/svc-config.c
@@ -281,8 +281,8 @@
 	else
 		c->retry_us = 0;
 	if (reply->kv.count)
-		offer(c, reply->kv.pairs[0].value, reply->kv.pairs[0].value_len,
-		      "store");
+		config_offer(c, reply->kv.pairs[0].value,
+			     reply->kv.pairs[0].value_len, "store");
 }
 
 /* Asks peers that are ahead; before any answer, everybody. */
--- a/src/svc-members.c
+++ b/src/svc-members.c
@@ -181,8 +181,10 @@
 
 static void format_address(const struct settings_address *a, char out[64])
 {
-	snprintf(out, 64, strchr(a->host, ':') ? "[%s]:%u" : "%s:%u", a->host,
-		 a->port);
+	if (strchr(a->host, ':'))
+		snprintf(out, 64, "[%s]:%u", a->host, a->port);
+	else
+		snprintf(out, 64, "%s:%u", a->host, a->port);
 }
 
 static bool parse_address(const char *text, struct settings_address *a)
--- a/src/svc-peers.c
+++ b/src/svc-peers.c
@@ -137,10 +137,10 @@
 static void format_endpoint(const struct settings_address *a, char *out,
 			    size_t size)
 {
-	const char *fmt =
-		strchr(a->host, ':') ? "tcp://[%s]:%u" : "tcp://%s:%u";
-
-	snprintf(out, size, fmt, a->host, a->port);
+	if (strchr(a->host, ':'))
+		snprintf(out, size, "tcp://[%s]:%u", a->host, a->port);
+	else
+		snprintf(out, size, "tcp://%s:%u", a->host, a->port);
 }
 
 static bool same_address(const struct settings_address *a,
@@ -357,17 +357,19 @@
 	bool more = true;
 
 	while (more) {
-		zmq_msg_t extra;
-		zmq_msg_t *m = count < max ? &frames[count] : &extra;
+		zmq_msg_t frame;
 
-		zmq_msg_init(m);
-		if (zmq_msg_recv(m, socket, ZMQ_DONTWAIT) < 0) {
-			zmq_msg_close(m);
+		zmq_msg_init(&frame);
+		if (zmq_msg_recv(&frame, socket, ZMQ_DONTWAIT) < 0) {
+			zmq_msg_close(&frame);
 			break;
 		}
-		more = zmq_msg_more(m);
-		if (m == &extra)
-			zmq_msg_close(m);
+		more = zmq_msg_more(&frame);
+		if (count < max) {
+			zmq_msg_init(&frames[count]);
+			zmq_msg_move(&frames[count], &frame);
+		}
+		zmq_msg_close(&frame);
 		count++;
 	}
 	return count;
--- /dev/null
+++ b/src/waxwingd.c
@@ -0,0 +1,258 @@
+#include <argtable2.h>
+#include <civetweb.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#include "clock.h"
+#include "kernel.h"
+#include "log.h"
+#include "settings.h"
+#include "svc-config.h"
+#include "svc-flow.h"
+#include "svc-loop.h"
+#include "svc-members.h"
+#include "svc-operator.h"
+#include "svc-owner.h"
+#include "svc-peers.h"
+#include "svc-placement.h"
+#include "svc-store.h"
+#include "svc-targets.h"
+#include "version.h"
+
+#define EXIT_OK 0
+#define EXIT_FAILED 1
+#define EXIT_USAGE 2
+/* The longest deadline of a request, and some time to answer it. */
+#define DRAIN_REQUESTS_US 32000000u
+/* Giving up the seat needs the store, which may be away. */
+#define DRAIN_SEAT_US 3000000u
+#define DRAIN_POLL_US 20000u
+
+typedef struct service *create_fn(const struct settings *s);
+
+static struct service *create_loop(const struct settings *s);
+static void print_fault(void *arg, const char *file, int line,
+			const char *message);
+static int check_file(const char *path);
+static int register_services(struct kernel *k, const struct settings *s,
+			     struct error *err);
+static void block_signals(sigset_t *set);
+static int next_signal(const sigset_t *set, uint64_t timeout_us);
+static void reload(struct kernel *k, const char *path, struct settings *s);
+static void drain(struct kernel *k, const sigset_t *set);
+static int run(const char *path);
+
+/* Services start in this order and stop in the reverse one. */
+static create_fn *const services[] = {
+	create_loop,	  store_create,	   peers_create, members_create,
+	targets_create,	  config_create,   owner_create, workers_create,
+	placement_create, flow_svc_create, front_create, operator_create,
+};
+
+static struct service *create_loop(const struct settings *s)
+{
+	(void)s;
+	return loop_create();
+}
+
+static void print_fault(void *arg, const char *file, int line,
+			const char *message)
+{
+	(void)arg;
+	fprintf(stderr, "%s:%d: %s\n", file, line, message);
+}
+
+static int check_file(const char *path)
+{
+	struct settings s;
+	int faults = settings_check(path, &s, print_fault, NULL);
+
+	if (!faults)
+		printf("%s: good\n", path);
+	return faults ? EXIT_FAILED : EXIT_OK;
+}
+
+static int register_services(struct kernel *k, const struct settings *s,
+			     struct error *err)
+{
+	for (size_t i = 0; i < sizeof(services) / sizeof(services[0]); i++) {
+		struct service *svc = services[i](s);
+
+		if (svc && kernel_register(k, svc, err) < 0)
+			return -1;
+	}
+	return 0;
+}
+
+/* Threads that are started later inherit the mask. */
+static void block_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+	sigaddset(set, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+/* Returns a signal, or 0 when none came in time. */
+static int next_signal(const sigset_t *set, uint64_t timeout_us)
+{
+	struct timespec ts = { .tv_sec = (time_t)(timeout_us / 1000000u),
+			       .tv_nsec =
+				       (long)(timeout_us % 1000000u) * 1000 };
+	int sig;
+
+	do {
+		sig = sigtimedwait(set, NULL, &ts);
+	} while (sig < 0 && errno == EINTR);
+	return sig < 0 ? 0 : sig;
+}
+
+/* Reports a key that changed in the file and is only read at the start. */
+static void report_key(void *arg, const char *section, const char *key)
+{
+	(void)arg;
+	if (!strcmp(section, "policy") || !strcmp(section, "log") ||
+	    (!strcmp(section, "operator") && !strcmp(key, "token")))
+		return;
+	log_event(LOG_WARNING, "settings-need-restart", "section=%s key=%s",
+		  section, key);
+}
+
+struct reload_call {
+	struct settings *running;
+	const struct settings *read;
+};
+
+/* On the control thread, which the readers of the policy run on. */
+static void take_policy(void *arg)
+{
+	struct reload_call *c = arg;
+
+	c->running->policy = c->read->policy;
+	c->running->log_level = c->read->log_level;
+}
+
+static void log_fault(void *arg, const char *file, int line,
+		      const char *message)
+{
+	(void)arg;
+	log_event(LOG_ERROR, "settings-fault", "at=%s:%d message=\"%s\"", file,
+		  line, message);
+}
+
+static void reload(struct kernel *k, const char *path, struct settings *s)
+{
+	struct settings read;
+	struct reload_call c = { .running = s, .read = &read };
+
+	if (settings_check(path, &read, log_fault, NULL)) {
+		log_event(LOG_ERROR, "settings-refused",
+			  "reason=\"the settings in force stay\"");
+		return;
+	}
+	settings_compare(s, &read, report_key, NULL);
+	loop_call(loop_find(k), take_policy, &c);
+	operator_set_token(operator_find(k), read.operator.token);
+	log_set_level(read.log_level);
+	log_event(LOG_INFO, "settings-reloaded", "file=%s", path);
+}
+
+/* Waits for requests in progress, then for the seat; a signal ends it. */
+static void drain(struct kernel *k, const sigset_t *set)
+{
+	struct flow_svc *f = kernel_find(k, "flow") ? flow_svc_find(k) : NULL;
+	uint64_t end = clock_now_us() + DRAIN_REQUESTS_US;
+	uint32_t left;
+
+	log_event(LOG_INFO, "drain-begin", "in_flight=%u",
+		  f ? flow_in_flight(f) : 0);
+	kernel_drain(k);
+	while (f && flow_in_flight(f) && clock_now_us() < end)
+		if (next_signal(set, DRAIN_POLL_US) == SIGTERM)
+			return;
+	left = f ? flow_in_flight(f) : 0;
+	end = clock_now_us() + DRAIN_SEAT_US;
+	while (!members_left(members_find(k)) && clock_now_us() < end)
+		if (next_signal(set, DRAIN_POLL_US) == SIGTERM)
+			return;
+	log_event(left ? LOG_WARNING : LOG_INFO, "drain-end",
+		  "in_flight=%u seat_left=%d", left,
+		  members_left(members_find(k)));
+}
+
+static int run(const char *path)
+{
+	struct settings s;
+	struct kernel *k = NULL;
+	struct error err;
+	sigset_t set;
+	int sig, ret = EXIT_FAILED;
+
+	if (settings_check(path, &s, print_fault, NULL))
+		return EXIT_FAILED;
+	log_set_node(s.node.id);
+	log_set_level(s.log_level);
+	block_signals(&set);
+	mg_init_library(0);
+	k = kernel_create();
+	if (register_services(k, &s, &err) < 0 || kernel_start(k, &err) < 0) {
+		log_event(LOG_ERROR, "start-failed", "error=\"%s\"",
+			  err.message);
+		goto out;
+	}
+	log_event(LOG_INFO, "started", "version=%s zone=%s front=%s:%u",
+		  WAXWING_VERSION, s.node.availability_zone,
+		  s.front.listen.host, s.front.listen.port);
+	do {
+		sig = next_signal(&set, 3600ull * 1000000u);
+		if (sig == SIGHUP)
+			reload(k, path, &s);
+	} while (sig != SIGTERM && sig != SIGINT);
+	drain(k, &set);
+	kernel_stop(k);
+	log_event(LOG_INFO, "stopped", "signal=%d", sig);
+	ret = EXIT_OK;
+out:
+	kernel_destroy(k);
+	mg_exit_library();
+	return ret;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_file *config = arg_file0("c", "config", "FILE",
+					    "run with the settings of FILE");
+	struct arg_file *test =
+		arg_file0("t", "test", "FILE", "check FILE and exit");
+	struct arg_lit *help = arg_lit0("h", "help", "print this text");
+	struct arg_lit *version = arg_lit0("V", "version", "print the version");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { config, test, help, version, end };
+	int faults = arg_parse(argc, argv, table);
+	int ret = EXIT_USAGE;
+
+	if (help->count) {
+		printf("usage: waxwingd");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-20s %s\n");
+		ret = EXIT_OK;
+	} else if (version->count) {
+		printf("waxwingd %s\n", WAXWING_VERSION);
+		ret = EXIT_OK;
+	} else if (faults) {
+		arg_print_errors(stderr, end, "waxwingd");
+	} else if (test->count) {
+		ret = check_file(test->filename[0]);
+	} else if (config->count) {
+		ret = run(config->filename[0]);
+	} else {
+		fprintf(stderr, "waxwingd: one of -c and -t is needed\n");
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return ret;
+}
