--- /dev/null
+++ b/src/cmd-placement.c
@@ -0,0 +1,168 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cmd-placement.h"
+
+enum field_type { FIELD_TEXT, FIELD_NUMBER, FIELD_YES_NO };
+
+struct field {
+	const char *option;
+	const char *key;
+	const char *value;
+	const char *text;
+	enum field_type type;
+};
+
+static const struct field fields[CMD_PLACEMENT_FIELDS] = {
+	{ "id", "id", "AZ.NAME", "id, which begins with the zone", FIELD_TEXT },
+	{ "user", "user", "USER", "user", FIELD_TEXT },
+	{ "team", "team", "TEAM", "team of the user", FIELD_TEXT },
+	{ "name", "name", "NAME", "name shown to people", FIELD_TEXT },
+	{ "class", "class", "service|batch", "class", FIELD_TEXT },
+	{ "kind", "kind", "KIND", "kind of the sheet", FIELD_TEXT },
+	{ "urgency", "urgency", "URGENCY", "urgent, normal or deferrable",
+	  FIELD_TEXT },
+	{ "count", "count", "N", "number of tasks", FIELD_NUMBER },
+	{ "cpu", "cpu_milli", "MILLI", "CPU of a task, 1/1000 core",
+	  FIELD_NUMBER },
+	{ "memory", "memory_mb", "MB", "memory of a task", FIELD_NUMBER },
+	{ "accelerators", "accelerators", "N", "accelerators of a task",
+	  FIELD_NUMBER },
+	{ "yields", "yields", "yes|no", "may be throttled and evicted",
+	  FIELD_YES_NO },
+	{ "spread", "spread", "rack|none", "spread over racks", FIELD_TEXT },
+	{ "max-run", "max_run_ms", "MS", "longest run, 0 for none",
+	  FIELD_NUMBER },
+	{ "spec", "spec", "TEXT", "passed to the worker", FIELD_TEXT },
+};
+
+static int set_field(json_t *root, const struct field *f, const char *text);
+
+void cmd_placement_init(struct cmd_placement *p)
+{
+	for (int i = 0; i < CMD_PLACEMENT_FIELDS; i++)
+		p->fields[i] = arg_str0(NULL, fields[i].option, fields[i].value,
+					fields[i].text);
+	p->file = arg_file0("f", "file", "FILE",
+			    "placement as JSON, - for stdin");
+}
+
+size_t cmd_placement_table(struct cmd_options *o, struct cmd_placement *p,
+			   void **table)
+{
+	void *common[] = { CMD_OPTIONS_TABLE(o) };
+	size_t n = 0;
+
+	for (size_t i = 0; i < sizeof(common) / sizeof(common[0]); i++)
+		table[n++] = common[i];
+	for (int i = 0; i < CMD_PLACEMENT_FIELDS; i++)
+		table[n++] = p->fields[i];
+	table[n++] = p->file;
+	table[n++] = o->end;
+	return n;
+}
+
+/* Sets one field; -1 after printing an error. */
+static int set_field(json_t *root, const struct field *f, const char *text)
+{
+	json_t *value = NULL;
+	char *end = NULL;
+	long long n;
+
+	if (f->type == FIELD_TEXT) {
+		value = json_string(text);
+	} else if (f->type == FIELD_NUMBER) {
+		n = strtoll(text, &end, 10);
+		if (*text && !*end && n >= 0)
+			value = json_integer(n);
+	} else if (!strcmp(text, "yes") || !strcmp(text, "no")) {
+		value = json_boolean(!strcmp(text, "yes"));
+	}
+	if (!value) {
+		fprintf(stderr, "waxwingctl: --%s: \"%s\" is not %s\n",
+			f->option, text, f->value);
+		return -1;
+	}
+	json_object_set_new(root, f->key, value);
+	return 0;
+}
+
+json_t *cmd_placement_build(const struct cmd_placement *p)
+{
+	struct buffer text = BUFFER_INIT;
+	json_t *root = NULL;
+	json_error_t err;
+
+	if (!p->file->count) {
+		root = json_object();
+	} else if (cmd_read_file(p->file->filename[0], &text) == CMD_DONE) {
+		root = json_loadb(text.len ? text.data : "", text.len, 0, &err);
+		if (!root)
+			fprintf(stderr, "%s:%d:%d: %s\n", p->file->filename[0],
+				err.line, err.column, err.text);
+	}
+	for (int i = 0; root && i < CMD_PLACEMENT_FIELDS; i++) {
+		if (!p->fields[i]->count ||
+		    !set_field(root, &fields[i], p->fields[i]->sval[0]))
+			continue;
+		json_decref(root);
+		root = NULL;
+	}
+	buffer_free(&text);
+	return root;
+}
+
+int cmd_placement_call(const struct cmd_options *o, const char *method,
+		       const char *id, const json_t *placement, json_t **root)
+{
+	struct buffer path = BUFFER_INIT;
+	char *body = placement ? json_dumps(placement, JSON_COMPACT) : NULL;
+	int status, ret;
+
+	buffer_append_str(&path, "/v1/placements");
+	if (id && *id) {
+		buffer_append_str(&path, "?id=");
+		cmd_escape(&path, id);
+	}
+	cmd_progress_begin(o, "waiting for the zone's owner");
+	ret = cmd_call(o, method, path.data, body, body ? strlen(body) : 0,
+		       &status, root);
+	free(body);
+	buffer_free(&path);
+	return ret;
+}
+
+void cmd_placement_print(const struct cmd_options *o, const json_t *root)
+{
+	if (o->json->count) {
+		cmd_print_json(root);
+		return;
+	}
+	json_dumpf(root, stdout, JSON_INDENT(2) | JSON_ENCODE_ANY);
+	putchar('\n');
+}
+
+int cmd_placement_by_id(int argc, char **argv, const char *name,
+			const char *summary, const char *method)
+{
+	struct cmd_options o;
+	json_t *root = NULL;
+	int ret;
+
+	cmd_options_init(&o);
+	struct arg_str *id =
+		arg_str1(NULL, NULL, "AZ.NAME", "id of the placement");
+	void *table[] = { CMD_OPTIONS_TABLE(&o), id, o.end };
+
+	ret = cmd_parse(&o, table, sizeof(table) / sizeof(table[0]), name,
+			summary, argc, argv);
+	if (ret < 0) {
+		ret = cmd_placement_call(&o, method, id->sval[0], NULL, &root);
+		if (ret == CMD_DONE)
+			cmd_placement_print(&o, root);
+	}
+	json_decref(root);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return ret;
+}
--- /dev/null
+++ b/src/cmd-sheet.h
@@ -0,0 +1,14 @@
+#ifndef CMD_SHEET_H
+#define CMD_SHEET_H
+
+#include "cmd.h"
+#include "sheet.h"
+
+/*
+ * Reads and checks a sheet's file. Returns CMD_DONE with the text and the
+ * sheet, or CMD_INVALID_FILE after printing the faults.
+ */
+int cmd_sheet_load(const struct cmd_options *o, const char *path,
+		   struct buffer *text, struct sheet **s);
+
+#endif
