Give the queue functions of flow names of their own

Cause: flow-queue.c and place-queue.c both defined queue_remove(), so programs that link both cores did not link.

--- a/src/flow-admit.c
+++ b/src/flow-admit.c
@@ -138,7 +138,7 @@
 	if (kind == FLOW_NONE)
 		return -1;
 	victim = displaced_request(f, kind);
-	queue_remove(f, victim);
+	flow_queue_remove(f, victim);
 	flow_refuse(f, victim, FLOW_REASON_DISPLACED, now_us, out);
 	return 0;
 }
@@ -162,7 +162,7 @@
 		flow_refuse(f, handle, reason, now_us, out);
 		return;
 	}
-	queue_push(f, handle, false);
+	flow_queue_push(f, handle, false);
 	queue_push_all(f, handle, false);
 }
 
@@ -278,7 +278,7 @@
 	struct flow_kind *k = &f->kinds[r->kind];
 	struct flow_queue *q = &f->queues[r->queue];
 
-	queue_remove(f, handle);
+	flow_queue_remove(f, handle);
 	charge(f, k, q);
 	k->last_send_us = now_us;
 	if (q->last_send_us) {
@@ -312,7 +312,7 @@
 		uint32_t next = f->requests[handle].all_next;
 
 		if (admit_too_late(f, handle, now_us)) {
-			queue_remove(f, handle);
+			flow_queue_remove(f, handle);
 			flow_refuse(f, handle, FLOW_REASON_DEADLINE, now_us,
 				    out);
 		}
--- a/src/flow-internal.h
+++ b/src/flow-internal.h
@@ -174,13 +174,13 @@
 		 uint64_t now_us, struct flow_actions *out);
 
 /* flow-queue.c */
-void queue_push(struct flow *f, uint32_t handle, bool at_head);
+void flow_queue_push(struct flow *f, uint32_t handle, bool at_head);
 void queue_push_all(struct flow *f, uint32_t handle, bool at_head);
 void queue_remove_all(struct flow *f, uint32_t handle);
 /* Puts a request whose attempt failed at the head of its queue. */
-void queue_again(struct flow *f, uint32_t handle, uint64_t now_us);
+void flow_queue_again(struct flow *f, uint32_t handle, uint64_t now_us);
 /* Takes a request out of its queue. */
-void queue_remove(struct flow *f, uint32_t handle);
+void flow_queue_remove(struct flow *f, uint32_t handle);
 /* List of running requests that may be hedged, by time of sending. */
 void hedge_list_add(struct flow *f, uint32_t handle);
 void hedge_list_remove(struct flow *f, uint32_t handle);
--- a/src/flow-policy.c
+++ b/src/flow-policy.c
@@ -171,7 +171,7 @@
 	admit_place(f, handle, find_team(f, old_team));
 	f->kinds[kind].in_flight++;
 	f->teams[r->team].in_flight++;
-	queue_push(f, handle, false);
+	flow_queue_push(f, handle, false);
 }
 
 /* Moves all requests from the old tables to the new ones. */
--- a/src/flow-queue.c
+++ b/src/flow-queue.c
@@ -15,7 +15,7 @@
 }
 
 /* Adds the request to its queue, at the head or the tail. */
-void queue_push(struct flow *f, uint32_t handle, bool at_head)
+void flow_queue_push(struct flow *f, uint32_t handle, bool at_head)
 {
 	struct flow_request *r = &f->requests[handle];
 	struct flow_queue *q = &f->queues[r->queue];
@@ -57,10 +57,10 @@
 	r->state = REQUEST_QUEUED;
 }
 
-void queue_again(struct flow *f, uint32_t handle, uint64_t now_us)
+void flow_queue_again(struct flow *f, uint32_t handle, uint64_t now_us)
 {
 	f->requests[handle].queued_us = now_us;
-	queue_push(f, handle, true);
+	flow_queue_push(f, handle, true);
 	queue_push_all(f, handle, true);
 }
 
@@ -79,7 +79,7 @@
 	f->queued--;
 }
 
-void queue_remove(struct flow *f, uint32_t handle)
+void flow_queue_remove(struct flow *f, uint32_t handle)
 {
 	struct flow_request *r = &f->requests[handle];
 	struct flow_queue *q = &f->queues[r->queue];
--- a/src/flow.c
+++ b/src/flow.c
@@ -195,7 +195,7 @@
 	r = &f->requests[handle];
 	r->cancelled = true;
 	if (r->state == REQUEST_QUEUED) {
-		queue_remove(f, handle);
+		flow_queue_remove(f, handle);
 		flow_refuse(f, handle, FLOW_REASON_NONE, now_us, out);
 	} else if (r->state == REQUEST_RUNNING) {
 		hedge_list_remove(f, handle);
@@ -260,7 +260,7 @@
 		enum flow_why why;
 
 		if (admit_too_late(f, handle, now_us)) {
-			queue_remove(f, handle);
+			flow_queue_remove(f, handle);
 			flow_refuse(f, handle, FLOW_REASON_DEADLINE, now_us,
 				    out);
 			continue;
@@ -312,7 +312,7 @@
 	hedge_list_remove(f, handle);
 	if (may_retry(f, handle, outcome, now_us, &reason)) {
 		r->avoid = e->result.target;
-		queue_again(f, handle, now_us);
+		flow_queue_again(f, handle, now_us);
 	} else if (outcome == FLOW_NOT_SENT || outcome == FLOW_REFUSED) {
 		flow_refuse(f, handle, reason, now_us, out);
 	} else {
