Acknowledge a result without a claim only when an entry is durable

Change: such a result is acknowledged after a small entry of its own became durable, which a deposed owner cannot achieve. Conclusion: no answer of an owner may rest on the absence of something without a durable entry.

--- a/src/claims-log.c
+++ b/src/claims-log.c
@@ -35,6 +35,8 @@
 
 	if (a->size < 5 || !uints(o, 5))
 		return -1;
+	if (o[0].via.u64 == CLAIM_OP_NONE)
+		return 0;
 	hash[0] = o[1].via.u64;
 	hash[1] = o[2].via.u64;
 	i = claims_table_find(t, hash);
--- a/src/claims-table.c
+++ b/src/claims-table.c
@@ -7,6 +7,7 @@
 /* What the allocator adds to a stored answer, about. */
 #define ANSWER_OVERHEAD_BYTES 16u
 
+static uint32_t grown(const struct claims_table *t);
 static void grow(struct claims_table *t);
 static void link_bucket(struct claims_table *t, uint32_t i);
 static void unlink_age(struct claims_table *t, uint32_t i);
@@ -32,7 +33,7 @@
 
 static uint32_t bucket_of(const struct claims_table *t, const uint64_t hash[2])
 {
-	return (uint32_t)(hash[0] ^ hash[1] >> 32) & (t->bucket_count - 1);
+	return (uint32_t)((hash[0] ^ hash[1] >> 32) % t->bucket_count);
 }
 
 static void link_bucket(struct claims_table *t, uint32_t i)
@@ -43,11 +44,17 @@
 	t->buckets[b] = i;
 }
 
-/* Doubles the array; there is one bucket for each claim. */
+/* Capacity after the next growth, by a half. */
+static uint32_t grown(const struct claims_table *t)
+{
+	return t->capacity ? t->capacity + t->capacity / 2 : FIRST_CAPACITY;
+}
+
+/* The array grows only when it is full; there is one bucket a claim. */
 static void grow(struct claims_table *t)
 {
 	uint32_t old = t->capacity;
-	uint32_t new = old ? 2 * old : FIRST_CAPACITY;
+	uint32_t new = grown(t);
 
 	t->claims = xrealloc(t->claims, new * sizeof(*t->claims));
 	memset(t->claims + old, 0, (new - old) * sizeof(*t->claims));
@@ -57,7 +64,6 @@
 	t->bucket_count = new;
 	for (uint32_t b = 0; b < new; b++)
 		t->buckets[b] = CLAIM_NONE;
-	/* The array grows only when it is full. */
 	for (uint32_t i = 0; i < old; i++)
 		link_bucket(t, i);
 	for (uint32_t i = new; i-- > old;) {
@@ -183,8 +189,12 @@
 	return false;
 }
 
-size_t claims_table_memory(const struct claims_table *t)
+size_t claims_table_memory(const struct claims_table *t, uint32_t more)
 {
-	return t->capacity * (sizeof(*t->claims) + sizeof(*t->buckets)) +
+	uint32_t capacity = t->capacity;
+
+	if (t->count + more > capacity)
+		capacity = grown(t);
+	return capacity * (sizeof(*t->claims) + sizeof(*t->buckets)) +
 	       t->answer_bytes;
 }
--- a/src/claims-table.h
+++ b/src/claims-table.h
@@ -81,7 +81,9 @@
 
 /* Drops the oldest answer; false when there is none. */
 bool claims_table_drop_answer(struct claims_table *t);
-size_t claims_table_memory(const struct claims_table *t);
+
+/* Bytes in use, or after one more claim when more is 1. */
+size_t claims_table_memory(const struct claims_table *t, uint32_t more);
 
 /* ---- claims-log.c: entries of the log ---- */
 
@@ -91,6 +93,7 @@
 	CLAIM_OP_DONE,	    /* ..., status, answer]; status 0: not kept */
 	CLAIM_OP_RELEASE,
 	CLAIM_OP_MAY_HAVE_RUN,
+	CLAIM_OP_NONE, /* a result that concerns no claim */
 };
 
 /* Appends the array's head of count elements and its first five. */
--- a/src/claims.c
+++ b/src/claims.c
@@ -15,8 +15,9 @@
 	struct claim_key key;
 	char entry[CLAIMS_ENTRY_BYTES];
 	uint64_t deadline_us;
-	uint32_t claim;
-	uint32_t next; /* of the same claim, or next free */
+	uint32_t claim; /* CLAIM_NONE: its result concerns no claim here */
+	uint32_t order; /* of such a result */
+	uint32_t next;	/* of the same claim, or next free */
 };
 
 struct queued_action {
@@ -32,6 +33,8 @@
 	struct waiter *waiters;
 	uint32_t waiter_count;
 	uint32_t waiter_free;
+	uint32_t strays; /* waiting results that concern no claim */
+	uint32_t stray_order;
 	struct queued_action *actions;
 	uint32_t action_count;
 	uint32_t action_next;
@@ -66,6 +69,7 @@
 	c->log = log;
 	c->memory_max = memory_max;
 	c->waiter_free = CLAIM_NONE;
+	c->strays = CLAIM_NONE;
 	claims_table_init(&c->table);
 	return c;
 }
@@ -101,7 +105,7 @@
 
 size_t claims_memory(const struct claims *c)
 {
-	return claims_table_memory(&c->table);
+	return claims_table_memory(&c->table, 0);
 }
 
 /* ---- actions ---- */
@@ -167,7 +171,8 @@
 static struct waiter *add_waiter(struct claims *c, uint32_t claim,
 				 const struct claims_event *e)
 {
-	struct claim *cl = &c->table.claims[claim];
+	uint32_t *list = claim == CLAIM_NONE ? &c->strays
+					     : &c->table.claims[claim].waiter;
 	struct waiter *w;
 	uint32_t i = c->waiter_free;
 
@@ -190,8 +195,8 @@
 	snprintf(w->entry, sizeof(w->entry), "%s", e->entry);
 	w->deadline_us = e->deadline_us;
 	w->claim = claim;
-	w->next = cl->waiter;
-	cl->waiter = i;
+	w->next = *list;
+	*list = i;
 	return w;
 }
 
@@ -340,7 +345,7 @@
 /* True when another claim fits, perhaps after dropping stored answers. */
 static bool make_room(struct claims *c)
 {
-	while (claims_table_memory(&c->table) >= c->memory_max)
+	while (claims_table_memory(&c->table, 1) > c->memory_max)
 		if (!claims_table_drop_answer(&c->table))
 			return false;
 	return true;
@@ -418,6 +423,51 @@
 	return ret;
 }
 
+/*
+ * A result of a claim that is not held here is of no effect, unless a later
+ * owner granted it. An entry that becomes durable proves that there is none.
+ */
+static void add_stray(struct claims *c, const struct claims_event *e)
+{
+	struct claim head = {
+		.hash = { e->key.hash[0], e->key.hash[1] },
+		.nonce = e->key.nonce,
+		.at_s = (uint32_t)e->wall_s,
+	};
+	struct buffer b = BUFFER_INIT;
+	struct waiter *w;
+
+	for (uint32_t i = c->strays; i != CLAIM_NONE; i = c->waiters[i].next)
+		if (c->waiters[i].key.nonce == e->key.nonce)
+			return;
+	if (!waiter_room(c))
+		return;
+	claims_log_head(&b, CLAIM_OP_NONE, 5, &head);
+	if (!oplog_append_later(c->log, ENTRY_CLAIM, b.data, b.len,
+				token_of(CLAIM_NONE, c->stray_order + 1))) {
+		w = add_waiter(c, CLAIM_NONE, e);
+		w->order = ++c->stray_order;
+	}
+	buffer_free(&b);
+}
+
+/* Acknowledges the strays up to the one whose entry is durable. */
+static void settle_strays(struct claims *c, uint32_t order)
+{
+	uint32_t *link = &c->strays;
+
+	while (*link != CLAIM_NONE) {
+		struct waiter *w = &c->waiters[*link];
+
+		if ((int32_t)(w->order - order) > 0) {
+			link = &w->next;
+			continue;
+		}
+		push(c, CLAIMS_ACK, &w->key, w->entry);
+		remove_waiter(c, link);
+	}
+}
+
 static void on_result(struct claims *c, uint64_t now,
 		      const struct claims_event *e)
 {
@@ -435,7 +485,7 @@
 		return;
 	if (i == CLAIM_NONE ||
 	    !holds(&c->table.claims[i], &e->key, hash_entry(e->entry))) {
-		push(c, CLAIMS_ACK, &e->key, e->entry);
+		add_stray(c, e);
 		return;
 	}
 	cl = &c->table.claims[i];
@@ -520,14 +570,20 @@
 	claims_table_free(&c->table);
 	c->waiter_count = 0;
 	c->waiter_free = CLAIM_NONE;
+	c->strays = CLAIM_NONE;
 }
 
 static void claims_committed(void *client, uint64_t token, uint64_t now_us)
 {
 	struct claims *c = client;
 	uint32_t i = (uint32_t)(token >> 32);
-	struct claim *cl = &c->table.claims[i];
+	struct claim *cl;
 
+	if (i == CLAIM_NONE) {
+		settle_strays(c, (uint32_t)token);
+		return;
+	}
+	cl = &c->table.claims[i];
 	/* With a later change appended, its commit settles this one too. */
 	if (cl->version != (uint32_t)token)
 		return;
--- a/tests/test-orderings.c
+++ b/tests/test-orderings.c
@@ -38,6 +38,7 @@
 	EV_RUN,	    /* a granted request ends */
 	EV_GIVE_UP, /* a request's deadline passes before a grant */
 	EV_REPORT,  /* an entry VM reports the end, perhaps again */
+	EV_REGRANT, /* a copy of an old grant arrives */
 	EV_TYPES,
 };
 
@@ -53,6 +54,7 @@
 	[EV_DRAIN] = { "drain", 2 },	  [EV_APPEND] = { "append", 40 },
 	[EV_CLAIM] = { "claim", 120 },	  [EV_RUN] = { "run", 60 },
 	[EV_GIVE_UP] = { "give-up", 10 }, [EV_REPORT] = { "report", 80 },
+	[EV_REGRANT] = { "regrant", 20 },
 };
 
 struct event {
@@ -70,6 +72,7 @@
 
 struct request {
 	enum request_state state;
+	bool was_granted;
 	uint32_t key;
 	uint32_t entry;
 	enum claim_outcome outcome;
@@ -144,6 +147,7 @@
 			   before - 1, i);
 	w->holder[r->key] = i + 1;
 	r->state = REQUEST_GRANTED;
+	r->was_granted = true;
 	w->grants++;
 }
 
@@ -265,7 +269,7 @@
 /* The n-th node that takes itself for the owner, or -1. */
 static int owner(struct world *w, uint32_t n)
 {
-	int owners[MODEL_NODES];
+	int owners[MODEL_NODES] = { 0 };
 	uint32_t count = 0;
 
 	for (int i = 0; i < MODEL_NODES; i++)
@@ -330,6 +334,14 @@
 		report(w, i - 1, node, w->requests[i - 1].outcome);
 }
 
+static void regrant(struct world *w, const struct event *e)
+{
+	uint32_t i = w->request_count ? e->a % w->request_count : 0;
+
+	if (w->requests[i].was_granted && owner(w, e->b) >= 0)
+		granted(w, owner(w, e->b), i);
+}
+
 static void tick(struct world *w, int node)
 {
 	struct claims_event e = { .type = CLAIMS_TICK, .wall_s = 1000 };
@@ -407,6 +419,9 @@
 	case EV_REPORT:
 		send_report(w, e);
 		break;
+	case EV_REGRANT:
+		regrant(w, e);
+		break;
 	case EV_TYPES:
 		break;
 	}
