Test the platform's dialect against a server in the test's process

Cause: lost answers, cut answers and status codes decide what the store service may believe. Conclusion: a write is PLATFORM_UNKNOWN after a lost or cut answer and after a server error, and PLATFORM_REFUSED after a client error.

--- /dev/null
+++ b/tests/test-platform.c
@@ -0,0 +1,280 @@
+#include <string.h>
+
+#include "platform.h"
+#include "support-kv.h"
+#include "support-unit.h"
+
+static struct kv_server *server;
+static struct platform *p;
+static struct error err;
+
+static bool put(const char *key, const char *value, uint64_t index, int *ret)
+{
+	bool applied = false;
+
+	*ret = p->ops->put_cas(p, key, value, strlen(value), index, &applied,
+			       &err);
+	return applied;
+}
+
+static uint64_t index_of(const char *key)
+{
+	struct kv_result r;
+	uint64_t index = 0;
+
+	CU_ASSERT_EQUAL_FATAL(p->ops->get(p, key, false, 0, 0, &r, &err), 0);
+	if (r.count)
+		index = r.pairs[0].modify_index;
+	kv_result_free(&r);
+	return index;
+}
+
+/* Guards against a value changed on its way and a swap that is no swap. */
+static void test_compare_and_swap(void)
+{
+	static const char bytes[] = "a\0b\xff\n+/=";
+	struct kv_result r;
+	bool applied;
+	int ret;
+
+	CU_ASSERT_EQUAL(p->ops->put_cas(p, "k/1", bytes, sizeof(bytes), 0,
+					&applied, &err),
+			0);
+	CU_ASSERT(applied);
+	CU_ASSERT_FALSE(put("k/1", "other", 0, &ret));
+	CU_ASSERT_EQUAL(ret, 0);
+	CU_ASSERT_EQUAL(p->ops->get(p, "k/1", false, 0, 0, &r, &err), 0);
+	CU_ASSERT_EQUAL_FATAL(r.count, 1);
+	CU_ASSERT_EQUAL_FATAL(r.pairs[0].value_len, sizeof(bytes));
+	CU_ASSERT_EQUAL(memcmp(r.pairs[0].value, bytes, sizeof(bytes)), 0);
+	CU_ASSERT(put("k/1", "new", r.pairs[0].modify_index, &ret));
+	CU_ASSERT_FALSE(put("k/1", "newer", r.pairs[0].modify_index, &ret));
+	kv_result_free(&r);
+	CU_ASSERT(put("k/2", "", 0, &ret));
+	CU_ASSERT_EQUAL(p->ops->get(p, "k/", true, 0, 0, &r, &err), 0);
+	CU_ASSERT_EQUAL(r.count, 2);
+	CU_ASSERT(r.index > 0);
+	kv_result_free(&r);
+	CU_ASSERT_EQUAL(p->ops->del(p, "k/", true, &err), 0);
+	CU_ASSERT_EQUAL(p->ops->get(p, "k/", true, 0, 0, &r, &err), 0);
+	CU_ASSERT_EQUAL(r.count, 0);
+}
+
+/* Guards against a lost answer that is taken for a call without effect. */
+static void test_lost_answer(void)
+{
+	struct kv_result r;
+	int ret;
+
+	kv_set_fault(server, KV_FAULT_LOSE, "PUT /v1/kv/lost", 1, 0);
+	put("lost", "x", 0, &ret);
+	CU_ASSERT_EQUAL(ret, -1);
+	CU_ASSERT_EQUAL(err.layer, ERROR_LAYER_PLATFORM);
+	CU_ASSERT_EQUAL(err.code, PLATFORM_UNKNOWN);
+	CU_ASSERT(index_of("lost") > 0);
+	kv_set_fault(server, KV_FAULT_LOSE, "GET /v1/kv/lost", 1, 0);
+	CU_ASSERT_EQUAL(p->ops->get(p, "lost", false, 0, 0, &r, &err), -1);
+	CU_ASSERT_EQUAL(err.code, PLATFORM_UNREACHABLE);
+	kv_set_fault(server, KV_FAULT_LOSE, "DELETE /v1/kv/lost", 1, 0);
+	CU_ASSERT_EQUAL(p->ops->del(p, "lost", false, &err), -1);
+	CU_ASSERT_EQUAL(err.code, PLATFORM_UNKNOWN);
+}
+
+/* Guards against half an answer taken for a whole one. */
+static void test_cut_answers(void)
+{
+	static const enum kv_fault faults[] = { KV_FAULT_CUT_JSON,
+						KV_FAULT_CUT_BODY };
+	struct kv_result r;
+	struct vm_list vms;
+	int ret;
+
+	put("cut", "some longer value", 0, &ret);
+	kv_set_vms(server, "[{\"id\":\"w1\",\"role\":\"worker\"}]");
+	for (int i = 0; i < 2; i++) {
+		kv_set_fault(server, faults[i], "GET /v1/kv/cut", 1, 0);
+		CU_ASSERT_EQUAL(p->ops->get(p, "cut", false, 0, 0, &r, &err),
+				-1);
+		CU_ASSERT_EQUAL(err.code, PLATFORM_MALFORMED);
+		CU_ASSERT_EQUAL(r.count, 0);
+		kv_set_fault(server, faults[i], "PUT /v1/kv/cut2", 1, 0);
+		put("cut2", "x", index_of("cut2"), &ret);
+		CU_ASSERT_EQUAL(ret, -1);
+		CU_ASSERT_EQUAL(err.code, PLATFORM_UNKNOWN);
+		kv_set_fault(server, faults[i], "GET /v1/vms", 1, 0);
+		CU_ASSERT_EQUAL(p->ops->list_vms(p, &vms, &err), -1);
+		CU_ASSERT_EQUAL(err.code, PLATFORM_MALFORMED);
+	}
+}
+
+/* Guards against a status that is taken for success, or for certainty. */
+static void test_status_codes(void)
+{
+	static const struct {
+		int status;
+		int write_code;
+	} cases[] = {
+		{ 400, PLATFORM_REFUSED }, { 403, PLATFORM_REFUSED },
+		{ 429, PLATFORM_REFUSED }, { 500, PLATFORM_UNKNOWN },
+		{ 503, PLATFORM_UNKNOWN },
+	};
+	struct kv_result r;
+	int ret;
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		kv_set_fault(server, KV_FAULT_STATUS, "PUT /v1/kv/s", 1,
+			     cases[i].status);
+		put("s", "x", 0, &ret);
+		CU_ASSERT_EQUAL(ret, -1);
+		CU_ASSERT_EQUAL(err.code, cases[i].write_code);
+		kv_set_fault(server, KV_FAULT_STATUS, "GET /v1/kv/s", 1,
+			     cases[i].status);
+		CU_ASSERT_EQUAL(p->ops->get(p, "s", false, 0, 0, &r, &err), -1);
+		CU_ASSERT_EQUAL(err.code, PLATFORM_REFUSED);
+	}
+}
+
+/* Guards against a lease that outlives its session. */
+static void test_sessions(void)
+{
+	char one[64], two[64];
+	struct kv_result r;
+	bool applied;
+
+	CU_ASSERT_EQUAL(p->ops->session_create(p, 3000000, one, &err), 0);
+	CU_ASSERT_EQUAL(p->ops->session_create(p, 3000000, two, &err), 0);
+	CU_ASSERT_EQUAL(p->ops->acquire(p, "o/1", "me", 2, one, &applied, &err),
+			0);
+	CU_ASSERT(applied);
+	CU_ASSERT_EQUAL(
+		p->ops->acquire(p, "o/1", "you", 3, two, &applied, &err), 0);
+	CU_ASSERT_FALSE(applied);
+	CU_ASSERT_EQUAL(p->ops->get(p, "o/1", false, 0, 0, &r, &err), 0);
+	CU_ASSERT_STRING_EQUAL(r.pairs[0].session, one);
+	CU_ASSERT_STRING_EQUAL(r.pairs[0].value, "me");
+	kv_result_free(&r);
+	CU_ASSERT_EQUAL(p->ops->session_renew(p, one, &err), 0);
+	CU_ASSERT_EQUAL(p->ops->session_destroy(p, one, &err), 0);
+	CU_ASSERT_EQUAL(p->ops->session_renew(p, one, &err), -1);
+	CU_ASSERT_EQUAL(err.code, PLATFORM_REFUSED);
+	CU_ASSERT_EQUAL(index_of("o/1"), 0);
+	CU_ASSERT_EQUAL(
+		p->ops->acquire(p, "o/1", "you", 3, two, &applied, &err), 0);
+	CU_ASSERT(applied);
+	CU_ASSERT_EQUAL(p->ops->release(p, "o/1", two, &err), 0);
+}
+
+/* Guards against a watch that misses a change or never returns. */
+static void test_watch(void)
+{
+	struct kv_result r;
+	uint64_t index;
+	int ret;
+
+	put("watch", "x", 0, &ret);
+	CU_ASSERT_EQUAL(p->ops->get(p, "watch", false, 0, 0, &r, &err), 0);
+	index = r.index;
+	kv_result_free(&r);
+	CU_ASSERT_EQUAL(p->ops->get(p, "watch", false, index, 50000, &r, &err),
+			0);
+	CU_ASSERT_EQUAL(r.index, index);
+	kv_result_free(&r);
+	put("watch2", "x", 0, &ret);
+	CU_ASSERT_EQUAL(
+		p->ops->get(p, "watch", false, index, 60000000, &r, &err), 0);
+	CU_ASSERT(r.index > index);
+	kv_result_free(&r);
+}
+
+/* Guards against a VM with a missing or wrong member that is used. */
+static void test_vm_list(void)
+{
+	struct vm_list l;
+
+	kv_set_vms(server, "[{\"id\":\"w1\",\"role\":\"worker\","
+			   "\"availability_zone\":\"cagla\",\"rack\":\"r2\","
+			   "\"address\":\"127.0.0.1:81\",\"state\":\"leaving\","
+			   "\"cpu_milli\":32000,\"memory_mb\":128000,"
+			   "\"accelerators\":0}]");
+	CU_ASSERT_EQUAL_FATAL(p->ops->list_vms(p, &l, &err), 0);
+	CU_ASSERT_EQUAL_FATAL(l.count, 1);
+	CU_ASSERT_EQUAL(l.vms[0].role, VM_WORKER);
+	CU_ASSERT_STRING_EQUAL(l.vms[0].availability_zone, "cagla");
+	CU_ASSERT_STRING_EQUAL(l.vms[0].address.host, "127.0.0.1");
+	CU_ASSERT_EQUAL(l.vms[0].address.port, 81);
+	CU_ASSERT(l.vms[0].leaving);
+	CU_ASSERT_EQUAL(l.vms[0].memory_mb, 128000);
+	vm_list_free(&l);
+	kv_set_vms(server, "[{\"id\":\"w1\",\"role\":\"wrong\","
+			   "\"address\":\"127.0.0.1:81\","
+			   "\"state\":\"live\"}]");
+	CU_ASSERT_EQUAL(p->ops->list_vms(p, &l, &err), -1);
+	CU_ASSERT_EQUAL(err.code, PLATFORM_MALFORMED);
+}
+
+/* Guards against a worker's answer that is hidden behind an error. */
+static void test_worker_call(void)
+{
+	struct settings_address a = { .host = "127.0.0.1",
+				      .port = kv_port(server) };
+	struct buffer body = BUFFER_INIT;
+	int status = 0;
+
+	CU_ASSERT_EQUAL(p->ops->worker_call(p, &a, "PUT",
+					    "/workers/w/tasks/t?fence=3", "{}",
+					    1000000, &status, &body, &err),
+			0);
+	CU_ASSERT_EQUAL(status, 200);
+	CU_ASSERT_STRING_EQUAL(body.data, "{}");
+	kv_set_fault(server, KV_FAULT_STATUS, "/workers/w", 1, 409);
+	CU_ASSERT_EQUAL(p->ops->worker_call(p, &a, "DELETE",
+					    "/workers/w/tasks/t?fence=3", NULL,
+					    1000000, &status, &body, &err),
+			0);
+	CU_ASSERT_EQUAL(status, 409);
+	kv_set_fault(server, KV_FAULT_LOSE, "/workers/w", 1, 0);
+	CU_ASSERT_EQUAL(p->ops->worker_call(p, &a, "PUT",
+					    "/workers/w/tasks/t?fence=3", "{}",
+					    1000000, &status, &body, &err),
+			-1);
+	CU_ASSERT_EQUAL(err.code, PLATFORM_UNKNOWN);
+	buffer_free(&body);
+}
+
+/* Guards against a refused connection reported as a possible effect. */
+static void test_unreachable(void)
+{
+	struct settings_address a = { .host = "127.0.0.1", .port = 1 };
+	struct platform *none = platform_consul_create(&a);
+	bool applied;
+
+	CU_ASSERT_EQUAL(
+		none->ops->put_cas(none, "k", "x", 1, 0, &applied, &err), -1);
+	CU_ASSERT_EQUAL(err.code, PLATFORM_UNREACHABLE);
+	none->ops->destroy(none);
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "compare and swap", test_compare_and_swap },
+		{ "lost answer", test_lost_answer },
+		{ "cut answers", test_cut_answers },
+		{ "status codes", test_status_codes },
+		{ "sessions", test_sessions },
+		{ "watch", test_watch },
+		{ "VM list", test_vm_list },
+		{ "worker call", test_worker_call },
+		{ "unreachable", test_unreachable },
+	};
+	struct settings_address a = { .host = "127.0.0.1" };
+	int status;
+
+	server = kv_start();
+	a.port = kv_port(server);
+	p = platform_consul_create(&a);
+	status = RUN_SUITE("platform", tests);
+	p->ops->destroy(p);
+	kv_stop(server);
+	return status;
+}
