Add the open-loop load generator

Cause: tests need callers whose arrivals do not wait for answers and who remember what they were told. Change: load-gen sends a mix of kinds to the entry VMs from one libevent loop, retries through another entry VM with the same key, checks each answer and prints one line per kind.

--- /dev/null
+++ b/tests/support-load.h
@@ -0,0 +1,97 @@
+#ifndef SUPPORT_LOAD_H
+#define SUPPORT_LOAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include "rng.h"
+
+/*
+ * NAME
+ *	support-load - open-loop requests to the entry VMs
+ *
+ * DESCRIPTION
+ *	Each part of the mix has its own arrivals (exponential gaps) and its
+ *	own random source, so that adding a part does not move the others.
+ *	A request goes to an entry VM drawn at random over a kept connection.
+ *	With retries, a request that was answered with an outcome of 5xx, or
+ *	got no answer, is sent again through another entry VM with the same
+ *	key after retry_ms.
+ *
+ *	An answer counts as "done" when the entry VM said so; as whole when
+ *	it ends as the runner's answers end, and as the caller's own when it
+ *	names the request's key. A caller without an answer counts "unknown".
+ *
+ * UNITS
+ *	Rates per second; times in the unit of the name.
+ */
+
+#define LOAD_ENTRIES_MAX 32
+#define LOAD_MIX_MAX 32
+#define LOAD_IDLE_MAX 64 /* connections kept for each entry VM */
+
+enum load_outcome { LOAD_DONE, LOAD_NOT_RUN, LOAD_UNKNOWN, LOAD_OUTCOMES };
+
+struct load_samples {
+	uint32_t *us;
+	size_t count, capacity;
+};
+
+struct load_mix {
+	char user[64], team[64], kind[64], urgency[16];
+	double rate;
+	uint32_t deadline_ms;
+	uint32_t work_us;
+	uint32_t work_spread; /* percent: work is uniform in +- this */
+	uint32_t body_bytes, answer_bytes;
+	uint32_t retries, retry_ms;
+	uint32_t duplicate_percent; /* sent twice, through two entry VMs */
+	double start_s, stop_s;	    /* part of the run; stop 0 is the end */
+	bool idempotent;
+	struct rng rng;
+	struct event *timer;
+	struct load *load;
+	uint64_t due_us;
+	uint64_t sent, answered, bad_answers, retried, late;
+	uint64_t outcomes[LOAD_OUTCOMES];
+	struct load_samples latency;  /* of "done" */
+	struct load_samples refusals; /* of "not-run" */
+};
+
+struct load_entry {
+	char host[64];
+	uint16_t port;
+	struct load_link *idle;
+	unsigned idle_count;
+};
+
+struct load {
+	struct event_base *base;
+	struct load_entry entries[LOAD_ENTRIES_MAX];
+	unsigned entry_count;
+	struct load_mix mix[LOAD_MIX_MAX];
+	unsigned mix_count;
+	uint64_t seed, begin_us, end_us;
+	uint64_t serial, in_flight;
+	char key_prefix[64];
+	bool sending;
+};
+
+struct load *load_create(uint64_t seed, const char *key_prefix);
+void load_free(struct load *l);
+
+/* Return 0, or -1 after a line on standard error. */
+int load_add_entry(struct load *l, const char *address);
+int load_add_mix(struct load *l, const char *text);
+int load_read_mix(struct load *l, const char *path);
+const char *load_mix_keys(void);
+
+/* Sends for that many seconds, then waits for the last answers. */
+void load_run(struct load *l, double seconds);
+void load_print(const struct load *l, bool json);
+
+#endif
