Add the workers of the platform stand-in

Cause: placement needs workers whose truths are hidden in the task's spec. Change: simulated workers run tasks under leases and fencing tokens, with hidden sizes, pairwise slowdown that grows with load, lagging usage reports, checkpoints and faults; every start, end and memory overrun is journalled. Conclusion: an attempt that ended is never run again on the same worker.

--- a/tests/fake-platform.c
+++ b/tests/fake-platform.c
@@ -12,10 +12,12 @@
 #include "clock.h"
 #include "support-journal.h"
 #include "support-store.h"
+#include "support-workers-http.h"
 
 #define TICK_US 20000
 /* A watch and a held call keep a thread each. */
 #define STORE_THREADS 512
+#define WORKER_THREADS 256
 
 struct arguments {
 	struct arg_str *store;
@@ -43,12 +45,23 @@
 static int run(const struct arguments *a)
 {
 	uint64_t seed = (uint64_t)a->seed->ival[0];
-	struct httpd *store_http = NULL;
+	const char *address = a->workers->count ? a->workers->sval[0] : "";
+	struct httpd *store_http = NULL, *workers_http = NULL;
+	struct worker_pool pool;
 	struct store store;
 	int rc = 1;
 
 	store_init(&store, a->vms->count ? a->vms->sval[0] : NULL,
 		   (uint64_t)a->list_lag_ms->ival[0] * 1000, seed);
+	pool_init(&pool, address, (uint64_t)a->report_lag_ms->ival[0] * 1000,
+		  seed);
+	pool_take_list(&pool, store.vms.truth);
+	if (a->workers->count) {
+		workers_http = httpd_start(address, WORKER_THREADS, pool_handle,
+					   &pool);
+		if (!workers_http)
+			goto out;
+	}
 	if (a->store->count) {
 		store_http = httpd_start(a->store->sval[0], STORE_THREADS,
 					 store_handle, &store);
@@ -58,14 +71,19 @@
 	printf("ready seed=%llu\n", (unsigned long long)seed);
 	fflush(stdout);
 	while (!stopping) {
-		store_tick(&store);
+		if (store_tick(&store))
+			pool_take_list(&pool, store.vms.truth);
+		pool_step(&pool);
 		clock_sleep_us(TICK_US);
 	}
 	rc = 0;
 out:
 	fault_release(&store.fault);
+	fault_release(&pool.fault);
 	httpd_stop(store_http);
+	httpd_stop(workers_http);
 	store_free(&store);
+	pool_free(&pool);
 	return rc;
 }
 
--- a/tests/support-wire.c
+++ b/tests/support-wire.c
@@ -75,12 +75,12 @@
 	size_t len = strlen(name);
 
 	for (const char *p = strstr(text, name); p; p = strstr(p + 1, name)) {
-		if (p != text && !strchr(" \r\n&", p[-1]))
+		if (p != text && !strchr(" ,;\r\n&", p[-1]))
 			continue;
 		if (p[len] != '=')
 			continue;
 		p += len + 1;
-		snprintf(value, size, "%.*s", (int)strcspn(p, " \r\n&"), p);
+		snprintf(value, size, "%.*s", (int)strcspn(p, " ,;\r\n&"), p);
 		return true;
 	}
 	value[0] = '\0';
--- a/tests/support-wire.h
+++ b/tests/support-wire.h
@@ -37,8 +37,8 @@
 int wire_take_request(struct evbuffer *in, struct wire_request *req);
 
 /*
- * Copies the value of NAME=VALUE, ended by a space, a line end or '&', from
- * the text. Returns false when it is absent.
+ * Copies the value of NAME=VALUE, ended by a space, comma, line end or such,
+ * from the text. Returns false when it is absent.
  */
 bool wire_find_value(const char *text, const char *name, char *value,
 		     size_t size);
--- /dev/null
+++ b/tests/support-workers.h
@@ -0,0 +1,136 @@
+#ifndef SUPPORT_WORKERS_H
+#define SUPPORT_WORKERS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "buffer.h"
+#include "rng.h"
+
+/*
+ * NAME
+ *	support-workers - simulated workers of one address
+ *
+ * DESCRIPTION
+ *	Tasks run under leases and fencing tokens as in docs/design.md 3.3.
+ *	What a task truly does is read from its spec, a key=value list:
+ *
+ *	run_ms		work of a batch task, default 10000; 0 runs on
+ *	cpu, mem	millicores and MB used, default as declared
+ *	ramp_ms		memory grows to mem in this time, default 5000
+ *	fail		"start", "run", or the probability of failing midway
+ *	service		1: never ends, has a latency
+ *	base_us		p99 latency of a service alone, default 2000
+ *	kind		class of interference, see classes in the source
+ *
+ *	A task is slowed by each neighbour by class_slowdown[own][other],
+ *	times the neighbour's part of the worker, times the square of the
+ *	load. A worker whose tasks want more CPU than it has slows them all.
+ *	A task that ended is remembered: it is reported until it is stopped,
+ *	and a start of an attempt that ended is refused.
+ *
+ *	No locks and no clock: the caller holds one mutex and passes the time.
+ *	Every change is journalled.
+ *
+ * UNITS
+ *	Times in microseconds of CLOCK_BOOTTIME unless the name says
+ *	otherwise; a throttle percent is the part of its CPU that a task may
+ *	use, 100 being unthrottled and 0 paused.
+ */
+
+#define WORKER_NAME_BYTES 96
+#define WORKER_CLASSES 4
+
+enum sim_state { SIM_RUNNING, SIM_DONE, SIM_FAILED, SIM_EXPIRED, SIM_STOPPED };
+
+struct sim_task {
+	char id[WORKER_NAME_BYTES];
+	char checkpoint[WORKER_NAME_BYTES];
+	const char *reason;
+	enum sim_state state;
+	int64_t attempt;
+	uint32_t cpu_milli, memory_mb, accelerators; /* as asked for */
+	uint64_t started_us, lease_end_us, ended_us;
+	bool acknowledged;		/* its end was told by workers_stop() */
+	uint32_t percent;		/* throttle */
+	double progress_us, fail_at_us; /* fail_at_us < 0: does not fail */
+	double slowdown;
+	struct {
+		double run_us; /* 0: runs on */
+		uint32_t cpu_milli, memory_mb;
+		uint64_t ramp_us;
+		uint32_t base_us;
+		bool service;
+		unsigned class_index;
+	} truth;
+	struct sim_task *next;
+};
+
+struct sim_worker {
+	char id[WORKER_NAME_BYTES];
+	uint32_t cpu_milli, memory_mb, accelerators;
+	uint64_t fence;
+	bool fail_starts, down, gone, over_memory, listed;
+	struct sim_task *tasks;
+	double load; /* CPU wanted by its tasks / CPU */
+	struct sim_worker *next;
+};
+
+struct sim_usage {
+	uint64_t at_us;
+	char *text;
+	struct sim_usage *next;
+};
+
+struct workers {
+	struct sim_worker *list;
+	struct rng rng;
+	uint64_t report_lag_us, stepped_us, sampled_us;
+	uint64_t serial; /* of the last checkpoint */
+	struct sim_usage *oldest, **tail;
+};
+
+void workers_init(struct workers *w, uint64_t report_lag_us, uint64_t seed);
+void workers_free(struct workers *w);
+
+/* Takes the workers with this address from the VM list. */
+void workers_take_list(struct workers *w, const json_t *vms,
+		       const char *address);
+struct sim_worker *workers_find(struct workers *w, const char *id);
+
+/* Advances tasks to now: progress, ends, leases, memory, usage samples. */
+void workers_step(struct workers *w, uint64_t now_us);
+
+/*
+ * Each raises the fencing token or answers 409. They return the HTTP status
+ * and append the JSON answer.
+ */
+int workers_start(struct workers *w, struct sim_worker *v, const char *task,
+		  uint64_t fence, const json_t *body, uint64_t now_us,
+		  struct buffer *out);
+int workers_renew(struct workers *w, struct sim_worker *v, uint64_t fence,
+		  const json_t *body, uint64_t now_us, struct buffer *out);
+int workers_throttle(struct workers *w, struct sim_worker *v, const char *task,
+		     uint64_t fence, const json_t *body, struct buffer *out);
+int workers_checkpoint(struct workers *w, struct sim_worker *v,
+		       const char *task, uint64_t fence, struct buffer *out);
+/* With an attempt (-1: none), an absent task's start is refused later. */
+int workers_stop(struct workers *w, struct sim_worker *v, const char *task,
+		 uint64_t fence, int64_t attempt, struct buffer *out);
+int workers_read(struct workers *w, struct sim_worker *v, uint64_t fence,
+		 struct buffer *out);
+void workers_usage(struct workers *w, uint64_t now_us, struct buffer *out);
+
+extern const char *const sim_state_names[];
+
+void workers_end_task(struct workers *w, struct sim_worker *v,
+		      struct sim_task *t, enum sim_state state,
+		      const char *reason);
+
+/* The VM dies: its tasks are gone without a checkpoint, its token is lost. */
+void workers_kill(struct sim_worker *v);
+
+#endif
--- /dev/null
+++ b/tests/test-fake-workers.c
@@ -0,0 +1,138 @@
+#include <string.h>
+
+#include "support-unit.h"
+#include "support-workers.h"
+
+#define SECOND_US 1000000u
+#define START_US (100u * SECOND_US)
+
+static struct workers workers;
+static struct sim_worker *worker;
+static struct buffer out;
+
+static void setup(void)
+{
+	json_t *vms = json_pack("[{s:s,s:s,s:s,s:i,s:i}]", "id", "w", "role",
+				"worker", "address", "a", "cpu_milli", 4000,
+				"memory_mb", 1000);
+
+	workers_init(&workers, 2 * SECOND_US, 1);
+	workers_take_list(&workers, vms, "a");
+	worker = workers_find(&workers, "w");
+	workers_step(&workers, START_US);
+	json_decref(vms);
+}
+
+static void teardown(void)
+{
+	workers_free(&workers);
+	buffer_free(&out);
+}
+
+static int start(const char *task, uint64_t fence, int attempt,
+		 const char *spec)
+{
+	json_t *body = json_pack("{s:i,s:i,s:i,s:i,s:s}", "attempt", attempt,
+				 "cpu_milli", 1000, "memory_mb", 400,
+				 "lease_ms", 10000, "spec", spec);
+	int status = workers_start(&workers, worker, task, fence, body,
+				   START_US, &out);
+
+	json_decref(body);
+	buffer_reset(&out);
+	return status;
+}
+
+/* Guards against an owner that lost its shard and still starts or stops. */
+static void test_fencing(void)
+{
+	setup();
+	CU_ASSERT_EQUAL(start("t", 7, 1, ""), 201);
+	CU_ASSERT_EQUAL(start("u", 6, 1, ""), 409);
+	CU_ASSERT_EQUAL(workers_stop(&workers, worker, "t", 6, -1, &out), 409);
+	CU_ASSERT_EQUAL(workers_read(&workers, worker, 8, &out), 200);
+	CU_ASSERT_EQUAL(
+		workers_renew(&workers, worker, 7, NULL, START_US, &out), 409);
+	CU_ASSERT_EQUAL(workers_stop(&workers, worker, "t", 8, -1, &out), 200);
+	teardown();
+}
+
+/* Guards against an attempt that runs twice after a lost answer. */
+static void test_attempts(void)
+{
+	setup();
+	CU_ASSERT_EQUAL(start("t", 1, 1, "run_ms=1000"), 201);
+	CU_ASSERT_EQUAL(start("t", 1, 1, "run_ms=1000"), 200);
+	CU_ASSERT_EQUAL(start("t", 1, 2, "run_ms=1000"), 409);
+	workers_step(&workers, START_US + 2 * SECOND_US);
+	CU_ASSERT_EQUAL(worker->tasks->state, SIM_DONE);
+	CU_ASSERT_EQUAL(start("t", 1, 1, "run_ms=1000"), 409);
+	CU_ASSERT_EQUAL(start("t", 1, 2, "run_ms=1000"), 201);
+	CU_ASSERT_EQUAL(workers_stop(&workers, worker, "x", 1, 4, &out), 404);
+	CU_ASSERT_EQUAL(start("x", 1, 4, ""), 409);
+	teardown();
+}
+
+/* Guards against a lease that is kept alive by nobody. */
+static void test_lease(void)
+{
+	json_t *body = json_pack("{s:i,s:[s,s]}", "lease_ms", 10000, "tasks",
+				 "t", "other");
+
+	setup();
+	start("t", 1, 1, "run_ms=60000");
+	workers_step(&workers, START_US + 9 * SECOND_US);
+	workers_renew(&workers, worker, 1, body, START_US + 9 * SECOND_US,
+		      &out);
+	CU_ASSERT_STRING_EQUAL(out.data, "{\"missing\":[\"other\"]}");
+	workers_step(&workers, START_US + 18 * SECOND_US);
+	CU_ASSERT_EQUAL(worker->tasks->state, SIM_RUNNING);
+	workers_step(&workers, START_US + 19 * SECOND_US);
+	CU_ASSERT_EQUAL(worker->tasks->state, SIM_EXPIRED);
+	json_decref(body);
+	teardown();
+}
+
+/* Guards against a slowdown that no neighbour causes, or that none shows. */
+static void test_interference(void)
+{
+	double alone, shared;
+
+	setup();
+	start("s", 1, 1, "service=1 kind=cache cpu=1000 mem=100");
+	workers_step(&workers, START_US + SECOND_US);
+	alone = worker->tasks->slowdown;
+	start("b", 1, 1, "kind=stream cpu=2000 mem=100");
+	workers_step(&workers, START_US + 2 * SECOND_US);
+	shared = worker->tasks->next->slowdown;
+	CU_ASSERT_DOUBLE_EQUAL(alone, 1, 0.0001);
+	CU_ASSERT(shared > 1.3);
+	teardown();
+}
+
+/* Guards against usage that is fresher than the lag. */
+static void test_report_lag(void)
+{
+	setup();
+	start("t", 1, 1, "run_ms=60000");
+	workers_step(&workers, START_US + SECOND_US);
+	workers_usage(&workers, START_US + 2 * SECOND_US, &out);
+	CU_ASSERT_PTR_NULL(strstr(out.data, "\"t\""));
+	buffer_reset(&out);
+	workers_usage(&workers, START_US + 3 * SECOND_US, &out);
+	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "\"t\""));
+	teardown();
+}
+
+static const struct unit_test tests[] = {
+	{ "fencing tokens", test_fencing },
+	{ "an attempt runs once", test_attempts },
+	{ "task leases", test_lease },
+	{ "interference", test_interference },
+	{ "lag of the usage reports", test_report_lag },
+};
+
+int main(void)
+{
+	return RUN_SUITE("fake-workers", tests);
+}
