--- a/src/svc-peers.h
+++ b/src/svc-peers.h
@@ -13,7 +13,9 @@
  * DESCRIPTION
  *	One ROUTER socket bound to peers.listen and one DEALER per peer, with
  *	CURVE; a ZAP handler admits only the deployment's public key. A message
- *	is a type, the sender's id and an opaque msgpack body of its type.
+ *	is a type, the sender's id and an opaque body of its type, which is
+ *	one msgpack value or empty. A body that announces more elements than
+ *	it has bytes is dropped before a handler sees it.
  *	Delivery is at most once and may fail silently; who needs an answer
  *	repeats. All functions and handlers run on the control thread.
  */
@@ -37,6 +39,9 @@
 	PEER_MESSAGE_TYPES,
 };
 
+/* Errors of layer ERROR_LAYER_PEERS. */
+enum peers_error { PEERS_SOCKET = 1, PEERS_BIND };
+
 struct peers;
 
 typedef void peer_fn(void *arg, const char *sender, const void *body,
@@ -52,7 +57,17 @@
 /* Connects to an address; the id is learnt from the peer's heartbeat. */
 void peers_connect(struct peers *p, const struct settings_address *address);
 
-/* Returns 0 when queued, -1 when no peer of that id is known. */
+/* Tells that the peer of that id listens on the address, and connects. */
+void peers_name(struct peers *p, const char *id,
+		const struct settings_address *address);
+
+/* Closes the connection to an address, unless it is a seed. */
+void peers_disconnect(struct peers *p, const struct settings_address *address);
+
+/*
+ * Returns 0 when queued, -1 when no peer of that id is known or connected, or
+ * when its queue is full.
+ */
 int peers_send(struct peers *p, const char *id, enum peer_message_type type,
 	       const void *body, size_t len);
 
