Rename the functions of the simulated workers

Change: the simulation's functions begin with sim_. Conclusion: no name of the stand-ins clashes with the library.

--- a/tests/support-workers-http.c
+++ b/tests/support-workers-http.c
@@ -19,7 +19,7 @@
 	       uint64_t report_lag_us, uint64_t seed)
 {
 	pthread_mutex_init(&p->lock, NULL);
-	workers_init(&p->workers, report_lag_us, seed);
+	sim_init(&p->workers, report_lag_us, seed);
 	fault_init(&p->fault, seed + 1);
 	calls_init(&p->calls);
 	p->address = address;
@@ -27,20 +27,20 @@
 
 void pool_free(struct worker_pool *p)
 {
-	workers_free(&p->workers);
+	sim_free(&p->workers);
 }
 
 void pool_take_list(struct worker_pool *p, const json_t *vms)
 {
 	pthread_mutex_lock(&p->lock);
-	workers_take_list(&p->workers, vms, p->address);
+	sim_take_list(&p->workers, vms, p->address);
 	pthread_mutex_unlock(&p->lock);
 }
 
 void pool_step(struct worker_pool *p)
 {
 	pthread_mutex_lock(&p->lock);
-	workers_step(&p->workers, clock_now_us());
+	sim_step(&p->workers, clock_now_us());
 	pthread_mutex_unlock(&p->lock);
 }
 
@@ -69,11 +69,11 @@
 		return false;
 	}
 	pthread_mutex_lock(&p->lock);
-	v = workers_find(&p->workers, id);
+	v = sim_find(&p->workers, id);
 	if (v) {
 		set_flag(o, "fail_starts", &v->fail_starts);
 		if (json_is_true(json_object_get(o, "kill"))) {
-			workers_kill(v);
+			sim_kill(v);
 			v->down = true;
 		}
 		set_flag(o, "down", &v->down);
@@ -104,18 +104,17 @@
 		       struct httpd_call *call)
 {
 	uint64_t fence = httpd_query_u64(call, "fence", 0);
-	struct workers *w = &p->workers;
+	struct sim_workers *w = &p->workers;
 	struct buffer *out = &call->answer;
 
 	if (verb && !strcmp(verb, "throttle"))
-		return workers_throttle(w, v, task, fence, body, out);
+		return sim_throttle(w, v, task, fence, body, out);
 	if (verb && !strcmp(verb, "checkpoint"))
-		return workers_checkpoint(w, v, task, fence, out);
+		return sim_checkpoint(w, v, task, fence, out);
 	if (!verb && !strcmp(call->method, "PUT"))
-		return workers_start(w, v, task, fence, body, clock_now_us(),
-				     out);
+		return sim_start(w, v, task, fence, body, clock_now_us(), out);
 	if (!verb && !strcmp(call->method, "DELETE"))
-		return workers_stop(
+		return sim_stop(
 			w, v, task, fence,
 			(int64_t)httpd_query_u64(call, "attempt", UINT64_MAX),
 			out);
@@ -127,28 +126,28 @@
 		    struct httpd_call *call)
 {
 	uint64_t fence = httpd_query_u64(call, "fence", 0);
-	struct workers *w = &p->workers;
+	struct sim_workers *w = &p->workers;
 	struct sim_worker *v;
 	char *parts[6];
 
 	if (!split_path(path, parts, 6) || !parts[1])
 		return 404;
 	if (!strcmp(parts[1], "usage")) {
-		workers_usage(w, clock_now_us(), &call->answer);
+		sim_usage(w, clock_now_us(), &call->answer);
 		return 200;
 	}
 	if (strcmp(parts[1], "workers") || !parts[2])
 		return 404;
-	v = workers_find(w, parts[2]);
+	v = sim_find(w, parts[2]);
 	if (!v || v->gone)
 		return 404;
 	if (v->down)
 		return 0;
 	if (!parts[3])
-		return workers_read(w, v, fence, &call->answer);
+		return sim_read(w, v, fence, &call->answer);
 	if (!strcmp(parts[3], "renew"))
-		return workers_renew(w, v, fence, body, clock_now_us(),
-				     &call->answer);
+		return sim_renew(w, v, fence, body, clock_now_us(),
+				 &call->answer);
 	if (!strcmp(parts[3], "tasks") && parts[4])
 		return handle_task(p, v, parts[4], parts[5], body, call);
 	return 404;
--- a/tests/support-workers-http.h
+++ b/tests/support-workers-http.h
@@ -21,7 +21,7 @@
 
 struct worker_pool {
 	pthread_mutex_t lock;
-	struct workers workers;
+	struct sim_workers workers;
 	struct fault fault;
 	struct call_counts calls;
 	const char *address;
--- a/tests/support-workers-sim.c
+++ b/tests/support-workers-sim.c
@@ -22,18 +22,18 @@
 static uint32_t memory_used(const struct sim_task *t, uint64_t now_us);
 static double cpu_used(const struct sim_task *t);
 static double slowdown_of(const struct sim_worker *v, const struct sim_task *t);
-static void step_task(struct workers *w, struct sim_worker *v,
+static void step_task(struct sim_workers *w, struct sim_worker *v,
 		      struct sim_task *t, uint64_t now_us, double passed_us);
-static void step_worker(struct workers *w, struct sim_worker *v,
+static void step_worker(struct sim_workers *w, struct sim_worker *v,
 			uint64_t now_us, double passed_us);
 static void forget_tasks(struct sim_worker *v, uint64_t now_us);
 static void check_memory(struct sim_worker *v, uint64_t now_us);
-static void print_task(struct workers *w, const struct sim_worker *v,
+static void print_task(struct sim_workers *w, const struct sim_worker *v,
 		       const struct sim_task *t, uint64_t now_us,
 		       struct buffer *out);
-static void print_worker(struct workers *w, const struct sim_worker *v,
+static void print_worker(struct sim_workers *w, const struct sim_worker *v,
 			 uint64_t now_us, struct buffer *out);
-static void sample_usage(struct workers *w, uint64_t now_us);
+static void sample_usage(struct sim_workers *w, uint64_t now_us);
 
 static uint32_t memory_used(const struct sim_task *t, uint64_t now_us)
 {
@@ -68,21 +68,21 @@
 	return 1 + sum * load * load;
 }
 
-static void step_task(struct workers *w, struct sim_worker *v,
+static void step_task(struct sim_workers *w, struct sim_worker *v,
 		      struct sim_task *t, uint64_t now_us, double passed_us)
 {
 	double share = v->load > 1 ? 1 / v->load : 1;
 
 	t->slowdown = slowdown_of(v, t) / share;
 	if (t->lease_end_us <= now_us) {
-		workers_end_task(w, v, t, SIM_EXPIRED, "lease ran out");
+		sim_end_task(w, v, t, SIM_EXPIRED, "lease ran out");
 		return;
 	}
 	t->progress_us += passed_us * t->percent / 100 / t->slowdown;
 	if (t->fail_at_us >= 0 && t->progress_us >= t->fail_at_us)
-		workers_end_task(w, v, t, SIM_FAILED, "failed");
+		sim_end_task(w, v, t, SIM_FAILED, "failed");
 	else if (t->truth.run_us > 0 && t->progress_us >= t->truth.run_us)
-		workers_end_task(w, v, t, SIM_DONE, "");
+		sim_end_task(w, v, t, SIM_DONE, "");
 }
 
 static void check_memory(struct sim_worker *v, uint64_t now_us)
@@ -99,7 +99,7 @@
 	v->over_memory = used > v->memory_mb;
 }
 
-static void step_worker(struct workers *w, struct sim_worker *v,
+static void step_worker(struct sim_workers *w, struct sim_worker *v,
 			uint64_t now_us, double passed_us)
 {
 	double cpu = 0;
@@ -114,7 +114,7 @@
 	check_memory(v, now_us);
 }
 
-static void print_task(struct workers *w, const struct sim_worker *v,
+static void print_task(struct sim_workers *w, const struct sim_worker *v,
 		       const struct sim_task *t, uint64_t now_us,
 		       struct buffer *out)
 {
@@ -136,7 +136,7 @@
 		      progress < 1 ? progress : 1);
 }
 
-static void print_worker(struct workers *w, const struct sim_worker *v,
+static void print_worker(struct sim_workers *w, const struct sim_worker *v,
 			 uint64_t now_us, struct buffer *out)
 {
 	const char *comma = "";
@@ -178,7 +178,7 @@
 	}
 }
 
-static void sample_usage(struct workers *w, uint64_t now_us)
+static void sample_usage(struct sim_workers *w, uint64_t now_us)
 {
 	struct sim_usage *u = xcalloc(1, sizeof(*u));
 	struct buffer out = BUFFER_INIT;
@@ -200,7 +200,7 @@
 	w->tail = &u->next;
 }
 
-void workers_step(struct workers *w, uint64_t now_us)
+void sim_step(struct sim_workers *w, uint64_t now_us)
 {
 	uint64_t passed = w->stepped_us ? now_us - w->stepped_us : 0;
 
@@ -218,7 +218,7 @@
 }
 
 /* Answers the newest sample that is as old as the lag. */
-void workers_usage(struct workers *w, uint64_t now_us, struct buffer *out)
+void sim_usage(struct sim_workers *w, uint64_t now_us, struct buffer *out)
 {
 	struct sim_usage *u = w->oldest;
 
--- a/tests/support-workers.c
+++ b/tests/support-workers.c
@@ -26,18 +26,19 @@
 
 static unsigned class_of(const char *kind);
 static double spec_number(const char *spec, const char *name, double absent);
-static void read_truth(struct workers *w, struct sim_task *t, const char *spec);
+static void read_truth(struct sim_workers *w, struct sim_task *t,
+		       const char *spec);
 static struct sim_task *find_task(struct sim_worker *v, const char *id);
 static struct sim_task *add_task(struct sim_worker *v, const char *id);
 static bool stale(struct sim_worker *v, uint64_t fence, struct buffer *out);
 static uint32_t body_number(const json_t *body, const char *name);
 static bool has_room(const struct sim_worker *v, const json_t *body);
 static double resume_progress(const char *checkpoint);
-static void make_checkpoint(struct workers *w, struct sim_task *t);
+static void make_checkpoint(struct sim_workers *w, struct sim_task *t);
 static void free_tasks(struct sim_worker *v);
 static void unlist(struct sim_worker *v);
 
-void workers_init(struct workers *w, uint64_t report_lag_us, uint64_t seed)
+void sim_init(struct sim_workers *w, uint64_t report_lag_us, uint64_t seed)
 {
 	memset(w, 0, sizeof(*w));
 	w->report_lag_us = report_lag_us;
@@ -55,7 +56,7 @@
 	}
 }
 
-void workers_free(struct workers *w)
+void sim_free(struct sim_workers *w)
 {
 	struct sim_worker *v;
 	struct sim_usage *u;
@@ -72,7 +73,7 @@
 	}
 }
 
-struct sim_worker *workers_find(struct workers *w, const char *id)
+struct sim_worker *sim_find(struct sim_workers *w, const char *id)
 {
 	struct sim_worker *v = w->list;
 
@@ -85,12 +86,12 @@
 {
 	if (v->listed || v->gone)
 		return;
-	workers_kill(v);
+	sim_kill(v);
 	v->gone = true;
 }
 
-void workers_take_list(struct workers *w, const json_t *vms,
-		       const char *address)
+void sim_take_list(struct sim_workers *w, const json_t *vms,
+		   const char *address)
 {
 	struct sim_worker *v;
 	size_t i;
@@ -109,7 +110,7 @@
 		if (!id || !at || !role || strcmp(at, address) ||
 		    strcmp(role, "worker"))
 			continue;
-		v = workers_find(w, id);
+		v = sim_find(w, id);
 		if (!v) {
 			v = xcalloc(1, sizeof(*v));
 			snprintf(v->id, sizeof(v->id), "%s", id);
@@ -147,7 +148,8 @@
 	return strtod(text, NULL);
 }
 
-static void read_truth(struct workers *w, struct sim_task *t, const char *spec)
+static void read_truth(struct sim_workers *w, struct sim_task *t,
+		       const char *spec)
 {
 	char text[64];
 
@@ -232,15 +234,14 @@
 	return dash ? strtod(dash + 1, NULL) : 0;
 }
 
-static void make_checkpoint(struct workers *w, struct sim_task *t)
+static void make_checkpoint(struct sim_workers *w, struct sim_task *t)
 {
 	snprintf(t->checkpoint, sizeof(t->checkpoint), "cp-%llu-%.0f",
 		 (unsigned long long)++w->serial, t->progress_us);
 }
 
-void workers_end_task(struct workers *w, struct sim_worker *v,
-		      struct sim_task *t, enum sim_state state,
-		      const char *reason)
+void sim_end_task(struct sim_workers *w, struct sim_worker *v,
+		  struct sim_task *t, enum sim_state state, const char *reason)
 {
 	t->state = state;
 	t->reason = reason;
@@ -253,9 +254,9 @@
 		      "progress_ms", (json_int_t)(t->progress_us / 1000));
 }
 
-int workers_start(struct workers *w, struct sim_worker *v, const char *task,
-		  uint64_t fence, const json_t *body, uint64_t now_us,
-		  struct buffer *out)
+int sim_start(struct sim_workers *w, struct sim_worker *v, const char *task,
+	      uint64_t fence, const json_t *body, uint64_t now_us,
+	      struct buffer *out)
 {
 	const char *checkpoint =
 		json_string_value(json_object_get(body, "checkpoint"));
@@ -320,8 +321,8 @@
 	return 201;
 }
 
-int workers_renew(struct workers *w, struct sim_worker *v, uint64_t fence,
-		  const json_t *body, uint64_t now_us, struct buffer *out)
+int sim_renew(struct sim_workers *w, struct sim_worker *v, uint64_t fence,
+	      const json_t *body, uint64_t now_us, struct buffer *out)
 {
 	uint64_t lease_us = body_number(body, "lease_ms") * 1000ull;
 	const char *comma = "";
@@ -348,8 +349,8 @@
 	return 200;
 }
 
-int workers_throttle(struct workers *w, struct sim_worker *v, const char *task,
-		     uint64_t fence, const json_t *body, struct buffer *out)
+int sim_throttle(struct sim_workers *w, struct sim_worker *v, const char *task,
+		 uint64_t fence, const json_t *body, struct buffer *out)
 {
 	struct sim_task *t = find_task(v, task);
 	uint32_t percent = body_number(body, "percent");
@@ -368,8 +369,8 @@
 	return 200;
 }
 
-int workers_checkpoint(struct workers *w, struct sim_worker *v,
-		       const char *task, uint64_t fence, struct buffer *out)
+int sim_checkpoint(struct sim_workers *w, struct sim_worker *v,
+		   const char *task, uint64_t fence, struct buffer *out)
 {
 	struct sim_task *t = find_task(v, task);
 
@@ -387,8 +388,8 @@
 	return 200;
 }
 
-int workers_stop(struct workers *w, struct sim_worker *v, const char *task,
-		 uint64_t fence, int64_t attempt, struct buffer *out)
+int sim_stop(struct sim_workers *w, struct sim_worker *v, const char *task,
+	     uint64_t fence, int64_t attempt, struct buffer *out)
 {
 	struct sim_task *t = find_task(v, task);
 
@@ -405,15 +406,15 @@
 	}
 	t->acknowledged = true;
 	if (t->state == SIM_RUNNING)
-		workers_end_task(w, v, t, SIM_STOPPED, "stopped");
+		sim_end_task(w, v, t, SIM_STOPPED, "stopped");
 	/* A task that ended by itself is said to be done, not stopped. */
 	buffer_printf(out, "{\"state\":\"%s\",\"checkpoint\":\"%s\"}",
 		      sim_state_names[t->state], t->checkpoint);
 	return 200;
 }
 
-int workers_read(struct workers *w, struct sim_worker *v, uint64_t fence,
-		 struct buffer *out)
+int sim_read(struct sim_workers *w, struct sim_worker *v, uint64_t fence,
+	     struct buffer *out)
 {
 	const char *comma = "";
 
@@ -437,7 +438,7 @@
 	return 200;
 }
 
-void workers_kill(struct sim_worker *v)
+void sim_kill(struct sim_worker *v)
 {
 	for (struct sim_task *t = v->tasks; t; t = t->next)
 		if (t->state == SIM_RUNNING)
--- a/tests/support-workers.h
+++ b/tests/support-workers.h
@@ -54,7 +54,7 @@
 	int64_t attempt;
 	uint32_t cpu_milli, memory_mb, accelerators; /* as asked for */
 	uint64_t started_us, lease_end_us, ended_us;
-	bool acknowledged;		/* its end was told by workers_stop() */
+	bool acknowledged;		/* its end was told by sim_stop() */
 	uint32_t percent;		/* throttle */
 	double progress_us, fail_at_us; /* fail_at_us < 0: does not fail */
 	double slowdown;
@@ -85,7 +85,7 @@
 	struct sim_usage *next;
 };
 
-struct workers {
+struct sim_workers {
 	struct sim_worker *list;
 	struct rng rng;
 	uint64_t report_lag_us, stepped_us, sampled_us;
@@ -93,44 +93,43 @@
 	struct sim_usage *oldest, **tail;
 };
 
-void workers_init(struct workers *w, uint64_t report_lag_us, uint64_t seed);
-void workers_free(struct workers *w);
+void sim_init(struct sim_workers *w, uint64_t report_lag_us, uint64_t seed);
+void sim_free(struct sim_workers *w);
 
 /* Takes the workers with this address from the VM list. */
-void workers_take_list(struct workers *w, const json_t *vms,
-		       const char *address);
-struct sim_worker *workers_find(struct workers *w, const char *id);
+void sim_take_list(struct sim_workers *w, const json_t *vms,
+		   const char *address);
+struct sim_worker *sim_find(struct sim_workers *w, const char *id);
 
 /* Advances tasks to now: progress, ends, leases, memory, usage samples. */
-void workers_step(struct workers *w, uint64_t now_us);
+void sim_step(struct sim_workers *w, uint64_t now_us);
 
 /*
  * Each raises the fencing token or answers 409. They return the HTTP status
  * and append the JSON answer.
  */
-int workers_start(struct workers *w, struct sim_worker *v, const char *task,
-		  uint64_t fence, const json_t *body, uint64_t now_us,
-		  struct buffer *out);
-int workers_renew(struct workers *w, struct sim_worker *v, uint64_t fence,
-		  const json_t *body, uint64_t now_us, struct buffer *out);
-int workers_throttle(struct workers *w, struct sim_worker *v, const char *task,
-		     uint64_t fence, const json_t *body, struct buffer *out);
-int workers_checkpoint(struct workers *w, struct sim_worker *v,
-		       const char *task, uint64_t fence, struct buffer *out);
+int sim_start(struct sim_workers *w, struct sim_worker *v, const char *task,
+	      uint64_t fence, const json_t *body, uint64_t now_us,
+	      struct buffer *out);
+int sim_renew(struct sim_workers *w, struct sim_worker *v, uint64_t fence,
+	      const json_t *body, uint64_t now_us, struct buffer *out);
+int sim_throttle(struct sim_workers *w, struct sim_worker *v, const char *task,
+		 uint64_t fence, const json_t *body, struct buffer *out);
+int sim_checkpoint(struct sim_workers *w, struct sim_worker *v,
+		   const char *task, uint64_t fence, struct buffer *out);
 /* With an attempt (-1: none), an absent task's start is refused later. */
-int workers_stop(struct workers *w, struct sim_worker *v, const char *task,
-		 uint64_t fence, int64_t attempt, struct buffer *out);
-int workers_read(struct workers *w, struct sim_worker *v, uint64_t fence,
-		 struct buffer *out);
-void workers_usage(struct workers *w, uint64_t now_us, struct buffer *out);
+int sim_stop(struct sim_workers *w, struct sim_worker *v, const char *task,
+	     uint64_t fence, int64_t attempt, struct buffer *out);
+int sim_read(struct sim_workers *w, struct sim_worker *v, uint64_t fence,
+	     struct buffer *out);
+void sim_usage(struct sim_workers *w, uint64_t now_us, struct buffer *out);
 
 extern const char *const sim_state_names[];
 
-void workers_end_task(struct workers *w, struct sim_worker *v,
-		      struct sim_task *t, enum sim_state state,
-		      const char *reason);
+void sim_end_task(struct sim_workers *w, struct sim_worker *v,
+		  struct sim_task *t, enum sim_state state, const char *reason);
 
 /* The VM dies: its tasks are gone without a checkpoint, its token is lost. */
-void workers_kill(struct sim_worker *v);
+void sim_kill(struct sim_worker *v);
 
 #endif
--- a/tests/test-fake-workers.c
+++ b/tests/test-fake-workers.c
@@ -6,7 +6,7 @@
 #define SECOND_US 1000000u
 #define START_US (100u * SECOND_US)
 
-static struct workers workers;
+static struct sim_workers workers;
 static struct sim_worker *worker;
 static struct buffer out;
 
@@ -16,16 +16,16 @@
 				"worker", "address", "a", "cpu_milli", 4000,
 				"memory_mb", 1000);
 
-	workers_init(&workers, 2 * SECOND_US, 1);
-	workers_take_list(&workers, vms, "a");
-	worker = workers_find(&workers, "w");
-	workers_step(&workers, START_US);
+	sim_init(&workers, 2 * SECOND_US, 1);
+	sim_take_list(&workers, vms, "a");
+	worker = sim_find(&workers, "w");
+	sim_step(&workers, START_US);
 	json_decref(vms);
 }
 
 static void teardown(void)
 {
-	workers_free(&workers);
+	sim_free(&workers);
 	buffer_free(&out);
 }
 
@@ -35,8 +35,8 @@
 	json_t *body = json_pack("{s:i,s:i,s:i,s:i,s:s}", "attempt", attempt,
 				 "cpu_milli", 1000, "memory_mb", 400,
 				 "lease_ms", 10000, "spec", spec);
-	int status = workers_start(&workers, worker, task, fence, body,
-				   START_US, &out);
+	int status =
+		sim_start(&workers, worker, task, fence, body, START_US, &out);
 
 	json_decref(body);
 	buffer_reset(&out);
@@ -49,11 +49,11 @@
 	setup();
 	CU_ASSERT_EQUAL(start("t", 7, 1, ""), 201);
 	CU_ASSERT_EQUAL(start("u", 6, 1, ""), 409);
-	CU_ASSERT_EQUAL(workers_stop(&workers, worker, "t", 6, -1, &out), 409);
-	CU_ASSERT_EQUAL(workers_read(&workers, worker, 8, &out), 200);
-	CU_ASSERT_EQUAL(
-		workers_renew(&workers, worker, 7, NULL, START_US, &out), 409);
-	CU_ASSERT_EQUAL(workers_stop(&workers, worker, "t", 8, -1, &out), 200);
+	CU_ASSERT_EQUAL(sim_stop(&workers, worker, "t", 6, -1, &out), 409);
+	CU_ASSERT_EQUAL(sim_read(&workers, worker, 8, &out), 200);
+	CU_ASSERT_EQUAL(sim_renew(&workers, worker, 7, NULL, START_US, &out),
+			409);
+	CU_ASSERT_EQUAL(sim_stop(&workers, worker, "t", 8, -1, &out), 200);
 	teardown();
 }
 
@@ -64,11 +64,11 @@
 	CU_ASSERT_EQUAL(start("t", 1, 1, "run_ms=1000"), 201);
 	CU_ASSERT_EQUAL(start("t", 1, 1, "run_ms=1000"), 200);
 	CU_ASSERT_EQUAL(start("t", 1, 2, "run_ms=1000"), 409);
-	workers_step(&workers, START_US + 2 * SECOND_US);
+	sim_step(&workers, START_US + 2 * SECOND_US);
 	CU_ASSERT_EQUAL(worker->tasks->state, SIM_DONE);
 	CU_ASSERT_EQUAL(start("t", 1, 1, "run_ms=1000"), 409);
 	CU_ASSERT_EQUAL(start("t", 1, 2, "run_ms=1000"), 201);
-	CU_ASSERT_EQUAL(workers_stop(&workers, worker, "x", 1, 4, &out), 404);
+	CU_ASSERT_EQUAL(sim_stop(&workers, worker, "x", 1, 4, &out), 404);
 	CU_ASSERT_EQUAL(start("x", 1, 4, ""), 409);
 	teardown();
 }
@@ -81,13 +81,12 @@
 
 	setup();
 	start("t", 1, 1, "run_ms=60000");
-	workers_step(&workers, START_US + 9 * SECOND_US);
-	workers_renew(&workers, worker, 1, body, START_US + 9 * SECOND_US,
-		      &out);
+	sim_step(&workers, START_US + 9 * SECOND_US);
+	sim_renew(&workers, worker, 1, body, START_US + 9 * SECOND_US, &out);
 	CU_ASSERT_STRING_EQUAL(out.data, "{\"missing\":[\"other\"]}");
-	workers_step(&workers, START_US + 18 * SECOND_US);
+	sim_step(&workers, START_US + 18 * SECOND_US);
 	CU_ASSERT_EQUAL(worker->tasks->state, SIM_RUNNING);
-	workers_step(&workers, START_US + 19 * SECOND_US);
+	sim_step(&workers, START_US + 19 * SECOND_US);
 	CU_ASSERT_EQUAL(worker->tasks->state, SIM_EXPIRED);
 	json_decref(body);
 	teardown();
@@ -100,10 +99,10 @@
 
 	setup();
 	start("s", 1, 1, "service=1 kind=cache cpu=1000 mem=100");
-	workers_step(&workers, START_US + SECOND_US);
+	sim_step(&workers, START_US + SECOND_US);
 	alone = worker->tasks->slowdown;
 	start("b", 1, 1, "kind=stream cpu=2000 mem=100");
-	workers_step(&workers, START_US + 2 * SECOND_US);
+	sim_step(&workers, START_US + 2 * SECOND_US);
 	shared = worker->tasks->next->slowdown;
 	CU_ASSERT_DOUBLE_EQUAL(alone, 1, 0.0001);
 	CU_ASSERT(shared > 1.3);
@@ -115,11 +114,11 @@
 {
 	setup();
 	start("t", 1, 1, "run_ms=60000");
-	workers_step(&workers, START_US + SECOND_US);
-	workers_usage(&workers, START_US + 2 * SECOND_US, &out);
+	sim_step(&workers, START_US + SECOND_US);
+	sim_usage(&workers, START_US + 2 * SECOND_US, &out);
 	CU_ASSERT_PTR_NULL(strstr(out.data, "\"t\""));
 	buffer_reset(&out);
-	workers_usage(&workers, START_US + 3 * SECOND_US, &out);
+	sim_usage(&workers, START_US + 3 * SECOND_US, &out);
 	CU_ASSERT_PTR_NOT_NULL(strstr(out.data, "\"t\""));
 	teardown();
 }
