Add the fault proxy

Cause: tests need links between zones that delay, stall and cut. Change: fault-proxy passes many links from one libevent loop; POST /v1/links/NAME sets delay, jitter, drop, cut in one or both directions, lost answers and bandwidth; what a cut link holds is passed on late. Conclusion: a request held by a cut still arrives when its caller has gone.

--- /dev/null
+++ b/tests/support-proxy.c
@@ -0,0 +1,477 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "buffer.h"
+#include "clock.h"
+#include "support-journal.h"
+#include "support-proxy.h"
+
+enum direction { UP, DOWN };
+
+/* What a side sent, until the link may pass it on. */
+struct piece {
+	struct evbuffer *data; /* NULL: the side closed */
+	uint64_t release_us;
+	struct piece *next;
+};
+
+struct flow_half {
+	struct link_conn *conn;
+	enum direction direction;
+	struct bufferevent *from, *to;
+	struct event *timer;
+	struct piece *first, **tail;
+	size_t held;
+	uint64_t last_release_us;
+	bool ended; /* its end was passed on */
+};
+
+struct link_conn {
+	struct link *link;
+	struct bufferevent *caller, *target;
+	struct flow_half half[2];
+	bool connecting;       /* the connection to the target was asked for */
+	bool waits_for_answer; /* bytes went up since the last came down */
+	struct link_conn *next, **prev;
+};
+
+struct link {
+	struct proxy *proxy;
+	char name[64];
+	struct evconnlistener *listener;
+	struct sockaddr_storage target;
+	int target_len;
+	struct link_conn *conns;
+	double delay_ms, jitter_ms, drop, lose_answer, bytes_per_s;
+	bool cut[2];
+	uint64_t accepted, bytes[2], lost_answers;
+};
+
+struct proxy {
+	struct event_base *base;
+	struct rng rng;
+	struct link *links[PROXY_LINKS_MAX];
+	unsigned link_count;
+};
+
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
+		      struct sockaddr *peer, int len, void *arg);
+static void connect_target(struct link_conn *c);
+static void init_half(struct link_conn *c, enum direction d);
+static void on_read(struct bufferevent *bev, void *arg);
+static void on_event(struct bufferevent *bev, short what, void *arg);
+static void hold(struct flow_half *h, struct evbuffer *data);
+static uint64_t release_time(struct flow_half *h, size_t len);
+static void arm(struct flow_half *h);
+static void on_release(evutil_socket_t fd, short what, void *arg);
+static bool pass_first(struct flow_half *h);
+static bool pass_end(struct flow_half *h);
+static void close_conn(struct link_conn *c);
+static void free_half(struct flow_half *h);
+static bool draw(struct proxy *p, double rate);
+static void no_delay(struct bufferevent *bev);
+static void change_link(struct link *l, const json_t *change);
+static void set_number(const json_t *o, const char *name, double *value);
+static void set_cut(struct link *l, const char *cut);
+static json_t *describe(const struct link *l);
+static bool name_matches(const char *pattern, const char *name);
+static void free_link(struct link *l);
+
+struct proxy *proxy_create(struct event_base *base, uint64_t seed)
+{
+	struct proxy *p = xcalloc(1, sizeof(*p));
+
+	p->base = base;
+	p->rng.state = seed;
+	return p;
+}
+
+static void free_link(struct link *l)
+{
+	while (l->conns)
+		close_conn(l->conns);
+	if (l->listener)
+		evconnlistener_free(l->listener);
+	free(l);
+}
+
+void proxy_destroy(struct proxy *p)
+{
+	for (unsigned i = 0; i < p->link_count; i++)
+		free_link(p->links[i]);
+	free(p);
+}
+
+int proxy_add_link(struct proxy *p, const char *text)
+{
+	struct link *l = xcalloc(1, sizeof(*l));
+	char listen[64], target[64];
+	struct sockaddr_storage addr;
+	int len;
+
+	l->proxy = p;
+	if (p->link_count == PROXY_LINKS_MAX ||
+	    sscanf(text, "%63[^=]=%63[^=]=%63s", l->name, listen, target) !=
+		    3) {
+		fprintf(stderr, "%s: not NAME=LISTEN=TARGET\n", text);
+		goto fail;
+	}
+	if (wire_parse_address(listen, &addr, &len) < 0 ||
+	    wire_parse_address(target, &l->target, &l->target_len) < 0)
+		goto fail;
+	l->listener = evconnlistener_new_bind(
+		p->base, on_accept, l,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+			LEV_OPT_CLOSE_ON_EXEC,
+		1024, (struct sockaddr *)&addr, len);
+	if (!l->listener) {
+		fprintf(stderr, "%s: cannot listen\n", listen);
+		goto fail;
+	}
+	p->links[p->link_count++] = l;
+	return 0;
+fail:
+	free(l);
+	return -1;
+}
+
+static bool draw(struct proxy *p, double rate)
+{
+	return rate > 0 && rng_unit(&p->rng) < rate;
+}
+
+static void no_delay(struct bufferevent *bev)
+{
+	int on = 1;
+
+	setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
+		   sizeof(on));
+}
+
+/* ---- connections ---- */
+
+static void init_half(struct link_conn *c, enum direction d)
+{
+	struct flow_half *h = &c->half[d];
+
+	h->conn = c;
+	h->direction = d;
+	h->from = d == UP ? c->caller : c->target;
+	h->to = d == UP ? c->target : c->caller;
+	h->tail = &h->first;
+	h->timer = evtimer_new(c->link->proxy->base, on_release, h);
+	bufferevent_setcb(h->from, on_read, NULL, on_event, h);
+}
+
+static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
+		      struct sockaddr *peer, int len, void *arg)
+{
+	struct link *link = arg;
+	struct event_base *base = link->proxy->base;
+	struct link_conn *c = xcalloc(1, sizeof(*c));
+	/* Deferred, so that no call here closes the pair that it handles. */
+	const int options = BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS;
+
+	(void)l;
+	(void)peer;
+	(void)len;
+	link->accepted++;
+	c->link = link;
+	c->next = link->conns;
+	c->prev = &link->conns;
+	if (c->next)
+		c->next->prev = &c->next;
+	link->conns = c;
+	c->caller = bufferevent_socket_new(base, fd, options);
+	c->target = bufferevent_socket_new(base, -1, options);
+	no_delay(c->caller);
+	init_half(c, UP);
+	init_half(c, DOWN);
+	bufferevent_enable(c->caller, EV_READ | EV_WRITE);
+	connect_target(c);
+}
+
+/* Connects unless the link is cut both ways; a failure closes both sides. */
+static void connect_target(struct link_conn *c)
+{
+	struct link *l = c->link;
+
+	if (c->connecting || (l->cut[UP] && l->cut[DOWN]))
+		return;
+	c->connecting = true;
+	bufferevent_enable(c->target, EV_READ | EV_WRITE);
+	/* A failure is reported to on_event() later. */
+	bufferevent_socket_connect(c->target, (struct sockaddr *)&l->target,
+				   l->target_len);
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	struct evbuffer *data = evbuffer_new();
+	struct flow_half *h = arg;
+
+	evbuffer_add_buffer(data, bufferevent_get_input(bev));
+	hold(h, data);
+	if (h->held > PROXY_HELD_MAX)
+		bufferevent_disable(bev, EV_READ);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct flow_half *h = arg;
+	struct link_conn *c = h->conn;
+
+	if (what & BEV_EVENT_CONNECTED) {
+		no_delay(bev);
+		return;
+	}
+	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+		return;
+	/* A caller that never came through leaves nothing behind. */
+	if (!c->connecting || (bev == c->target && what & BEV_EVENT_ERROR)) {
+		close_conn(c);
+		return;
+	}
+	bufferevent_disable(bev, EV_READ);
+	hold(h, NULL);
+}
+
+static void free_half(struct flow_half *h)
+{
+	struct piece *p;
+
+	while ((p = h->first)) {
+		h->first = p->next;
+		if (p->data)
+			evbuffer_free(p->data);
+		free(p);
+	}
+	event_free(h->timer);
+}
+
+static void close_conn(struct link_conn *c)
+{
+	*c->prev = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	free_half(&c->half[UP]);
+	free_half(&c->half[DOWN]);
+	bufferevent_free(c->caller);
+	bufferevent_free(c->target);
+	free(c);
+}
+
+/* ---- what a link holds ---- */
+
+static uint64_t release_time(struct flow_half *h, size_t len)
+{
+	struct link *l = h->conn->link;
+	struct proxy *p = l->proxy;
+	uint64_t resend = PROXY_RESEND_US;
+	double us = l->delay_ms * 1000;
+
+	if (l->jitter_ms > 0)
+		us += l->jitter_ms * 1000 * rng_unit(&p->rng);
+	while (draw(p, l->drop) && resend < 8 * PROXY_RESEND_US) {
+		us += (double)resend;
+		resend *= 2;
+	}
+	us += (double)clock_now_us();
+	if (us < (double)h->last_release_us)
+		us = (double)h->last_release_us;
+	if (l->bytes_per_s > 0)
+		us += (double)len / l->bytes_per_s * 1e6;
+	h->last_release_us = (uint64_t)us;
+	return h->last_release_us;
+}
+
+/* Queues data, or the end of the stream when data is NULL. */
+static void hold(struct flow_half *h, struct evbuffer *data)
+{
+	size_t len = data ? evbuffer_get_length(data) : 0;
+	struct piece *p = xcalloc(1, sizeof(*p));
+
+	p->data = data;
+	p->release_us = release_time(h, len);
+	*h->tail = p;
+	h->tail = &p->next;
+	h->held += len;
+	arm(h);
+}
+
+static void arm(struct flow_half *h)
+{
+	uint64_t now = clock_now_us(), wait;
+	struct timeval tv;
+
+	if (!h->first || h->conn->link->cut[h->direction])
+		return;
+	wait = h->first->release_us > now ? h->first->release_us - now : 0;
+	tv.tv_sec = (time_t)(wait / 1000000);
+	tv.tv_usec = (suseconds_t)(wait % 1000000);
+	evtimer_add(h->timer, &tv);
+}
+
+/* Passes the end of a stream on. Returns false when the pair was closed. */
+static bool pass_end(struct flow_half *h)
+{
+	const struct timeval again = { 0, 1000 };
+	struct link_conn *c = h->conn;
+	struct evbuffer *left = bufferevent_get_output(h->to);
+
+	h->ended = true;
+	if (c->half[!h->direction].ended) {
+		close_conn(c);
+		return false;
+	}
+	if (!evbuffer_get_length(left))
+		shutdown(bufferevent_getfd(h->to), SHUT_WR);
+	else
+		evtimer_add(h->timer, &again);
+	return true;
+}
+
+/* Passes the first piece on. Returns false when the pair was closed. */
+static bool pass_first(struct flow_half *h)
+{
+	struct link_conn *c = h->conn;
+	struct link *l = c->link;
+	struct piece *p = h->first;
+	struct evbuffer *data = p->data;
+	size_t len = data ? evbuffer_get_length(data) : 0;
+
+	if (data && h->direction == DOWN && c->waits_for_answer &&
+	    draw(l->proxy, l->lose_answer)) {
+		l->lost_answers++;
+		journal_event("answer-lost", "{s:s}", "link", l->name);
+		close_conn(c);
+		return false;
+	}
+	h->first = p->next;
+	if (!h->first)
+		h->tail = &h->first;
+	free(p);
+	if (!data)
+		return pass_end(h);
+	h->held -= len;
+	l->bytes[h->direction] += len;
+	c->waits_for_answer = h->direction == UP;
+	bufferevent_write_buffer(h->to, data);
+	evbuffer_free(data);
+	if (h->held <= PROXY_HELD_MAX && !h->ended)
+		bufferevent_enable(h->from, EV_READ);
+	return true;
+}
+
+static void on_release(evutil_socket_t fd, short what, void *arg)
+{
+	struct flow_half *h = arg;
+
+	(void)fd;
+	(void)what;
+	if (h->ended) {
+		pass_end(h);
+		return;
+	}
+	while (h->first && !h->conn->link->cut[h->direction] &&
+	       h->first->release_us <= clock_now_us())
+		if (!pass_first(h))
+			return;
+	if (!h->ended)
+		arm(h);
+}
+
+/* ---- control ---- */
+
+static void set_number(const json_t *o, const char *name, double *value)
+{
+	json_t *v = json_object_get(o, name);
+
+	if (json_is_number(v))
+		*value = json_number_value(v);
+}
+
+static void set_cut(struct link *l, const char *cut)
+{
+	l->cut[UP] = !strcmp(cut, "both") || !strcmp(cut, "up");
+	l->cut[DOWN] = !strcmp(cut, "both") || !strcmp(cut, "down");
+	for (struct link_conn *c = l->conns; c; c = c->next) {
+		connect_target(c);
+		arm(&c->half[UP]);
+		arm(&c->half[DOWN]);
+	}
+}
+
+static void change_link(struct link *l, const json_t *change)
+{
+	const char *cut = json_string_value(json_object_get(change, "cut"));
+
+	if (json_is_true(json_object_get(change, "reset"))) {
+		l->delay_ms = l->jitter_ms = l->bytes_per_s = 0;
+		l->drop = l->lose_answer = 0;
+		set_cut(l, "none");
+	}
+	set_number(change, "delay_ms", &l->delay_ms);
+	set_number(change, "jitter_ms", &l->jitter_ms);
+	set_number(change, "drop", &l->drop);
+	set_number(change, "lose_answer", &l->lose_answer);
+	set_number(change, "bytes_per_s", &l->bytes_per_s);
+	if (cut)
+		set_cut(l, cut);
+	while (json_is_true(json_object_get(change, "close")) && l->conns)
+		close_conn(l->conns);
+	journal_event("link", "{s:s,s:O}", "link", l->name, "change", change);
+}
+
+static json_t *describe(const struct link *l)
+{
+	size_t open = 0;
+
+	for (const struct link_conn *c = l->conns; c; c = c->next)
+		open++;
+	return json_pack("{s:s,s:I,s:I,s:I,s:I,s:I,s:b,s:b}", "name", l->name,
+			 "accepted", (json_int_t)l->accepted, "open",
+			 (json_int_t)open, "bytes_up", (json_int_t)l->bytes[UP],
+			 "bytes_down", (json_int_t)l->bytes[DOWN],
+			 "lost_answers", (json_int_t)l->lost_answers, "cut_up",
+			 l->cut[UP], "cut_down", l->cut[DOWN]);
+}
+
+static bool name_matches(const char *pattern, const char *name)
+{
+	size_t len = strlen(pattern);
+
+	if (len && pattern[len - 1] == '*')
+		return !strncmp(pattern, name, len - 1);
+	return !strcmp(pattern, name);
+}
+
+json_t *proxy_control(void *proxy, const char *path, const json_t *body)
+{
+	struct proxy *p = proxy;
+	unsigned matched = 0;
+	json_t *list;
+
+	if (!strcmp(path, "/v1/links")) {
+		list = json_array();
+		for (unsigned i = 0; i < p->link_count; i++)
+			json_array_append_new(list, describe(p->links[i]));
+		return list;
+	}
+	if (strncmp(path, "/v1/links/", 10) || !body)
+		return NULL;
+	for (unsigned i = 0; i < p->link_count; i++) {
+		if (!name_matches(path + 10, p->links[i]->name))
+			continue;
+		change_link(p->links[i], body);
+		matched++;
+	}
+	return matched ? json_pack("{s:i}", "links", (int)matched) : NULL;
+}
