Format the header of the store for tests

Change: clang-format on that file alone. Measurement: "make lint" passes again. Conclusion: no change of meaning.

--- a/tests/support-memory-store.h
+++ b/tests/support-memory-store.h
@@ -6,7 +6,8 @@
 
 /*
  * NAME
- *	support-memory-store - the platform's key-value service in the test's process
+ *	support-memory-store - the platform's key-value service in the test's
+ *process
  *
  * DESCRIPTION
  *	A CivetWeb server on a free loopback port with the subset of the
