--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "clock.h"
-#include "support-kv.h"
+#include "support-memory-store.h"
 #include "support-unit.h"
 #include "svc-loop.h"
 #include "svc-members.h"
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "platform.h"
-#include "support-kv.h"
+#include "support-memory-store.h"
 #include "support-unit.h"
 
 static struct kv_server *server;
