--- a/tests/bench-flow.c
+++ b/tests/bench-flow.c
@@ -44,7 +44,7 @@
 
 struct runner {
 	double slowness; /* 1: serves in SERVICE_US on average */
-	bool fails;	 /* answers an error at once */
+	double failing;	 /* part of the requests answered by an error at once */
 	bool hangs;	 /* never answers */
 	uint32_t own;
 	uint32_t busy;
@@ -69,9 +69,10 @@
 	uint64_t flood_to_us;
 	uint64_t end_us;
 	uint64_t deadline_us;
-	uint32_t failing; /* runners */
-	uint32_t hanging; /* runners */
-	bool uneven;	  /* speeds differ and shift */
+	uint32_t failing;    /* runners */
+	double failure_rate; /* of the failing ones */
+	uint32_t hanging;    /* runners */
+	bool uneven;	     /* speeds differ and shift */
 	uint32_t caller_tries;
 	uint64_t measure_from_us;
 	uint64_t measure_to_us;
@@ -198,7 +199,7 @@
 		m->counts.over_slots++;
 	r->busy++;
 	t.outcome = FLOW_OK;
-	if (r->fails) {
+	if (r->failing > 0 && rng_unit(&m->rng) < r->failing) {
 		service = 1000;
 		t.outcome = FLOW_FAILED;
 	}
@@ -391,8 +392,10 @@
 		flow_target_info(m->rig.flow, i, &info);
 		r->own = info.own_slots;
 		r->slowness = m->plan->uneven ? slowness_of(i) : 1.0;
-		r->fails = i < m->plan->failing;
-		r->hangs = !r->fails && i < m->plan->failing + m->plan->hanging;
+		if (i < m->plan->failing)
+			r->failing = m->plan->failure_rate;
+		else
+			r->hangs = i < m->plan->failing + m->plan->hanging;
 	}
 }
 
@@ -492,6 +495,7 @@
 
 	plan.uneven = true;
 	plan.failing = 1;
+	plan.failure_rate = 1;
 	plan.hanging = 1;
 	for (int k = 0; k < KINDS; k++)
 		plan.rate[k] = rate / KINDS;
@@ -582,15 +586,19 @@
 		   refusal <= 50, seed);
 }
 
-/* A third of the runners fail; callers try three times. */
-static void bench_retry(uint64_t seed)
+/*
+ * Some of the runners fail half of their requests, so that breakers close
+ * again; callers try three times.
+ */
+static void bench_retry(const char *metric, uint32_t failing, uint64_t seed)
 {
 	double capacity = own_slots() * SECOND / SERVICE_US;
 	struct plan plan = basic_plan();
 	struct counts base, c;
 	double ratio;
 
-	plan.failing = RUNNERS / 3;
+	plan.failing = failing;
+	plan.failure_rate = 0.5;
 	plan.caller_tries = 3;
 	for (int k = 0; k < KINDS; k++)
 		plan.rate[k] = 0.4 * capacity / KINDS;
@@ -598,7 +606,7 @@
 	plan.options.retry_budget_percent = 0;
 	base = run(&plan, seed);
 	ratio = (double)c.sends / c.accepted;
-	print_line("retry", "sent-per-accepted", ratio, "ratio",
+	print_line("retry", metric, ratio, "ratio",
 		   (double)base.sends / base.accepted, 1.1, ratio <= 1.1, seed);
 }
 
@@ -702,8 +710,10 @@
 			bench_flood("flood-low", 2, i);
 		if (wanted(scenario, "flood-high"))
 			bench_flood("flood-high", 0, i);
-		if (wanted(scenario, "retry"))
-			bench_retry(i);
+		if (wanted(scenario, "retry")) {
+			bench_retry("sent-per-accepted", RUNNERS / 3, i);
+			bench_retry("sent-per-accepted-all", RUNNERS, i);
+		}
 	}
 	if (wanted(scenario, "decision"))
 		bench_decision(seed);
