Confirm a split of slots per target instead of at zero requests

Cause: a seat confirmed that its requests above its new share had ended only when no request at all was in flight, which never happens under load, so that growth waited for the bound of 33 s. Change: flow_seat_applied() tells whether the revision is applied and no target runs more than the own slots; svc-seats.c asks it. The test of the front uses sheet_find_kind() of the sheet now. Measurement: test-flow, test-flow-random, test-front and test-members pass; the new case fails without the count. Conclusion: growth no longer waits for an idle moment.

--- a/src/core.h
+++ b/src/core.h
@@ -199,6 +199,8 @@
 	uint64_t first_sends;
 	uint64_t retries;
 	uint64_t hedges;
+	/* Targets that run more for this process than its own slots. */
+	uint32_t over_share;
 };
 
 /*
--- a/src/flow-internal.h
+++ b/src/flow-internal.h
@@ -225,6 +225,7 @@
 uint32_t route_choose(struct flow *f, const struct flow_request *r,
 		      uint64_t now_us, uint32_t *passed_over,
 		      enum flow_why *why);
+uint32_t route_over_share(const struct flow *f);
 void route_sent(struct flow *f, uint32_t target, uint64_t now_us);
 void route_result(struct flow *f, uint32_t target, enum flow_outcome outcome,
 		  uint64_t sent_us, uint64_t service_us, uint64_t now_us);
--- a/src/flow-route.c
+++ b/src/flow-route.c
@@ -452,6 +452,18 @@
 	}
 }
 
+uint32_t route_over_share(const struct flow *f)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < f->target_count; i++) {
+		const struct flow_target *t = &f->targets[i];
+
+		n += t->present && t->outstanding + t->abandoned > t->own_slots;
+	}
+	return n;
+}
+
 int flow_target_info(const struct flow *f, uint32_t target,
 		     struct flow_target_info *out)
 {
--- a/src/flow.c
+++ b/src/flow.c
@@ -452,6 +452,7 @@
 	out->first_sends = f->first_sends;
 	out->retries = f->retries;
 	out->hedges = f->hedges;
+	out->over_share = route_over_share(f);
 }
 
 const char *flow_reason_name(enum flow_reason reason)
--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -266,6 +266,16 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
+bool flow_seat_applied(struct flow_svc *f, uint64_t revision)
+{
+	struct flow_totals totals;
+
+	pthread_mutex_lock(&f->lock);
+	flow_totals(f->core, &totals);
+	pthread_mutex_unlock(&f->lock);
+	return f->seat.revision >= revision && totals.over_share == 0;
+}
+
 static void tick(void *svc)
 {
 	struct flow_svc *f = svc;
--- a/src/svc-flow.h
+++ b/src/svc-flow.h
@@ -67,6 +67,12 @@
 /* Requests accepted and not yet answered; 0 ends a drain. */
 uint32_t flow_in_flight(struct flow_svc *f);
 
+/*
+ * Whether that revision of the seats is applied and no target runs more for
+ * this process than its share of it. Control thread.
+ */
+bool flow_seat_applied(struct flow_svc *f, uint64_t revision);
+
 /* Appends what is known of a request's decisions as JSON; -1 if unknown. */
 int flow_explain(struct flow_svc *f, const char *request_id,
 		 struct buffer *json);
--- a/src/svc-seats.c
+++ b/src/svc-seats.c
@@ -371,7 +371,7 @@
 {
 	struct flow_svc *f = flow(m);
 
-	return !f || flow_in_flight(f) == 0;
+	return !f || flow_seat_applied(f, m->seats.revision);
 }
 
 /* Repeats the confirmation until the store's value is marked. */
--- a/tests/test-flow.c
+++ b/tests/test-flow.c
@@ -78,6 +78,29 @@
 	rig_close(&rig);
 }
 
+/* Guards against a seat confirmed while requests above its share run. */
+static void test_shrunk_seat_counts_what_is_above(void)
+{
+	struct flow_action sent[8];
+	struct flow_totals t;
+	struct flow_rig rig;
+
+	open_rig(&rig, 1, 8);
+	for (uint32_t i = 0; i < 8; i++) {
+		rig_request(&rig, i, 0, true, SECOND_US);
+		sent[i] = *rig_find(&rig, FLOW_SEND);
+	}
+	rig_seat(&rig, 0, 2);
+	for (uint32_t i = 0; i < 4; i++) {
+		flow_totals(rig.flow, &t);
+		CU_ASSERT_EQUAL(t.over_share, 1);
+		rig_result(&rig, &sent[i], FLOW_OK, 1000);
+	}
+	flow_totals(rig.flow, &t);
+	CU_ASSERT_EQUAL(t.over_share, 0);
+	rig_close(&rig);
+}
+
 /* Guards against use of slots by a process that holds no seat. */
 static void test_no_seat_no_sends(void)
 {
@@ -381,6 +404,8 @@
 {
 	static const struct unit_test tests[] = {
 		{ "own slots bound the sends", test_own_slots_bound_the_sends },
+		{ "shrunk seat counts what is above",
+		  test_shrunk_seat_counts_what_is_above },
 		{ "no seat, no sends", test_no_seat_no_sends },
 		{ "once is sent once", test_once_is_sent_once },
 		{ "not sent is tried elsewhere",
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -30,23 +30,6 @@
 static int claims_finished;
 static enum claim_outcome claim_outcome;
 
-int sheet_find_kind(const struct sheet *s, const char *user, const char *kind)
-{
-	for (size_t i = 0; i < s->kind_count; i++)
-		if (!strcmp(s->kinds[i].name, kind) &&
-		    !strcmp(s->kinds[i].user, user))
-			return (int)i;
-	return -1;
-}
-
-int sheet_find_team(const struct sheet *s, const char *user, const char *team)
-{
-	(void)s;
-	(void)user;
-	(void)team;
-	return -1;
-}
-
 struct config_svc {
 	struct service service;
 };
