Confirm a split also in a process that lost its seat

Cause: such a process has seat revision 0, which is below any revision, so that it never confirmed. Change: flow_seat_applied() reads the seat first and accepts revision 0, under which the process has no slots. Conclusion: a seat that leaves is confirmed once its requests have ended.

--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -270,10 +270,13 @@
 {
 	struct flow_totals totals;
 
+	sync_seat(f);
 	pthread_mutex_lock(&f->lock);
 	flow_totals(f->core, &totals);
 	pthread_mutex_unlock(&f->lock);
-	return f->seat.revision >= revision && totals.over_share == 0;
+	/* A process that lost its seat has revision 0 and no slots. */
+	return (f->seat.revision == 0 || f->seat.revision >= revision) &&
+	       totals.over_share == 0;
 }
 
 static void tick(void *svc)
