Keep the old owner's bound until the token is raised

Cause: a new owner's first renewal set the end of a lease to 18 s from then, also at a worker that it had not reached, where the owner before could still renew up to the outage horizon. The task then ran in two places. Change: a renewal shortens the bound only once the worker was read in this epoch, and a read that shows a task running extends it. The random test lets old owners go on, cuts the owner from single workers, and lets time pass with all calls answered; its outage horizon is 20 s instead of 60 s, so that runs reach it.

--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -167,6 +167,7 @@
 	bool known;			/* in the list of VMs */
 	bool leaving;
 	bool fenced; /* read in this epoch */
+	bool raised; /* its fencing token is of this epoch */
 	bool reading;
 	bool trial; /* its one start after a quarantine may go, or went */
 	bool trial_used;
--- a/src/place-task.c
+++ b/src/place-task.c
@@ -279,6 +279,16 @@
 	task_freed(p, t, NULL);
 }
 
+/* A task that a read shows running has a lease for some time yet. */
+static void still_leased(struct place *p, struct task *t)
+{
+	uint64_t end_us = p->now_us + PLACE_TASK_LEASE_US;
+
+	if (end_us > t->lease_end_us)
+		t->lease_end_us = end_us;
+	t->ended_us = 0;
+}
+
 /* A worker's report of an attempt, from a read or a usage sample. */
 static void reported(struct place *p, struct task *t,
 		     const struct place_event *e)
@@ -300,8 +310,11 @@
 		a->reason = "not in the log";
 		return;
 	}
-	if (e->read)
+	if (e->read) {
 		t->seen = true;
+		if (e->state == TASK_RUNNING)
+			still_leased(p, t);
+	}
 	switch (e->state) {
 	case TASK_RUNNING:
 		if (t->state == TASK_STARTING && t->sent) {
--- a/src/place-view.c
+++ b/src/place-view.c
@@ -57,13 +57,20 @@
 			void (*fn)(void *arg, const char *task), void *arg)
 {
 	struct worker *w = worker_find(p, worker);
+	uint64_t end_us = p->now_us + PLACE_CALL_MAX_US + PLACE_LATE_US +
+			  PLACE_TASK_LEASE_US;
 	char id[PLACE_NAME_BYTES + 12];
 
 	for (struct task *t = w ? w->tasks.first : NULL; t; t = t->next) {
 		if (t->state != TASK_RUNNING)
 			continue;
-		t->lease_end_us = p->now_us + PLACE_CALL_MAX_US +
-				  PLACE_LATE_US + PLACE_TASK_LEASE_US;
+		/*
+		 * Until the token is raised, the owner before may renew longer
+		 * than this.
+		 */
+		if (w->raised || end_us > t->lease_end_us)
+			t->lease_end_us = end_us;
+		t->ended_us = 0;
 		task_id(t, id);
 		fn(arg, id);
 	}
--- a/src/place-worker.c
+++ b/src/place-worker.c
@@ -235,6 +235,7 @@
 			struct task *next;
 
 			w->fenced = true;
+			w->raised = true;
 			w->answered_us = p->now_us;
 			for (struct task *t = w->tasks.first; t; t = next) {
 				bool seen = t->seen;
--- a/tests/support-place.c
+++ b/tests/support-place.c
@@ -36,7 +36,7 @@
 {
 	memset(s, 0, sizeof(*s));
 	s->options.policy = policy;
-	s->options.outage_horizon_us = 60000000u;
+	s->options.outage_horizon_us = SHARD_HORIZON_US;
 	s->options.seed = 1;
 	s->options.append = append;
 	s->now_us = 1000000000u;
--- a/tests/support-place.h
+++ b/tests/support-place.h
@@ -12,6 +12,8 @@
  *	new core from a snapshot of the durable prefix, as a take-over does.
  */
 
+#define SHARD_HORIZON_US 20000000u
+
 struct shard_entry {
 	char *data;
 	size_t len;
--- a/tests/test-place-random.c
+++ b/tests/test-place-random.c
@@ -34,6 +34,7 @@
 enum op_type {
 	OP_TICK,
 	OP_PAUSE, /* seconds in which no owner runs */
+	OP_WAIT,  /* seconds in which calls arrive and are answered */
 	OP_COMMIT,
 	OP_ARRIVE,
 	OP_ANSWER,
@@ -47,18 +48,36 @@
 	OP_DIE,
 	OP_DELIST,
 	OP_REACH,
+	OP_CUT, /* from the owner only; old owners still reach it */
 	OP_LEAVING,
 	OP_BROKEN, /* its starts fail */
 	OP_TAKE_OVER,
-	OP_OLD_OWNER, /* an owner that was replaced goes on */
+	OP_OLD_OWNER, /* the owner before goes on, or stops to do so */
 	OP_TYPES,
 };
 
 static const char *const op_names[OP_TYPES] = {
-	"tick",	   "pause",  "commit",	  "arrive",    "answer",
-	"lose",	   "refuse", "create",	  "cancel",    "finish",
-	"fail",	   "usage",  "die",	  "delist",    "reach",
-	"leaving", "broken", "take-over", "old-owner",
+	[OP_TICK] = "tick",
+	[OP_PAUSE] = "pause",
+	[OP_WAIT] = "wait",
+	[OP_COMMIT] = "commit",
+	[OP_ARRIVE] = "arrive",
+	[OP_ANSWER] = "answer",
+	[OP_LOSE] = "lose",
+	[OP_REFUSE] = "refuse",
+	[OP_CREATE] = "create",
+	[OP_CANCEL] = "cancel",
+	[OP_FINISH] = "finish",
+	[OP_FAIL] = "fail",
+	[OP_USAGE] = "usage",
+	[OP_DIE] = "die",
+	[OP_DELIST] = "delist",
+	[OP_REACH] = "reach",
+	[OP_CUT] = "cut",
+	[OP_LEAVING] = "leaving",
+	[OP_BROKEN] = "broken",
+	[OP_TAKE_OVER] = "take-over",
+	[OP_OLD_OWNER] = "old-owner",
 };
 
 static const char *const action_names[] = {
@@ -87,6 +106,7 @@
 	bool alive;
 	bool listed;
 	bool reachable;
+	bool cut;
 	bool was_unreachable;
 	bool leaving;
 	bool broken;
@@ -131,7 +151,8 @@
 } placements[PLACEMENTS_MAX];
 static int placement_count;
 static char failure[200];
-static bool verbose; /* print the calls of a reduced run */
+static bool verbose;  /* print the calls of a reduced run */
+static bool old_runs; /* owners[0] goes on */
 static uint64_t steps;
 
 static void advance(uint64_t us, bool owner_runs);
@@ -447,7 +468,8 @@
 {
 	struct model_worker *w = c ? worker_of(c->action.worker) : NULL;
 
-	if (!c || !w || !w->alive || !w->reachable)
+	if (!c || !w || !w->alive || !w->reachable ||
+	    (w->cut && c->owner == shard.owner))
 		return;
 	serve(c);
 	c->state = c->state == CALL_LATE ? CALL_FREE : CALL_ARRIVED;
@@ -514,6 +536,19 @@
 	take_actions(o);
 }
 
+/* Delivers an owner's calls and their answers. */
+static void deliver(struct shard_owner *o)
+{
+	for (int i = 0; i < call_high; i++) {
+		if (calls[i].owner != o)
+			continue;
+		if (calls[i].state == CALL_LEFT)
+			arrive(&calls[i]);
+		if (calls[i].state == CALL_ARRIVED)
+			end_call(&calls[i], calls[i].answer);
+	}
+}
+
 static void advance(uint64_t us, bool owner_runs)
 {
 	for (uint64_t t = 0; t < us; t += STEP_US) {
@@ -521,10 +556,26 @@
 		pass_time();
 		if (owner_runs)
 			tick_owner(shard.owner);
+		if (old_runs && owners[0]) {
+			tick_owner(owners[0]);
+			deliver(owners[0]);
+		}
 		steps++;
 	}
 }
 
+/* Lets everything go on by itself. */
+static void wait_idle(uint64_t us)
+{
+	for (uint64_t t = 0; t < us; t += STEP_US) {
+		advance(STEP_US, true);
+		shard_commit(&shard, SIZE_MAX);
+		take_actions(shard.owner);
+		deliver(shard.owner);
+		check();
+	}
+}
+
 /* ---- operations ---- */
 
 static void create(uint32_t arg)
@@ -657,6 +708,9 @@
 	case OP_PAUSE:
 		advance((1 + op->arg % 20) * 1000000ull, false);
 		break;
+	case OP_WAIT:
+		wait_idle((1 + op->arg % 20) * 1000000ull);
+		break;
 	case OP_COMMIT:
 		shard_commit(&shard, 1 + op->arg % 8);
 		take_actions(shard.owner);
@@ -704,6 +758,10 @@
 		w->reachable = !w->reachable;
 		w->was_unreachable |= !w->reachable;
 		break;
+	case OP_CUT:
+		w->cut = !w->cut;
+		w->was_unreachable |= w->cut;
+		break;
 	case OP_LEAVING:
 		w->leaving = !w->leaving;
 		break;
@@ -714,8 +772,7 @@
 		take_over(op->arg);
 		break;
 	case OP_OLD_OWNER:
-		if (owners[op->arg % OWNERS_MAX])
-			tick_owner(owners[op->arg % OWNERS_MAX]);
+		old_runs = !old_runs;
 		break;
 	default:
 		break;
@@ -728,6 +785,7 @@
 {
 	for (int i = 0; i < WORKERS; i++) {
 		workers[i].reachable = true;
+		workers[i].cut = false;
 		workers[i].leaving = false;
 		workers[i].broken = false;
 		delist(&workers[i]);
@@ -743,17 +801,9 @@
 			failure[0] = '\0';
 		}
 
-		advance(STEP_US, true);
-		shard_commit(&shard, SIZE_MAX);
-		take_actions(shard.owner);
-		for (int n = 0; n < call_high; n++) {
-			if (calls[n].state == CALL_LEFT)
-				arrive(&calls[n]);
-			if (calls[n].state == CALL_ARRIVED)
-				end_call(&calls[n], calls[n].answer);
+		wait_idle(STEP_US);
+		for (int n = 0; n < call_high; n++)
 			busy |= calls[n].state != CALL_FREE;
-		}
-		check();
 		/* Time passes faster while nothing happens. */
 		if (!busy && i > 100 && i % 8)
 			advance(STEP_US * 8, true);
@@ -823,6 +873,7 @@
 	memset(workers, 0, sizeof(workers));
 	memset(calls, 0, sizeof(calls));
 	call_high = 0;
+	old_runs = false;
 	started_count = 0;
 	placement_count = 0;
 	failure[0] = '\0';
@@ -855,13 +906,13 @@
 {
 	/* How often each operation comes, of 100 or so. */
 	static const uint8_t weights[OP_TYPES] = {
-		[OP_TICK] = 22,	    [OP_PAUSE] = 1,   [OP_COMMIT] = 14,
-		[OP_ARRIVE] = 18,   [OP_ANSWER] = 16, [OP_LOSE] = 4,
-		[OP_REFUSE] = 1,    [OP_CREATE] = 6,  [OP_CANCEL] = 2,
-		[OP_FINISH] = 3,    [OP_FAIL] = 1,    [OP_USAGE] = 3,
-		[OP_DIE] = 1,	    [OP_DELIST] = 1,  [OP_REACH] = 2,
-		[OP_LEAVING] = 2,   [OP_BROKEN] = 1,  [OP_TAKE_OVER] = 3,
-		[OP_OLD_OWNER] = 2,
+		[OP_TICK] = 22,	  [OP_PAUSE] = 1,     [OP_WAIT] = 2,
+		[OP_COMMIT] = 14, [OP_ARRIVE] = 18,   [OP_ANSWER] = 16,
+		[OP_LOSE] = 4,	  [OP_REFUSE] = 1,    [OP_CREATE] = 6,
+		[OP_CANCEL] = 2,  [OP_FINISH] = 3,    [OP_FAIL] = 1,
+		[OP_USAGE] = 3,	  [OP_DIE] = 1,	      [OP_DELIST] = 1,
+		[OP_REACH] = 2,	  [OP_CUT] = 2,	      [OP_LEAVING] = 2,
+		[OP_BROKEN] = 1,  [OP_TAKE_OVER] = 3, [OP_OLD_OWNER] = 2,
 	};
 	uint32_t total = 0;
 
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -119,7 +119,7 @@
 	run_one();
 	shard_commit(&s, 100);
 	shard_replace(&s, false);
-	free_us = s.now_us + 60000000u + 10000000u + 5000000u;
+	free_us = s.now_us + SHARD_HORIZON_US + 10000000u + 5000000u;
 	shard_worker(&s, "w1", 4000, 8192);
 	shard_worker(&s, "w2", 4000, 8192);
 	while (shard_next(&s, PLACE_READ, &a))
