Keep the place core in step with a log that refuses entries

Cause: oplog_append() refuses entries while its queue is full. The core had applied the change by then, so its state was ahead of the log; and placement registered its client after the owner service had started, which could already have read its shards. Change: the entry is appended first and applied when the log took it; what was refused is tried again by periodic work. Entries that nobody waits for use oplog_append_later(). waxwingd.c starts workers and placement before owner. At the end of a lease the worker counts as silent after three failed reads instead of 3 s, because a process that was paused had asked nothing in that time.

--- a/src/place-apply.c
+++ b/src/place-apply.c
@@ -300,8 +300,9 @@
 	t->latency_us = 0;
 	t->progress = 0;
 	t->lease_end_us = 0;
-	t->ended_us = 0;
+	t->ended = false;
 	t->sent = false;
+	t->held_back = false;
 	t->checkpointing = false;
 	t->checkpointed = false;
 	worker_add_task(p, w, t);
--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -56,14 +56,14 @@
 	char *checkpoint;      /* or NULL */
 	uint64_t since_us;     /* of the state */
 	uint64_t lease_end_us; /* provable end of the lease */
-	uint64_t ended_us;     /* the end of the lease was noticed; or 0 */
 	uint64_t settled_us;   /* absence in a later read is conclusive */
 	uint64_t call_us;      /* last stop or checkpoint call */
 	uint32_t held;	       /* handle + 1 of the worker kept for it */
 	uint64_t sampled_us;   /* last usage sample */
 	uint32_t number;
 	uint32_t attempt;
-	uint32_t avoid; /* handle + 1 of the worker of the last failure */
+	uint32_t ended_reads; /* reads of the worker when the lease ended */
+	uint32_t avoid;	      /* handle + 1 of the worker of the last failure */
 	int32_t reserved[RES_COUNT];
 	uint32_t used_cpu_milli;
 	uint32_t used_memory_mb;
@@ -73,9 +73,11 @@
 	uint8_t state;
 	uint8_t reason;
 	uint8_t failures; /* on workers, of its own */
+	bool ended;	  /* the end of the lease was noticed */
 	uint8_t percent;  /* of its CPU that it keeps */
 	bool ran;	  /* a start was confirmed once */
 	bool sent;	  /* the start left in this epoch, or may have before */
+	bool held_back;	  /* its start is durable and will not leave */
 	bool checkpointing;
 	bool checkpointed;
 	bool counted; /* its size is in the kind's statistics */
@@ -183,6 +185,7 @@
 	uint32_t used_cpu_milli;
 	uint32_t used_memory_mb;
 	uint64_t held_us; /* end of its keeping for one task; 0: none */
+	uint32_t failed_reads;
 	uint32_t strikes; /* samples in a row above the bound */
 	struct task_list tasks;
 };
@@ -211,8 +214,9 @@
 	struct place_options options;
 	struct rng rng;
 	bool owner;
-	bool settled; /* owned long enough to call a job impossible */
-	bool dirty;   /* room or pending tasks changed since the last pass */
+	bool log_full; /* an entry was not taken in this pass */
+	bool settled;  /* owned long enough to call a job impossible */
+	bool dirty;    /* room or pending tasks changed since the last pass */
 	uint64_t epoch;
 	uint64_t now_us;
 	uint64_t owned_us;
@@ -294,7 +298,10 @@
 	struct pair pair;
 };
 
-/* Applies a change and appends it; returns its token, or 0 when refused. */
+/*
+ * Appends a change and applies it; returns its token. 0 when the log did not
+ * take it: the state is as before, and periodic work tries again.
+ */
 uint64_t place_commit(struct place *p, const struct change *c);
 int place_replay(struct place *p, const void *data, size_t len);
 void place_write_snapshot(struct place *p, struct buffer *out);
@@ -354,7 +361,7 @@
 
 /* ---- place-task.c ---- */
 
-void task_begin(struct place *p, struct task *t, struct worker *w,
+bool task_begin(struct place *p, struct task *t, struct worker *w,
 		const int32_t need[RES_COUNT], struct worker *passed_over,
 		const char *why);
 void task_set(struct place *p, struct task *t, enum task_state state,
--- a/src/place-log.c
+++ b/src/place-log.c
@@ -46,6 +46,7 @@
 uint64_t place_commit(struct place *p, const struct change *c)
 {
 	struct buffer b = BUFFER_INIT;
+	bool later = c->type == CHANGE_TASK || c->type == CHANGE_FORGET;
 	msgpack_packer k;
 	uint64_t token = 0;
 
@@ -53,10 +54,14 @@
 		goto out;
 	msgpack_packer_init(&k, &b, write_buffer);
 	encode(p, c, &k);
-	if (change_apply(p, c) < 0)
+	/* A full log refuses; the state must not get ahead of it then. */
+	if (p->options.append(p->options.append_arg, b.data, b.len,
+			      p->token + 1, later) < 0) {
+		p->log_full = true;
 		goto out;
+	}
 	token = ++p->token;
-	if (p->options.append(p->options.append_arg, b.data, b.len, token) < 0)
+	if (change_apply(p, c) < 0)
 		token = 0;
 out:
 	buffer_free(&b);
--- a/src/place-queue.c
+++ b/src/place-queue.c
@@ -146,17 +146,18 @@
 	if (p->waiter_count && p->waiters[p->waiter_head].since_us &&
 	    p->now_us - p->waiters[p->waiter_head].since_us > LOG_STUCK_US)
 		return;
-	for (int u = 0; u < URGENCY_COUNT; u++) {
+	p->log_full = false;
+	for (int u = 0; u < URGENCY_COUNT && !p->log_full; u++) {
 		for (uint32_t i = 0; i < p->team_count; i++)
 			p->teams[i].cursor = p->teams[i].queue[u].first;
-		while (pass.started < STARTS_PER_PASS &&
+		while (pass.started < STARTS_PER_PASS && !p->log_full &&
 		       (t = next_team(p, u)) != NULL)
 			if (place_one(p, &pass, t))
 				pass.started++;
 	}
 	for (uint32_t i = 0; i < p->team_count; i++)
 		p->teams[i].cursor = NULL;
-	p->dirty = pass.started == STARTS_PER_PASS;
+	p->dirty = pass.started == STARTS_PER_PASS || p->log_full;
 }
 
 /* Returns the team furthest below its share that has a placement to try. */
@@ -240,16 +241,17 @@
 			goto skip;
 		why = "room made by eviction";
 		queue_release(p, task);
-		task_begin(p, task, w, need, NULL, why);
-		return true;
+		if (task_begin(p, task, w, need, NULL, why))
+			return true;
+		goto skip;
 	}
 	if (is_hopeless(pass, pl->kind, need))
 		goto skip;
 	w = pair_choose(p, task, need, &passed_over, &why);
-	if (w) {
-		task_begin(p, task, w, need, passed_over, why);
+	if (w && task_begin(p, task, w, need, passed_over, why))
 		return true;
-	}
+	if (w)
+		goto skip; /* the log is full */
 	if (pl->urgency == URGENCY_URGENT)
 		make_room(p, task, need);
 	if (pass->shape_count < SHAPES_MAX) {
@@ -329,8 +331,15 @@
 	reason = why_impossible(p, pl);
 	if (reason == REASON_NONE)
 		return false;
-	while (pl->pending.first)
-		task_set(p, pl->pending.first, TASK_IMPOSSIBLE, reason, NULL);
+	while (pl->pending.first) {
+		struct task *t = pl->pending.first;
+
+		task_set(p, t, TASK_IMPOSSIBLE, reason, NULL);
+		if (t == pl->pending.first) {
+			pl->checked--; /* the log is full; later again */
+			return false;
+		}
+	}
 	return true;
 }
 
--- a/src/place-task.c
+++ b/src/place-task.c
@@ -6,7 +6,8 @@
 #define STOP_EVERY_US 2000000u
 #define TASK_FAILURES_MAX 5
 #define READ_EVERY_US 1000000u
-#define ASK_ENDED_US 3000000u
+/* Failed reads after which the worker is taken not to answer. */
+#define ASK_ENDED_READS 3
 #define RUN_PROVEN_US 10000000u
 
 static void started(struct place *p, struct task *t,
@@ -44,7 +45,7 @@
 }
 
 /* Chooses the worker of a task's next attempt; the call waits for the log. */
-void task_begin(struct place *p, struct task *t, struct worker *w,
+bool task_begin(struct place *p, struct task *t, struct worker *w,
 		const int32_t need[RES_COUNT], struct worker *passed_over,
 		const char *why)
 {
@@ -62,7 +63,7 @@
 		w->answered_us = p->now_us;
 	wait.token = place_commit(p, &c);
 	if (!wait.token)
-		return;
+		return false;
 	wait.slot = c.slot;
 	wait.number = c.number;
 	wait.attempt = c.attempt;
@@ -73,6 +74,7 @@
 	p->decisions++;
 	if (!k->first_start_us)
 		k->first_start_us = p->now_us;
+	return true;
 }
 
 /* Commits a new state of a task. */
@@ -109,6 +111,7 @@
 		if (t->state != TASK_STARTING || !t->worker->trial_used ||
 		    !t->worker->known || t->worker->leaving ||
 		    !t->worker->fenced) {
+			t->held_back = true;
 			t->reason = REASON_NOT_SENT;
 			task_freed(p, t, NULL);
 			return;
@@ -286,7 +289,7 @@
 
 	if (end_us > t->lease_end_us)
 		t->lease_end_us = end_us;
-	t->ended_us = 0;
+	t->ended = false;
 }
 
 /* A worker's report of an attempt, from a read or a usage sample. */
@@ -342,8 +345,10 @@
 
 void task_tick(struct place *p, struct task *t)
 {
-	if (t->sent && t->lease_end_us && p->now_us > t->lease_end_us &&
-	    t->settled_us != NOT_SETTLED)
+	if (t->held_back)
+		task_freed(p, t, NULL);
+	else if (t->sent && t->lease_end_us && p->now_us > t->lease_end_us &&
+		 t->settled_us != NOT_SETTLED)
 		tick_ended(p, t);
 	else if (t->state == TASK_STOPPING)
 		tick_stopping(p, t);
@@ -361,9 +366,15 @@
 {
 	struct worker *w = t->worker;
 
-	if (!t->ended_us)
-		t->ended_us = p->now_us;
-	if (w->known && p->now_us - t->ended_us < ASK_ENDED_US) {
+	/* Past the horizon no call leaves, and nothing can start elsewhere. */
+	if (p->now_us - p->last_append_us > p->options.outage_horizon_us) {
+		t->ended = false;
+		return;
+	}
+	if (!t->ended)
+		t->ended_reads = w->failed_reads;
+	t->ended = true;
+	if (w->known && w->failed_reads - t->ended_reads < ASK_ENDED_READS) {
 		if (p->now_us - w->read_us >= READ_EVERY_US)
 			worker_read(p, w);
 		return;
--- a/src/place-view.c
+++ b/src/place-view.c
@@ -70,7 +70,7 @@
 		 */
 		if (w->raised || end_us > t->lease_end_us)
 			t->lease_end_us = end_us;
-		t->ended_us = 0;
+		t->ended = false;
 		task_id(t, id);
 		fn(arg, id);
 	}
--- a/src/place-worker.c
+++ b/src/place-worker.c
@@ -246,6 +246,7 @@
 					task_absent(p, t, e->at_us);
 			}
 		} else {
+			w->failed_reads++;
 			w->fenced = false;
 			for (struct task *t = w->tasks.first; t; t = t->next)
 				t->seen = false;
--- a/src/place.h
+++ b/src/place.h
@@ -31,15 +31,16 @@
 /* A call that ended without an answer reaches its worker within this time. */
 #define PLACE_LATE_US 5000000u
 
+/* later: nobody waits for the entry. Returns -1 when it was not taken. */
 typedef int place_append_fn(void *arg, const void *data, size_t len,
-			    uint64_t token);
+			    uint64_t token, bool later);
 
 struct place_options {
 	enum settings_placement policy;
 	uint64_t outage_horizon_us;
 	uint64_t report_lag_us; /* of usage reports; 0: 2 s */
 	uint64_t seed;
-	place_append_fn *append; /* oplog_append() of the shard's log */
+	place_append_fn *append; /* to the shard's log */
 	void *append_arg;
 };
 
--- a/src/svc-placement.c
+++ b/src/svc-placement.c
@@ -111,10 +111,13 @@
 	free(p);
 }
 
-static int append_entry(void *arg, const void *data, size_t len, uint64_t token)
+static int append_entry(void *arg, const void *data, size_t len, uint64_t token,
+			bool later)
 {
 	struct place_shard *s = arg;
 
+	if (later)
+		return oplog_append_later(s->log, ENTRY_TASK, data, len, token);
 	return oplog_append(s->log, ENTRY_TASK, data, len, token);
 }
 
--- a/src/waxwingd.c
+++ b/src/waxwingd.c
@@ -45,11 +45,14 @@
 static void drain(struct kernel *k, const sigset_t *set);
 static int run(const char *path);
 
-/* Services start in this order and stop in the reverse one. */
+/*
+ * Services start in this order and stop in the reverse one. Placement adds its
+ * client to the owner's logs, so it starts before the owner can read them.
+ */
 static create_fn *const services[] = {
-	create_loop,	  store_create,	   peers_create, members_create,
-	targets_create,	  config_create,   owner_create, workers_create,
-	placement_create, flow_svc_create, front_create, operator_create,
+	create_loop,	store_create,	 peers_create,	 members_create,
+	targets_create, config_create,	 workers_create, placement_create,
+	owner_create,	flow_svc_create, front_create,	 operator_create,
 };
 
 static struct service *create_loop(const struct settings *s)
--- a/tests/test-svc-placement.c
+++ b/tests/test-svc-placement.c
@@ -74,6 +74,12 @@
 	return 0;
 }
 
+int oplog_append_later(struct oplog *log, enum oplog_entry_type type,
+		       const void *data, size_t len, uint64_t token)
+{
+	return oplog_append(log, type, data, len, token);
+}
+
 bool oplog_is_owner(const struct oplog *log)
 {
 	return log != NULL;
