--- a/src/place-worker.c
+++ b/src/place-worker.c
@@ -235,6 +235,7 @@
 			struct task *next;
 
 			w->fenced = true;
+			w->raised = true;
 			w->answered_us = p->now_us;
 			for (struct task *t = w->tasks.first; t; t = next) {
 				bool seen = t->seen;
@@ -245,6 +246,7 @@
 					task_absent(p, t, e->at_us);
 			}
 		} else {
+			w->failed_reads++;
 			w->fenced = false;
 			for (struct task *t = w->tasks.first; t; t = t->next)
 				t->seen = false;
--- a/tests/support-place.h
+++ b/tests/support-place.h
@@ -12,6 +12,8 @@
  *	new core from a snapshot of the durable prefix, as a take-over does.
  */
 
+#define SHARD_HORIZON_US 20000000u
+
 struct shard_entry {
 	char *data;
 	size_t len;
@@ -36,6 +38,7 @@
 	size_t durable;
 	uint64_t now_us;
 	uint64_t epoch;
+	bool full; /* the log takes no entry */
 };
 
 void shard_init(struct shard *s, enum settings_placement policy);
