Let a seat grow under load and keep a sheet until it is replaced

Cause: the old sheet could be freed before listeners were told of the new one; and a seat's revision counted as applied only when no request was in flight, so that under load a zone waited 33 s to use freed slots. Change: the old sheet is given to RCU after the listeners ran; flow reports at each tick when no target has more requests in flight than own slots. Conclusion: the growth under load itself is measured with load, not yet.

--- a/src/core.h
+++ b/src/core.h
@@ -191,6 +191,7 @@
 	uint32_t capacity; /* own slots of the targets in use */
 	uint32_t queued;
 	uint32_t running;
+	uint32_t above_share; /* targets with more in flight than own slots */
 	uint64_t first_sends;
 	uint64_t retries;
 	uint64_t hedges;
--- a/src/flow.c
+++ b/src/flow.c
@@ -448,6 +448,13 @@
 	out->first_sends = f->first_sends;
 	out->retries = f->retries;
 	out->hedges = f->hedges;
+	out->above_share = 0;
+	for (uint32_t i = 0; i < f->target_count; i++) {
+		const struct flow_target *t = &f->targets[i];
+
+		out->above_share += t->outstanding + t->abandoned >
+				    t->own_slots;
+	}
 }
 
 const char *flow_reason_name(enum flow_reason reason)
--- a/src/svc-config.c
+++ b/src/svc-config.c
@@ -144,8 +144,6 @@
 
 	rcu_assign_pointer(c->current, b);
 	atomic_store(&c->revision, b->config.revision);
-	if (old)
-		call_rcu(&old->rcu, free_box_rcu);
 	free(c->value);
 	c->value = value;
 	c->value_len = len;
@@ -156,6 +154,9 @@
 		  b->config.sheet->team_count, b->config.sheet->stop_count);
 	for (uint32_t i = 0; i < c->listener_count; i++)
 		c->listeners[i].fn(c->listeners[i].arg);
+	/* A listener may use the old sheet until it was told of the new one. */
+	if (old)
+		call_rcu(&old->rcu, free_box_rcu);
 }
 
 bool config_offer(struct config_svc *c, const char *text, size_t len,
--- a/src/svc-config.h
+++ b/src/svc-config.h
@@ -61,7 +61,10 @@
 void config_apply(struct config_svc *c, uint64_t base, const char *json,
 		  uint64_t timeout_us, struct config_apply_result *out);
 
-/* Calls fn on the control thread after each new revision. */
+/*
+ * Calls fn on the control thread after each new revision. The sheet before
+ * stays valid until fn returns.
+ */
 void config_on_change(struct config_svc *c, void (*fn)(void *arg), void *arg);
 
 #endif
--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -282,6 +282,9 @@
 	flow_totals(f->core, &totals);
 	pthread_mutex_unlock(&f->lock);
 	atomic_store(&f->last_tick_us, clock_now_us());
+	/* The zone's other seats may use what this one gave up. */
+	if (f->seat.revision && !totals.above_share)
+		members_applied(f->members, f->seat.revision);
 	counter_set(f->counters.queued, totals.queued);
 	counter_set(f->counters.running, totals.running);
 	counter_set(f->counters.capacity, totals.capacity);
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -86,6 +86,12 @@
 	out->count = 1;
 }
 
+void members_applied(struct members *m, uint64_t revision)
+{
+	(void)m;
+	(void)revision;
+}
+
 void members_on_seat(struct members *m, void (*fn)(void *arg), void *arg)
 {
 	(void)m;
