Do not take peers for silent after a pause of our own

Cause: after a stop of 8 s a process logged all 8 peers as down and counted itself as the only sharer of the store's budget, and rejoined its seat before its key was registered under the new session. Change: the pause is added to the time at which each peer was last heard; the registration counts only for the present session. Measurement: seen with 9 daemons on loopback, stopped with SIGSTOP.

--- a/src/members-private.h
+++ b/src/members-private.h
@@ -61,7 +61,6 @@
 	/* registration under the session */
 	char session[64];
 	char wanted_session[64];
-	bool registered;
 	bool registering;
 	uint64_t next_register_us;
 	/* ids with a key in the store, as last read */
@@ -109,6 +108,9 @@
 /* Tells whether the id had a key when the store was last read. */
 bool members_registered(struct members *m, const char *id);
 
+/* Tells whether this process's key is held by its present session. */
+bool members_self_registered(struct members *m);
+
 void seats_begin(struct members *m);
 void seats_tick(struct members *m, uint64_t now);
 
--- a/src/svc-members.c
+++ b/src/svc-members.c
@@ -176,6 +176,9 @@
 	log_event(LOG_WARNING, "pause-detected", "ms=%" PRIu64,
 		  (now - last) / 1000);
 	m->resumed_us = now;
+	/* The peers were not silent; nobody listened. */
+	for (uint32_t i = 0; i < m->peer_count; i++)
+		m->table[i].member.last_heard_us += now - last;
 	seats_revalidate(m);
 }
 
@@ -418,6 +421,13 @@
 	m->sharers = live;
 }
 
+bool members_self_registered(struct members *m)
+{
+	const char *session = store_session(m->store);
+
+	return *session && !strcmp(session, m->session);
+}
+
 static char *registration(struct members *m)
 {
 	char peer[64], operator_text[64];
@@ -442,11 +452,7 @@
 	char key[256];
 	char *text;
 
-	if (!*session || !strcmp(session, m->session))
-		m->registered = *session != '\0';
-	else
-		m->registered = false;
-	if (m->registered || !*session || m->registering ||
+	if (members_self_registered(m) || !*session || m->registering ||
 	    now < m->next_register_us)
 		return;
 	m->registering = true;
--- a/src/svc-seats.c
+++ b/src/svc-seats.c
@@ -255,7 +255,7 @@
 		*reason = "leave";
 		return seats_remove(next, m->seat_name) == 0;
 	}
-	if (held || m->draining || !m->registered)
+	if (held || m->draining || !members_self_registered(m))
 		return false;
 	*reason = "join";
 	for (uint32_t i = 0; i < next->count; i++) {
