Split the parsing of one value off the settings

Change: settings-value.c holds the units and the checks of one value. Conclusion: no change of behaviour.

--- a/src/settings.c
+++ b/src/settings.c
@@ -1,8 +1,6 @@
-#include <arpa/inet.h>
 #include <ctype.h>
 #include <errno.h>
 #include <ini.h>
-#include <limits.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,76 +8,9 @@
 #include <zmq.h>
 
 #include "buffer.h"
-#include "settings.h"
+#include "settings-private.h"
 
-#define LINE_MAX_BYTES 1024
 #define FILE_MAX_BYTES (1024u * 1024u)
-#define CURVE_KEY_CHARS 40
-#define TOKEN_MIN_CHARS 16
-
-enum settings_error { SETTINGS_UNREADABLE = 1, SETTINGS_FAULT };
-
-enum value_type {
-	VALUE_NAME,    /* letters, digits, "-" and "_" */
-	VALUE_TOKEN,   /* printable characters without blanks */
-	VALUE_ADDRESS, /* IP:PORT */
-	VALUE_SEEDS,   /* addresses separated by commas */
-	VALUE_KEY,     /* CURVE key in Z85 */
-	VALUE_COUNT,   /* uint32_t */
-	VALUE_PERCENT, /* uint32_t */
-	VALUE_BYTES,   /* size_t */
-	VALUE_TIME,    /* uint64_t microseconds */
-	VALUE_CHOICE,  /* enum of names */
-};
-
-struct unit {
-	const char *suffix;
-	uint64_t factor;
-};
-
-/* One key; min and max are in the unit of the struct. */
-struct entry {
-	const char *section;
-	const char *name;
-	enum value_type type;
-	size_t offset;
-	uint64_t min;
-	uint64_t max;
-	bool required;
-	const char *const *choices;
-};
-
-struct parser {
-	struct settings *s;
-	const char *path;
-	settings_fault_fn *fn;
-	void *arg;
-	int faults;
-	const char *text; /* of the whole file */
-	size_t len;
-	size_t pos;
-	int line;
-	bool key_line;	   /* the current line must reach the handler */
-	bool handled;	   /* it did */
-	bool continuation; /* it begins with a blank */
-	bool skip;	   /* keys of an unknown section */
-	int *entry_lines;  /* line of each key, 0 = absent */
-	int *section_lines;
-};
-
-static const struct unit time_units[] = {
-	{ "ms", 1000u },
-	{ "s", 1000000u },
-	{ "m", 60000000u },
-	{ NULL, 0 },
-};
-static const struct unit byte_units[] = {
-	{ "B", 1u },
-	{ "KB", 1024u },
-	{ "MB", 1024u * 1024u },
-	{ NULL, 0 },
-};
-static const struct unit percent_units[] = { { "%", 1u }, { NULL, 0 } };
 
 static const char *const routing_names[] = { "least-latency", "random", NULL };
 static const char *const admission_names[] = { "fair", "fifo", NULL };
@@ -102,7 +33,7 @@
  * one would lapse on a single lost message. The outage horizon is at least
  * the lease of a task (10 s), which it extends.
  */
-static const struct entry entries[] = {
+static const struct settings_entry entries[] = {
 	{ "node", "id", VALUE_NAME, AT(node.id), 0, 0, true, NULL },
 	{ "node", "availability_zone", VALUE_NAME, AT(node.availability_zone),
 	  0, 0, true, NULL },
@@ -150,33 +81,19 @@
 };
 #define ENTRIES (sizeof(entries) / sizeof(entries[0]))
 
-static void fault(struct parser *p, int line, const char *fmt, ...)
-	__attribute__((format(printf, 3, 4)));
 static int find_section(const char *name, size_t len);
 static int find_entry(const char *section, const char *name);
-static int parse_number(const char *text, uint64_t *value, const char **end);
-static bool parse_address(const char *text, struct settings_address *a);
-static size_t value_size(const struct entry *e);
-static void set_number(struct parser *p, const struct entry *e,
-		       const char *value, const struct unit *units);
-static void set_text(struct parser *p, const struct entry *e,
-		     const char *value);
-static void set_choice(struct parser *p, const struct entry *e,
-		       const char *value);
-static void set_seeds(struct parser *p, const char *value);
-static void set_value(struct parser *p, const struct entry *e,
-		      const char *value);
 static int on_key(void *arg, const char *section, const char *name,
 		  const char *value);
 static char *next_line(char *out, int size, void *stream);
-static void check_previous_line(struct parser *p);
-static void check_section(struct parser *p, const char *line);
-static void check_required(struct parser *p);
-static void check_addresses(struct parser *p);
-static void check_contradictions(struct parser *p);
+static void check_previous_line(struct settings_parser *p);
+static void check_section(struct settings_parser *p, const char *line);
+static void check_required(struct settings_parser *p);
+static void check_addresses(struct settings_parser *p);
+static void check_contradictions(struct settings_parser *p);
 static char *read_file(const char *path, size_t *len, struct error *err);
 
-static void fault(struct parser *p, int line, const char *fmt, ...)
+void settings_fault(struct settings_parser *p, int line, const char *fmt, ...)
 {
 	char message[ERROR_MESSAGE_BYTES];
 	va_list ap;
@@ -207,272 +124,79 @@
 	return -1;
 }
 
-/* Parses decimal digits; -1 when there are none or too many. */
-static int parse_number(const char *text, uint64_t *value, const char **end)
-{
-	char *stop;
-
-	if (!isdigit((unsigned char)*text))
-		return -1;
-	errno = 0;
-	*value = strtoull(text, &stop, 10);
-	*end = stop;
-	return errno || *value > UINT64_MAX / MINUTE_US ? -1 : 0;
-}
-
-/* Accepts 192.0.2.1:80 and [2001:db8::1]:80 with a port of 1 to 65535. */
-static bool parse_address(const char *text, struct settings_address *a)
-{
-	unsigned char number[sizeof(struct in6_addr)];
-	const char *colon = strrchr(text, ':');
-	const char *host = text, *end;
-	size_t len;
-	uint64_t port;
-	int family = AF_INET;
-
-	if (!colon || parse_number(colon + 1, &port, &end) < 0 || *end ||
-	    port < 1 || port > 65535)
-		return false;
-	len = (size_t)(colon - text);
-	if (len > 2 && text[0] == '[' && text[len - 1] == ']') {
-		family = AF_INET6;
-		host++;
-		len -= 2;
-	}
-	if (len >= sizeof(a->host))
-		return false;
-	memset(a, 0, sizeof(*a));
-	memcpy(a->host, host, len);
-	a->port = (uint16_t)port;
-	return inet_pton(family, a->host, number) == 1;
-}
-
-/* Parses a number with one of the units; zero needs none. */
-static void set_number(struct parser *p, const struct entry *e,
-		       const char *value, const struct unit *units)
-{
-	char *field = (char *)p->s + e->offset;
-	const char *suffix;
-	uint64_t n;
-	uint64_t factor = 1;
-
-	if (parse_number(value, &n, &suffix) < 0) {
-		fault(p, p->line, "%s: \"%s\" is not a number", e->name, value);
-		return;
-	}
-	while (isspace((unsigned char)*suffix))
-		suffix++;
-	if (units && (n || *suffix)) {
-		while (units->suffix && strcmp(units->suffix, suffix))
-			units++;
-		if (!units->suffix) {
-			fault(p, p->line, "%s: %s unit in \"%s\"", e->name,
-			      *suffix ? "unknown" : "missing", value);
-			return;
-		}
-		factor = units->factor;
-	} else if (*suffix) {
-		fault(p, p->line, "%s: unexpected unit in \"%s\"", e->name,
-		      value);
-		return;
-	}
-	n *= factor;
-	if (n < e->min || n > e->max) {
-		fault(p, p->line, "%s: \"%s\" is out of range", e->name, value);
-		return;
-	}
-	if (e->type == VALUE_TIME)
-		*(uint64_t *)(void *)field = n;
-	else if (e->type == VALUE_BYTES)
-		*(size_t *)(void *)field = (size_t)n;
-	else
-		*(uint32_t *)(void *)field = (uint32_t)n;
-}
-
-/* Checks and copies a name, a token or a key. */
-static void set_text(struct parser *p, const struct entry *e, const char *value)
-{
-	static const char z85[] = ".-:+=^!/*?&<>()[]{}@%$#";
-	char *field = (char *)p->s + e->offset;
-	size_t len = strlen(value);
-	const char *extra = e->type == VALUE_NAME ? "-_" : z85;
-
-	for (size_t i = 0; i < len; i++) {
-		unsigned char c = (unsigned char)value[i];
-
-		if (e->type == VALUE_TOKEN ? !isgraph(c)
-					   : !isalnum(c) && !strchr(extra, c)) {
-			fault(p, p->line, "%s: character %zu is not allowed",
-			      e->name, i + 1);
-			return;
-		}
-	}
-	if (e->type == VALUE_KEY && len != CURVE_KEY_CHARS) {
-		fault(p, p->line, "%s: a key has %d characters of Z85, not %zu",
-		      e->name, CURVE_KEY_CHARS, len);
-		return;
-	}
-	if (e->type == VALUE_TOKEN && len < TOKEN_MIN_CHARS) {
-		fault(p, p->line, "%s: shorter than %d characters", e->name,
-		      TOKEN_MIN_CHARS);
-		return;
-	}
-	if (!len || len >= SETTINGS_TEXT_BYTES) {
-		fault(p, p->line, "%s: must have 1 to %d characters", e->name,
-		      SETTINGS_TEXT_BYTES - 1);
-		return;
-	}
-	memcpy(field, value, len + 1);
-}
-
-static void set_choice(struct parser *p, const struct entry *e,
-		       const char *value)
-{
-	char list[128] = "";
-
-	for (int i = 0; e->choices[i]; i++) {
-		if (!strcmp(e->choices[i], value)) {
-			*(int *)(void *)((char *)p->s + e->offset) = i;
-			return;
-		}
-		strncat(list, i ? ", " : "", sizeof(list) - strlen(list) - 1);
-		strncat(list, e->choices[i], sizeof(list) - strlen(list) - 1);
-	}
-	fault(p, p->line, "%s: \"%s\" is none of %s", e->name, value, list);
-}
-
-/* Adds the addresses of a comma-separated list. */
-static void set_seeds(struct parser *p, const char *value)
-{
-	char copy[LINE_MAX_BYTES];
-	char *rest = copy, *word;
-
-	snprintf(copy, sizeof(copy), "%s", value);
-	while ((word = strsep(&rest, ","))) {
-		struct settings_address a;
-		char *end;
-
-		word += strspn(word, " \t");
-		end = word + strlen(word);
-		while (end > word && isspace((unsigned char)end[-1]))
-			*--end = '\0';
-		if (!*word && !rest)
-			continue; /* a closing comma before the next line */
-		if (!parse_address(word, &a))
-			fault(p, p->line, "seeds: \"%s\" is not IP:PORT", word);
-		else if (p->s->peers.seed_count == SETTINGS_SEEDS_MAX)
-			fault(p, p->line, "seeds: more than %d addresses",
-			      SETTINGS_SEEDS_MAX);
-		else
-			p->s->peers.seeds[p->s->peers.seed_count++] = a;
-	}
-}
-
-static void set_value(struct parser *p, const struct entry *e,
-		      const char *value)
-{
-	char *field = (char *)p->s + e->offset;
-
-	switch (e->type) {
-	case VALUE_NAME:
-	case VALUE_TOKEN:
-	case VALUE_KEY:
-		set_text(p, e, value);
-		break;
-	case VALUE_ADDRESS:
-		if (!parse_address(value,
-				   (struct settings_address *)(void *)field))
-			fault(p, p->line, "%s: \"%s\" is not IP:PORT", e->name,
-			      value);
-		break;
-	case VALUE_SEEDS:
-		set_seeds(p, value);
-		break;
-	case VALUE_COUNT:
-		set_number(p, e, value, NULL);
-		break;
-	case VALUE_PERCENT:
-		set_number(p, e, value, percent_units);
-		break;
-	case VALUE_BYTES:
-		set_number(p, e, value, byte_units);
-		break;
-	case VALUE_TIME:
-		set_number(p, e, value, time_units);
-		break;
-	case VALUE_CHOICE:
-		set_choice(p, e, value);
-		break;
-	}
-}
-
 /* Handler of inih; only seeds may continue on an indented line. */
 static int on_key(void *arg, const char *section, const char *name,
 		  const char *value)
 {
-	struct parser *p = arg;
+	struct settings_parser *p = arg;
 	int i;
 
 	p->handled = true;
 	if (p->skip)
 		return 1;
 	if (!*section) {
-		fault(p, p->line, "key \"%s\" before any section", name);
+		settings_fault(p, p->line, "key \"%s\" before any section",
+			       name);
 		return 1;
 	}
 	i = find_entry(section, name);
 	if (i < 0) {
-		fault(p, p->line, "unknown key \"%s\" in [%s]", name, section);
+		settings_fault(p, p->line, "unknown key \"%s\" in [%s]", name,
+			       section);
 		return 1;
 	}
 	if (p->continuation && entries[i].type != VALUE_SEEDS) {
-		fault(p, p->line, "unexpected indented line after \"%s\"",
-		      name);
+		settings_fault(p, p->line,
+			       "unexpected indented line after \"%s\"", name);
 		return 1;
 	}
 	if (p->entry_lines[i] && !p->continuation) {
-		fault(p, p->line, "\"%s\" was already given in line %d", name,
-		      p->entry_lines[i]);
+		settings_fault(p, p->line,
+			       "\"%s\" was already given in line %d", name,
+			       p->entry_lines[i]);
 		return 1;
 	}
 	p->entry_lines[i] = p->line;
-	set_value(p, &entries[i], value);
+	settings_set_value(p, &entries[i], value);
 	return 1;
 }
 
 /* Reports a line that inih did not understand. */
-static void check_previous_line(struct parser *p)
+static void check_previous_line(struct settings_parser *p)
 {
 	if (p->key_line && !p->handled)
-		fault(p, p->line, "neither \"[section]\" nor \"key = value\"");
+		settings_fault(p, p->line,
+			       "neither \"[section]\" nor \"key = value\"");
 	p->key_line = false;
 	p->handled = false;
 }
 
-static void check_section(struct parser *p, const char *line)
+static void check_section(struct settings_parser *p, const char *line)
 {
 	const char *end = strchr(line, ']');
 	int i;
 
 	p->skip = true;
 	if (!end) {
-		fault(p, p->line, "section without \"]\"");
+		settings_fault(p, p->line, "section without \"]\"");
 		return;
 	}
 	i = find_section(line + 1, (size_t)(end - line - 1));
 	if (i < 0) {
-		fault(p, p->line, "unknown section %.*s",
-		      (int)(end - line + 1 > 60 ? 60 : end - line + 1), line);
+		settings_fault(p, p->line, "unknown section %.*s",
+			       (int)(end - line + 1 > 60 ? 60 : end - line + 1),
+			       line);
 		return;
 	}
 	end++;
 	end += strspn(end, " \t\r");
 	if (*end && *end != ';')
-		fault(p, p->line, "unexpected text after [%s]",
-		      section_names[i]);
+		settings_fault(p, p->line, "unexpected text after [%s]",
+			       section_names[i]);
 	if (p->section_lines[i])
-		fault(p, p->line, "section [%s] was already given in line %d",
-		      section_names[i], p->section_lines[i]);
+		settings_fault(p, p->line,
+			       "section [%s] was already given in line %d",
+			       section_names[i], p->section_lines[i]);
 	p->section_lines[i] = p->line;
 	p->skip = false;
 }
@@ -483,7 +207,7 @@
  */
 static char *next_line(char *out, int size, void *stream)
 {
-	struct parser *p = stream;
+	struct settings_parser *p = stream;
 	const char *line = p->text + p->pos;
 	const char *end;
 	const char *start;
@@ -498,9 +222,10 @@
 	p->pos += len + (end ? 1 : 0);
 	out[0] = '\0';
 	if (len + 2 > (size_t)size) {
-		fault(p, p->line, "line of more than %d bytes", size - 2);
+		settings_fault(p, p->line, "line of more than %d bytes",
+			       size - 2);
 	} else if (memchr(line, '\0', len)) {
-		fault(p, p->line, "NUL byte");
+		settings_fault(p, p->line, "NUL byte");
 	} else {
 		memcpy(out, line, len);
 		out[len] = '\0';
@@ -517,20 +242,21 @@
 	return out;
 }
 
-static void check_required(struct parser *p)
+static void check_required(struct settings_parser *p)
 {
 	for (size_t i = 0; i < ENTRIES; i++) {
-		const struct entry *e = &entries[i];
+		const struct settings_entry *e = &entries[i];
 		int section = find_section(e->section, strlen(e->section));
 		int line = p->section_lines[section];
 
 		if (!e->required || p->entry_lines[i])
 			continue;
-		fault(p,
-		      line	? line
-		      : p->line ? p->line
-				: 1,
-		      "missing key \"%s\" in [%s]", e->name, e->section);
+		settings_fault(p,
+			       line	 ? line
+			       : p->line ? p->line
+					 : 1,
+			       "missing key \"%s\" in [%s]", e->name,
+			       e->section);
 	}
 }
 
@@ -545,7 +271,7 @@
 	       !strcmp(b->host, "::");
 }
 
-static void check_addresses(struct parser *p)
+static void check_addresses(struct settings_parser *p)
 {
 	static const char *const sections[] = { "front", "operator", "peers" };
 	const struct settings_address *listen[] = { &p->s->front.listen,
@@ -559,17 +285,19 @@
 		for (int j = 0; j < i; j++)
 			if (lines[i] && lines[j] &&
 			    addresses_clash(listen[i], listen[j]))
-				fault(p, lines[i],
-				      "listen of [%s] is also that of [%s]",
-				      sections[i], sections[j]);
+				settings_fault(
+					p, lines[i],
+					"listen of [%s] is also that of [%s]",
+					sections[i], sections[j]);
 	if (lines[2] && (!strcmp(listen[2]->host, "0.0.0.0") ||
 			 !strcmp(listen[2]->host, "::")))
-		fault(p, lines[2],
-		      "listen of [peers] must be the address that peers use");
+		settings_fault(
+			p, lines[2],
+			"listen of [peers] must be the address that peers use");
 }
 
 /* Checks that hold between keys; runs only when each key is good. */
-static void check_contradictions(struct parser *p)
+static void check_contradictions(struct settings_parser *p)
 {
 	int queue = p->entry_lines[find_entry("front", "queue_limit")];
 	int threads = p->entry_lines[find_entry("front", "threads")];
@@ -579,12 +307,13 @@
 	check_addresses(p);
 	/* A queued request holds a thread of the HTTP server. */
 	if (p->s->front.queue_limit > p->s->front.threads)
-		fault(p, queue ? queue : threads,
-		      "queue_limit %u is above threads %u",
-		      p->s->front.queue_limit, p->s->front.threads);
+		settings_fault(p, queue ? queue : threads,
+			       "queue_limit %u is above threads %u",
+			       p->s->front.queue_limit, p->s->front.threads);
 	if (zmq_curve_public(public_key, p->s->peers.curve_secret) < 0 ||
 	    strcmp(public_key, p->s->peers.curve_public))
-		fault(p, key, "curve_secret does not belong to curve_public");
+		settings_fault(p, key,
+			       "curve_secret does not belong to curve_public");
 }
 
 static char *read_file(const char *path, size_t *len, struct error *err)
@@ -635,18 +364,18 @@
 	int entry_lines[ENTRIES] = { 0 };
 	int section_lines[SECTIONS] = { 0 };
 	struct settings filled;
-	struct parser p = { .s = &filled,
-			    .path = path,
-			    .fn = fn,
-			    .arg = arg,
-			    .entry_lines = entry_lines,
-			    .section_lines = section_lines };
+	struct settings_parser p = { .s = &filled,
+				     .path = path,
+				     .fn = fn,
+				     .arg = arg,
+				     .entry_lines = entry_lines,
+				     .section_lines = section_lines };
 	struct error err;
 	char *text = read_file(path, &p.len, &err);
 
 	settings_defaults(&filled);
 	if (!text) {
-		fault(&p, 0, "%s", err.message + strlen(path) + 4);
+		settings_fault(&p, 0, "%s", err.message + strlen(path) + 4);
 		return p.faults;
 	}
 	/* The packaged line buffer holds 200 bytes, too few for seeds. */
@@ -655,7 +384,7 @@
 	ini_initial_alloc = LINE_MAX_BYTES;
 	p.text = text;
 	if (ini_parse_stream(next_line, &p, on_key, &p) == -2)
-		fault(&p, 0, "out of memory");
+		settings_fault(&p, 0, "out of memory");
 	check_required(&p);
 	if (!p.faults)
 		check_contradictions(&p);
@@ -682,42 +411,16 @@
 	return settings_check(path, s, keep_first, err) ? -1 : 0;
 }
 
-/* Returns the size of the field of an entry. */
-static size_t value_size(const struct entry *e)
-{
-	switch (e->type) {
-	case VALUE_NAME:
-	case VALUE_TOKEN:
-		return SETTINGS_TEXT_BYTES;
-	case VALUE_KEY:
-		return CURVE_KEY_CHARS + 1;
-	case VALUE_ADDRESS:
-		return sizeof(struct settings_address);
-	case VALUE_SEEDS:
-		return SETTINGS_SEEDS_MAX * sizeof(struct settings_address) +
-		       sizeof(uint32_t);
-	case VALUE_BYTES:
-		return sizeof(size_t);
-	case VALUE_TIME:
-		return sizeof(uint64_t);
-	case VALUE_COUNT:
-	case VALUE_PERCENT:
-	case VALUE_CHOICE:
-		break;
-	}
-	return sizeof(uint32_t);
-}
-
 void settings_compare(const struct settings *a, const struct settings *b,
 		      void (*fn)(void *arg, const char *section,
 				 const char *key),
 		      void *arg)
 {
 	for (size_t i = 0; i < ENTRIES; i++) {
-		const struct entry *e = &entries[i];
+		const struct settings_entry *e = &entries[i];
 
 		if (memcmp((const char *)a + e->offset,
-			   (const char *)b + e->offset, value_size(e)))
+			   (const char *)b + e->offset, settings_value_size(e)))
 			fn(arg, e->section, e->name);
 	}
 }
