--- a/src/flow.c
+++ b/src/flow.c
@@ -452,8 +452,8 @@
 	for (uint32_t i = 0; i < f->target_count; i++) {
 		const struct flow_target *t = &f->targets[i];
 
-		out->above_share += t->outstanding + t->abandoned >
-				    t->own_slots;
+		out->above_share +=
+			t->outstanding + t->abandoned > t->own_slots;
 	}
 }
 
