--- /dev/null
+++ b/tests/support-cluster.c
@@ -0,0 +1,692 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <libgen.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "clock.h"
+#include "http-client.h"
+#include "support-cluster.h"
+
+#define TOKEN "0123456789abcdef"
+#define PORT_SPAN 600u
+#define OFFSET_PROXY 5u
+#define OFFSET_WORKERS 10u
+#define OFFSET_RUNNER_CONTROL 15u
+#define OFFSET_ENTRIES 20u
+#define PORTS_PER_ENTRY 3u
+#define OFFSET_LINKS 60u
+#define OFFSET_RUNNERS 200u
+#define RUNNERS_PER_ZONE 100u
+#define HTTP_TIMEOUT_US 10000000u
+#define POLL_US 20000u
+
+extern char **environ;
+
+const char *const cluster_zone_names[CLUSTER_ZONES_MAX] = { "kadikoy",
+							    "bakirkoy",
+							    "cagla" };
+
+static int write_vms(struct cluster *c);
+static int write_settings(struct cluster *c, uint32_t i);
+static int start_proxy(struct cluster *c);
+static int start_stand_ins(struct cluster *c);
+static int stop_process(struct cluster_process *p, int sig);
+
+void cluster_defaults(struct cluster_options *o)
+{
+	memset(o, 0, sizeof(*o));
+	o->zones = 3;
+	o->entries[0] = 3;
+	o->entries[1] = 2;
+	o->entries[2] = 2;
+	o->runners = 6;
+	o->workers = 6;
+	o->worker_cpu_milli = 32000;
+	o->worker_memory_mb = 125000;
+	o->workers_per_rack = 3;
+	o->list_lag_ms = 1000;
+	o->report_lag_ms = 1000;
+	o->threads = 160;
+	o->seed = 1;
+}
+
+/* ---- ports ---- */
+
+uint16_t cluster_store_port(const struct cluster *c)
+{
+	return c->port;
+}
+
+uint16_t cluster_proxy_port(const struct cluster *c)
+{
+	return (uint16_t)(c->port + OFFSET_PROXY);
+}
+
+uint16_t cluster_worker_port(const struct cluster *c, uint32_t zone)
+{
+	return (uint16_t)(c->port + OFFSET_WORKERS + zone);
+}
+
+uint16_t cluster_runner_control_port(const struct cluster *c, uint32_t zone)
+{
+	return (uint16_t)(c->port + OFFSET_RUNNER_CONTROL + zone);
+}
+
+uint16_t cluster_front_port(const struct cluster *c, uint32_t entry)
+{
+	return (uint16_t)(c->port + OFFSET_ENTRIES + PORTS_PER_ENTRY * entry);
+}
+
+uint16_t cluster_operator_port(const struct cluster *c, uint32_t entry)
+{
+	return (uint16_t)(cluster_front_port(c, entry) + 1);
+}
+
+static uint16_t peer_port(const struct cluster *c, uint32_t entry)
+{
+	return (uint16_t)(cluster_front_port(c, entry) + 2);
+}
+
+static uint16_t runner_port(const struct cluster *c, uint32_t zone)
+{
+	return (uint16_t)(c->port + OFFSET_RUNNERS + RUNNERS_PER_ZONE * zone);
+}
+
+static uint16_t store_link_port(const struct cluster *c, uint32_t zone)
+{
+	return (uint16_t)(c->port + OFFSET_LINKS + zone);
+}
+
+static uint16_t peer_link_port(const struct cluster *c, uint32_t zone,
+			       uint32_t entry)
+{
+	return (uint16_t)(c->port + OFFSET_LINKS + CLUSTER_ZONES_MAX +
+			  zone * CLUSTER_ENTRIES_MAX + entry);
+}
+
+/* True when nothing listens on the port. */
+static bool port_is_free(uint16_t port)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET,
+				 .sin_port = htons(port),
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int one = 1, ret, fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	ret = bind(fd, (struct sockaddr *)&a, sizeof(a));
+	close(fd);
+	return ret == 0;
+}
+
+/* Chooses a range below the ports that the kernel gives to clients. */
+static uint16_t choose_ports(void)
+{
+	uint32_t ranges = (32000u - 11000u) / PORT_SPAN;
+
+	for (uint32_t n = 0; n < ranges; n++) {
+		uint32_t range = ((uint32_t)getpid() + n) % ranges;
+		uint16_t base = (uint16_t)(11000u + range * PORT_SPAN);
+		bool all_free = true;
+
+		for (uint16_t p = 0; p < PORT_SPAN && all_free; p++)
+			all_free = port_is_free((uint16_t)(base + p));
+		if (all_free)
+			return base;
+	}
+	return 0;
+}
+
+/* ---- processes ---- */
+
+pid_t cluster_spawn(struct cluster *c, const char *const argv[],
+		    const char *output)
+{
+	posix_spawn_file_actions_t fa;
+	char path[600], out[600];
+	pid_t pid = 0;
+	int ret;
+
+	snprintf(path, sizeof(path), "%s/%s", c->build, argv[0]);
+	snprintf(out, sizeof(out), "%s/%s", c->folder, output);
+	posix_spawn_file_actions_init(&fa);
+	posix_spawn_file_actions_addopen(&fa, 0, "/dev/null", O_RDONLY, 0);
+	posix_spawn_file_actions_addopen(&fa, 1, out,
+					 O_WRONLY | O_CREAT | O_APPEND, 0644);
+	posix_spawn_file_actions_adddup2(&fa, 1, 2);
+	ret = posix_spawn(&pid, path, &fa, NULL, (char *const *)argv, environ);
+	posix_spawn_file_actions_destroy(&fa);
+	if (ret) {
+		fprintf(stderr, "cannot start %s: %s\n", path, strerror(ret));
+		return -1;
+	}
+	return pid;
+}
+
+int cluster_wait_process(pid_t pid)
+{
+	int status;
+
+	while (waitpid(pid, &status, 0) < 0)
+		if (errno != EINTR)
+			return -1;
+	return WIFEXITED(status) ? WEXITSTATUS(status) : 128;
+}
+
+int cluster_run(struct cluster *c, const char *const argv[], const char *output)
+{
+	pid_t pid = cluster_spawn(c, argv, output);
+
+	return pid < 0 ? -1 : cluster_wait_process(pid);
+}
+
+static int start(struct cluster *c, struct cluster_process *p,
+		 const char *const argv[])
+{
+	char output[64];
+
+	snprintf(output, sizeof(output), "%s.log", p->name);
+	p->pid = cluster_spawn(c, argv, output);
+	return p->pid < 0 ? -1 : 0;
+}
+
+static int stop_process(struct cluster_process *p, int sig)
+{
+	int ret;
+
+	if (p->pid <= 0)
+		return 0;
+	kill(p->pid, sig);
+	ret = cluster_wait_process(p->pid);
+	p->pid = 0;
+	return ret;
+}
+
+/* Waits until something accepts connections on the port. */
+static int wait_port(uint16_t port, uint32_t timeout_ms)
+{
+	uint64_t end = clock_now_us() + timeout_ms * 1000ull;
+	struct sockaddr_in a = { .sin_family = AF_INET,
+				 .sin_port = htons(port),
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+
+	while (clock_now_us() < end) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		int ret = connect(fd, (struct sockaddr *)&a, sizeof(a));
+
+		close(fd);
+		if (!ret)
+			return 0;
+		clock_sleep_us(POLL_US);
+	}
+	fprintf(stderr, "nothing listens on port %u\n", port);
+	return -1;
+}
+
+/* ---- files ---- */
+
+static int write_file(struct cluster *c, const char *name, struct buffer *b)
+{
+	char path[600], old[600];
+	FILE *f;
+
+	snprintf(path, sizeof(path), "%s/%s.new", c->folder, name);
+	snprintf(old, sizeof(old), "%s/%s", c->folder, name);
+	f = fopen(path, "w");
+	if (!f || fwrite(b->data, 1, b->len, f) != b->len || fclose(f) ||
+	    rename(path, old)) {
+		fprintf(stderr, "cannot write %s\n", path);
+		return -1;
+	}
+	return 0;
+}
+
+/* Writes the platform's list of runners and workers. */
+static int write_vms(struct cluster *c)
+{
+	const struct cluster_options *o = &c->o;
+	struct buffer b = BUFFER_INIT;
+	const char *sep = "[";
+	int ret;
+
+	for (uint32_t z = 0; z < o->zones; z++) {
+		const char *zone = cluster_zone_names[z];
+
+		for (uint32_t i = 0; i < o->runners; i++, sep = ",\n")
+			buffer_printf(
+				&b,
+				"%s{\"id\":\"%s-r%u\",\"role\":\"runner\","
+				"\"availability_zone\":\"%s\",\"rack\":"
+				"\"%s-rr%u\",\"address\":\"127.0.0.1:%u\","
+				"\"state\":\"live\",\"slots\":8,"
+				"\"connections\":64}",
+				sep, zone, i, zone, zone, i / 11,
+				runner_port(c, z) + i);
+		for (uint32_t i = 0; i < o->workers; i++, sep = ",\n")
+			buffer_printf(
+				&b,
+				"%s{\"id\":\"%s-w%u\",\"role\":\"worker\","
+				"\"availability_zone\":\"%s\",\"rack\":"
+				"\"%s-k%u\",\"address\":\"127.0.0.1:%u\","
+				"\"state\":\"live\",\"cpu_milli\":%u,"
+				"\"memory_mb\":%u,\"accelerators\":0}",
+				sep, zone, i, zone, zone,
+				i / o->workers_per_rack,
+				cluster_worker_port(c, z), o->worker_cpu_milli,
+				o->worker_memory_mb);
+	}
+	buffer_append_str(&b, "]\n");
+	ret = write_file(c, "vms.json", &b);
+	buffer_free(&b);
+	return ret;
+}
+
+/* Appends the addresses under which entry VM i reaches the others. */
+static void add_seeds(struct cluster *c, uint32_t i, struct buffer *b)
+{
+	const char *sep = "seeds = ";
+
+	for (uint32_t j = 0; j < c->entry_count; j++) {
+		bool through =
+			c->o.cut_links && c->entry_zone[i] != c->entry_zone[j];
+		uint16_t port = through ? peer_link_port(c, c->entry_zone[i], j)
+					: peer_port(c, j);
+
+		if (j == i)
+			continue;
+		buffer_printf(b, "%s127.0.0.1:%u", sep, port);
+		sep = ", ";
+	}
+	buffer_append_str(b, "\n");
+	if (c->o.cut_links)
+		buffer_append_str(b, "discovery = seeds\n");
+}
+
+static int write_settings(struct cluster *c, uint32_t i)
+{
+	struct buffer b = BUFFER_INIT;
+	uint32_t zone = c->entry_zone[i];
+	char name[64];
+	int ret;
+
+	buffer_printf(&b, "[node]\nid = %s-e%u-%u\n", cluster_zone_names[zone],
+		      i, c->entry_generation[i]);
+	buffer_printf(&b, "availability_zone = %s\ndeployment = test\n",
+		      cluster_zone_names[zone]);
+	buffer_printf(&b, "[front]\nlisten = 127.0.0.1:%u\nthreads = %u\n",
+		      cluster_front_port(c, i), c->o.threads);
+	buffer_printf(&b, "queue_limit = %u\n", c->o.threads / 2);
+	buffer_printf(&b, "[operator]\nlisten = 127.0.0.1:%u\ntoken = %s\n",
+		      cluster_operator_port(c, i), TOKEN);
+	buffer_printf(&b, "[peers]\nlisten = 127.0.0.1:%u\n", peer_port(c, i));
+	buffer_printf(&b, "curve_public = %s\ncurve_secret = %s\n",
+		      c->curve_public, c->curve_secret);
+	add_seeds(c, i, &b);
+	buffer_printf(&b, "[platform]\naddress = 127.0.0.1:%u\nlease = 3s\n",
+		      c->o.cut_links ? store_link_port(c, zone)
+				     : cluster_store_port(c));
+	if (c->o.policy)
+		buffer_printf(&b, "[policy]\n%s\n", c->o.policy);
+	buffer_append_str(&b, "[log]\nlevel = info\n");
+	snprintf(name, sizeof(name), "entry-%u.conf", i);
+	ret = write_file(c, name, &b);
+	buffer_free(&b);
+	return ret;
+}
+
+char *cluster_read(struct cluster *c, const char *file)
+{
+	struct buffer b = BUFFER_INIT;
+	char path[600], part[65536];
+	size_t n;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "%s/%s", c->folder, file);
+	f = fopen(path, "r");
+	if (!f)
+		return NULL;
+	while ((n = fread(part, 1, sizeof(part), f)) > 0)
+		buffer_append(&b, part, n);
+	fclose(f);
+	return buffer_detach(&b, NULL);
+}
+
+uint32_t cluster_count(struct cluster *c, const char *file, const char *one,
+		       const char *other)
+{
+	char *text = cluster_read(c, file);
+	uint32_t count = 0;
+
+	if (!text)
+		return 0;
+	for (char *line = strtok(text, "\n"); line; line = strtok(NULL, "\n"))
+		if ((!one || strstr(line, one)) &&
+		    (!other || strstr(line, other)))
+			count++;
+	free(text);
+	return count;
+}
+
+/* ---- stand-ins ---- */
+
+static int start_store(struct cluster *c)
+{
+	char listen[32], vms[300], journal[300], lag[16], seed[24];
+	const char *argv[] = { "fake-platform", "--store", listen,
+			       "--vms",		vms,	   "--journal",
+			       journal,		"--seed",  seed,
+			       "--list-lag-ms", lag,	   NULL };
+
+	snprintf(listen, sizeof(listen), "127.0.0.1:%u", cluster_store_port(c));
+	snprintf(vms, sizeof(vms), "%s/vms.json", c->folder);
+	snprintf(journal, sizeof(journal), "%s/store.jsonl", c->folder);
+	snprintf(lag, sizeof(lag), "%u", c->o.list_lag_ms);
+	snprintf(seed, sizeof(seed), "%u", (unsigned)c->o.seed);
+	snprintf(c->store.name, sizeof(c->store.name), "store");
+	return start(c, &c->store, argv);
+}
+
+static int start_workers(struct cluster *c, uint32_t zone)
+{
+	char listen[32], vms[300], journal[300], lag[16], seed[24];
+	const char *argv[] = { "fake-platform",	  "--workers", listen,
+			       "--vms",		  vms,	       "--journal",
+			       journal,		  "--seed",    seed,
+			       "--report-lag-ms", lag,	       NULL };
+
+	snprintf(listen, sizeof(listen), "127.0.0.1:%u",
+		 cluster_worker_port(c, zone));
+	snprintf(vms, sizeof(vms), "%s/vms.json", c->folder);
+	snprintf(journal, sizeof(journal), "%s/workers-%u.jsonl", c->folder,
+		 zone);
+	snprintf(lag, sizeof(lag), "%u", c->o.report_lag_ms);
+	snprintf(seed, sizeof(seed), "%u", (unsigned)c->o.seed + zone);
+	snprintf(c->workers[zone].name, sizeof(c->workers[zone].name),
+		 "workers-%u", zone);
+	return start(c, &c->workers[zone], argv);
+}
+
+static int start_runners(struct cluster *c, uint32_t zone)
+{
+	char listen[32], control[32], count[16], journal[300], prefix[64];
+	char seed[24];
+	const char *argv[] = { "fake-runner", "--listen",  listen,
+			       "--count",     count,	   "--id-prefix",
+			       prefix,	      "--control", control,
+			       "--journal",   journal,	   "--seed",
+			       seed,	      NULL };
+
+	snprintf(listen, sizeof(listen), "127.0.0.1:%u", runner_port(c, zone));
+	snprintf(control, sizeof(control), "127.0.0.1:%u",
+		 cluster_runner_control_port(c, zone));
+	snprintf(count, sizeof(count), "%u", c->o.runners);
+	snprintf(prefix, sizeof(prefix), "%s-r", cluster_zone_names[zone]);
+	snprintf(journal, sizeof(journal), "%s/runners-%u.jsonl", c->folder,
+		 zone);
+	snprintf(seed, sizeof(seed), "%u", (unsigned)c->o.seed + 100 + zone);
+	snprintf(c->runners[zone].name, sizeof(c->runners[zone].name),
+		 "runners-%u", zone);
+	return start(c, &c->runners[zone], argv);
+}
+
+/* One link per zone to the store, and per zone to each entry VM elsewhere. */
+static int start_proxy(struct cluster *c)
+{
+	char control[32], links[40][80];
+	const char *argv[100] = { "fault-proxy", "--control", control };
+	uint32_t n = 0, args = 3;
+
+	snprintf(control, sizeof(control), "127.0.0.1:%u",
+		 cluster_proxy_port(c));
+	for (uint32_t z = 0; z < c->o.zones; z++) {
+		snprintf(links[n++], sizeof(links[0]),
+			 "store-%u=127.0.0.1:%u=127.0.0.1:%u", z,
+			 store_link_port(c, z), cluster_store_port(c));
+		for (uint32_t e = 0; e < c->entry_count; e++)
+			if (c->entry_zone[e] != z)
+				snprintf(links[n++], sizeof(links[0]),
+					 "peer-%u-%u=127.0.0.1:%u=127.0.0.1:%u",
+					 z, e, peer_link_port(c, z, e),
+					 peer_port(c, e));
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		argv[args++] = "--link";
+		argv[args++] = links[i];
+	}
+	snprintf(c->proxy.name, sizeof(c->proxy.name), "proxy");
+	if (start(c, &c->proxy, argv) < 0)
+		return -1;
+	return wait_port(cluster_proxy_port(c), 10000);
+}
+
+static int start_stand_ins(struct cluster *c)
+{
+	if (start_store(c) < 0)
+		return -1;
+	for (uint32_t z = 0; z < c->o.zones; z++) {
+		if (c->o.workers && start_workers(c, z) < 0)
+			return -1;
+		if (c->o.runners && start_runners(c, z) < 0)
+			return -1;
+	}
+	if (wait_port(cluster_store_port(c), 10000) < 0)
+		return -1;
+	for (uint32_t z = 0; z < c->o.zones; z++) {
+		if (c->o.workers && wait_port(cluster_worker_port(c, z), 10000))
+			return -1;
+		if (c->o.runners && wait_port(runner_port(c, z), 10000))
+			return -1;
+	}
+	return c->o.cut_links ? start_proxy(c) : 0;
+}
+
+/* ---- entry VMs ---- */
+
+int cluster_entry_start(struct cluster *c, uint32_t i)
+{
+	struct cluster_process *p = &c->entries[i];
+	char conf[300];
+	const char *argv[] = { "waxwingd", "-c", conf, NULL };
+
+	c->entry_generation[i]++;
+	if (write_settings(c, i) < 0)
+		return -1;
+	snprintf(p->name, sizeof(p->name), "entry-%u", i);
+	snprintf(conf, sizeof(conf), "%s/entry-%u.conf", c->folder, i);
+	return start(c, p, argv);
+}
+
+void cluster_entry_signal(struct cluster *c, uint32_t i, int sig)
+{
+	struct cluster_process *p = &c->entries[i];
+
+	if (p->pid <= 0)
+		return;
+	if (sig == SIGKILL)
+		stop_process(p, sig);
+	else
+		kill(p->pid, sig);
+}
+
+int cluster_entry_wait_end(struct cluster *c, uint32_t i, uint32_t timeout_ms)
+{
+	struct cluster_process *p = &c->entries[i];
+	uint64_t end = clock_now_us() + timeout_ms * 1000ull;
+	int status;
+
+	while (p->pid > 0 && clock_now_us() < end) {
+		if (waitpid(p->pid, &status, WNOHANG) == p->pid) {
+			p->pid = 0;
+			return 0;
+		}
+		clock_sleep_us(POLL_US);
+	}
+	return p->pid > 0 ? -1 : 0;
+}
+
+static void find_build(struct cluster *c)
+{
+	const char *env = getenv("WAXWING_BUILD");
+	char self[256] = "";
+	ssize_t n;
+
+	if (env) {
+		snprintf(c->build, sizeof(c->build), "%s", env);
+		return;
+	}
+	n = readlink("/proc/self/exe", self, sizeof(self) - 1);
+	self[n > 0 ? n : 0] = '\0';
+	snprintf(c->build, sizeof(c->build), "%s", dirname(self));
+}
+
+int cluster_start(struct cluster *c, const struct cluster_options *o)
+{
+	const char *tmp = getenv("TMPDIR");
+
+	memset(c, 0, sizeof(*c));
+	c->o = *o;
+	c->port = o->base_port ? o->base_port : choose_ports();
+	find_build(c);
+	snprintf(c->folder, sizeof(c->folder), "%s/waxwing-XXXXXX",
+		 tmp ? tmp : "/tmp");
+	if (!c->port || !mkdtemp(c->folder)) {
+		fprintf(stderr, "no free ports or no temporary folder\n");
+		return -1;
+	}
+	zmq_curve_keypair(c->curve_public, c->curve_secret);
+	for (uint32_t z = 0; z < o->zones; z++)
+		for (uint32_t e = 0; e < o->entries[z]; e++)
+			c->entry_zone[c->entry_count++] = z;
+	if (write_vms(c) < 0 || start_stand_ins(c) < 0)
+		return -1;
+	for (uint32_t i = 0; i < c->entry_count; i++)
+		if (cluster_entry_start(c, i) < 0)
+			return -1;
+	for (uint32_t i = 0; i < c->entry_count; i++)
+		if (wait_port(cluster_front_port(c, i), 10000) < 0 ||
+		    wait_port(cluster_operator_port(c, i), 10000) < 0)
+			return -1;
+	return 0;
+}
+
+void cluster_stop(struct cluster *c)
+{
+	char command[300];
+
+	for (uint32_t i = 0; i < c->entry_count; i++)
+		stop_process(&c->entries[i], SIGKILL);
+	for (uint32_t z = 0; z < CLUSTER_ZONES_MAX; z++) {
+		stop_process(&c->runners[z], SIGTERM);
+		stop_process(&c->workers[z], SIGTERM);
+	}
+	stop_process(&c->store, SIGTERM);
+	stop_process(&c->proxy, SIGTERM);
+	if (getenv("WAXWING_KEEP")) {
+		fprintf(stderr, "kept: %s\n", c->folder);
+		return;
+	}
+	snprintf(command, sizeof(command), "rm -rf '%s'", c->folder);
+	if (system(command))
+		fprintf(stderr, "cannot remove %s\n", c->folder);
+}
+
+/* ---- calls ---- */
+
+int cluster_http(uint16_t port, const char *method, const char *path,
+		 const char *headers, const char *body, struct buffer *answer)
+{
+	static struct http_client *client;
+	char lines[1024];
+	struct http_answer ans = { 0 };
+	struct error err;
+	struct http_request req = {
+		.method = method,
+		.path = path,
+		.headers = lines,
+		.body = body,
+		.body_len = body ? strlen(body) : 0,
+		.timeout_us = HTTP_TIMEOUT_US,
+		.max_answer_bytes = 4u << 20,
+	};
+	int status;
+
+	/* Without idle connections, so that a restart is no stale reuse. */
+	if (!client)
+		client = http_client_create(0);
+	snprintf(lines, sizeof(lines), "Authorization: Bearer %s\r\n%s", TOKEN,
+		 headers ? headers : "");
+	if (http_call(client, "127.0.0.1", port, &req, &ans, &err) < 0)
+		return -1;
+	if (answer)
+		buffer_append(answer, ans.body.data, ans.body.len);
+	status = ans.status;
+	http_answer_free(&ans);
+	return status;
+}
+
+int cluster_fault(uint16_t port, const char *json)
+{
+	int status = cluster_http(port, "POST", "/v1/fault", NULL, json, NULL);
+
+	if (status == 200)
+		return 0;
+	fprintf(stderr, "fault %s on port %u: status %d\n", json, port, status);
+	return -1;
+}
+
+int cluster_link(struct cluster *c, const char *link, const char *json)
+{
+	char path[96];
+	int status;
+
+	snprintf(path, sizeof(path), "/v1/links/%s", link);
+	status = cluster_http(cluster_proxy_port(c), "POST", path, NULL, json,
+			      NULL);
+	if (status == 200)
+		return 0;
+	fprintf(stderr, "link %s %s: status %d\n", link, json, status);
+	return -1;
+}
+
+int cluster_cut_zone(struct cluster *c, uint32_t zone, bool cut)
+{
+	const char *json = cut ? "{\"cut\":\"both\"}" : "{\"cut\":\"none\"}";
+	char link[32];
+	int ret;
+
+	snprintf(link, sizeof(link), "store-%u", zone);
+	ret = cluster_link(c, link, json);
+	for (uint32_t z = 0; z < c->o.zones; z++) {
+		for (uint32_t e = 0; e < c->entry_count; e++) {
+			uint32_t other = c->entry_zone[e];
+
+			if (z == other || (z != zone && other != zone))
+				continue;
+			snprintf(link, sizeof(link), "peer-%u-%u", z, e);
+			ret |= cluster_link(c, link, json);
+		}
+	}
+	return ret;
+}
+
+int cluster_wait(struct cluster *c, bool (*fn)(struct cluster *c, void *arg),
+		 void *arg, uint32_t timeout_ms)
+{
+	uint64_t end = clock_now_us() + timeout_ms * 1000ull;
+
+	while (!fn(c, arg)) {
+		if (clock_now_us() > end)
+			return -1;
+		clock_sleep_us(POLL_US);
+	}
+	return 0;
+}
