--- a/src/cmd-placement.c
+++ b/src/cmd-placement.c
@@ -38,6 +38,9 @@
 };
 
 static int set_field(json_t *root, const struct field *f, const char *text);
+static void format_states(const json_t *placement, char *out, size_t size);
+static void print_list(const json_t *root);
+static void print_one(const json_t *root);
 
 void cmd_placement_init(struct cmd_placement *p)
 {
@@ -133,14 +136,80 @@
 	return ret;
 }
 
+/* Writes the states and their counts, such as "running 2, pending 1". */
+static void format_states(const json_t *placement, char *out, size_t size)
+{
+	json_t *states = json_object_get(placement, "states"), *count;
+	const char *state;
+	size_t n = 0;
+
+	out[0] = '\0';
+	json_object_foreach(states, state, count)
+	{
+		if (!json_integer_value(count) || n >= size)
+			continue;
+		n += (size_t)snprintf(out + n, size - n, "%s%s %lld",
+				      n ? ", " : "", state,
+				      (long long)json_integer_value(count));
+	}
+}
+
+static void print_list(const json_t *root)
+{
+	json_t *p;
+	size_t i;
+
+	printf("%-32s %-12s %-12s %-8s %-10s %5s  %s\n", "ID", "USER", "KIND",
+	       "CLASS", "URGENCY", "COUNT", "TASKS");
+	json_array_foreach(json_object_get(root, "placements"), i, p)
+	{
+		char states[128];
+
+		format_states(p, states, sizeof(states));
+		printf("%-32s %-12s %-12s %-8s %-10s %5lld  %s\n",
+		       cmd_text(p, "id"), cmd_text(p, "user"),
+		       cmd_text(p, "kind"), cmd_text(p, "class"),
+		       cmd_text(p, "urgency"), (long long)cmd_int(p, "count"),
+		       states);
+	}
+	if (json_is_false(json_object_get(root, "complete")))
+		printf("The owner of at least one zone did not answer.\n");
+}
+
+static void print_one(const json_t *root)
+{
+	json_t *tasks = json_object_get(root, "tasks"), *t;
+	char states[128];
+	size_t i;
+
+	format_states(root, states, sizeof(states));
+	printf("%s: %s of %s %s, kind %s, %s%s\n", cmd_text(root, "id"),
+	       cmd_text(root, "class"), cmd_text(root, "user"),
+	       cmd_text(root, "team"), cmd_text(root, "kind"),
+	       cmd_text(root, "urgency"),
+	       json_is_true(json_object_get(root, "cancelled")) ? ", cancelled"
+								: "");
+	printf("%lld tasks of %lld/1000 cores, %lld MB, %lld accelerators: "
+	       "%s\n",
+	       (long long)cmd_int(root, "count"),
+	       (long long)cmd_int(root, "cpu_milli"),
+	       (long long)cmd_int(root, "memory_mb"),
+	       (long long)cmd_int(root, "accelerators"), states);
+	json_array_foreach(tasks, i, t) printf(
+		"  %-36s %-10s attempt %lld %s%s%s\n", cmd_text(t, "id"),
+		cmd_text(t, "state"), (long long)cmd_int(t, "attempt"),
+		cmd_text(t, "worker"), *cmd_text(t, "reason") ? "  " : "",
+		cmd_text(t, "reason"));
+}
+
 void cmd_placement_print(const struct cmd_options *o, const json_t *root)
 {
-	if (o->json->count) {
+	if (o->json->count)
 		cmd_print_json(root);
-		return;
-	}
-	json_dumpf(root, stdout, JSON_INDENT(2) | JSON_ENCODE_ANY);
-	putchar('\n');
+	else if (json_object_get(root, "placements"))
+		print_list(root);
+	else
+		print_one(root);
 }
 
 int cmd_placement_by_id(int argc, char **argv, const char *name,
--- a/src/waxwingctl.c
+++ b/src/waxwingctl.c
@@ -30,6 +30,7 @@
 #define COMMANDS (sizeof(commands) / sizeof(commands[0]))
 
 static void print_usage(FILE *f);
+static bool is_group(const char *word);
 static const struct command *find_command(int argc, char **argv, int *words);
 
 static void print_usage(FILE *f)
@@ -48,6 +49,14 @@
 		   "WAXWING_OPERATOR and WAXWING_TOKEN.\n");
 }
 
+static bool is_group(const char *word)
+{
+	for (size_t i = 0; i < COMMANDS; i++)
+		if (commands[i].group && !strcmp(commands[i].group, word))
+			return true;
+	return false;
+}
+
 /* Returns the command and the number of words that name it. */
 static const struct command *find_command(int argc, char **argv, int *words)
 {
@@ -80,6 +89,11 @@
 		printf("waxwingctl %s\n", WAXWING_VERSION);
 		return CMD_DONE;
 	}
+	if (argc > 2 && is_group(argv[1]) &&
+	    (!strcmp(argv[2], "--help") || !strcmp(argv[2], "-h"))) {
+		print_usage(stdout);
+		return CMD_DONE;
+	}
 	c = find_command(argc, argv, &words);
 	if (!c) {
 		print_usage(stderr);
