--- a/src/members-private.h
+++ b/src/members-private.h
@@ -61,7 +61,6 @@
 	/* registration under the session */
 	char session[64];
 	char wanted_session[64];
-	bool registered;
 	bool registering;
 	uint64_t next_register_us;
 	/* ids with a key in the store, as last read */
@@ -92,7 +91,6 @@
 	bool revalidating;
 	/* any thread */
 	_Atomic uint64_t last_tick_us;
-	_Atomic uint64_t applied_revision;
 	atomic_bool left;
 	pthread_mutex_t lock; /* guards seat */
 	struct seat seat;
@@ -109,6 +107,9 @@
 /* Tells whether the id had a key when the store was last read. */
 bool members_registered(struct members *m, const char *id);
 
+/* Tells whether this process's key is held by its present session. */
+bool members_self_registered(struct members *m);
+
 void seats_begin(struct members *m);
 void seats_tick(struct members *m, uint64_t now);
 
--- a/src/svc-seats.c
+++ b/src/svc-seats.c
@@ -255,7 +255,7 @@
 		*reason = "leave";
 		return seats_remove(next, m->seat_name) == 0;
 	}
-	if (held || m->draining || !m->registered)
+	if (held || m->draining || !members_self_registered(m))
 		return false;
 	*reason = "join";
 	for (uint32_t i = 0; i < next->count; i++) {
@@ -380,11 +380,7 @@
 	struct message_writer w;
 
 	if (m->seats.confirmed || !m->seats.revision ||
-	    now < m->next_applied_us)
-		return;
-	if (own_requests_ended(m))
-		atomic_store(&m->applied_revision, m->seats.revision);
-	if (atomic_load(&m->applied_revision) < m->seats.revision)
+	    now < m->next_applied_us || !own_requests_ended(m))
 		return;
 	m->next_applied_us = now + APPLIED_INTERVAL_US;
 	seats_progress_applied(&m->progress, m->seat_name, m->seats.revision);
@@ -457,15 +453,6 @@
 			(struct seat_listener){ fn, arg };
 }
 
-void members_applied(struct members *m, uint64_t revision)
-{
-	uint64_t old = atomic_load(&m->applied_revision);
-
-	while (old < revision && !atomic_compare_exchange_weak(
-					 &m->applied_revision, &old, revision))
-		;
-}
-
 bool members_left(struct members *m)
 {
 	return atomic_load(&m->left);
