Add the harness of scenarios on real processes

Cause: the bounds of the scenarios are to be measured on real processes, with links between zones that can be cut. Conclusion: scenarios can be written one by one.

--- a/src/settings.c
+++ b/src/settings.c
@@ -12,6 +12,7 @@
 
 #define FILE_MAX_BYTES (1024u * 1024u)
 
+static const char *const discovery_names[] = { "all", "seeds", NULL };
 static const char *const routing_names[] = { "least-latency", "random", NULL };
 static const char *const admission_names[] = { "fair", "fifo", NULL };
 static const char *const placement_names[] = { "learned", "first-fit",
@@ -54,6 +55,8 @@
 	{ "peers", "listen", VALUE_ADDRESS, AT(peers.listen), 0, 0, true,
 	  NULL },
 	{ "peers", "seeds", VALUE_SEEDS, AT(peers.seeds), 0, 0, false, NULL },
+	{ "peers", "discovery", VALUE_CHOICE, AT(peers.discovery), 0, 0, false,
+	  discovery_names },
 	{ "peers", "curve_public", VALUE_KEY, AT(peers.curve_public), 0, 0,
 	  true, NULL },
 	{ "peers", "curve_secret", VALUE_KEY, AT(peers.curve_secret), 0, 0,
--- a/src/settings.h
+++ b/src/settings.h
@@ -39,6 +39,9 @@
 	PLACEMENT_THRESHOLD,
 };
 
+/* Whether peers are also learnt from heartbeats and the store. */
+enum settings_discovery { DISCOVERY_ALL, DISCOVERY_SEEDS };
+
 struct settings {
 	struct {
 		char id[SETTINGS_TEXT_BYTES];
@@ -59,6 +62,7 @@
 		struct settings_address listen;
 		struct settings_address seeds[SETTINGS_SEEDS_MAX];
 		uint32_t seed_count;
+		enum settings_discovery discovery;
 		char curve_public[41]; /* Z85 */
 		char curve_secret[41]; /* Z85 */
 	} peers;
--- a/src/svc-members.c
+++ b/src/svc-members.c
@@ -300,6 +300,14 @@
 	return NULL;
 }
 
+/* Connects to an address that a peer or the store named. */
+static void connect_found(struct members *m, const struct settings_address *a)
+{
+	/* Links that translate addresses make the named ones useless. */
+	if (m->s->peers.discovery == DISCOVERY_ALL)
+		peers_connect(m->peers, a);
+}
+
 static void learn_addresses(struct members *m, struct message_reader *r)
 {
 	struct message_reader list = message_get_array(r);
@@ -310,7 +318,7 @@
 
 		message_get_str(&list, text, sizeof(text));
 		if (parse_address(text, &a))
-			peers_connect(m->peers, &a);
+			connect_found(m, &a);
 	}
 }
 
@@ -512,7 +520,7 @@
 		counter_add(m->malformed, 1);
 		goto out;
 	}
-	peers_connect(m->peers, &a);
+	connect_found(m, &a);
 	if (m->listed_count < MEMBERS_MAX)
 		snprintf(m->listed[m->listed_count++], 64, "%.63s", slash + 1);
 out:
--- /dev/null
+++ b/tests/support-bench.c
@@ -0,0 +1,281 @@
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "support-bench.h"
+
+#define READY_MS 30000
+#define DEFAULT_SEED 20261204u
+#define MIXES_MAX 12
+
+static int bounds_missed;
+
+/* ---- figures ---- */
+
+void bench_report(const char *scenario, uint64_t seed,
+		  const struct bench_figure *f)
+{
+	bool pass = f->kind == BOUND_NONE ||
+		    (f->kind == BOUND_MAX ? f->value <= f->bound
+					  : f->value >= f->bound);
+
+	printf("%s %s %.6g %s", scenario, f->metric, f->value, f->unit);
+	if (isnan(f->baseline))
+		printf(" baseline=-");
+	else
+		printf(" baseline=%.6g", f->baseline);
+	if (f->kind == BOUND_NONE)
+		printf(" bound=-");
+	else
+		printf(" bound=%s%.6g",
+		       f->kind == BOUND_MAX ? "<=" : ">=", f->bound);
+	printf(" %s seed=%llu\n", pass ? "pass" : "fail",
+	       (unsigned long long)seed);
+	fflush(stdout);
+	bounds_missed += !pass;
+}
+
+static void report(const char *scenario, uint64_t seed, const char *metric,
+		   double value, const char *unit, enum bound_kind kind,
+		   double bound)
+{
+	struct bench_figure f = {
+		.metric = metric,
+		.value = value,
+		.unit = unit,
+		.baseline = NAN,
+		.kind = kind,
+		.bound = bound,
+	};
+
+	bench_report(scenario, seed, &f);
+}
+
+void bench_max(const char *scenario, uint64_t seed, const char *metric,
+	       double value, const char *unit, double bound)
+{
+	report(scenario, seed, metric, value, unit, BOUND_MAX, bound);
+}
+
+void bench_min(const char *scenario, uint64_t seed, const char *metric,
+	       double value, const char *unit, double bound)
+{
+	report(scenario, seed, metric, value, unit, BOUND_MIN, bound);
+}
+
+void bench_info(const char *scenario, uint64_t seed, const char *metric,
+		double value, const char *unit)
+{
+	report(scenario, seed, metric, value, unit, BOUND_NONE, 0);
+}
+
+static bool is_wanted(int argc, char **argv, const char *name)
+{
+	for (int i = 1; i < argc; i++)
+		if (!strcmp(argv[i], name))
+			return true;
+	return argc < 2 || !argv[1][0];
+}
+
+int bench_main(int argc, char **argv, const struct bench_scenario *scenarios,
+	       size_t count)
+{
+	const char *text = getenv("SEED");
+	uint64_t seed = text ? strtoull(text, NULL, 10) : DEFAULT_SEED;
+	int status = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		if (!is_wanted(argc, argv, scenarios[i].name))
+			continue;
+		if (scenarios[i].run(seed) < 0) {
+			printf("%s could-not-run 1 - baseline=- bound=- fail "
+			       "seed=%llu\n",
+			       scenarios[i].name, (unsigned long long)seed);
+			status = 1;
+		}
+	}
+	return status || bounds_missed;
+}
+
+/* ---- load ---- */
+
+int bench_load_start(struct bench_load *l, struct cluster *c, uint32_t mask,
+		     const char *const mixes[], double seconds, uint64_t seed,
+		     const char *name)
+{
+	char entries[CLUSTER_ENTRIES_MAX][48], mix[MIXES_MAX][256];
+	char journal[300], time_text[32], seed_text[32];
+	const char *argv[64] = { "load-gen", "--json" };
+	int n = 2;
+
+	memset(l, 0, sizeof(*l));
+	l->cluster = c;
+	snprintf(l->output, sizeof(l->output), "%s.json", name);
+	snprintf(journal, sizeof(journal), "--journal=%s/%s.jsonl", c->folder,
+		 name);
+	snprintf(time_text, sizeof(time_text), "--seconds=%g", seconds);
+	snprintf(seed_text, sizeof(seed_text), "--seed=%u", (unsigned)seed);
+	argv[n++] = journal;
+	argv[n++] = time_text;
+	argv[n++] = seed_text;
+	for (uint32_t i = 0; i < c->entry_count; i++) {
+		if (!(mask & 1u << i))
+			continue;
+		snprintf(entries[i], sizeof(entries[i]), "--entry=127.0.0.1:%u",
+			 cluster_front_port(c, i));
+		argv[n++] = entries[i];
+	}
+	for (int i = 0; mixes[i] && i < MIXES_MAX; i++) {
+		snprintf(mix[i], sizeof(mix[i]), "--mix=%s", mixes[i]);
+		argv[n++] = mix[i];
+	}
+	/* Keys of two loads of one cluster must differ. */
+	snprintf(entries[CLUSTER_ENTRIES_MAX - 1], sizeof(entries[0]),
+		 "--key-prefix=%s-", name);
+	if (!(mask & 1u << (CLUSTER_ENTRIES_MAX - 1)))
+		argv[n++] = entries[CLUSTER_ENTRIES_MAX - 1];
+	argv[n] = NULL;
+	l->pid = cluster_spawn(c, argv, l->output);
+	return l->pid < 0 ? -1 : 0;
+}
+
+int bench_load_wait(struct bench_load *l)
+{
+	int status = cluster_wait_process(l->pid);
+
+	if (status)
+		fprintf(stderr, "load-gen: exit status %d\n", status);
+	return status ? -1 : 0;
+}
+
+static double number(const json_t *o, const char *name)
+{
+	return json_number_value(json_object_get(o, name));
+}
+
+static void add_kind(struct bench_kind *out, const json_t *o)
+{
+	out->sent += number(o, "sent");
+	out->done += number(o, "done");
+	out->not_run += number(o, "not_run");
+	out->unknown += number(o, "unknown");
+	out->retried += number(o, "retried");
+	out->bad_answers += number(o, "bad_answers");
+	out->p50_us = fmax(out->p50_us, number(o, "p50_us"));
+	out->p99_us = fmax(out->p99_us, number(o, "p99_us"));
+	out->refusal_p99_us =
+		fmax(out->refusal_p99_us, number(o, "refusal_p99_us"));
+}
+
+void bench_load_kind(struct bench_load *l, const char *kind,
+		     struct bench_kind *out)
+{
+	char *text = cluster_read(l->cluster, l->output);
+	json_t *root = text ? json_loads(text, 0, NULL) : NULL;
+	json_t *list =
+		json_is_array(root) ? root : json_object_get(root, "kinds");
+	size_t i;
+	json_t *o;
+
+	memset(out, 0, sizeof(*out));
+	if (!json_is_array(list))
+		fprintf(stderr, "load-gen printed: %s\n", text ? text : "");
+	json_array_foreach(
+		list, i,
+		o) if (!kind ||
+		       !strcmp(kind,
+			       json_string_value(json_object_get(o, "kind"))))
+		add_kind(out, o);
+	json_decref(root);
+	free(text);
+}
+
+/* ---- cluster ---- */
+
+void bench_today(struct cluster_options *o, uint64_t seed)
+{
+	cluster_defaults(o);
+	o->runners = 22;
+	o->workers = 22;
+	o->workers_per_rack = 11;
+	o->threads = 256;
+	o->seed = seed;
+}
+
+int bench_cluster(struct cluster *c, const struct cluster_options *o,
+		  const char *sheet)
+{
+	if (cluster_start(c, o) < 0 || cluster_apply_sheet(c, 0, sheet) < 0)
+		return -1;
+	return cluster_wait_ready(c, READY_MS);
+}
+
+int bench_check(struct cluster *c)
+{
+	const char *argv[] = { "journal-check", c->folder, NULL };
+	int status = cluster_run(c, argv, "check.txt");
+	char *text;
+
+	if (status == 0)
+		return 0;
+	text = cluster_read(c, "check.txt");
+	fprintf(stderr, "journal-check: %s\n", text ? text : "no output");
+	free(text);
+	return status == 1 ? 1 : -1;
+}
+
+double bench_store_peak(struct cluster *c, const char *kind)
+{
+	struct buffer b = BUFFER_INIT;
+	json_t *root = NULL;
+	char name[32];
+	double value = -1;
+
+	snprintf(name, sizeof(name), "peak_%s", kind);
+	if (cluster_http(cluster_store_port(c), "GET", "/v1/calls", NULL, NULL,
+			 &b) == 200)
+		root = json_loadb(b.data, b.len, 0, NULL);
+	if (root)
+		value = number(root, name);
+	json_decref(root);
+	buffer_free(&b);
+	return value;
+}
+
+double bench_cpu_s(pid_t pid)
+{
+	char path[64], text[1024] = "";
+	unsigned long user, system_time;
+	const char *p;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/stat", (int)pid);
+	f = fopen(path, "r");
+	if (!f)
+		return 0;
+	p = fgets(text, sizeof(text), f) ? strrchr(text, ')') : NULL;
+	fclose(f);
+	if (!p ||
+	    sscanf(p + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+		   &user, &system_time) != 2)
+		return 0;
+	return (double)(user + system_time) / (double)sysconf(_SC_CLK_TCK);
+}
+
+double bench_memory_mb(pid_t pid)
+{
+	char path[64], line[256];
+	double kb = 0;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	f = fopen(path, "r");
+	while (f && fgets(line, sizeof(line), f))
+		if (!strncmp(line, "VmRSS:", 6))
+			kb = strtod(line + 6, NULL);
+	if (f)
+		fclose(f);
+	return kb / 1024;
+}
