--- /dev/null
+++ b/tests/journal-check.c
@@ -0,0 +1,135 @@
+/*
+ * Counts broken invariants from the journals of the stand-ins and of the load
+ * generators. Exit status: 0 all held, 1 one is broken, 2 a journal or an
+ * argument cannot be read.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+#include <jansson.h>
+
+#include "support-check.h"
+
+#define FILES_MAX 256
+
+struct arguments {
+	struct arg_file *dead;
+	struct arg_int *leave_ms;
+	struct arg_int *examples;
+	struct arg_lit *json;
+	struct arg_lit *help;
+	struct arg_file *journals;
+	struct arg_end *end;
+};
+
+static void print_table(const struct check_result *results,
+			const struct check_counts *n);
+static void print_json(const struct check_result *results,
+		       const struct check_counts *n);
+static int run(const struct arguments *a);
+
+static void print_table(const struct check_result *results,
+			const struct check_counts *n)
+{
+	printf("%-4s%-40s%10s%8s  %s\n", "no", "invariant", "cases", "broken",
+	       "verdict");
+	for (size_t i = 0; i < CHECK_RULES; i++) {
+		const struct check_result *r = &results[i];
+
+		printf("%-4s%-40s%10llu%8llu  %s\n", r->invariant, r->text,
+		       (unsigned long long)r->cases,
+		       (unsigned long long)r->broken,
+		       r->broken  ? "BROKEN"
+		       : r->cases ? "held"
+				  : "no case");
+	}
+	printf("runs=%llu answers=%llu attempts=%llu finished=%llu "
+	       "evicted=%llu resumed=%llu\n",
+	       (unsigned long long)n->runs, (unsigned long long)n->answers,
+	       (unsigned long long)n->attempts, (unsigned long long)n->finished,
+	       (unsigned long long)n->evicted, (unsigned long long)n->resumed);
+}
+
+static void print_json(const struct check_result *results,
+		       const struct check_counts *n)
+{
+	json_t *list = json_array(), *root;
+
+	for (size_t i = 0; i < CHECK_RULES; i++)
+		json_array_append_new(
+			list,
+			json_pack("{s:s,s:s,s:I,s:I}", "invariant",
+				  results[i].invariant, "text", results[i].text,
+				  "cases", (json_int_t)results[i].cases,
+				  "broken", (json_int_t)results[i].broken));
+	root = json_pack(
+		"{s:o,s:I,s:I,s:I,s:I,s:I,s:I}", "invariants", list, "runs",
+		(json_int_t)n->runs, "answers", (json_int_t)n->answers,
+		"attempts", (json_int_t)n->attempts, "finished",
+		(json_int_t)n->finished, "evicted", (json_int_t)n->evicted,
+		"resumed", (json_int_t)n->resumed);
+	json_dumpf(root, stdout, JSON_COMPACT);
+	printf("\n");
+	json_decref(root);
+}
+
+static int run(const struct arguments *a)
+{
+	struct check_result results[CHECK_RULES];
+	struct check *c = check_create((uint64_t)a->leave_ms->ival[0] * 1000);
+	struct check_counts counts;
+	int rc = 2;
+
+	for (int i = 0; i < a->journals->count; i++)
+		if (check_read(c, a->journals->filename[i], false) < 0)
+			goto out;
+	for (int i = 0; i < a->dead->count; i++)
+		if (check_read(c, a->dead->filename[i], true) < 0)
+			goto out;
+	check_count(c, &counts);
+	check_judge(c, results, (unsigned)a->examples->ival[0]);
+	if (a->json->count)
+		print_json(results, &counts);
+	else
+		print_table(results, &counts);
+	rc = 0;
+	for (size_t i = 0; i < CHECK_RULES; i++)
+		if (results[i].broken)
+			rc = 1;
+out:
+	check_free(c);
+	return rc;
+}
+
+int main(int argc, char **argv)
+{
+	struct arguments a = {
+		.dead = arg_filen(NULL, "dead", "FILE", 0, FILES_MAX,
+				  "journal of a process that was killed"),
+		.leave_ms = arg_int0(NULL, "leave-ms", "MS",
+				     "bound of invariant 7, 3000"),
+		.examples = arg_int0(NULL, "examples", "N",
+				     "broken cases printed of each, 5"),
+		.json = arg_lit0(NULL, "json", "print JSON"),
+		.help = arg_lit0("h", "help", "print this text"),
+		.journals =
+			arg_filen(NULL, NULL, "JOURNAL", 0, FILES_MAX, NULL),
+		.end = arg_end(8),
+	};
+	void *table = &a;
+	int rc = 2;
+
+	a.leave_ms->ival[0] = 3000;
+	a.examples->ival[0] = 5;
+	if (arg_parse(argc, argv, table) || a.help->count ||
+	    a.journals->count + a.dead->count == 0) {
+		arg_print_errors(stderr, a.end, "journal-check");
+		arg_print_glossary(stderr, table, "%-22s %s\n");
+	} else {
+		rc = run(&a);
+	}
+	arg_freetable(table, sizeof(a) / sizeof(void *));
+	return rc;
+}
--- /dev/null
+++ b/tests/support-check-internal.h
@@ -0,0 +1,48 @@
+#ifndef SUPPORT_CHECK_INTERNAL_H
+#define SUPPORT_CHECK_INTERNAL_H
+
+#include "support-check.h"
+
+#define CHECK_FOREVER UINT64_MAX
+
+/* A run of a request on a runner, or of a task's attempt on a worker. */
+struct interval {
+	char *name;    /* key of the request, or task */
+	char *place;   /* runner or worker */
+	char *request; /* request id, or the checkpoint resumed from */
+	int64_t attempt;
+	uint64_t begin_us, end_us;
+	bool done;
+};
+
+struct interval_list {
+	struct interval *items;
+	size_t count;
+	size_t read; /* first of the journal read last */
+};
+
+struct answer {
+	char *key, *request;
+	bool idempotent, good, done, not_run;
+	int status;
+};
+
+/* A VM began to leave, or is no longer leaving. */
+struct notice {
+	char *vm;
+	uint64_t at_us;
+	bool leaving;
+};
+
+struct check {
+	uint64_t leave_us;
+	struct interval_list runs, tasks;
+	struct answer *answers;
+	size_t answer_count;
+	struct notice *notices;
+	size_t notice_count;
+	uint64_t over_slots, over_connections, over_memory;
+	uint64_t evicted, finished;
+};
+
+#endif
--- /dev/null
+++ b/tests/support-check-judge.c
@@ -0,0 +1,279 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+#include "support-check-internal.h"
+
+struct judge {
+	struct check *check;
+	struct check_result *results;
+	unsigned examples;
+};
+
+static const struct check_result rules[CHECK_RULES] = {
+	[CHECK_SLOTS] = { "1", "runner offered work above its slots", 0, 0 },
+	[CHECK_CONNECTIONS] = { "1", "runner above its connections", 0, 0 },
+	[CHECK_MEMORY] = { "1", "worker above its memory", 0, 0 },
+	[CHECK_TASK_TWICE] = { "2", "task in two places at once", 0, 0 },
+	[CHECK_KEY_TWICE] = { "2", "once-only key in two places at once", 0,
+			      0 },
+	[CHECK_ATTEMPT] = { "3", "attempt started twice", 0, 0 },
+	[CHECK_AFTER_DONE] = { "3", "task started after it was done", 0, 0 },
+	[CHECK_ANSWER] = { "4", "answer cut or of another request", 0, 0 },
+	[CHECK_INVENTED] = { "4", "answer to a key that never ran", 0, 0 },
+	[CHECK_NOT_RUN] = { "5", "told not-run, but it ran", 0, 0 },
+	[CHECK_ONCE] = { "6", "once-only key run more than once", 0, 0 },
+	[CHECK_LEAVING] = { "7", "new work on a VM that is leaving", 0, 0 },
+};
+
+static void report(struct judge *j, enum check_rule rule, const char *what,
+		   const char *where);
+static int by_name(const void *a, const void *b);
+static int by_request(const void *a, const void *b);
+static int by_key(const void *a, const void *b);
+static void sort_intervals(struct interval_list *l,
+			   int (*order)(const void *, const void *));
+static const struct interval *find_name(const struct interval_list *l,
+					const char *name);
+static void judge_tasks(struct judge *j);
+static void judge_answers(struct judge *j);
+static void judge_not_run(struct judge *j);
+static void judge_keys(struct judge *j);
+static void judge_key(struct judge *j, const char *key);
+static void judge_leaving(struct judge *j, const struct interval_list *l);
+
+static void report(struct judge *j, enum check_rule rule, const char *what,
+		   const char *where)
+{
+	struct check_result *r = &j->results[rule];
+
+	if (r->broken++ < j->examples)
+		printf("broken %s: %s: %s %s\n", r->invariant, r->text, what,
+		       where);
+}
+
+static int by_name(const void *a, const void *b)
+{
+	const struct interval *x = a, *y = b;
+	int order = strcmp(x->name, y->name);
+
+	if (order)
+		return order;
+	return x->begin_us < y->begin_us ? -1 : x->begin_us > y->begin_us;
+}
+
+static int by_request(const void *a, const void *b)
+{
+	const struct interval *x = a, *y = b;
+
+	return strcmp(x->request, y->request);
+}
+
+static int by_key(const void *a, const void *b)
+{
+	const struct answer *x = a, *y = b;
+
+	return strcmp(x->key, y->key);
+}
+
+static void sort_intervals(struct interval_list *l,
+			   int (*order)(const void *, const void *))
+{
+	if (l->count)
+		qsort(l->items, l->count, sizeof(*l->items), order);
+}
+
+/* Returns the first interval of that name; the list is sorted by name. */
+static const struct interval *find_name(const struct interval_list *l,
+					const char *name)
+{
+	size_t low = 0, high = l->count;
+
+	while (low < high) {
+		size_t mid = low + (high - low) / 2;
+
+		if (strcmp(l->items[mid].name, name) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	if (low == l->count || strcmp(l->items[low].name, name))
+		return NULL;
+	return &l->items[low];
+}
+
+/* Compares each start of a task with the starts before it. */
+static void judge_tasks(struct judge *j)
+{
+	const struct interval_list *l = &j->check->tasks;
+	uint64_t end_us = 0;
+	bool done = false;
+
+	j->results[CHECK_TASK_TWICE].cases = l->count;
+	j->results[CHECK_ATTEMPT].cases = l->count;
+	j->results[CHECK_AFTER_DONE].cases = l->count;
+	for (size_t i = 0; i < l->count; i++) {
+		const struct interval *t = &l->items[i];
+
+		if (!i || strcmp(t->name, t[-1].name)) {
+			end_us = 0;
+			done = false;
+		} else {
+			if (t->begin_us < end_us)
+				report(j, CHECK_TASK_TWICE, t->name, t->place);
+			if (t->attempt <= t[-1].attempt)
+				report(j, CHECK_ATTEMPT, t->name, t->place);
+			if (done)
+				report(j, CHECK_AFTER_DONE, t->name, t->place);
+		}
+		done |= t->done;
+		if (t->end_us > end_us)
+			end_us = t->end_us;
+	}
+}
+
+static void judge_answers(struct judge *j)
+{
+	struct check *c = j->check;
+
+	for (size_t i = 0; i < c->answer_count; i++) {
+		const struct answer *a = &c->answers[i];
+
+		if (!a->done || a->status != 200)
+			continue;
+		j->results[CHECK_ANSWER].cases++;
+		j->results[CHECK_INVENTED].cases++;
+		if (!a->good)
+			report(j, CHECK_ANSWER, a->key, a->request);
+		if (c->runs.count && !find_name(&c->runs, a->key))
+			report(j, CHECK_INVENTED, a->key, a->request);
+	}
+}
+
+/* The runs are sorted by request id here. */
+static void judge_not_run(struct judge *j)
+{
+	struct check *c = j->check;
+	struct interval wanted = { 0 };
+
+	for (size_t i = 0; i < c->answer_count; i++) {
+		const struct answer *a = &c->answers[i];
+
+		if (!a->not_run || !a->request[0])
+			continue;
+		j->results[CHECK_NOT_RUN].cases++;
+		wanted.request = a->request;
+		if (c->runs.count &&
+		    bsearch(&wanted, c->runs.items, c->runs.count,
+			    sizeof(wanted), by_request))
+			report(j, CHECK_NOT_RUN, a->key, a->request);
+	}
+}
+
+/* Counts the runs of a once-only key; the runs are sorted by key. */
+static void judge_key(struct judge *j, const char *key)
+{
+	const struct interval_list *l = &j->check->runs;
+	const struct interval *first = find_name(l, key), *r;
+	uint64_t end_us = 0;
+	unsigned count = 0;
+	bool overlap = false;
+
+	j->results[CHECK_ONCE].cases++;
+	j->results[CHECK_KEY_TWICE].cases++;
+	for (r = first; r && r < l->items + l->count && !strcmp(r->name, key);
+	     r++) {
+		overlap |= r->begin_us < end_us;
+		if (r->end_us > end_us)
+			end_us = r->end_us;
+		count++;
+	}
+	if (count > 1)
+		report(j, CHECK_ONCE, key, first->place);
+	if (overlap)
+		report(j, CHECK_KEY_TWICE, key, first->place);
+}
+
+static void judge_keys(struct judge *j)
+{
+	struct check *c = j->check;
+	const char *last = "";
+
+	for (size_t i = 0; i < c->answer_count; i++) {
+		const struct answer *a = &c->answers[i];
+
+		if (a->idempotent || !strcmp(a->key, last))
+			continue;
+		last = a->key;
+		judge_key(j, a->key);
+	}
+}
+
+/* New work begins on a VM later than the bound after it began to leave. */
+static void judge_leaving(struct judge *j, const struct interval_list *l)
+{
+	struct check *c = j->check;
+
+	for (size_t n = 0; n < c->notice_count; n++) {
+		const struct notice *from = &c->notices[n];
+		uint64_t until = CHECK_FOREVER;
+
+		if (!from->leaving)
+			continue;
+		for (size_t m = 0; m < c->notice_count; m++) {
+			const struct notice *other = &c->notices[m];
+
+			if (!other->leaving && other->at_us > from->at_us &&
+			    other->at_us < until &&
+			    !strcmp(other->vm, from->vm))
+				until = other->at_us;
+		}
+		j->results[CHECK_LEAVING].cases++;
+		for (size_t i = 0; i < l->count; i++) {
+			const struct interval *r = &l->items[i];
+
+			if (!strcmp(r->place, from->vm) &&
+			    r->begin_us > from->at_us + c->leave_us &&
+			    r->begin_us < until)
+				report(j, CHECK_LEAVING, r->name, r->place);
+		}
+	}
+}
+
+void check_count(const struct check *c, struct check_counts *counts)
+{
+	memset(counts, 0, sizeof(*counts));
+	counts->runs = c->runs.count;
+	counts->attempts = c->tasks.count;
+	counts->evicted = c->evicted;
+	counts->finished = c->finished;
+	counts->answers = c->answer_count;
+	for (size_t i = 0; i < c->tasks.count; i++)
+		counts->resumed += c->tasks.items[i].request[0] != '\0';
+}
+
+void check_judge(struct check *c, struct check_result results[CHECK_RULES],
+		 unsigned examples)
+{
+	struct judge j = { c, results, examples };
+
+	memcpy(results, rules, sizeof(rules));
+	results[CHECK_SLOTS].cases = c->runs.count + c->over_slots;
+	results[CHECK_SLOTS].broken = c->over_slots;
+	results[CHECK_CONNECTIONS].cases = c->runs.count;
+	results[CHECK_CONNECTIONS].broken = c->over_connections;
+	results[CHECK_MEMORY].cases = c->tasks.count;
+	results[CHECK_MEMORY].broken = c->over_memory;
+	if (c->answer_count)
+		qsort(c->answers, c->answer_count, sizeof(*c->answers), by_key);
+	sort_intervals(&c->tasks, by_name);
+	judge_tasks(&j);
+	judge_leaving(&j, &c->tasks);
+	sort_intervals(&c->runs, by_request);
+	judge_not_run(&j);
+	sort_intervals(&c->runs, by_name);
+	judge_answers(&j);
+	judge_keys(&j);
+	judge_leaving(&j, &c->runs);
+}
--- /dev/null
+++ b/tests/support-check.c
@@ -0,0 +1,292 @@
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "buffer.h"
+#include "support-check-internal.h"
+
+typedef void event_fn(struct check *c, const json_t *e, uint64_t at_us);
+
+static void free_intervals(struct interval_list *l);
+static void *grow(void *items, size_t count, size_t size);
+static char *copy_text(const json_t *e, const char *name);
+static int64_t number(const json_t *e, const char *name);
+static struct interval *add_interval(struct interval_list *l);
+static void end_interval(struct interval_list *l, const char *name,
+			 const char *place, const char *request,
+			 int64_t attempt, uint64_t at_us, bool done);
+static void note_leaving(struct check *c, const char *vm, uint64_t at_us,
+			 bool leaving);
+static void end_open(struct interval_list *l, uint64_t at_us);
+static int take_line(struct check *c, const char *line, uint64_t *last_us);
+static event_fn on_run_start, on_run_end, on_task_start, on_task_end, on_over,
+	on_over_memory, on_answer, on_draining, on_vm_state;
+
+static const struct {
+	const char *event;
+	event_fn *fn;
+} handlers[] = {
+	{ "run-start", on_run_start },	   { "run-end", on_run_end },
+	{ "run-killed", on_run_end },	   { "task-start", on_task_start },
+	{ "task-end", on_task_end },	   { "over", on_over },
+	{ "over-memory", on_over_memory }, { "answer", on_answer },
+	{ "draining", on_draining },	   { "vm-state", on_vm_state },
+};
+
+struct check *check_create(uint64_t leave_us)
+{
+	struct check *c = xcalloc(1, sizeof(*c));
+
+	c->leave_us = leave_us;
+	return c;
+}
+
+static void free_intervals(struct interval_list *l)
+{
+	for (size_t i = 0; i < l->count; i++) {
+		free(l->items[i].name);
+		free(l->items[i].place);
+		free(l->items[i].request);
+	}
+	free(l->items);
+}
+
+void check_free(struct check *c)
+{
+	free_intervals(&c->runs);
+	free_intervals(&c->tasks);
+	for (size_t i = 0; i < c->answer_count; i++) {
+		free(c->answers[i].key);
+		free(c->answers[i].request);
+	}
+	for (size_t i = 0; i < c->notice_count; i++)
+		free(c->notices[i].vm);
+	free(c->answers);
+	free(c->notices);
+	free(c);
+}
+
+/* Returns the items with room for one more; doubles at powers of two. */
+static void *grow(void *items, size_t count, size_t size)
+{
+	if (count == 0)
+		return xrealloc(items, 16 * size);
+	if (count >= 16 && (count & (count - 1)) == 0)
+		return xrealloc(items, 2 * count * size);
+	return items;
+}
+
+static char *copy_text(const json_t *e, const char *name)
+{
+	const char *text = json_string_value(json_object_get(e, name));
+
+	return xstrdup(text ? text : "");
+}
+
+static int64_t number(const json_t *e, const char *name)
+{
+	return json_integer_value(json_object_get(e, name));
+}
+
+static struct interval *add_interval(struct interval_list *l)
+{
+	struct interval *i;
+
+	l->items = grow(l->items, l->count, sizeof(*l->items));
+	i = &l->items[l->count++];
+	memset(i, 0, sizeof(*i));
+	i->end_us = CHECK_FOREVER;
+	return i;
+}
+
+/* Ends the newest open interval that matches; it began not long ago. */
+static void end_interval(struct interval_list *l, const char *name,
+			 const char *place, const char *request,
+			 int64_t attempt, uint64_t at_us, bool done)
+{
+	for (size_t i = l->count; i-- > 0;) {
+		struct interval *v = &l->items[i];
+
+		if (v->end_us != CHECK_FOREVER || v->attempt != attempt ||
+		    strcmp(v->name, name) || strcmp(v->place, place) ||
+		    (request && strcmp(v->request, request)))
+			continue;
+		v->end_us = at_us;
+		v->done = done;
+		return;
+	}
+}
+
+static void on_run_start(struct check *c, const json_t *e, uint64_t at_us)
+{
+	struct interval *i = add_interval(&c->runs);
+
+	i->name = copy_text(e, "key");
+	i->place = copy_text(e, "runner");
+	i->request = copy_text(e, "request");
+	i->begin_us = at_us;
+}
+
+static void on_run_end(struct check *c, const json_t *e, uint64_t at_us)
+{
+	char *key = copy_text(e, "key"), *runner = copy_text(e, "runner");
+	char *request = copy_text(e, "request");
+
+	end_interval(&c->runs, key, runner, request, 0, at_us, true);
+	free(key);
+	free(runner);
+	free(request);
+}
+
+static void on_task_start(struct check *c, const json_t *e, uint64_t at_us)
+{
+	struct interval *i = add_interval(&c->tasks);
+
+	i->name = copy_text(e, "task");
+	i->place = copy_text(e, "worker");
+	i->request = copy_text(e, "checkpoint");
+	i->attempt = number(e, "attempt");
+	i->begin_us = at_us;
+}
+
+static void on_task_end(struct check *c, const json_t *e, uint64_t at_us)
+{
+	const char *state = json_string_value(json_object_get(e, "state"));
+	char *task = copy_text(e, "task"), *worker = copy_text(e, "worker");
+	bool done = state && !strcmp(state, "done");
+
+	end_interval(&c->tasks, task, worker, NULL, number(e, "attempt"), at_us,
+		     done);
+	c->evicted += state && !strcmp(state, "stopped");
+	c->finished += done;
+	free(task);
+	free(worker);
+}
+
+static void on_over(struct check *c, const json_t *e, uint64_t at_us)
+{
+	const char *limit = json_string_value(json_object_get(e, "limit"));
+
+	(void)at_us;
+	if (limit && !strcmp(limit, "slots"))
+		c->over_slots++;
+	else
+		c->over_connections++;
+}
+
+static void on_over_memory(struct check *c, const json_t *e, uint64_t at_us)
+{
+	(void)e;
+	(void)at_us;
+	c->over_memory++;
+}
+
+static void on_answer(struct check *c, const json_t *e, uint64_t at_us)
+{
+	const char *outcome = json_string_value(json_object_get(e, "outcome"));
+	struct answer *a;
+
+	(void)at_us;
+	c->answers = grow(c->answers, c->answer_count, sizeof(*c->answers));
+	a = &c->answers[c->answer_count++];
+	a->key = copy_text(e, "key");
+	a->request = copy_text(e, "id");
+	a->idempotent = json_is_true(json_object_get(e, "idempotent"));
+	a->good = json_is_true(json_object_get(e, "good"));
+	a->status = (int)number(e, "status");
+	a->done = outcome && !strcmp(outcome, "done");
+	a->not_run = outcome && !strcmp(outcome, "not-run");
+}
+
+static void note_leaving(struct check *c, const char *vm, uint64_t at_us,
+			 bool leaving)
+{
+	struct notice *n;
+
+	c->notices = grow(c->notices, c->notice_count, sizeof(*c->notices));
+	n = &c->notices[c->notice_count++];
+	n->vm = xstrdup(vm);
+	n->at_us = at_us;
+	n->leaving = leaving;
+}
+
+static void on_draining(struct check *c, const json_t *e, uint64_t at_us)
+{
+	const char *runner = json_string_value(json_object_get(e, "runner"));
+
+	if (runner)
+		note_leaving(c, runner, at_us,
+			     json_is_true(json_object_get(e, "draining")));
+}
+
+static void on_vm_state(struct check *c, const json_t *e, uint64_t at_us)
+{
+	const char *vm = json_string_value(json_object_get(e, "vm"));
+	const char *state = json_string_value(json_object_get(e, "state"));
+
+	if (vm && state)
+		note_leaving(c, vm, at_us, !strcmp(state, "leaving"));
+}
+
+static int take_line(struct check *c, const char *line, uint64_t *last_us)
+{
+	json_t *e = json_loads(line, 0, NULL);
+	const char *event = json_string_value(json_object_get(e, "event"));
+	int rc = event ? 0 : -1;
+
+	if (event)
+		*last_us = (uint64_t)number(e, "at_us");
+	for (size_t i = 0; event && i < sizeof(handlers) / sizeof(*handlers);
+	     i++)
+		if (!strcmp(handlers[i].event, event))
+			handlers[i].fn(c, e, *last_us);
+	json_decref(e);
+	return rc;
+}
+
+/* Closes what is open of the journal read last, whose process was killed. */
+static void end_open(struct interval_list *l, uint64_t at_us)
+{
+	for (size_t i = l->read; i < l->count; i++)
+		if (l->items[i].end_us == CHECK_FOREVER)
+			l->items[i].end_us = at_us;
+}
+
+int check_read(struct check *c, const char *path, bool dead)
+{
+	FILE *f = fopen(path, "r");
+	uint64_t last_us = 0;
+	unsigned number_read = 0;
+	size_t size = 0;
+	char *line = NULL;
+	int rc = -1;
+
+	if (!f) {
+		fprintf(stderr, "%s: %s\n", path, strerror(errno));
+		return -1;
+	}
+	c->runs.read = c->runs.count;
+	c->tasks.read = c->tasks.count;
+	while (getline(&line, &size, f) > 0) {
+		number_read++;
+		if (take_line(c, line, &last_us) == 0)
+			continue;
+		/* A process that was killed may have cut its last line. */
+		if (getc(f) == EOF)
+			break;
+		fprintf(stderr, "%s:%u: not an event\n", path, number_read);
+		goto out;
+	}
+	if (dead) {
+		end_open(&c->runs, last_us);
+		end_open(&c->tasks, last_us);
+	}
+	rc = 0;
+out:
+	free(line);
+	fclose(f);
+	return rc;
+}
