--- a/tests/support-place.c
+++ b/tests/support-place.c
@@ -4,13 +4,15 @@
 
 #include "support-place.h"
 
-static int append(void *arg, const void *data, size_t len, uint64_t token)
+static int append(void *arg, const void *data, size_t len, uint64_t token,
+		  bool later)
 {
 	struct shard_owner *o = arg;
 	struct shard *s = o->shard;
 	struct shard_entry *e;
 
-	if (o->epoch != s->epoch)
+	(void)later;
+	if (o->epoch != s->epoch || s->full)
 		return -1;
 	if (s->count == s->capacity) {
 		s->capacity = s->capacity ? 2 * s->capacity : 64;
@@ -36,7 +38,7 @@
 {
 	memset(s, 0, sizeof(*s));
 	s->options.policy = policy;
-	s->options.outage_horizon_us = 60000000u;
+	s->options.outage_horizon_us = SHARD_HORIZON_US;
 	s->options.seed = 1;
 	s->options.append = append;
 	s->now_us = 1000000000u;
