--- /dev/null
+++ b/tests/bench-outage.c
@@ -0,0 +1,196 @@
+/*
+ * Scenarios store-down and cut-off: zones go on serving what their own
+ * targets can hold while the platform's store or the links are away.
+ */
+#include <signal.h>
+#include <stdio.h>
+
+#include "clock.h"
+#include "support-bench.h"
+
+#define WORK_US 100000
+#define TARGET_LOAD 0.7
+#define SERVED_MIN 0.99
+#define WRITES_MAX 300
+#define READS_MAX 1500
+#define RECOVER_MS 30000
+
+static int run_store_down(uint64_t seed);
+static int run_cut_off(uint64_t seed);
+
+/* Requests per second at the given share of the slots of some zones. */
+static double rate(const struct cluster *c, uint32_t zones, double share)
+{
+	return share * zones * c->o.runners * 8 * 1e6 / WORK_US;
+}
+
+/*
+ * Sends idempotent requests to the entry VMs in mask for some seconds and
+ * returns the share of them that was answered "done".
+ */
+static double served(struct cluster *c, uint32_t mask, uint32_t zones,
+		     double seconds, uint64_t seed, const char *name,
+		     double *p99_us)
+{
+	char mix[200];
+	const char *mixes[] = { mix, NULL };
+	struct bench_load load;
+	struct bench_kind k;
+
+	snprintf(mix, sizeof(mix),
+		 "user=yildirim,team=court,kind=draft,urgency=urgent,rate=%g,"
+		 "deadline_ms=4000,work_us=%d,idempotent=yes",
+		 rate(c, zones, TARGET_LOAD), WORK_US);
+	if (bench_load_start(&load, c, mask, mixes, seconds, seed, name) < 0 ||
+	    bench_load_wait(&load) < 0)
+		return 0;
+	bench_load_kind(&load, NULL, &k);
+	if (p99_us)
+		*p99_us = k.p99_us;
+	return k.sent ? k.done / k.sent : 0;
+}
+
+static uint32_t zone_mask(const struct cluster *c, uint32_t zone)
+{
+	uint32_t mask = 0;
+
+	for (uint32_t i = 0; i < c->entry_count; i++)
+		if (c->entry_zone[i] == zone)
+			mask |= 1u << i;
+	return mask;
+}
+
+static int run_store_down(uint64_t seed)
+{
+	const char *name = "store-down";
+	struct cluster_options o;
+	struct cluster c;
+	double p99, share;
+	int ret = -1;
+
+	bench_today(&o, seed);
+	if (bench_cluster(&c, &o, BENCH_SHEET) < 0)
+		goto out;
+	share = served(&c, 0x7f, 3, 4, seed, "before", &p99);
+	bench_info(name, seed, "served-before", share, "share");
+	bench_info(name, seed, "p99-before", p99 / 1000, "ms");
+	if (cluster_fault(cluster_store_port(&c), "{\"down\":true}") < 0)
+		goto out;
+	share = served(&c, 0x7f, 3, 15, seed + 1, "down", &p99);
+	bench_min(name, seed, "served-down", share, "share", SERVED_MIN);
+	bench_info(name, seed, "p99-down", p99 / 1000, "ms");
+	if (cluster_fault(cluster_store_port(&c),
+			  "{\"down\":false,\"delay_ms\":2000}") < 0)
+		goto out;
+	share = served(&c, 0x7f, 3, 8, seed + 2, "slow", &p99);
+	bench_min(name, seed, "served-slow", share, "share", SERVED_MIN);
+	if (cluster_fault(cluster_store_port(&c), "{\"reset\":true}") < 0)
+		goto out;
+	share = served(&c, 0x7f, 3, 8, seed + 3, "back", &p99);
+	bench_min(name, seed, "served-back", share, "share", SERVED_MIN);
+	bench_max(name, seed, "store-writes-peak",
+		  bench_store_peak(&c, "write"), "1/s", WRITES_MAX);
+	bench_max(name, seed, "store-reads-peak", bench_store_peak(&c, "read"),
+		  "1/s", READS_MAX);
+	bench_max(name, seed, "not-ready-after",
+		  cluster_wait_ready(&c, RECOVER_MS) < 0, "count", 0);
+	bench_max(name, seed, "invariants-broken", bench_check(&c), "count", 0);
+	ret = 0;
+out:
+	cluster_stop(&c);
+	return ret;
+}
+
+/* Loads every zone by itself; the lowest share of all. */
+static double served_in_zones(struct cluster *c, double seconds, uint64_t seed,
+			      const char *name)
+{
+	char mix[200], file[48];
+	const char *mixes[] = { mix, NULL };
+	struct bench_load loads[CLUSTER_ZONES_MAX];
+	double lowest = 1;
+
+	snprintf(mix, sizeof(mix),
+		 "user=yildirim,team=court,kind=draft,urgency=urgent,rate=%g,"
+		 "deadline_ms=4000,work_us=%d,idempotent=yes",
+		 rate(c, 1, TARGET_LOAD), WORK_US);
+	for (uint32_t z = 0; z < c->o.zones; z++) {
+		snprintf(file, sizeof(file), "%s-%u", name, z);
+		if (bench_load_start(&loads[z], c, zone_mask(c, z), mixes,
+				     seconds, seed + z, file) < 0)
+			return 0;
+	}
+	for (uint32_t z = 0; z < c->o.zones; z++) {
+		struct bench_kind k;
+
+		if (bench_load_wait(&loads[z]) < 0)
+			return 0;
+		bench_load_kind(&loads[z], NULL, &k);
+		if (k.sent && k.done / k.sent < lowest)
+			lowest = k.done / k.sent;
+	}
+	return lowest;
+}
+
+static int run_cut_off(uint64_t seed)
+{
+	static const struct {
+		const char *name;
+		const char *link;
+		const char *json;
+	} cuts[] = {
+		{ "store-up", "store-0", "{\"cut\":\"up\"}" },
+		{ "store-down", "store-0", "{\"cut\":\"down\"}" },
+		{ "store-both", "store-0", "{\"cut\":\"both\"}" },
+		{ "peer-up", "peer-0-3", "{\"cut\":\"up\"}" },
+		{ "peer-down", "peer-1-0", "{\"cut\":\"down\"}" },
+	};
+	const char *name = "cut-off";
+	struct cluster_options o;
+	char metric[48];
+	struct cluster c;
+	int ret = -1;
+
+	bench_today(&o, seed);
+	o.cut_links = true;
+	if (bench_cluster(&c, &o, BENCH_SHEET) < 0)
+		goto out;
+	for (size_t i = 0; i < sizeof(cuts) / sizeof(cuts[0]); i++) {
+		if (cluster_link(&c, cuts[i].link, cuts[i].json) < 0)
+			goto out;
+		snprintf(metric, sizeof(metric), "served-%s", cuts[i].name);
+		bench_min(name, seed, metric,
+			  served_in_zones(&c, 5, seed + 10 * i, cuts[i].name),
+			  "share", SERVED_MIN);
+		if (cluster_link(&c, cuts[i].link, "{\"cut\":\"none\"}") < 0)
+			goto out;
+	}
+	if (cluster_cut_zone(&c, 0, true) < 0)
+		goto out;
+	bench_min(name, seed, "served-zone-cut",
+		  served_in_zones(&c, 15, seed + 100, "zone-cut"), "share",
+		  SERVED_MIN);
+	if (cluster_cut_zone(&c, 0, false) < 0)
+		goto out;
+	bench_min(name, seed, "served-healed",
+		  served_in_zones(&c, 6, seed + 200, "healed"), "share",
+		  SERVED_MIN);
+	bench_max(name, seed, "not-ready-after",
+		  cluster_wait_ready(&c, RECOVER_MS) < 0, "count", 0);
+	bench_max(name, seed, "invariants-broken", bench_check(&c), "count", 0);
+	ret = 0;
+out:
+	cluster_stop(&c);
+	return ret;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct bench_scenario scenarios[] = {
+		{ "store-down", run_store_down },
+		{ "cut-off", run_cut_off },
+	};
+
+	return bench_main(argc, argv, scenarios,
+			  sizeof(scenarios) / sizeof(scenarios[0]));
+}
--- a/tests/support-bench.c
+++ b/tests/support-bench.c
@@ -1,3 +1,4 @@
+#include <dirent.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,6 +10,7 @@
 #define READY_MS 30000
 #define DEFAULT_SEED 20261204u
 #define MIXES_MAX 12
+#define JOURNALS_MAX 48
 
 static int bounds_missed;
 
@@ -212,12 +214,38 @@
 	return cluster_wait_ready(c, READY_MS);
 }
 
+/* Output of an earlier check would be taken for that of this one. */
+static void unlink_output(struct cluster *c, const char *name)
+{
+	char path[600];
+
+	snprintf(path, sizeof(path), "%s/%s", c->folder, name);
+	unlink(path);
+}
+
 int bench_check(struct cluster *c)
 {
-	const char *argv[] = { "journal-check", c->folder, NULL };
-	int status = cluster_run(c, argv, "check.txt");
+	const char *argv[JOURNALS_MAX + 2] = { "journal-check" };
+	char paths[JOURNALS_MAX][600];
+	struct dirent *d;
+	DIR *dir = opendir(c->folder);
 	char *text;
+	int n = 0, status;
 
+	while (dir && (d = readdir(dir)) && n < JOURNALS_MAX) {
+		const char *dot = strrchr(d->d_name, '.');
+
+		if (!dot || strcmp(dot, ".jsonl") != 0)
+			continue;
+		snprintf(paths[n], sizeof(paths[n]), "%s/%s", c->folder,
+			 d->d_name);
+		argv[n + 1] = paths[n];
+		n++;
+	}
+	if (dir)
+		closedir(dir);
+	unlink_output(c, "check.txt");
+	status = cluster_run(c, argv, "check.txt");
 	if (status == 0)
 		return 0;
 	text = cluster_read(c, "check.txt");
