Add the demonstration

Cause: one command should show the whole path and judge it. The harness's token moves to its header for waxwingctl.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 CTL_SRC = src/waxwingctl.c $(wildcard src/cmd-*.c)
 # Stand-ins and tools of the tests; helpers that several of them share.
 TOOL_SRC = $(wildcard tests/fake-*.c tests/fault-*.c tests/load-*.c \
-	tests/bench-*.c tests/journal-*.c)
+	tests/bench-*.c tests/journal-*.c tests/demo*.c)
 SUPPORT_SRC = $(wildcard tests/support-*.c)
 TEST_SRC = $(wildcard tests/test-*.c)
 # Tests that start processes; the rest are unit programs.
--- /dev/null
+++ b/tests/demo.c
@@ -0,0 +1,313 @@
+/*
+ * The demonstration: three zones with seven entry VMs, requests of both users,
+ * urgent and batch placements, one entry VM killed and one drained. Ends with
+ * what callers were told, what became of the tasks, and every invariant.
+ */
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "clock.h"
+#include "support-check.h"
+#include "support-cluster.h"
+
+#define SECOND_US 1000000u
+#define READY_MS 15000
+#define LOAD_SECONDS "26"
+#define KILLED_ENTRY 1
+#define DRAINED_ENTRY 5
+#define BATCH_TASKS 24
+#define END_SECONDS 52 /* the demonstration ends within a minute */
+
+#define SHEET                                                           \
+	"record,user,team,kind,priority,share,limit,yields,cpu,memory," \
+	"target,start,minutes\n"                                        \
+	"kind,yildirim,,draft,urgent,40,0,no,,,,,\n"                    \
+	"kind,yildirim,,statement,normal,10,0,no,,,,,\n"                \
+	"kind,yildirim,,archive,deferrable,10,0,yes,,,,,\n"             \
+	"kind,bandargah,,booking,urgent,20,0,no,,,,,\n"                 \
+	"kind,bandargah,,closure,normal,10,0,no,,,,,\n"                 \
+	"team,yildirim,court,,,100,0,,1000,4000,,,\n"                   \
+	"team,bandargah,port,,,100,0,,1000,4000,,,\n"
+
+static struct cluster cluster;
+static uint64_t begin_us;
+
+struct step {
+	unsigned at_s;
+	const char *text;
+	int (*run)(void);
+};
+
+static void say(const char *text);
+static void wait_until(unsigned second);
+static int control(uint32_t entry, const char *const args[]);
+static int create(const char *id, const char *user, const char *team,
+		  const char *kind, const char *class_name, const char *urgency,
+		  const char *count, const char *yields, const char *spec);
+static int create_batch(void);
+static int create_urgent(void);
+static int cancel_urgent(void);
+static int kill_entry(void);
+static int drain_entry(void);
+static pid_t start_load(void);
+static long long member(const json_t *o, const char *name);
+static uint32_t finished_tasks(void);
+static bool batch_is_finished(struct cluster *c, void *arg);
+static void print_requests(void);
+static int judge(void);
+static int run(void);
+
+static const struct step steps[] = {
+	{ 1, "batch: 24 archive tasks in zone kadikoy", create_batch },
+	{ 6, "urgent: 8 services need the place of batch tasks",
+	  create_urgent },
+	{ 10, "entry VM 1 of zone kadikoy is killed", kill_entry },
+	{ 16, "entry VM 5 of zone cagla is drained", drain_entry },
+	{ 20, "the urgent services end", cancel_urgent },
+};
+
+static void say(const char *text)
+{
+	printf("[%5.1f s] %s\n",
+	       (double)(clock_now_us() - begin_us) / SECOND_US, text);
+	fflush(stdout);
+}
+
+static void wait_until(unsigned second)
+{
+	uint64_t due_us = begin_us + (uint64_t)second * SECOND_US;
+	uint64_t now_us = clock_now_us();
+
+	if (due_us > now_us)
+		clock_sleep_us(due_us - now_us);
+}
+
+/* Runs waxwingctl; args end with NULL and begin with the command's words. */
+static int control(uint32_t entry, const char *const args[])
+{
+	const char *argv[40] = { "waxwingctl" };
+	char address[32];
+	unsigned n = 1;
+	int status;
+
+	while (*args && n < 34)
+		argv[n++] = *args++;
+	snprintf(address, sizeof(address), "127.0.0.1:%u",
+		 cluster_operator_port(&cluster, entry));
+	argv[n++] = "--operator";
+	argv[n++] = address;
+	argv[n++] = "--token";
+	argv[n++] = CLUSTER_TOKEN;
+	status = cluster_run(&cluster, argv, "waxwingctl.log");
+	if (status)
+		fprintf(stderr, "waxwingctl %s %s: exit status %d\n", argv[1],
+			argv[2], status);
+	return status;
+}
+
+static int create(const char *id, const char *user, const char *team,
+		  const char *kind, const char *class_name, const char *urgency,
+		  const char *count, const char *yields, const char *spec)
+{
+	const char *const args[] = {
+		"placement", "create",	"--id",	    id,		"--name",
+		id,	     "--user",	user,	    "--team",	team,
+		"--kind",    kind,	"--class",  class_name, "--urgency",
+		urgency,     "--count", count,	    "--cpu",	"4000",
+		"--memory",  "2000",	"--yields", yields,	"--spec",
+		spec,	     NULL
+	};
+
+	return control(0, args);
+}
+
+static int create_batch(void)
+{
+	return create("kadikoy.archive", "yildirim", "court", "archive",
+		      "batch", "deferrable", "24", "yes",
+		      "run_ms=5000 cpu=3500 mem=1500 kind=archive");
+}
+
+static int create_urgent(void)
+{
+	return create("kadikoy.berth", "bandargah", "port", "booking",
+		      "service", "urgent", "8", "no",
+		      "service=1 cpu=3000 mem=1500 kind=booking");
+}
+
+static int cancel_urgent(void)
+{
+	const char *const args[] = { "placement", "cancel", "kadikoy.berth",
+				     NULL };
+
+	return control(0, args);
+}
+
+static int kill_entry(void)
+{
+	cluster_entry_signal(&cluster, KILLED_ENTRY, SIGKILL);
+	return 0;
+}
+
+static int drain_entry(void)
+{
+	const char *const args[] = { "drain", NULL };
+
+	return control(DRAINED_ENTRY, args);
+}
+
+static pid_t start_load(void)
+{
+	static const char *const mixes[] = {
+		"user=yildirim,team=court,kind=draft,rate=120,work_us=15000,"
+		"work_spread=60,deadline_ms=1000,retries=2",
+		"user=yildirim,team=court,kind=statement,idempotent=no,rate=12,"
+		"work_us=20000,deadline_ms=3000,retries=2,duplicate_percent=10",
+		"user=bandargah,team=port,kind=booking,rate=60,work_us=20000,"
+		"work_spread=60,deadline_ms=1000,retries=2",
+		"user=bandargah,team=port,kind=closure,idempotent=no,rate=8,"
+		"work_us=30000,deadline_ms=3000,retries=2,duplicate_percent=10",
+	};
+	char addresses[CLUSTER_ENTRIES_MAX][32], journal[300];
+	const char *argv[64] = { "load-gen", "--seconds", LOAD_SECONDS,
+				 "--json",   "--journal", journal };
+	unsigned n = 6;
+
+	snprintf(journal, sizeof(journal), "%s/load.jsonl", cluster.folder);
+	for (uint32_t i = 0; i < cluster.entry_count; i++) {
+		snprintf(addresses[i], sizeof(addresses[i]), "127.0.0.1:%u",
+			 cluster_front_port(&cluster, i));
+		argv[n++] = "--entry";
+		argv[n++] = addresses[i];
+	}
+	for (size_t i = 0; i < sizeof(mixes) / sizeof(mixes[0]); i++) {
+		argv[n++] = "--mix";
+		argv[n++] = mixes[i];
+	}
+	return cluster_spawn(&cluster, argv, "load.json");
+}
+
+static long long member(const json_t *o, const char *name)
+{
+	return json_integer_value(json_object_get(o, name));
+}
+
+static void print_requests(void)
+{
+	char *text = cluster_read(&cluster, "load.json");
+	json_t *list = text ? json_loads(text, 0, NULL) : NULL, *m;
+	size_t i;
+
+	printf("\n%-10s%-11s%7s%7s%8s%8s%9s%9s%9s\n", "user", "kind", "sent",
+	       "done", "not-run", "unknown", "p50 ms", "p99 ms", "refused");
+	json_array_foreach(list, i, m)
+	{
+		printf("%-10s%-11s%7lld%7lld%8lld%8lld%9.1f%9.1f%9.1f\n",
+		       json_string_value(json_object_get(m, "user")),
+		       json_string_value(json_object_get(m, "kind")),
+		       member(m, "sent"), member(m, "done"),
+		       member(m, "not_run"), member(m, "unknown"),
+		       (double)member(m, "p50_us") / 1000,
+		       (double)member(m, "p99_us") / 1000,
+		       (double)member(m, "refusal_p99_us") / 1000);
+	}
+	printf("refused: p99 of the time to a refusal, ms\n\n");
+	json_decref(list);
+	free(text);
+}
+
+/* Returns 0 when every invariant held. */
+static int judge(void)
+{
+	char files[7][300];
+	const char *argv[9] = { "journal-check" };
+	char *text;
+	int status;
+
+	snprintf(files[0], sizeof(files[0]), "%s/load.jsonl", cluster.folder);
+	for (uint32_t z = 0; z < 3; z++) {
+		snprintf(files[1 + z], sizeof(files[0]), "%s/runners-%u.jsonl",
+			 cluster.folder, z);
+		snprintf(files[4 + z], sizeof(files[0]), "%s/workers-%u.jsonl",
+			 cluster.folder, z);
+	}
+	for (unsigned i = 0; i < 7; i++)
+		argv[i + 1] = files[i];
+	status = cluster_run(&cluster, argv, "check.txt");
+	text = cluster_read(&cluster, "check.txt");
+	printf("%s", text ? text : "");
+	free(text);
+	return status;
+}
+
+static uint32_t finished_tasks(void)
+{
+	return cluster_count(&cluster, "workers-0.jsonl", "\"task-end\"",
+			     "\"state\":\"done\"");
+}
+
+static bool batch_is_finished(struct cluster *c, void *arg)
+{
+	(void)c;
+	(void)arg;
+	return finished_tasks() >= BATCH_TASKS;
+}
+
+static int run(void)
+{
+	unsigned failed = 0;
+	uint32_t finished;
+	pid_t load;
+
+	load = start_load();
+	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
+		wait_until(steps[i].at_s);
+		say(steps[i].text);
+		failed += steps[i].run() != 0;
+	}
+	failed += cluster_wait_process(load) != 0;
+	say("the callers have their answers");
+	cluster_wait(&cluster, batch_is_finished, NULL,
+		     (uint32_t)((begin_us + END_SECONDS * SECOND_US -
+				 clock_now_us()) /
+				1000));
+	finished = finished_tasks();
+	say(finished >= BATCH_TASKS ? "the batch is finished"
+				    : "the batch is not finished");
+	print_requests();
+	failed += judge() != 0;
+	printf("batch finished %u of %u, evictions %u\n", finished, BATCH_TASKS,
+	       cluster_count(&cluster, "workers-0.jsonl",
+			     "\"task\":\"kadikoy.archive.",
+			     "\"state\":\"stopped\""));
+	return failed || finished < BATCH_TASKS;
+}
+
+int main(void)
+{
+	struct cluster_options o;
+	int rc = 1;
+
+	cluster_defaults(&o);
+	o.worker_cpu_milli = 8000;
+	o.worker_memory_mb = 8000;
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	begin_us = clock_now_us();
+	if (cluster_start(&cluster, &o) < 0 ||
+	    cluster_apply_sheet(&cluster, 0, SHEET) < 0 ||
+	    cluster_wait_ready(&cluster, READY_MS) < 0)
+		goto out;
+	say("seven entry VMs in three zones are ready");
+	begin_us = clock_now_us();
+	rc = run();
+	printf("seed=%" PRIu64 " %s\n", o.seed,
+	       rc ? "FAILED" : "every invariant held");
+out:
+	cluster_stop(&cluster);
+	return rc;
+}
--- a/tests/support-cluster.c
+++ b/tests/support-cluster.c
@@ -17,7 +17,6 @@
 #include "http-client.h"
 #include "support-cluster.h"
 
-#define TOKEN "0123456789abcdef"
 #define PORT_SPAN 600u
 #define OFFSET_PROXY 5u
 #define OFFSET_WORKERS 10u
@@ -326,7 +325,7 @@
 		      cluster_front_port(c, i), c->o.threads);
 	buffer_printf(&b, "queue_limit = %u\n", c->o.threads / 2);
 	buffer_printf(&b, "[operator]\nlisten = 127.0.0.1:%u\ntoken = %s\n",
-		      cluster_operator_port(c, i), TOKEN);
+		      cluster_operator_port(c, i), CLUSTER_TOKEN);
 	buffer_printf(&b, "[peers]\nlisten = 127.0.0.1:%u\n", peer_port(c, i));
 	buffer_printf(&b, "curve_public = %s\ncurve_secret = %s\n",
 		      c->curve_public, c->curve_secret);
@@ -622,8 +621,8 @@
 	/* Without idle connections, so that a restart is no stale reuse. */
 	if (!client)
 		client = http_client_create(0);
-	snprintf(lines, sizeof(lines), "Authorization: Bearer %s\r\n%s", TOKEN,
-		 headers ? headers : "");
+	snprintf(lines, sizeof(lines), "Authorization: Bearer %s\r\n%s",
+		 CLUSTER_TOKEN, headers ? headers : "");
 	if (http_call(client, "127.0.0.1", port, &req, &ans, &err) < 0)
 		return -1;
 	if (answer)
--- a/tests/support-cluster.h
+++ b/tests/support-cluster.h
@@ -21,6 +21,7 @@
  *	Functions return 0, or -1 after a line on standard error.
  */
 
+#define CLUSTER_TOKEN "0123456789abcdef"
 #define CLUSTER_ZONES_MAX 3
 #define CLUSTER_ENTRIES_MAX 9
 
