Use exact timers in the stand-ins

Cause: a request of 2.5 ms took 3.3 ms with one at 6.4 ms at a runner, since libevent's default timers move in steps of 1 to 4 ms. Change: runner, proxy and load generator use wire_event_base(), which asks for precise timers. Conclusion: latencies of tests are those of the work and of waxwingd.

--- a/tests/fake-runner.c
+++ b/tests/fake-runner.c
@@ -539,7 +539,7 @@
 
 static int run_all(const struct arguments *a)
 {
-	struct event_base *base = event_base_new();
+	struct event_base *base = wire_event_base();
 	struct event *term = evsignal_new(base, SIGTERM, on_signal, base);
 	struct wire_control *control = NULL;
 	int rc = 1;
--- a/tests/fault-proxy.c
+++ b/tests/fault-proxy.c
@@ -61,7 +61,7 @@
 
 static int run(const struct arguments *a)
 {
-	struct event_base *base = event_base_new();
+	struct event_base *base = wire_event_base();
 	struct proxy *p = proxy_create(base, (uint64_t)a->seed->ival[0]);
 	struct event *term = evsignal_new(base, SIGTERM, on_signal, base);
 	struct wire_control *control = NULL;
--- a/tests/support-load.c
+++ b/tests/support-load.c
@@ -69,7 +69,7 @@
 {
 	struct load *l = xcalloc(1, sizeof(*l));
 
-	l->base = event_base_new();
+	l->base = wire_event_base();
 	l->seed = seed;
 	snprintf(l->key_prefix, sizeof(l->key_prefix), "%s", key_prefix);
 	return l;
--- a/tests/support-wire.c
+++ b/tests/support-wire.c
@@ -17,6 +17,17 @@
 			 size_t size);
 static void on_control(struct evhttp_request *req, void *arg);
 
+struct event_base *wire_event_base(void)
+{
+	struct event_config *config = event_config_new();
+	struct event_base *base;
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+	base = event_base_new_with_config(config);
+	event_config_free(config);
+	return base;
+}
+
 /* Copies a header's value from a NUL-ended head. */
 static bool header_value(const char *head, const char *name, char *value,
 			 size_t size)
--- a/tests/support-wire.h
+++ b/tests/support-wire.h
@@ -33,6 +33,13 @@
 	size_t body_len;
 };
 
+/*
+ * Returns an event base whose timers are exact to microseconds. By default
+ * libevent rounds them up to whole milliseconds of a clock that moves every
+ * 4 ms, which adds several milliseconds to each request's service time.
+ */
+struct event_base *wire_event_base(void);
+
 /* Returns 1 with a request, 0 when more bytes are needed, -1 when bad. */
 int wire_take_request(struct evbuffer *in, struct wire_request *req);
 
