Refuse before the claim, and keep threads for refusals

Cause: a refused non-idempotent request cost the store a claim and its release; with the default limits all threads of the front could wait, so that a refusal waited for a thread; SIGHUP did not reach the flow core. Change: flow_check() tells whether a request would be refused; the queue is bounded by seven eighths of the threads less the capacity; the front refuses at once when the rest is in use and closes connections when they hold three quarters of the threads; the options follow the settings in force at every tick. Measurement: test-front: 10 tests pass, the new one fails without the check. Conclusion: a flood no longer costs claims.

--- a/src/core.h
+++ b/src/core.h
@@ -211,9 +211,19 @@
  */
 struct flow *flow_create(const struct flow_options *o);
 void flow_destroy(struct flow *f);
+
+/* Replaces the options, but for the seed. */
+void flow_set_options(struct flow *f, const struct flow_options *o);
 void flow_step(struct flow *f, uint64_t now_us, const struct flow_event *e,
 	       struct flow_actions *out);
 
+/*
+ * Reason for which the event FLOW_REQUEST would be refused now, or NONE. The
+ * state does not change, and the event may still be refused when posted.
+ */
+enum flow_reason flow_check(const struct flow *f, uint64_t now_us,
+			    const struct flow_event *e);
+
 /* Returns -1 when the handle or index is not in use. */
 int flow_target_info(const struct flow *f, uint32_t target,
 		     struct flow_target_info *out);
--- a/src/flow-admit.c
+++ b/src/flow-admit.c
@@ -54,9 +54,12 @@
 	return interval_us(f, k, q, now_us) * (q->queued + 1);
 }
 
-/* Reason to refuse a request, which is counted already; NONE to accept it. */
+/*
+ * Reason to refuse a request, or NONE. The request is one more than those
+ * that are counted, or with counted = true one of them.
+ */
 static enum flow_reason check_limits(const struct flow *f,
-				     const struct flow_request *r,
+				     const struct flow_request *r, bool counted,
 				     uint64_t now_us)
 {
 	const struct flow_kind *k = &f->kinds[r->kind];
@@ -64,9 +67,9 @@
 
 	if (f->capacity == 0)
 		return FLOW_REASON_NO_TARGET;
-	if (k->limit && k->in_flight > k->limit)
+	if (k->limit && k->in_flight + !counted > k->limit)
 		return FLOW_REASON_KIND_LIMIT;
-	if (t->limit && t->in_flight > t->limit)
+	if (t->limit && t->in_flight + !counted > t->limit)
 		return FLOW_REASON_TEAM_LIMIT;
 	if (f->options.team_bytes_limit &&
 	    t->queued_bytes + r->bytes > f->options.team_bytes_limit)
@@ -152,7 +155,7 @@
 
 	k->in_flight++;
 	f->teams[r->team].in_flight++;
-	reason = check_limits(f, r, now_us);
+	reason = check_limits(f, r, true, now_us);
 	/* A request that can be sent at once needs no place in the queue. */
 	if (!reason && f->queued >= f->options.queue_limit &&
 	    (f->free_count == 0 || f->queued > 0) &&
@@ -166,6 +169,18 @@
 	queue_push_all(f, handle, false);
 }
 
+enum flow_reason admit_check(const struct flow *f, const struct flow_request *r,
+			     uint64_t now_us)
+{
+	enum flow_reason reason = check_limits(f, r, false, now_us);
+
+	if (!reason && f->queued >= f->options.queue_limit &&
+	    (f->options.fifo_admission ||
+	     use_of_share(f, &f->kinds[r->kind]) >= 0))
+		reason = FLOW_REASON_QUEUE_FULL;
+	return reason;
+}
+
 void admit_done(struct flow *f, uint32_t handle)
 {
 	struct flow_request *r = &f->requests[handle];
--- a/src/flow-internal.h
+++ b/src/flow-internal.h
@@ -191,9 +191,12 @@
 		  struct flow_actions *out);
 void admit_free(struct flow *f);
 /* Finds queue and team of a request; team is an index of the sheet or -1. */
-void admit_place(struct flow *f, uint32_t handle, int32_t team);
+void admit_place(const struct flow *f, struct flow_request *r, int32_t team);
 
 /* flow-admit.c */
+/* Reason for which a request would be refused now, or NONE. */
+enum flow_reason admit_check(const struct flow *f, const struct flow_request *r,
+			     uint64_t now_us);
 /* Queues the request or refuses it. */
 void admit_request(struct flow *f, uint32_t handle, uint64_t now_us,
 		   struct flow_actions *out);
--- a/src/flow-policy.c
+++ b/src/flow-policy.c
@@ -111,10 +111,8 @@
 	return k->queue_first;
 }
 
-void admit_place(struct flow *f, uint32_t handle, int32_t team)
+void admit_place(const struct flow *f, struct flow_request *r, int32_t team)
 {
-	struct flow_request *r = &f->requests[handle];
-
 	r->queue = f->kinds[r->kind].queue_first;
 	if (team >= 0)
 		r->queue = find_queue(f, (uint32_t)r->kind, (uint32_t)team);
@@ -143,7 +141,7 @@
 		/* The last team is nobody's and has no limit. */
 		r->team = f->team_count;
 	} else {
-		admit_place(f, handle, find_team(f, old_team));
+		admit_place(f, r, find_team(f, old_team));
 		for (int i = 0; i < FLOW_ATTEMPTS_RUNNING; i++)
 			f->kinds[kind].running += r->out[i].target != FLOW_NONE;
 		f->kinds[kind].in_flight += r->state == REQUEST_RUNNING;
@@ -168,7 +166,7 @@
 		flow_refuse(f, handle, FLOW_REASON_UNKNOWN_KIND, now_us, out);
 		return;
 	}
-	admit_place(f, handle, find_team(f, old_team));
+	admit_place(f, r, find_team(f, old_team));
 	f->kinds[kind].in_flight++;
 	f->teams[r->team].in_flight++;
 	flow_queue_push(f, handle, false);
--- a/src/flow.c
+++ b/src/flow.c
@@ -44,6 +44,11 @@
 	free(f);
 }
 
+void flow_set_options(struct flow *f, const struct flow_options *o)
+{
+	f->options = *o;
+}
+
 struct flow_action *flow_emit(struct flow_actions *out,
 			      enum flow_action_type type, uint32_t handle)
 {
@@ -146,41 +151,65 @@
 	dispatch(f, now_us, out);
 }
 
+/* Reason to refuse an event whose kind cannot be looked up, or NONE. */
+static enum flow_reason check_kind(const struct flow *f,
+				   const struct flow_event *e)
+{
+	if (!f->has_policy)
+		return FLOW_REASON_NO_POLICY;
+	if (e->request.kind < 0 || (uint32_t)e->request.kind >= f->kind_count)
+		return FLOW_REASON_UNKNOWN_KIND;
+	return FLOW_REASON_NONE;
+}
+
+static struct flow_request
+make_request(const struct flow *f, const struct flow_event *e, uint64_t now_us)
+{
+	struct flow_request r = {
+		.urgency = e->request.urgency,
+		.idempotent = e->request.idempotent,
+		.kind = e->request.kind,
+		.bytes = e->request.bytes,
+		.avoid = FLOW_NONE,
+		.arrived_us = now_us,
+		.queued_us = now_us,
+		.deadline_us = e->request.deadline_us,
+	};
+
+	for (int i = 0; i < FLOW_ATTEMPTS_RUNNING; i++)
+		r.out[i].target = FLOW_NONE;
+	admit_place(f, &r, e->request.team);
+	return r;
+}
+
+enum flow_reason flow_check(const struct flow *f, uint64_t now_us,
+			    const struct flow_event *e)
+{
+	enum flow_reason reason = check_kind(f, e);
+	struct flow_request r;
+
+	if (reason)
+		return reason;
+	r = make_request(f, e, now_us);
+	return admit_check(f, &r, now_us);
+}
+
 static void on_request(struct flow *f, uint64_t now_us,
 		       const struct flow_event *e, struct flow_actions *out)
 {
 	uint32_t handle = e->request.handle;
-	enum flow_reason reason = FLOW_REASON_NONE;
-	struct flow_request *r;
+	enum flow_reason reason = check_kind(f, e);
 
 	if (handle >= FLOW_REQUESTS_MAX ||
 	    f->requests[handle].state != REQUEST_FREE)
 		return;
-	if (!f->has_policy)
-		reason = FLOW_REASON_NO_POLICY;
-	else if (e->request.kind < 0 ||
-		 (uint32_t)e->request.kind >= f->kind_count)
-		reason = FLOW_REASON_UNKNOWN_KIND;
 	if (reason) {
 		flow_emit(out, FLOW_REFUSE, handle)->reason = reason;
 		return;
 	}
 	if (handle >= f->request_high)
 		f->request_high = handle + 1;
-	r = &f->requests[handle];
-	*r = (struct flow_request){
-		.urgency = e->request.urgency,
-		.idempotent = e->request.idempotent,
-		.kind = e->request.kind,
-		.bytes = e->request.bytes,
-		.avoid = FLOW_NONE,
-		.arrived_us = now_us,
-		.queued_us = now_us,
-		.deadline_us = e->request.deadline_us,
-	};
-	for (int i = 0; i < FLOW_ATTEMPTS_RUNNING; i++)
-		r->out[i].target = FLOW_NONE;
-	admit_place(f, handle, e->request.team);
+	f->requests[handle] = make_request(f, e, now_us);
 	admit_request(f, handle, now_us, out);
 }
 
--- a/src/svc-flow-internal.h
+++ b/src/svc-flow-internal.h
@@ -110,6 +110,8 @@
 struct flow_svc {
 	struct service service;
 	struct settings settings;
+	const struct settings *running; /* its policy may change on the loop */
+	struct flow_options options;
 	struct loop *loop;
 	struct config_svc *config;
 	struct members *members;
--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -32,6 +32,7 @@
 static void sync_policy(void *svc);
 static void sync_seat(void *svc);
 static void tick(void *svc);
+static void set_options(struct flow_svc *f, uint32_t capacity);
 static void make_counters(struct flow_counters *c);
 
 static const struct service_ops flow_ops = {
@@ -45,19 +46,15 @@
 struct service *flow_svc_create(const struct settings *s)
 {
 	struct flow_svc *f = xcalloc(1, sizeof(*f));
-	struct flow_options o = {
-		.random_routing = s->policy.routing == ROUTING_RANDOM,
-		.fifo_admission = s->policy.admission == ADMISSION_FIFO,
-		.retry_budget_percent = s->policy.retry_budget_percent,
-		.queue_limit = s->front.queue_limit,
-		.team_bytes_limit = TEAM_QUEUED_BYTES,
-	};
 
 	f->service.ops = &flow_ops;
 	f->settings = *s;
-	if (getrandom(&o.seed, sizeof(o.seed), 0) < 0)
-		o.seed = clock_wall_us();
-	f->core = flow_create(&o);
+	f->running = s;
+	if (getrandom(&f->options.seed, sizeof(f->options.seed), 0) < 0)
+		f->options.seed = clock_wall_us();
+	f->options.team_bytes_limit = TEAM_QUEUED_BYTES;
+	set_options(f, 0);
+	f->core = flow_create(&f->options);
 	f->entry_count = 2 * s->front.threads + SPARE_ENTRIES;
 	if (f->entry_count > ENTRIES_MAX)
 		f->entry_count = ENTRIES_MAX;
@@ -73,6 +70,28 @@
 	return &f->service;
 }
 
+/*
+ * Sets the options from the policy in force. Each request that waits or runs
+ * holds a thread of the front; some threads must stay free, or a refusal
+ * would wait for a thread itself.
+ */
+static void set_options(struct flow_svc *f, uint32_t capacity)
+{
+	struct flow_options *o = &f->options;
+	uint32_t threads = f->settings.front.threads;
+	uint32_t usable = threads - threads / 8;
+	uint32_t room = usable > capacity ? usable - capacity : 0;
+
+	if (room < threads / 4)
+		room = threads / 4;
+	if (room > f->settings.front.queue_limit)
+		room = f->settings.front.queue_limit;
+	o->random_routing = f->running->policy.routing == ROUTING_RANDOM;
+	o->fifo_admission = f->running->policy.admission == ADMISSION_FIFO;
+	o->retry_budget_percent = f->running->policy.retry_budget_percent;
+	o->queue_limit = room;
+}
+
 struct flow_svc *flow_svc_find(struct kernel *k)
 {
 	return (struct flow_svc *)kernel_find(k, "flow");
@@ -293,6 +312,8 @@
 	pthread_mutex_lock(&f->lock);
 	flow_post(f, &e);
 	flow_totals(f->core, &totals);
+	set_options(f, totals.capacity);
+	flow_set_options(f->core, &f->options);
 	pthread_mutex_unlock(&f->lock);
 	atomic_store(&f->last_tick_us, clock_now_us());
 	counter_set(f->counters.queued, totals.queued);
@@ -324,11 +345,12 @@
 	return job;
 }
 
-/* Fills the event of a request; its indices are those of job->revision. */
-static void describe(struct flow_svc *f, const struct flow_call *call,
-		     struct flow_job *job, struct flow_event *e)
+/* Fills the event of a request; returns the revision of its indices. */
+static uint64_t describe(struct flow_svc *f, const struct flow_call *call,
+			 struct flow_event *e)
 {
 	const struct config *c;
+	uint64_t revision = 0;
 
 	e->type = FLOW_REQUEST;
 	e->request.kind = -1;
@@ -337,13 +359,12 @@
 	e->request.idempotent = call->idempotent;
 	e->request.deadline_us = call->deadline_us;
 	e->request.bytes = (uint32_t)call->body_len;
-	job->revision = 0;
 	rcu_read_lock();
 	c = config_read(f->config);
 	if (c) {
 		int kind = sheet_find_kind(c->sheet, call->user, call->kind);
 
-		job->revision = c->revision;
+		revision = c->revision;
 		e->request.kind = kind;
 		e->request.team =
 			sheet_find_team(c->sheet, call->user, call->team);
@@ -353,16 +374,18 @@
 	rcu_read_unlock();
 	if (call->urgency >= 0)
 		e->request.urgency = (enum urgency)call->urgency;
+	return revision;
 }
 
 /* Takes the lock when the core has the sheet that the event refers to. */
 static void lock_at_revision(struct flow_svc *f, const struct flow_call *call,
-			     struct flow_job *job, struct flow_event *e)
+			     struct flow_event *e)
 {
 	for (;;) {
-		describe(f, call, job, e);
+		uint64_t revision = describe(f, call, e);
+
 		pthread_mutex_lock(&f->lock);
-		if (job->revision == f->revision)
+		if (revision == f->revision)
 			return;
 		pthread_mutex_unlock(&f->lock);
 		rcu_read_lock();
@@ -470,6 +493,23 @@
 		counter_add(f->counters.not_run[reply->reason], 1);
 }
 
+bool flow_would_refuse(struct flow_svc *f, const struct flow_call *call,
+		       struct flow_reply *reply)
+{
+	struct flow_event e;
+
+	memset(reply, 0, sizeof(*reply));
+	memset(&e, 0, sizeof(e));
+	reply->code = FLOW_REPLY_NOT_RUN;
+	lock_at_revision(f, call, &e);
+	reply->revision = f->revision;
+	reply->reason = flow_check(f->core, clock_now_us(), &e);
+	pthread_mutex_unlock(&f->lock);
+	if (reply->reason)
+		count_reply(f, reply);
+	return reply->reason != FLOW_REASON_NONE;
+}
+
 void flow_serve(struct flow_svc *f, const struct flow_call *call,
 		struct flow_reply *reply)
 {
@@ -485,7 +525,8 @@
 		reply->reason = FLOW_REASON_DRAINING;
 		goto out;
 	}
-	lock_at_revision(f, call, job, &e);
+	lock_at_revision(f, call, &e);
+	job->revision = f->revision;
 	handle = take_entry(f, job);
 	if (handle < f->entry_count) {
 		struct flow_entry *entry = &f->entries[handle];
--- a/src/svc-flow.h
+++ b/src/svc-flow.h
@@ -60,6 +60,13 @@
 void flow_serve(struct flow_svc *f, const struct flow_call *call,
 		struct flow_reply *reply);
 
+/*
+ * Whether the request would be refused now; then the reply says why. Spares a
+ * request that needs a claim the claim.
+ */
+bool flow_would_refuse(struct flow_svc *f, const struct flow_call *call,
+		       struct flow_reply *reply);
+
 /* Mark the time from a request's arrival to the end of its answer. */
 void flow_enter(struct flow_svc *f);
 void flow_leave(struct flow_svc *f);
--- a/src/svc-front.c
+++ b/src/svc-front.c
@@ -28,6 +28,7 @@
 	struct owner *owner;
 	atomic_bool draining;
 	atomic_ullong next_id;
+	atomic_uint connections; /* each holds a thread */
 	uint16_t port;
 };
 
@@ -97,6 +98,22 @@
 	rcu_unregister_thread();
 }
 
+static int count_connection(const struct mg_connection *conn, void **data)
+{
+	struct front *front = mg_get_user_data(mg_get_context(conn));
+
+	(void)data;
+	atomic_fetch_add(&front->connections, 1);
+	return 0;
+}
+
+static void uncount_connection(const struct mg_connection *conn)
+{
+	struct front *front = mg_get_user_data(mg_get_context(conn));
+
+	atomic_fetch_sub(&front->connections, 1);
+}
+
 static int log_message(const struct mg_connection *conn, const char *message)
 {
 	(void)conn;
@@ -131,6 +148,8 @@
 	struct mg_callbacks callbacks = {
 		.init_thread = init_thread,
 		.exit_thread = exit_thread,
+		.init_connection = count_connection,
+		.connection_closed = uncount_connection,
 		.log_message = log_message,
 	};
 	struct mg_server_port bound[1];
@@ -333,27 +352,33 @@
 	}
 }
 
-/* Admits and runs the request; turns the reply into the answer. */
-static enum flow_reply_code run(struct exchange *x)
+/* Turns the reply into the answer, which takes over its body. */
+static void set_reply(struct exchange *x, const struct flow_reply *reply)
 {
-	struct flow_reply reply;
-
-	flow_serve(x->front->flow, &x->call, &reply);
-	x->revision = reply.revision;
-	switch (reply.code) {
+	x->revision = reply->revision;
+	switch (reply->code) {
 	case FLOW_REPLY_DONE:
-		x->status = reply.status;
+		x->status = reply->status;
 		x->outcome = "done";
-		x->answer = reply.body;
+		x->answer = reply->body;
 		break;
 	case FLOW_REPLY_NOT_RUN:
-		set_not_run(x, status_of_reason(reply.reason),
-			    flow_reason_name(reply.reason));
+		set_not_run(x, status_of_reason(reply->reason),
+			    flow_reason_name(reply->reason));
 		break;
 	case FLOW_REPLY_UNKNOWN:
-		set_unknown(x, flow_outcome_name(reply.outcome));
+		set_unknown(x, flow_outcome_name(reply->outcome));
 		break;
 	}
+}
+
+/* Admits and runs the request. */
+static enum flow_reply_code run(struct exchange *x)
+{
+	struct flow_reply reply;
+
+	flow_serve(x->front->flow, &x->call, &reply);
+	set_reply(x, &reply);
 	return reply.code;
 }
 
@@ -406,7 +431,12 @@
 {
 	struct claim_answer claim = { 0 };
 	struct claim_key key;
+	struct flow_reply reply;
 
+	if (flow_would_refuse(x->front->flow, &x->call, &reply)) {
+		set_reply(x, &reply);
+		return;
+	}
 	make_key(x, &key);
 	claim_begin(x->front->owner, &key, x->call.deadline_us, &claim);
 	switch (claim.code) {
@@ -433,6 +463,22 @@
 	buffer_free(&claim.body);
 }
 
+/* Whether the threads that are kept for refusals are in use. */
+static bool threads_are_short(const struct front *front)
+{
+	uint32_t threads = front->settings.front.threads;
+
+	return flow_in_flight(front->flow) > threads - threads / 16;
+}
+
+/* Whether connections should be closed so that others get their threads. */
+static bool connections_are_many(struct front *front)
+{
+	uint32_t threads = front->settings.front.threads;
+
+	return atomic_load(&front->connections) > threads - threads / 4;
+}
+
 /* Reads and runs the request, or sets why it is refused. */
 static void serve(struct exchange *x, uint64_t now_us)
 {
@@ -454,6 +500,8 @@
 		set_not_run(x, 400, wrong);
 	} else if (atomic_load(&x->front->draining)) {
 		set_not_run(x, 503, "draining");
+	} else if (threads_are_short(x->front)) {
+		set_not_run(x, 503, flow_reason_name(FLOW_REASON_QUEUE_FULL));
 	} else if (x->call.idempotent) {
 		run(x);
 	} else {
@@ -472,7 +520,7 @@
 		 front->settings.node.id,
 		 (unsigned long long)atomic_fetch_add(&front->next_id, 1));
 	serve(&x, now);
-	if (atomic_load(&front->draining))
+	if (atomic_load(&front->draining) || connections_are_many(front))
 		x.close = true;
 	send_answer(&x);
 	buffer_free(&x.body);
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -27,6 +27,7 @@
 static struct vm vms[1];
 static struct vm_list vm_list = { .vms = vms, .count = 1 };
 static enum claim_code claim_code;
+static int claims_begun;
 static int claims_finished;
 static enum claim_outcome claim_outcome;
 
@@ -113,6 +114,7 @@
 	(void)o;
 	(void)key;
 	(void)deadline_us;
+	claims_begun++;
 	out->code = claim_code;
 	if (claim_code == CLAIM_REPLAY) {
 		out->status = 200;
@@ -350,6 +352,20 @@
 	CU_ASSERT_EQUAL(claims_finished, finished);
 }
 
+/* Guards against a claim in the store for a request that is refused anyway. */
+static void test_refused_request_needs_no_claim(void)
+{
+	int before = claims_begun;
+	struct result r;
+
+	claim_code = CLAIM_GRANTED;
+	r = post("Waxwing-User: court\r\nWaxwing-Kind: none\r\n"
+		 "Waxwing-Idempotent: no\r\nIdempotency-Key: k\r\n",
+		 "ok");
+	CU_ASSERT_EQUAL(r.status, 404);
+	CU_ASSERT_EQUAL(claims_begun, before);
+}
+
 /* Guards against malformed requests that are run or answered as unknown. */
 static void test_bad_requests(void)
 {
@@ -484,6 +500,8 @@
 		  test_runner_refusal_is_not_run },
 		{ "runner's error is done", test_runner_error_is_done },
 		{ "claim decides", test_claim_decides },
+		{ "refused request needs no claim",
+		  test_refused_request_needs_no_claim },
 		{ "bad requests", test_bad_requests },
 		{ "deadline ends the wait", test_deadline_ends_the_wait },
 		{ "explain names the target", test_explain_names_the_target },
