--- a/src/svc-members.c
+++ b/src/svc-members.c
@@ -176,6 +176,9 @@
 	log_event(LOG_WARNING, "pause-detected", "ms=%" PRIu64,
 		  (now - last) / 1000);
 	m->resumed_us = now;
+	/* The peers were not silent; nobody listened. */
+	for (uint32_t i = 0; i < m->peer_count; i++)
+		m->table[i].member.last_heard_us += now - last;
 	seats_revalidate(m);
 }
 
@@ -297,6 +300,14 @@
 	return NULL;
 }
 
+/* Connects to an address that a peer or the store named. */
+static void connect_found(struct members *m, const struct settings_address *a)
+{
+	/* Links that translate addresses make the named ones useless. */
+	if (m->s->peers.discovery == DISCOVERY_ALL)
+		peers_connect(m->peers, a);
+}
+
 static void learn_addresses(struct members *m, struct message_reader *r)
 {
 	struct message_reader list = message_get_array(r);
@@ -307,7 +318,7 @@
 
 		message_get_str(&list, text, sizeof(text));
 		if (parse_address(text, &a))
-			peers_connect(m->peers, &a);
+			connect_found(m, &a);
 	}
 }
 
@@ -418,6 +429,13 @@
 	m->sharers = live;
 }
 
+bool members_self_registered(struct members *m)
+{
+	const char *session = store_session(m->store);
+
+	return *session && !strcmp(session, m->session);
+}
+
 static char *registration(struct members *m)
 {
 	char peer[64], operator_text[64];
@@ -442,11 +460,7 @@
 	char key[256];
 	char *text;
 
-	if (!*session || !strcmp(session, m->session))
-		m->registered = *session != '\0';
-	else
-		m->registered = false;
-	if (m->registered || !*session || m->registering ||
+	if (members_self_registered(m) || !*session || m->registering ||
 	    now < m->next_register_us)
 		return;
 	m->registering = true;
@@ -506,7 +520,7 @@
 		counter_add(m->malformed, 1);
 		goto out;
 	}
-	peers_connect(m->peers, &a);
+	connect_found(m, &a);
 	if (m->listed_count < MEMBERS_MAX)
 		snprintf(m->listed[m->listed_count++], 64, "%.63s", slash + 1);
 out:
