--- a/src/place-apply.c
+++ b/src/place-apply.c
@@ -303,6 +303,9 @@
 	t->ended = false;
 	t->sent = false;
 	t->held_back = false;
+	t->fitted = false;
+	t->samples = 0;
+	t->counted = false;
 	t->checkpointing = false;
 	t->checkpointed = false;
 	worker_add_task(p, w, t);
@@ -376,6 +379,10 @@
 	}
 	if (t->state == TASK_IMPOSSIBLE)
 		p->impossible_count--;
+	if (t->worker && t->state == TASK_STARTING && state != TASK_STARTING) {
+		t->worker->starting--;
+		worker_reindex(p, t->worker);
+	}
 	t->state = (uint8_t)state;
 	t->since_us = p->now_us;
 	if (task_is_pending(t))
--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -74,14 +74,16 @@
 	uint8_t reason;
 	uint8_t failures; /* on workers, of its own */
 	bool ended;	  /* the end of the lease was noticed */
+	bool fitted;	  /* throttled to the headroom after its start */
 	uint8_t percent;  /* of its CPU that it keeps */
 	bool ran;	  /* a start was confirmed once */
 	bool sent;	  /* the start left in this epoch, or may have before */
 	bool held_back;	  /* its start is durable and will not leave */
 	bool checkpointing;
 	bool checkpointed;
-	bool counted; /* its size is in the kind's statistics */
-	bool seen;    /* in the current read of its worker */
+	uint8_t samples; /* of usage, up to 255 */
+	bool counted;	 /* its size is in the kind's statistics */
+	bool seen;	 /* in the current read of its worker */
 };
 
 /* Value of settled_us while the start is not durable or not answered. */
@@ -184,7 +186,10 @@
 	uint64_t sampled_us;
 	uint32_t used_cpu_milli;
 	uint32_t used_memory_mb;
-	uint64_t held_us; /* end of its keeping for one task; 0: none */
+	uint64_t held_us;     /* end of its keeping for one task; 0: none */
+	uint64_t reported_us; /* when the last usage came */
+	uint64_t judged_us;   /* reported_us of the last judgement */
+	uint32_t starting;    /* tasks in that state */
 	uint32_t failed_reads;
 	uint32_t strikes; /* samples in a row above the bound */
 	struct task_list tasks;
@@ -226,6 +231,8 @@
 	uint64_t token;
 	uint64_t evictions;
 	uint64_t decisions;
+	uint64_t held_back; /* tasks that interference kept waiting */
+	uint64_t retry_us;
 
 	struct placement **slots;
 	uint32_t slot_count;
--- a/src/place-queue.c
+++ b/src/place-queue.c
@@ -10,6 +10,7 @@
 #define SHAPES_MAX 32
 /* Workers that a new owner has not heard of yet may still appear. */
 #define SETTLE_US 5000000u
+#define RETRY_US 500000u
 /*
  * A worker is kept for the urgent task that evictions make room for. Without
  * that, lower tasks fill the room as it comes, and are evicted again.
@@ -137,6 +138,12 @@
 	struct pass pass = { 0 };
 	struct team *t;
 
+	/* What interference keeps waiting depends on reports, not on room. */
+	if (p->held_back && p->now_us >= p->retry_us) {
+		p->held_back = 0;
+		p->retry_us = p->now_us + RETRY_US;
+		p->dirty = true;
+	}
 	if (!p->settled && p->now_us - p->owned_us >= SETTLE_US) {
 		p->settled = true;
 		p->dirty = true;
--- a/src/place-usage.c
+++ b/src/place-usage.c
@@ -4,9 +4,19 @@
 
 /* A kind is known once this many of its tasks were seen. */
 #define KNOWN_TASKS 5
+/*
+ * Declared sizes are wrong by up to 5 times, so the first tasks of a kind
+ * reserve that much memory; CPU needs no such care because it can be shared.
+ */
+#define UNKNOWN_FACTOR 5
+/* Workers that report no usage must not keep a kind waiting. */
+#define UNKNOWN_US 30000000u
+#define MEMORY_HIGH_PERCENT 92
 #define MARGIN 1.1
 #define TOTAL_MAX 1000
 
+static void adjust_reserved(struct place *p, struct task *t);
+
 static int bucket_of(uint32_t value)
 {
 	int log = 0;
@@ -54,12 +64,13 @@
 
 /* Reserves the p95 of what was seen, else the declared size. */
 static int32_t size_need(const struct sizes *absolute,
-			 const struct sizes *ratio, uint32_t declared)
+			 const struct sizes *ratio, uint32_t declared,
+			 uint32_t unknown_factor)
 {
 	double top, by_ratio, spread, ratio_spread;
 
 	if (absolute->total < KNOWN_TASKS)
-		return (int32_t)declared;
+		return (int32_t)(declared * unknown_factor);
 	top = sizes_percentile(absolute, 95);
 	by_ratio = sizes_percentile(ratio, 95);
 	spread = top / (sizes_percentile(absolute, 50) + 1.0);
@@ -75,14 +86,18 @@
 {
 	const struct kind *k = &p->kinds[pl->kind];
 	const int32_t *top = NULL;
+	uint32_t factor = 1;
 
 	for (int r = 0; r < RES_COUNT; r++)
 		need[r] = (int32_t)pl->need[r];
 	if (p->options.policy != PLACEMENT_LEARNED)
 		return;
-	need[RES_CPU] = size_need(&k->cpu, &k->cpu_ratio, pl->need[RES_CPU]);
-	need[RES_MEMORY] =
-		size_need(&k->memory, &k->memory_ratio, pl->need[RES_MEMORY]);
+	if (k->memory.total || !k->first_start_us ||
+	    p->now_us - k->first_start_us < UNKNOWN_US)
+		factor = UNKNOWN_FACTOR;
+	need[RES_CPU] = size_need(&k->cpu, &k->cpu_ratio, pl->need[RES_CPU], 1);
+	need[RES_MEMORY] = size_need(&k->memory, &k->memory_ratio,
+				     pl->need[RES_MEMORY], factor);
 	/* Never above the capacity of the largest worker. */
 	if (p->capacity_index.leaves)
 		top = p->capacity_index.max[1];
@@ -99,14 +114,17 @@
 	struct placement *pl = t->placement;
 	struct kind *k = &p->kinds[pl->kind];
 
-	if (t->counted)
+	if (t->samples < UINT8_MAX)
+		t->samples++;
+	/* The first sample can show a task that only begins. */
+	if (t->counted || t->samples < 2 || t->percent < 100)
 		return;
 	t->counted = true;
 	sizes_add(&k->cpu, t->used_cpu_milli);
-	sizes_add(&k->memory, t->used_memory_mb);
+	sizes_add(&k->memory, t->peak_memory_mb);
 	sizes_add(&k->cpu_ratio, (uint32_t)(t->used_cpu_milli * 1000ull /
 					    (pl->need[RES_CPU] + 1)));
-	sizes_add(&k->memory_ratio, (uint32_t)(t->used_memory_mb * 1000ull /
+	sizes_add(&k->memory_ratio, (uint32_t)(t->peak_memory_mb * 1000ull /
 					       (pl->need[RES_MEMORY] + 1)));
 }
 
@@ -137,13 +155,54 @@
 	if (t->used_memory_mb > t->peak_memory_mb)
 		t->peak_memory_mb = t->used_memory_mb;
 	learn_sizes(p, t);
+	if (p->options.policy == PLACEMENT_LEARNED)
+		adjust_reserved(p, t);
+}
+
+/*
+ * Once its kind is known, a running task keeps what its kind needs or what it
+ * was seen to use, whichever is more.
+ */
+static void adjust_reserved(struct place *p, struct task *t)
+{
+	const struct kind *k = &p->kinds[t->placement->kind];
+	int32_t need[RES_COUNT];
+	int32_t peak = (int32_t)(t->peak_memory_mb * MARGIN);
+
+	if (k->memory.total < KNOWN_TASKS || !t->counted)
+		return;
+	usage_need(p, t->placement, need);
+	if (need[RES_MEMORY] < peak)
+		need[RES_MEMORY] = peak;
+	if (need[RES_CPU] < (int32_t)t->used_cpu_milli)
+		need[RES_CPU] = (int32_t)t->used_cpu_milli;
+	if (memcmp(need, t->reserved, sizeof(need)) != 0)
+		worker_set_reserved(p, t, need);
 }
 
-/* Relieves a worker that runs short of memory or slows a service. */
+/*
+ * Relieves a worker that runs short of memory, which cannot be throttled, or
+ * else one that slows a service.
+ */
 void usage_guard(struct place *p, struct worker *w)
 {
-	(void)p;
-	(void)w;
+	uint64_t high =
+		(uint64_t)w->capacity[RES_MEMORY] * MEMORY_HIGH_PERCENT / 100;
+	struct task *victim;
+
+	if (p->options.policy != PLACEMENT_LEARNED ||
+	    w->used_memory_mb <= high || w->capacity[RES_MEMORY] <= 0) {
+		pair_relieve(p, w);
+		return;
+	}
+	if (w->acted_us &&
+	    w->reported_us <= w->acted_us + p->options.report_lag_us)
+		return;
+	victim = usage_cheapest(w, URGENCY_URGENT);
+	if (!victim)
+		return;
+	w->acted_us = p->now_us;
+	task_stop(p, victim, REASON_MEMORY, true);
 }
 
 /* The yielding batch task below an urgency whose loss costs least. */
--- a/src/place-worker.c
+++ b/src/place-worker.c
@@ -74,7 +74,10 @@
 {
 	static const int32_t none[RES_COUNT] = { -1, -1, -1 };
 	int32_t yield[RES_COUNT];
-	bool usable = worker_usable(p, w) && !w->held_us;
+	/* More at once could all fail before the first answer shows it. */
+	bool usable =
+		worker_usable(p, w) && !w->held_us &&
+		(w->quarantine_us || w->starting + w->failures < FAILURES_MAX);
 
 	for (int r = 0; r < RES_COUNT; r++)
 		yield[r] = w->free[r] + w->reclaimable[r];
@@ -108,6 +111,7 @@
 		w->tasks.first = t;
 	w->tasks.last = t;
 	reserve(w, t, 1);
+	w->starting += t->state == TASK_STARTING;
 	if (w->quarantine_us)
 		w->trial_used = true;
 	worker_reindex(p, w);
@@ -129,6 +133,7 @@
 	t->next = NULL;
 	t->worker = NULL;
 	reserve(w, t, -1);
+	w->starting -= t->state == TASK_STARTING;
 	worker_reindex(p, w);
 	p->dirty = true;
 }
