Measure decisions alone, and count only acknowledged creations

Cause: the benchmark divided the core's whole time, usage reports included, by its decisions, and the scenario resume counted jobs as lost whose creation the lost owner had never acknowledged. Change: decisions are timed in the ticks that place; steady cost and memory of a restored core are lines of their own; owners are replaced before new jobs.

--- a/tests/support-fleet.h
+++ b/tests/support-fleet.h
@@ -92,7 +92,8 @@
 	uint64_t evictions;   /* stops of running batch tasks */
 	uint64_t actions[PLACE_REPLY + 1];
 	uint64_t log_bytes;
-	uint64_t cpu_ns; /* in the core */
+	uint64_t cpu_ns;      /* in the core */
+	uint64_t decision_ns; /* of it, ticks that placed tasks */
 	struct fleet_call *calls;
 	uint32_t call_count;
 	uint32_t call_capacity;
@@ -114,6 +115,9 @@
 void fleet_cancel(struct fleet *c, uint32_t job);
 void fleet_step(struct fleet *c);
 
+/* Heap bytes of a core that is restored from a snapshot of this one. */
+size_t fleet_core_bytes(struct fleet *c);
+
 /* A new owner takes the shard over. */
 void fleet_replace_owner(struct fleet *c);
 
