Ask a worker for what its own guard may count

Cause: a worker adds up what its running tasks asked for and never hears that the core lowered a reservation, so it refused starts that the core had room for. Change: a start asks for the declared memory while the kind is unknown, and the core reserves more beside that; a reservation is not lowered below what was asked. The log entry of a start carries both.

--- a/src/place-apply.c
+++ b/src/place-apply.c
@@ -289,6 +289,8 @@
 	t->attempt = c->attempt;
 	for (int r = 0; r < RES_COUNT; r++)
 		t->reserved[r] = (int32_t)c->reserved[r];
+	for (int r = 0; r < RES_COUNT; r++)
+		t->asked[r] = (int32_t)c->asked[r];
 	t->percent = 100;
 	t->settled_us = NOT_SETTLED;
 	t->call_us = 0;
--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -65,6 +65,7 @@
 	uint32_t ended_reads; /* reads of the worker when the lease ended */
 	uint32_t avoid;	      /* handle + 1 of the worker of the last failure */
 	int32_t reserved[RES_COUNT];
+	int32_t asked[RES_COUNT]; /* of the worker, at the start */
 	uint32_t used_cpu_milli;
 	uint32_t used_memory_mb;
 	uint32_t peak_memory_mb;
@@ -299,6 +300,7 @@
 	uint32_t failures;
 	enum place_reason reason;
 	uint32_t reserved[RES_COUNT];
+	uint32_t asked[RES_COUNT];
 	const struct placement_spec *spec;
 	struct kind *kind;
 	struct kind *other;
@@ -398,6 +400,12 @@
 
 /* ---- place-usage.c ---- */
 
+/*
+ * Fills the part of a reservation that the worker is asked for: the worker
+ * adds up what it was asked for, and does not hear of later changes.
+ */
+void usage_asked(const struct place *p, const struct placement *pl,
+		 const int32_t need[RES_COUNT], uint32_t asked[RES_COUNT]);
 /* Fills the room to reserve for the next start of a task. */
 void usage_need(const struct place *p, const struct placement *pl,
 		int32_t need[RES_COUNT]);
--- a/src/place-log.c
+++ b/src/place-log.c
@@ -92,7 +92,7 @@
 {
 	static const uint32_t lengths[] = {
 		[CHANGE_NONE] = 1,   [CHANGE_CREATE] = 16, [CHANGE_UPDATE] = 5,
-		[CHANGE_CANCEL] = 2, [CHANGE_FORGET] = 2,  [CHANGE_START] = 8,
+		[CHANGE_CANCEL] = 2, [CHANGE_FORGET] = 2,  [CHANGE_START] = 9,
 		[CHANGE_TASK] = 7,   [CHANGE_KIND] = 10,   [CHANGE_WORKER] = 4,
 		[CHANGE_PAIR] = 7,
 	};
@@ -123,6 +123,7 @@
 		pack_text(k, c->worker);
 		for (int r = 0; r < RES_COUNT; r++)
 			msgpack_pack_uint32(k, c->reserved[r]);
+		msgpack_pack_uint32(k, c->asked[RES_MEMORY]);
 		break;
 	case CHANGE_TASK:
 		msgpack_pack_uint32(k, c->slot);
@@ -309,6 +310,8 @@
 		c.worker = text;
 		for (int i = 0; i < RES_COUNT; i++)
 			c.reserved[i] = read_uint(&r);
+		memcpy(c.asked, c.reserved, sizeof(c.asked));
+		c.asked[RES_MEMORY] = read_uint(&r);
 		break;
 	case CHANGE_TASK:
 		c.slot = read_uint(&r);
@@ -416,6 +419,7 @@
 			c.worker = t->worker->id;
 			for (int r = 0; r < RES_COUNT; r++)
 				c.reserved[r] = (uint32_t)t->reserved[r];
+			c.asked[RES_MEMORY] = (uint32_t)t->asked[RES_MEMORY];
 			encode(p, &c, k);
 		}
 		if (t->state == TASK_PENDING && !t->attempt && !t->reason)
--- a/src/place-task.c
+++ b/src/place-task.c
@@ -59,6 +59,7 @@
 	c.worker = w->id;
 	for (int r = 0; r < RES_COUNT; r++)
 		c.reserved[r] = (uint32_t)need[r];
+	usage_asked(p, t->placement, need, c.asked);
 	if (!w->tasks.first)
 		w->answered_us = p->now_us;
 	wait.token = place_commit(p, &c);
@@ -122,9 +123,9 @@
 			  PLACE_TASK_LEASE_US;
 	a = emit(p, PLACE_START, t);
 	a->reason = w->why ? w->why : "";
-	a->cpu_milli = (uint32_t)t->reserved[RES_CPU];
-	a->memory_mb = (uint32_t)t->reserved[RES_MEMORY];
-	a->accelerators = (uint32_t)t->reserved[RES_ACCELERATORS];
+	a->cpu_milli = (uint32_t)t->asked[RES_CPU];
+	a->memory_mb = (uint32_t)t->asked[RES_MEMORY];
+	a->accelerators = (uint32_t)t->asked[RES_ACCELERATORS];
 	snprintf(a->spec, sizeof(a->spec), "%s", pl->spec);
 	if (t->checkpoint)
 		snprintf(a->checkpoint, sizeof(a->checkpoint), "%s",
--- a/src/place-usage.c
+++ b/src/place-usage.c
@@ -108,6 +108,18 @@
 					  : (int32_t)pl->need[r];
 }
 
+void usage_asked(const struct place *p, const struct placement *pl,
+		 const int32_t need[RES_COUNT], uint32_t asked[RES_COUNT])
+{
+	const struct kind *k = &p->kinds[pl->kind];
+
+	for (int r = 0; r < RES_COUNT; r++)
+		asked[r] = (uint32_t)need[r];
+	if (k->memory.total < KNOWN_TASKS &&
+	    asked[RES_MEMORY] > pl->need[RES_MEMORY])
+		asked[RES_MEMORY] = pl->need[RES_MEMORY];
+}
+
 /* Takes a usage sample of a task into its kind's statistics. */
 static void learn_sizes(struct place *p, struct task *t)
 {
@@ -174,6 +186,9 @@
 	usage_need(p, t->placement, need);
 	if (need[RES_MEMORY] < peak)
 		need[RES_MEMORY] = peak;
+	for (int r = 0; r < RES_COUNT; r++)
+		if (need[r] < t->asked[r])
+			need[r] = t->asked[r];
 	if (need[RES_CPU] < (int32_t)t->used_cpu_milli)
 		need[RES_CPU] = (int32_t)t->used_cpu_milli;
 	if (memcmp(need, t->reserved, sizeof(need)) != 0)
