--- a/src/waxwingd.c
+++ b/src/waxwingd.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <zmq.h>
 
 #include "clock.h"
 #include "kernel.h"
@@ -37,6 +38,7 @@
 static void print_fault(void *arg, const char *file, int line,
 			const char *message);
 static int check_file(const char *path);
+static int print_keys(void);
 static int register_services(struct kernel *k, const struct settings *s,
 			     struct error *err);
 static void block_signals(sigset_t *set);
@@ -75,6 +77,19 @@
 	return faults ? EXIT_FAILED : EXIT_OK;
 }
 
+static int print_keys(void)
+{
+	char public_key[41], secret_key[41];
+
+	if (zmq_curve_keypair(public_key, secret_key) < 0) {
+		fprintf(stderr, "waxwingd: %s\n", zmq_strerror(zmq_errno()));
+		return EXIT_FAILED;
+	}
+	printf("curve_public = %s\ncurve_secret = %s\n", public_key,
+	       secret_key);
+	return EXIT_OK;
+}
+
 static int register_services(struct kernel *k, const struct settings *s,
 			     struct error *err)
 {
@@ -229,10 +244,12 @@
 					    "run with the settings of FILE");
 	struct arg_file *test =
 		arg_file0("t", "test", "FILE", "check FILE and exit");
+	struct arg_lit *keys =
+		arg_lit0("k", "keys", "print a new key pair for the settings");
 	struct arg_lit *help = arg_lit0("h", "help", "print this text");
 	struct arg_lit *version = arg_lit0("V", "version", "print the version");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { config, test, help, version, end };
+	void *table[] = { config, test, keys, help, version, end };
 	int faults = arg_parse(argc, argv, table);
 	int ret = EXIT_USAGE;
 
@@ -246,12 +263,14 @@
 		ret = EXIT_OK;
 	} else if (faults) {
 		arg_print_errors(stderr, end, "waxwingd");
+	} else if (keys->count) {
+		ret = print_keys();
 	} else if (test->count) {
 		ret = check_file(test->filename[0]);
 	} else if (config->count) {
 		ret = run(config->filename[0]);
 	} else {
-		fprintf(stderr, "waxwingd: one of -c and -t is needed\n");
+		fprintf(stderr, "waxwingd: -c, -t or -k is needed\n");
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return ret;
