Prefer a reader that reaches the store, and share the budget safely

Cause: the zone's lowest live seat watches the store even when only its own link to the store is cut; a process alone in a cut took the whole call budget of the deployment until it heard others again; links to addresses where nobody answered were kept for ever. Change: heartbeats tell whether the store is reached; silent members count as sharers until they are forgotten; unnamed links close after 60 s. The registration moved to svc-members-store.c. Conclusion: the reader's choice itself is not yet tested with a cut link.

--- a/src/members-private.h
+++ b/src/members-private.h
@@ -15,10 +15,11 @@
 
 /*
  * NAME
- *	members-private - state that svc-members.c and svc-seats.c share
+ *	members-private - state that the files of the members service share
  *
  * DESCRIPTION
- *	svc-members.c knows who is alive; svc-seats.c reads and changes the
+ *	svc-members.c knows who is alive; svc-members-store.c keeps the own
+ *	key and reads those of the others; svc-seats.c reads and changes the
  *	zone's seats. All but the part under the lock belongs to the control
  *	thread.
  */
@@ -105,12 +106,25 @@
 	struct counter *seat_conflicts;
 };
 
+/* An address as text, "IP:PORT"; out has 64 bytes. */
+void members_format_address(const struct settings_address *a, char out[64]);
+bool members_parse_address(const char *text, struct settings_address *a);
+
+/* Writes the own key again when the session is a new one. */
+void members_register(struct members *m, uint64_t now);
+
+/* Reads who is registered when that is due. */
+void members_read_list(struct members *m, uint64_t now);
+
 /* Tells whether the id had a key when the store was last read. */
 bool members_registered(struct members *m, const char *id);
 
 /* Tells whether this process's key is held by its present session. */
 bool members_self_registered(struct members *m);
 
+/* Tells whether the store answered this process within two lease times. */
+bool members_reach_store(struct members *m);
+
 void seats_begin(struct members *m);
 void seats_tick(struct members *m, uint64_t now);
 
--- /dev/null
+++ b/src/svc-members-store.c
@@ -0,0 +1,136 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "log.h"
+#include "members-private.h"
+
+#define LIST_INTERVAL_US 10000000u
+#define LIST_RETRY_US 2000000u
+#define REGISTER_RETRY_US 1000000u
+
+static char *registration(struct members *m);
+static void on_registered(void *arg, struct store_reply *reply);
+static void on_list(void *arg, struct store_reply *reply);
+static void learn_registered(struct members *m, const struct kv_pair *pair);
+
+bool members_self_registered(struct members *m)
+{
+	const char *session = store_session(m->store);
+
+	return *session && !strcmp(session, m->session);
+}
+
+static char *registration(struct members *m)
+{
+	char peer[64], operator_text[64];
+	json_t *root;
+	char *text;
+
+	members_format_address(&m->s->peers.listen, peer);
+	members_format_address(&m->s->operator.listen, operator_text);
+	root = json_pack("{s:s, s:s, s:s, s:s, s:I}", "id", m->s->node.id,
+			 "availability_zone", m->s->node.availability_zone,
+			 "peers", peer, "operator", operator_text, "started_us",
+			 (json_int_t)m->started_us);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+/* Writes the member's key again for each new session. */
+void members_register(struct members *m, uint64_t now)
+{
+	const char *session = store_session(m->store);
+	char key[256];
+	char *text;
+
+	if (members_self_registered(m) || !*session || m->registering ||
+	    now < m->next_register_us)
+		return;
+	m->registering = true;
+	m->next_register_us = now + REGISTER_RETRY_US;
+	snprintf(m->wanted_session, sizeof(m->wanted_session), "%s", session);
+	snprintf(key, sizeof(key), "waxwing/%s/members/%s",
+		 m->s->node.deployment, m->s->node.id);
+	text = registration(m);
+	store_acquire(m->store, key, text, strlen(text), on_registered, m);
+	free(text);
+}
+
+static void on_registered(void *arg, struct store_reply *reply)
+{
+	struct members *m = arg;
+
+	m->registering = false;
+	if (reply->failed || !reply->applied) {
+		log_event(LOG_INFO, "member-not-registered", "reason=\"%s\"",
+			  reply->failed ? reply->err.message
+					: "the key is held by an earlier "
+					  "process");
+		return;
+	}
+	snprintf(m->session, sizeof(m->session), "%s", m->wanted_session);
+	log_event(LOG_INFO, "member-registered", "session=%s", m->session);
+}
+
+/* Reads who is registered: rarely, or often while somebody is missing. */
+void members_read_list(struct members *m, uint64_t now)
+{
+	uint64_t interval = LIST_INTERVAL_US;
+	char prefix[256];
+
+	if (!m->list_read_us || !members_have_peers(m) || seats_need_list(m))
+		interval = LIST_RETRY_US;
+	if (m->listing ||
+	    (m->list_tried_us && now - m->list_tried_us < interval))
+		return;
+	m->listing = true;
+	m->list_tried_us = now;
+	snprintf(prefix, sizeof(prefix), "waxwing/%s/members/",
+		 m->s->node.deployment);
+	store_get(m->store, prefix, true, 0, 0, on_list, m);
+}
+
+/* Connects to a registered member. Its id follows from its heartbeat. */
+static void learn_registered(struct members *m, const struct kv_pair *pair)
+{
+	const char *slash = strrchr(pair->key, '/');
+	json_t *root = json_loadb(pair->value, pair->value_len, 0, NULL);
+	struct settings_address a;
+	const char *address;
+
+	if (!slash || json_unpack(root, "{s:s}", "peers", &address) < 0 ||
+	    !members_parse_address(address, &a)) {
+		counter_add(m->malformed, 1);
+		goto out;
+	}
+	peers_connect(m->peers, &a);
+	if (m->listed_count < MEMBERS_MAX)
+		snprintf(m->listed[m->listed_count++], 64, "%.63s", slash + 1);
+out:
+	json_decref(root);
+}
+
+static void on_list(void *arg, struct store_reply *reply)
+{
+	struct members *m = arg;
+
+	m->listing = false;
+	if (reply->failed)
+		return;
+	m->list_read_us = reply->sent_us ? reply->sent_us : clock_now_us();
+	m->listed_count = 0;
+	for (size_t i = 0; i < reply->kv.count; i++)
+		learn_registered(m, &reply->kv.pairs[i]);
+}
+
+bool members_registered(struct members *m, const char *id)
+{
+	for (uint32_t i = 0; i < m->listed_count; i++)
+		if (!strcmp(m->listed[i], id))
+			return true;
+	return false;
+}
--- a/src/svc-members.c
+++ b/src/svc-members.c
@@ -1,5 +1,4 @@
 #include <inttypes.h>
-#include <jansson.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -25,9 +24,6 @@
  */
 #define ADDRESSES_EVERY 4
 #define ADDRESSES_MAX 32
-#define LIST_INTERVAL_US 10000000u
-#define LIST_RETRY_US 2000000u
-#define REGISTER_RETRY_US 1000000u
 /* A silent member whose key is gone is forgotten after this time. */
 #define FORGET_AFTER_US 60000000u
 /* Older heartbeats may still be queued when a paused process continues. */
@@ -49,15 +45,9 @@
 static void learn_addresses(struct members *m, struct message_reader *r);
 static void learn_shards(struct peer *p, struct message_reader *r);
 static struct peer *add_peer(struct members *m, const char *id);
+static void share_budget(struct members *m, uint64_t now);
 static void check_liveness(struct members *m, uint64_t now);
 static void forget(struct members *m, struct peer *p);
-static void register_self(struct members *m, uint64_t now);
-static void on_registered(void *arg, struct store_reply *reply);
-static void list_members(struct members *m, uint64_t now);
-static void on_list(void *arg, struct store_reply *reply);
-static void learn_registered(struct members *m, const struct kv_pair *pair);
-static bool parse_address(const char *text, struct settings_address *a);
-static void format_address(const struct settings_address *a, char out[64]);
 static void fill_self(struct members *m, struct member *out);
 
 static const struct service_ops members_ops = {
@@ -118,7 +108,6 @@
 
 	peers_handle(m->peers, PEER_HEARTBEAT, on_heartbeat, m);
 	seats_begin(m);
-	store_set_sharers(m->store, 1);
 	atomic_store(&m->last_tick_us, clock_now_us());
 	loop_every(m->loop, TICK_INTERVAL_US, tick, m);
 }
@@ -156,8 +145,8 @@
 		m->next_heartbeat_us = now + HEARTBEAT_INTERVAL_US;
 		send_heartbeat(m);
 		check_liveness(m, now);
-		register_self(m, now);
-		list_members(m, now);
+		members_register(m, now);
+		members_read_list(m, now);
 	}
 	seats_tick(m, now);
 }
@@ -182,7 +171,7 @@
 	seats_revalidate(m);
 }
 
-static void format_address(const struct settings_address *a, char out[64])
+void members_format_address(const struct settings_address *a, char out[64])
 {
 	if (strchr(a->host, ':'))
 		snprintf(out, 64, "[%s]:%u", a->host, a->port);
@@ -190,7 +179,7 @@
 		snprintf(out, 64, "%s:%u", a->host, a->port);
 }
 
-static bool parse_address(const char *text, struct settings_address *a)
+bool members_parse_address(const char *text, struct settings_address *a)
 {
 	const char *colon = strrchr(text, ':');
 	size_t len;
@@ -228,7 +217,7 @@
 	for (uint32_t i = 0; i < m->peer_count && count; i++) {
 		if (!m->table[i].member.live)
 			continue;
-		format_address(&m->table[i].member.peer_address, text);
+		members_format_address(&m->table[i].member.peer_address, text);
 		message_put_str(w, text);
 		count--;
 	}
@@ -259,12 +248,12 @@
 	struct message_writer w;
 	char text[64];
 
-	message_writer_init(&w, 10);
+	message_writer_init(&w, 11);
 	message_put_uint(&w, HEARTBEAT_FORMAT);
 	message_put_str(&w, m->s->node.availability_zone);
-	format_address(&m->s->peers.listen, text);
+	members_format_address(&m->s->peers.listen, text);
 	message_put_str(&w, text);
-	format_address(&m->s->operator.listen, text);
+	members_format_address(&m->s->operator.listen, text);
 	message_put_str(&w, text);
 	message_put_uint(&w, m->started_us);
 	message_put_uint(&w, config ? config_revision(config) : 0);
@@ -272,6 +261,7 @@
 	message_put_uint(&w, m->draining);
 	put_shards(m, &w);
 	put_addresses(m, &w);
+	message_put_uint(&w, members_reach_store(m));
 	m->heartbeats++;
 	peers_broadcast(m->peers, PEER_HEARTBEAT, w.buffer.data, w.buffer.size);
 	message_writer_free(&w);
@@ -309,7 +299,7 @@
 		char text[64];
 
 		message_get_str(&list, text, sizeof(text));
-		if (parse_address(text, &a))
+		if (members_parse_address(text, &a))
 			peers_connect(m->peers, &a);
 	}
 }
@@ -353,8 +343,8 @@
 	seats_index = message_get_uint(&r);
 	heard.draining = message_get_uint(&r) != 0;
 	if (r.bad || format < HEARTBEAT_FORMAT ||
-	    !parse_address(text, &address) ||
-	    !parse_address(operator_text, &heard.operator_address)) {
+	    !members_parse_address(text, &address) ||
+	    !members_parse_address(operator_text, &heard.operator_address)) {
 		counter_add(m->malformed, 1);
 		goto out;
 	}
@@ -371,6 +361,7 @@
 	p->member = heard;
 	learn_shards(p, &r);
 	learn_addresses(m, &r);
+	p->member.store_reached = message_get_uint(&r) != 0;
 	peers_name(m->peers, sender, &address);
 	if (!was_live) {
 		log_event(LOG_INFO, "member-up", "member=%s zone=%s address=%s",
@@ -392,7 +383,34 @@
 	*p = m->table[--m->peer_count];
 }
 
-/* Notes who fell silent and tells the store how many share its budget. */
+bool members_reach_store(struct members *m)
+{
+	uint64_t contact = store_last_contact_us(m->store);
+
+	return contact &&
+	       clock_now_us() - contact < 2 * m->s->platform.lease_us;
+}
+
+/*
+ * Tells the store how many share its budget. Silent members count until they
+ * are forgotten: when links heal at the end of an outage, everybody calls the
+ * store before the first heartbeats. A fresh process keeps the store's own
+ * assumption until it has heard its peers.
+ */
+static void share_budget(struct members *m, uint64_t now)
+{
+	uint32_t sharers = m->peer_count + 1;
+
+	if (m->listed_count > sharers)
+		sharers = m->listed_count;
+	if (sharers == m->sharers ||
+	    now - m->started_boot_us < 2 * m->s->platform.lease_us)
+		return;
+	store_set_sharers(m->store, sharers);
+	m->sharers = sharers;
+}
+
+/* Notes who fell silent, and forgets who has been gone for long. */
 static void check_liveness(struct members *m, uint64_t now)
 {
 	uint64_t limit = 2 * m->s->platform.lease_us;
@@ -416,128 +434,7 @@
 		live += p->member.live;
 	}
 	counter_set(m->live, live);
-	if (live != m->sharers)
-		store_set_sharers(m->store, live);
-	m->sharers = live;
-}
-
-bool members_self_registered(struct members *m)
-{
-	const char *session = store_session(m->store);
-
-	return *session && !strcmp(session, m->session);
-}
-
-static char *registration(struct members *m)
-{
-	char peer[64], operator_text[64];
-	json_t *root;
-	char *text;
-
-	format_address(&m->s->peers.listen, peer);
-	format_address(&m->s->operator.listen, operator_text);
-	root = json_pack("{s:s, s:s, s:s, s:s, s:I}", "id", m->s->node.id,
-			 "availability_zone", m->s->node.availability_zone,
-			 "peers", peer, "operator", operator_text, "started_us",
-			 (json_int_t)m->started_us);
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	return text;
-}
-
-/* Writes the member's key again for each new session. */
-static void register_self(struct members *m, uint64_t now)
-{
-	const char *session = store_session(m->store);
-	char key[256];
-	char *text;
-
-	if (members_self_registered(m) || !*session || m->registering ||
-	    now < m->next_register_us)
-		return;
-	m->registering = true;
-	m->next_register_us = now + REGISTER_RETRY_US;
-	snprintf(m->wanted_session, sizeof(m->wanted_session), "%s", session);
-	snprintf(key, sizeof(key), "waxwing/%s/members/%s",
-		 m->s->node.deployment, m->s->node.id);
-	text = registration(m);
-	store_acquire(m->store, key, text, strlen(text), on_registered, m);
-	free(text);
-}
-
-static void on_registered(void *arg, struct store_reply *reply)
-{
-	struct members *m = arg;
-
-	m->registering = false;
-	if (reply->failed || !reply->applied) {
-		log_event(LOG_INFO, "member-not-registered", "reason=\"%s\"",
-			  reply->failed ? reply->err.message
-					: "the key is held by an earlier "
-					  "process");
-		return;
-	}
-	snprintf(m->session, sizeof(m->session), "%s", m->wanted_session);
-	log_event(LOG_INFO, "member-registered", "session=%s", m->session);
-}
-
-/* Reads who is registered: rarely, or often while somebody is missing. */
-static void list_members(struct members *m, uint64_t now)
-{
-	uint64_t interval = LIST_INTERVAL_US;
-	char prefix[256];
-
-	if (!m->list_read_us || !members_have_peers(m) || seats_need_list(m))
-		interval = LIST_RETRY_US;
-	if (m->listing ||
-	    (m->list_tried_us && now - m->list_tried_us < interval))
-		return;
-	m->listing = true;
-	m->list_tried_us = now;
-	snprintf(prefix, sizeof(prefix), "waxwing/%s/members/",
-		 m->s->node.deployment);
-	store_get(m->store, prefix, true, 0, 0, on_list, m);
-}
-
-/* Connects to a registered member. Its id follows from its heartbeat. */
-static void learn_registered(struct members *m, const struct kv_pair *pair)
-{
-	const char *slash = strrchr(pair->key, '/');
-	json_t *root = json_loadb(pair->value, pair->value_len, 0, NULL);
-	struct settings_address a;
-	const char *address;
-
-	if (!slash || json_unpack(root, "{s:s}", "peers", &address) < 0 ||
-	    !parse_address(address, &a)) {
-		counter_add(m->malformed, 1);
-		goto out;
-	}
-	peers_connect(m->peers, &a);
-	if (m->listed_count < MEMBERS_MAX)
-		snprintf(m->listed[m->listed_count++], 64, "%.63s", slash + 1);
-out:
-	json_decref(root);
-}
-
-static void on_list(void *arg, struct store_reply *reply)
-{
-	struct members *m = arg;
-
-	m->listing = false;
-	if (reply->failed)
-		return;
-	m->list_read_us = reply->sent_us ? reply->sent_us : clock_now_us();
-	m->listed_count = 0;
-	for (size_t i = 0; i < reply->kv.count; i++)
-		learn_registered(m, &reply->kv.pairs[i]);
-}
-
-bool members_registered(struct members *m, const char *id)
-{
-	for (uint32_t i = 0; i < m->listed_count; i++)
-		if (!strcmp(m->listed[i], id))
-			return true;
-	return false;
+	share_budget(m, now);
 }
 
 static void fill_self(struct members *m, struct member *out)
@@ -553,6 +450,7 @@
 	if (kernel_find(m->kernel, "config"))
 		out->config_revision = config_revision(config_find(m->kernel));
 	out->draining = m->draining;
+	out->store_reached = members_reach_store(m);
 	out->live = true;
 }
 
--- a/src/svc-members.h
+++ b/src/svc-members.h
@@ -33,6 +33,7 @@
 	uint64_t last_heard_us;
 	uint64_t config_revision;
 	bool draining;
+	bool store_reached; /* it reached the store within two lease times */
 	bool live;
 };
 
@@ -78,7 +79,8 @@
 
 /*
  * Tells whether this process is the zone's reader of the store: it holds the
- * lowest live seat.
+ * lowest live seat among those that reach the store, or the lowest live one
+ * when none does.
  */
 bool members_is_reader(struct members *m);
 
--- a/src/svc-peers.c
+++ b/src/svc-peers.c
@@ -29,6 +29,9 @@
 #define PING_TIMEOUT_MS 3000
 #define CONNECT_TIMEOUT_MS 2000
 #define REFUSED_LOG_INTERVAL_US 10000000u
+/* An address that no peer has named in this time is given up. */
+#define UNNAMED_MAX_US 60000000u
+#define SWEEP_INTERVAL_US 10000000u
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 2000
 
@@ -37,6 +40,7 @@
 	void *socket; /* NULL: free entry */
 	char id[PEER_ID_BYTES];
 	struct settings_address address;
+	uint64_t opened_us;
 	bool seed;
 };
 
@@ -88,6 +92,7 @@
 				 const struct settings_address *a);
 static struct link *find_id(struct peers *p, const char *id);
 static void log_refused(struct peers *p, zmq_msg_t *address);
+static void sweep(void *arg);
 static void on_zap(void *arg);
 static int receive_frames(void *socket, zmq_msg_t *frames, int max);
 static void close_frames(zmq_msg_t *frames, int count);
@@ -251,6 +256,7 @@
 		if (l)
 			l->seed = true;
 	}
+	loop_every(p->loop, SWEEP_INTERVAL_US, sweep, p);
 	c->ret = 0;
 }
 
@@ -313,6 +319,7 @@
 	}
 	memset(l, 0, sizeof(*l));
 	l->address = *address;
+	l->opened_us = clock_now_us();
 	l->socket = open_dealer(p, address);
 	if (!l->socket)
 		log_event(LOG_WARNING, "peer-connect-failed",
@@ -327,8 +334,10 @@
 
 	if (l && same_address(&l->address, address))
 		return;
-	if (l)
-		l->id[0] = '\0'; /* the peer moved to another address */
+	if (l) { /* the peer moved to another address */
+		l->id[0] = '\0';
+		l->opened_us = clock_now_us();
+	}
 	peers_connect(p, address);
 	l = find_address(p, address);
 	if (!l)
@@ -348,6 +357,25 @@
 	memset(l, 0, sizeof(*l));
 }
 
+/* Closes connections to addresses at which no peer has been heard. */
+static void sweep(void *arg)
+{
+	struct peers *p = arg;
+	uint64_t now = clock_now_us();
+
+	for (int i = 0; i < LINKS_MAX; i++) {
+		struct link *l = &p->links[i];
+
+		if (!l->socket || l->seed || l->id[0] ||
+		    now - l->opened_us < UNNAMED_MAX_US)
+			continue;
+		log_event(LOG_DEBUG, "peer-given-up", "address=%s:%u",
+			  l->address.host, l->address.port);
+		zmq_close(l->socket);
+		memset(l, 0, sizeof(*l));
+	}
+}
+
 void peers_handle(struct peers *p, enum peer_message_type type, peer_fn *fn,
 		  void *arg)
 {
--- a/src/svc-seats.c
+++ b/src/svc-seats.c
@@ -38,6 +38,7 @@
 static bool own_requests_ended(struct members *m);
 static bool holder_live(struct members *m, const char *name);
 static bool holder_gone(struct members *m, const char *name, uint64_t now);
+static bool holder_reaches_store(struct members *m, const char *name);
 static int lowest_live(struct members *m);
 static bool change_own(struct members *m, struct seats *next,
 		       const char **reason);
@@ -230,12 +231,32 @@
 	return false;
 }
 
+/* Tells whether the holder of a seat reaches the store. */
+static bool holder_reaches_store(struct members *m, const char *name)
+{
+	const struct member *member;
+	char id[64];
+
+	seats_id(name, id);
+	member = members_get(m, id);
+	return member && member->store_reached;
+}
+
 static int lowest_live(struct members *m)
 {
-	for (uint32_t i = 0; i < m->seats.count; i++)
-		if (holder_live(m, m->seats.names[i]))
+	int first = -1;
+
+	for (uint32_t i = 0; i < m->seats.count; i++) {
+		const char *name = m->seats.names[i];
+
+		if (!holder_live(m, name))
+			continue;
+		if (holder_reaches_store(m, name))
 			return (int)i;
-	return -1;
+		if (first < 0)
+			first = (int)i;
+	}
+	return first;
 }
 
 bool members_is_reader(struct members *m)
