--- a/src/members-private.h
+++ b/src/members-private.h
@@ -92,7 +92,6 @@
 	bool revalidating;
 	/* any thread */
 	_Atomic uint64_t last_tick_us;
-	_Atomic uint64_t applied_revision;
 	atomic_bool left;
 	pthread_mutex_t lock; /* guards seat */
 	struct seat seat;
@@ -110,6 +109,9 @@
 void members_format_address(const struct settings_address *a, char out[64]);
 bool members_parse_address(const char *text, struct settings_address *a);
 
+/* Connects to an address that a peer or the store named. */
+void members_connect(struct members *m, const struct settings_address *a);
+
 /* Writes the own key again when the session is a new one. */
 void members_register(struct members *m, uint64_t now);
 
--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -266,6 +266,19 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
+bool flow_seat_applied(struct flow_svc *f, uint64_t revision)
+{
+	struct flow_totals totals;
+
+	sync_seat(f);
+	pthread_mutex_lock(&f->lock);
+	flow_totals(f->core, &totals);
+	pthread_mutex_unlock(&f->lock);
+	/* A process that lost its seat has revision 0 and no slots. */
+	return (f->seat.revision == 0 || f->seat.revision >= revision) &&
+	       totals.over_share == 0;
+}
+
 static void tick(void *svc)
 {
 	struct flow_svc *f = svc;
@@ -282,9 +295,6 @@
 	flow_totals(f->core, &totals);
 	pthread_mutex_unlock(&f->lock);
 	atomic_store(&f->last_tick_us, clock_now_us());
-	/* The zone's other seats may use what this one gave up. */
-	if (f->seat.revision && !totals.above_share)
-		members_applied(f->members, f->seat.revision);
 	counter_set(f->counters.queued, totals.queued);
 	counter_set(f->counters.running, totals.running);
 	counter_set(f->counters.capacity, totals.capacity);
--- a/src/svc-members-store.c
+++ b/src/svc-members-store.c
@@ -107,7 +107,7 @@
 		counter_add(m->malformed, 1);
 		goto out;
 	}
-	peers_connect(m->peers, &a);
+	members_connect(m, &a);
 	if (m->listed_count < MEMBERS_MAX)
 		snprintf(m->listed[m->listed_count++], 64, "%.63s", slash + 1);
 out:
--- a/src/svc-members.c
+++ b/src/svc-members.c
@@ -290,6 +290,13 @@
 	return NULL;
 }
 
+void members_connect(struct members *m, const struct settings_address *a)
+{
+	/* Links that translate addresses make the named ones useless. */
+	if (m->s->peers.discovery == DISCOVERY_ALL)
+		peers_connect(m->peers, a);
+}
+
 static void learn_addresses(struct members *m, struct message_reader *r)
 {
 	struct message_reader list = message_get_array(r);
@@ -300,7 +307,7 @@
 
 		message_get_str(&list, text, sizeof(text));
 		if (members_parse_address(text, &a))
-			peers_connect(m->peers, &a);
+			members_connect(m, &a);
 	}
 }
 
--- a/src/svc-seats.c
+++ b/src/svc-seats.c
@@ -35,6 +35,7 @@
 static void send_applied(struct members *m, uint64_t now);
 static void check_left(struct members *m, uint64_t now);
 static uint64_t read_after(struct members *m);
+static bool own_requests_done(struct members *m);
 static bool own_requests_ended(struct members *m);
 static bool holder_live(struct members *m, const char *name);
 static bool holder_gone(struct members *m, const char *name, uint64_t now);
@@ -272,7 +273,7 @@
 {
 	bool held = seats_find(&m->seats, m->seat_name) >= 0;
 
-	if (held && m->draining && own_requests_ended(m)) {
+	if (held && m->draining && own_requests_done(m)) {
 		*reason = "leave";
 		return seats_remove(next, m->seat_name) == 0;
 	}
@@ -387,12 +388,20 @@
 	message_reader_free(&r);
 }
 
+/* Tells whether no request is queued or in progress, so that slots can go. */
+static bool own_requests_done(struct members *m)
+{
+	struct flow_svc *f = flow(m);
+
+	return !f || flow_in_flight(f) == 0;
+}
+
 /* Tells whether no request of this process is above its share any more. */
 static bool own_requests_ended(struct members *m)
 {
 	struct flow_svc *f = flow(m);
 
-	return !f || flow_in_flight(f) == 0;
+	return !f || flow_seat_applied(f, m->seats.revision);
 }
 
 /* Repeats the confirmation until the store's value is marked. */
@@ -401,11 +410,7 @@
 	struct message_writer w;
 
 	if (m->seats.confirmed || !m->seats.revision ||
-	    now < m->next_applied_us)
-		return;
-	if (own_requests_ended(m))
-		atomic_store(&m->applied_revision, m->seats.revision);
-	if (atomic_load(&m->applied_revision) < m->seats.revision)
+	    now < m->next_applied_us || !own_requests_ended(m))
 		return;
 	m->next_applied_us = now + APPLIED_INTERVAL_US;
 	seats_progress_applied(&m->progress, m->seat_name, m->seats.revision);
@@ -478,15 +483,6 @@
 			(struct seat_listener){ fn, arg };
 }
 
-void members_applied(struct members *m, uint64_t revision)
-{
-	uint64_t old = atomic_load(&m->applied_revision);
-
-	while (old < revision && !atomic_compare_exchange_weak(
-					 &m->applied_revision, &old, revision))
-		;
-}
-
 bool members_left(struct members *m)
 {
 	return atomic_load(&m->left);
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -119,7 +119,7 @@
 	run_one();
 	shard_commit(&s, 100);
 	shard_replace(&s, false);
-	free_us = s.now_us + 60000000u + 10000000u + 5000000u;
+	free_us = s.now_us + SHARD_HORIZON_US + 10000000u + 5000000u;
 	shard_worker(&s, "w1", 4000, 8192);
 	shard_worker(&s, "w2", 4000, 8192);
 	while (shard_next(&s, PLACE_READ, &a))
@@ -129,14 +129,22 @@
 	while (s.now_us < free_us) {
 		shard_tick(&s, 100000);
 		shard_commit(&s, 100);
-		CU_ASSERT_FALSE(shard_next(&s, PLACE_START, &a));
+		while (place_next_action(s.place, &a)) {
+			CU_ASSERT_NOT_EQUAL(a.type, PLACE_START);
+			if (a.type == PLACE_READ)
+				shard_answer(&s, PLACE_READ_END, &a,
+					     PLACE_ANSWER_UNKNOWN);
+		}
 	}
-	/* The worker is asked once more, for 3 s. */
+	/* The worker is asked three times more. */
 	a.type = PLACE_READ;
-	for (int i = 0; i < 35 && a.type != PLACE_START; i++) {
+	for (int i = 0; i < 40 && a.type != PLACE_START; i++) {
 		shard_tick(&s, 100000);
 		shard_commit(&s, 100);
-		shard_next(&s, PLACE_START, &a);
+		while (place_next_action(s.place, &a) && a.type != PLACE_START)
+			if (a.type == PLACE_READ)
+				shard_answer(&s, PLACE_READ_END, &a,
+					     PLACE_ANSWER_UNKNOWN);
 	}
 	CU_ASSERT_EQUAL(a.type, PLACE_START);
 	CU_ASSERT_STRING_EQUAL(a.worker, "w2");
