--- a/src/svc-members.h
+++ b/src/svc-members.h
@@ -33,6 +33,7 @@
 	uint64_t last_heard_us;
 	uint64_t config_revision;
 	bool draining;
+	bool store_reached; /* it reached the store within two lease times */
 	bool live;
 };
 
@@ -70,7 +71,8 @@
 
 /*
  * Tells whether this process is the zone's reader of the store: it holds the
- * lowest live seat.
+ * lowest live seat among those that reach the store, or the lowest live one
+ * when none does.
  */
 bool members_is_reader(struct members *m);
 
