--- a/tests/support-cluster.c
+++ b/tests/support-cluster.c
@@ -249,6 +249,27 @@
 	return 0;
 }
 
+static const char *vm_state(const struct cluster *c, const char *zone,
+			    char letter, uint32_t i)
+{
+	char id[48];
+
+	snprintf(id, sizeof(id), "%s-%c%u", zone, letter, i);
+	for (uint32_t n = 0; n < c->leaving_count; n++)
+		if (!strcmp(c->leaving[n], id))
+			return "leaving";
+	return "live";
+}
+
+int cluster_vm_leaving(struct cluster *c, const char *id)
+{
+	if (c->leaving_count == CLUSTER_LEAVING_MAX)
+		return -1;
+	snprintf(c->leaving[c->leaving_count++], sizeof(c->leaving[0]), "%s",
+		 id);
+	return write_vms(c);
+}
+
 /* Writes the platform's list of runners and workers. */
 static int write_vms(struct cluster *c)
 {
@@ -266,21 +287,23 @@
 				"%s{\"id\":\"%s-r%u\",\"role\":\"runner\","
 				"\"availability_zone\":\"%s\",\"rack\":"
 				"\"%s-rr%u\",\"address\":\"127.0.0.1:%u\","
-				"\"state\":\"live\",\"slots\":8,"
+				"\"state\":\"%s\",\"slots\":8,"
 				"\"connections\":64}",
 				sep, zone, i, zone, zone, i / 11,
-				runner_port(c, z) + i);
+				runner_port(c, z) + i,
+				vm_state(c, zone, 'r', i));
 		for (uint32_t i = 0; i < o->workers; i++, sep = ",\n")
 			buffer_printf(
 				&b,
 				"%s{\"id\":\"%s-w%u\",\"role\":\"worker\","
 				"\"availability_zone\":\"%s\",\"rack\":"
 				"\"%s-k%u\",\"address\":\"127.0.0.1:%u\","
-				"\"state\":\"live\",\"cpu_milli\":%u,"
+				"\"state\":\"%s\",\"cpu_milli\":%u,"
 				"\"memory_mb\":%u,\"accelerators\":0}",
 				sep, zone, i, zone, zone,
 				i / o->workers_per_rack,
-				cluster_worker_port(c, z), o->worker_cpu_milli,
+				cluster_worker_port(c, z),
+				vm_state(c, zone, 'w', i), o->worker_cpu_milli,
 				o->worker_memory_mb);
 	}
 	buffer_append_str(&b, "]\n");
--- a/tests/support-cluster.h
+++ b/tests/support-cluster.h
@@ -24,6 +24,7 @@
 #define CLUSTER_TOKEN "0123456789abcdef"
 #define CLUSTER_ZONES_MAX 3
 #define CLUSTER_ENTRIES_MAX 9
+#define CLUSTER_LEAVING_MAX 64
 
 struct cluster_options {
 	uint32_t zones;
@@ -62,6 +63,8 @@
 	uint32_t entry_zone[CLUSTER_ENTRIES_MAX];
 	uint32_t entry_generation[CLUSTER_ENTRIES_MAX];
 	uint32_t entry_count;
+	char leaving[CLUSTER_LEAVING_MAX][48];
+	uint32_t leaving_count;
 };
 
 extern const char *const cluster_zone_names[CLUSTER_ZONES_MAX];
@@ -88,6 +91,9 @@
 uint16_t cluster_worker_port(const struct cluster *c, uint32_t zone);
 uint16_t cluster_proxy_port(const struct cluster *c);
 
+/* Marks a runner or worker as leaving in the platform's list. */
+int cluster_vm_leaving(struct cluster *c, const char *id);
+
 /* One HTTP call on loopback with the operator's token; status or -1. */
 int cluster_http(uint16_t port, const char *method, const char *path,
 		 const char *headers, const char *body, struct buffer *answer);
