--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -65,6 +65,7 @@
 	uint32_t ended_reads; /* reads of the worker when the lease ended */
 	uint32_t avoid;	      /* handle + 1 of the worker of the last failure */
 	int32_t reserved[RES_COUNT];
+	int32_t asked[RES_COUNT]; /* of the worker, at the start */
 	uint32_t used_cpu_milli;
 	uint32_t used_memory_mb;
 	uint32_t peak_memory_mb;
@@ -74,14 +75,16 @@
 	uint8_t reason;
 	uint8_t failures; /* on workers, of its own */
 	bool ended;	  /* the end of the lease was noticed */
+	bool fitted;	  /* throttled to the headroom after its start */
 	uint8_t percent;  /* of its CPU that it keeps */
 	bool ran;	  /* a start was confirmed once */
 	bool sent;	  /* the start left in this epoch, or may have before */
 	bool held_back;	  /* its start is durable and will not leave */
 	bool checkpointing;
 	bool checkpointed;
-	bool counted; /* its size is in the kind's statistics */
-	bool seen;    /* in the current read of its worker */
+	uint8_t samples; /* of usage, up to 255 */
+	bool counted;	 /* its size is in the kind's statistics */
+	bool seen;	 /* in the current read of its worker */
 };
 
 /* Value of settled_us while the start is not durable or not answered. */
@@ -184,7 +187,10 @@
 	uint64_t sampled_us;
 	uint32_t used_cpu_milli;
 	uint32_t used_memory_mb;
-	uint64_t held_us; /* end of its keeping for one task; 0: none */
+	uint64_t held_us;     /* end of its keeping for one task; 0: none */
+	uint64_t reported_us; /* when the last usage came */
+	uint64_t judged_us;   /* reported_us of the last judgement */
+	uint32_t starting;    /* tasks in that state */
 	uint32_t failed_reads;
 	uint32_t strikes; /* samples in a row above the bound */
 	struct task_list tasks;
@@ -226,6 +232,8 @@
 	uint64_t token;
 	uint64_t evictions;
 	uint64_t decisions;
+	uint64_t held_back; /* tasks that interference kept waiting */
+	uint64_t retry_us;
 
 	struct placement **slots;
 	uint32_t slot_count;
@@ -292,6 +300,7 @@
 	uint32_t failures;
 	enum place_reason reason;
 	uint32_t reserved[RES_COUNT];
+	uint32_t asked[RES_COUNT];
 	const struct placement_spec *spec;
 	struct kind *kind;
 	struct kind *other;
@@ -391,6 +400,12 @@
 
 /* ---- place-usage.c ---- */
 
+/*
+ * Fills the part of a reservation that the worker is asked for: the worker
+ * adds up what it was asked for, and does not hear of later changes.
+ */
+void usage_asked(const struct place *p, const struct placement *pl,
+		 const int32_t need[RES_COUNT], uint32_t asked[RES_COUNT]);
 /* Fills the room to reserve for the next start of a task. */
 void usage_need(const struct place *p, const struct placement *pl,
 		int32_t need[RES_COUNT]);
