Check the limit of the mixes before their entry

Cause: "make lint" fails: cppcheck reports that the index is used before its limit is checked. Change: the two conditions of the loop change places. Measurement: "make lint" passes again. Conclusion: a full table of mixes would have been read one entry too far.

--- a/tests/support-bench.c
+++ b/tests/support-bench.c
@@ -129,7 +129,7 @@
 			 cluster_front_port(c, i));
 		argv[n++] = entries[i];
 	}
-	for (int i = 0; mixes[i] && i < MIXES_MAX; i++) {
+	for (int i = 0; i < MIXES_MAX && mixes[i]; i++) {
 		snprintf(mix[i], sizeof(mix[i]), "--mix=%s", mixes[i]);
 		argv[n++] = mix[i];
 	}
