--- a/tests/demo.c
+++ b/tests/demo.c
@@ -14,6 +14,7 @@
 #include "clock.h"
 #include "support-check.h"
 #include "support-cluster.h"
+#include "support-journal.h"
 
 #define SECOND_US 1000000u
 #define READY_MS 15000
@@ -21,7 +22,7 @@
 #define KILLED_ENTRY 1
 #define DRAINED_ENTRY 5
 #define BATCH_TASKS 24
-#define END_SECONDS 52 /* the demonstration ends within a minute */
+#define END_SECONDS 48 /* the demonstration ends within a minute */
 
 #define SHEET                                                           \
 	"record,user,team,kind,priority,share,limit,yields,cpu,memory," \
@@ -53,6 +54,7 @@
 static int create_urgent(void);
 static int cancel_urgent(void);
 static int kill_entry(void);
+static int leave(void);
 static int drain_entry(void);
 static pid_t start_load(void);
 static long long member(const json_t *o, const char *name);
@@ -67,6 +69,7 @@
 	{ 6, "urgent: 8 services need the place of batch tasks",
 	  create_urgent },
 	{ 10, "entry VM 1 of zone kadikoy is killed", kill_entry },
+	{ 13, "runner kadikoy-r2 and worker kadikoy-w3 leave", leave },
 	{ 16, "entry VM 5 of zone cagla is drained", drain_entry },
 	{ 20, "the urgent services end", cancel_urgent },
 };
@@ -154,10 +157,17 @@
 	return 0;
 }
 
+static int leave(void)
+{
+	return cluster_vm_state(&cluster, "kadikoy-r2", "leaving") |
+	       cluster_vm_state(&cluster, "kadikoy-w3", "leaving");
+}
+
 static int drain_entry(void)
 {
 	const char *const args[] = { "drain", NULL };
 
+	journal_event("entry-drain", "{s:i}", "entry", DRAINED_ENTRY);
 	return control(DRAINED_ENTRY, args);
 }
 
@@ -224,19 +234,20 @@
 /* Returns 0 when every invariant held. */
 static int judge(void)
 {
-	char files[7][300];
-	const char *argv[9] = { "journal-check" };
+	char files[8][300];
+	const char *argv[10] = { "journal-check" };
 	char *text;
 	int status;
 
 	snprintf(files[0], sizeof(files[0]), "%s/load.jsonl", cluster.folder);
+	snprintf(files[7], sizeof(files[7]), "%s/demo.jsonl", cluster.folder);
 	for (uint32_t z = 0; z < 3; z++) {
 		snprintf(files[1 + z], sizeof(files[0]), "%s/runners-%u.jsonl",
 			 cluster.folder, z);
 		snprintf(files[4 + z], sizeof(files[0]), "%s/workers-%u.jsonl",
 			 cluster.folder, z);
 	}
-	for (unsigned i = 0; i < 7; i++)
+	for (unsigned i = 0; i < 8; i++)
 		argv[i + 1] = files[i];
 	status = cluster_run(&cluster, argv, "check.txt");
 	text = cluster_read(&cluster, "check.txt");
@@ -262,8 +273,12 @@
 {
 	unsigned failed = 0;
 	uint32_t finished;
+	char journal[300];
 	pid_t load;
 
+	snprintf(journal, sizeof(journal), "%s/demo.jsonl", cluster.folder);
+	if (journal_open(journal) < 0)
+		return 1;
 	load = start_load();
 	for (size_t i = 0; i < sizeof(steps) / sizeof(steps[0]); i++) {
 		wait_until(steps[i].at_s);
--- a/tests/support-check-internal.h
+++ b/tests/support-check-internal.h
@@ -24,7 +24,15 @@
 struct answer {
 	char *key, *request;
 	bool idempotent, good, done, not_run;
-	int status;
+	int status; /* 0: no answer */
+	int entry;
+	uint64_t begun_us;
+};
+
+/* The planned stop of an entry VM began. */
+struct drain {
+	int entry;
+	uint64_t at_us;
 };
 
 /* A VM began to leave, or is no longer leaving. */
@@ -41,6 +49,8 @@
 	size_t answer_count;
 	struct notice *notices;
 	size_t notice_count;
+	struct drain *drains;
+	size_t drain_count;
 	uint64_t over_slots, over_connections, over_memory;
 	uint64_t evicted, finished;
 };
--- a/tests/support-check-judge.c
+++ b/tests/support-check-judge.c
@@ -25,6 +25,7 @@
 	[CHECK_NOT_RUN] = { "5", "told not-run, but it ran", 0, 0 },
 	[CHECK_ONCE] = { "6", "once-only key run more than once", 0, 0 },
 	[CHECK_LEAVING] = { "7", "new work on a VM that is leaving", 0, 0 },
+	[CHECK_CUT] = { "8", "planned stop cut a request", 0, 0 },
 };
 
 static void report(struct judge *j, enum check_rule rule, const char *what,
@@ -42,6 +43,7 @@
 static void judge_keys(struct judge *j);
 static void judge_key(struct judge *j, const char *key);
 static void judge_leaving(struct judge *j, const struct interval_list *l);
+static void judge_drains(struct judge *j);
 
 static void report(struct judge *j, enum check_rule rule, const char *what,
 		   const char *where)
@@ -241,6 +243,25 @@
 	}
 }
 
+/* A request that was begun before the stop gets an answer. */
+static void judge_drains(struct judge *j)
+{
+	struct check *c = j->check;
+
+	for (size_t d = 0; d < c->drain_count; d++) {
+		for (size_t i = 0; i < c->answer_count; i++) {
+			const struct answer *a = &c->answers[i];
+
+			if (a->entry != c->drains[d].entry ||
+			    a->begun_us >= c->drains[d].at_us)
+				continue;
+			j->results[CHECK_CUT].cases++;
+			if (!a->status)
+				report(j, CHECK_CUT, a->key, a->request);
+		}
+	}
+}
+
 void check_count(const struct check *c, struct check_counts *counts)
 {
 	memset(counts, 0, sizeof(*counts));
@@ -276,4 +297,5 @@
 	judge_answers(&j);
 	judge_keys(&j);
 	judge_leaving(&j, &c->runs);
+	judge_drains(&j);
 }
--- a/tests/support-check.c
+++ b/tests/support-check.c
@@ -23,7 +23,7 @@
 static void end_open(struct interval_list *l, uint64_t at_us);
 static int take_line(struct check *c, const char *line, uint64_t *last_us);
 static event_fn on_run_start, on_run_end, on_task_start, on_task_end, on_over,
-	on_over_memory, on_answer, on_draining, on_vm_state;
+	on_over_memory, on_answer, on_draining, on_vm_state, on_drain;
 
 static const struct {
 	const char *event;
@@ -33,7 +33,8 @@
 	{ "run-killed", on_run_end },	   { "task-start", on_task_start },
 	{ "task-end", on_task_end },	   { "over", on_over },
 	{ "over-memory", on_over_memory }, { "answer", on_answer },
-	{ "draining", on_draining },	   { "vm-state", on_vm_state },
+	{ "entry-drain", on_drain },	   { "draining", on_draining },
+	{ "vm-state", on_vm_state },
 };
 
 struct check *check_create(uint64_t leave_us)
@@ -66,6 +67,7 @@
 		free(c->notices[i].vm);
 	free(c->answers);
 	free(c->notices);
+	free(c->drains);
 	free(c);
 }
 
@@ -197,6 +199,8 @@
 	a->idempotent = json_is_true(json_object_get(e, "idempotent"));
 	a->good = json_is_true(json_object_get(e, "good"));
 	a->status = (int)number(e, "status");
+	a->entry = (int)number(e, "entry");
+	a->begun_us = (uint64_t)number(e, "begun_us");
 	a->done = outcome && !strcmp(outcome, "done");
 	a->not_run = outcome && !strcmp(outcome, "not-run");
 }
@@ -231,6 +235,16 @@
 		note_leaving(c, vm, at_us, !strcmp(state, "leaving"));
 }
 
+static void on_drain(struct check *c, const json_t *e, uint64_t at_us)
+{
+	struct drain *d;
+
+	c->drains = grow(c->drains, c->drain_count, sizeof(*c->drains));
+	d = &c->drains[c->drain_count++];
+	d->entry = (int)number(e, "entry");
+	d->at_us = at_us;
+}
+
 static int take_line(struct check *c, const char *line, uint64_t *last_us)
 {
 	json_t *e = json_loads(line, 0, NULL);
--- a/tests/support-check.h
+++ b/tests/support-check.h
@@ -36,6 +36,7 @@
 	CHECK_NOT_RUN,	   /* 5: "not-run" that ran */
 	CHECK_ONCE,	   /* 6: a non-idempotent key run more than once */
 	CHECK_LEAVING,	   /* 7: new work on a VM 3 s after it was leaving */
+	CHECK_CUT,	   /* 8: a planned stop cut a request */
 	CHECK_RULES
 };
 
--- /dev/null
+++ b/tests/support-cluster-vms.c
@@ -0,0 +1,49 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "support-cluster.h"
+
+static bool change(json_t *list, const char *id, const char *state);
+
+/* Returns false when the list has no such VM. */
+static bool change(json_t *list, const char *id, const char *state)
+{
+	size_t i;
+	json_t *vm;
+
+	json_array_foreach(list, i, vm)
+	{
+		const char *name = json_string_value(json_object_get(vm, "id"));
+
+		if (!name || strcmp(name, id))
+			continue;
+		if (!strcmp(state, "gone"))
+			json_array_remove(list, i);
+		else
+			json_object_set_new(vm, "state", json_string(state));
+		return true;
+	}
+	return false;
+}
+
+int cluster_vm_state(struct cluster *c, const char *id, const char *state)
+{
+	char path[600], fresh[600];
+	json_t *list;
+	int rc = -1;
+
+	snprintf(path, sizeof(path), "%s/vms.json", c->folder);
+	snprintf(fresh, sizeof(fresh), "%s/vms.json.new", c->folder);
+	list = json_load_file(path, 0, NULL);
+	/* The stand-ins read the file at any time, so it is replaced whole. */
+	if (list && change(list, id, state) &&
+	    json_dump_file(list, fresh, JSON_INDENT(1)) == 0 &&
+	    rename(fresh, path) == 0)
+		rc = 0;
+	else
+		fprintf(stderr, "%s: cannot make %s %s\n", path, id, state);
+	json_decref(list);
+	return rc;
+}
--- a/tests/support-cluster.h
+++ b/tests/support-cluster.h
@@ -88,6 +88,9 @@
 uint16_t cluster_worker_port(const struct cluster *c, uint32_t zone);
 uint16_t cluster_proxy_port(const struct cluster *c);
 
+/* Rewrites the list of VMs: state is "live", "leaving" or "gone". */
+int cluster_vm_state(struct cluster *c, const char *id, const char *state);
+
 /* One HTTP call on loopback with the operator's token; status or -1. */
 int cluster_http(uint16_t port, const char *method, const char *path,
 		 const char *headers, const char *body, struct buffer *answer);
--- a/tests/support-load.c
+++ b/tests/support-load.c
@@ -31,7 +31,7 @@
 	struct load_mix *mix;
 	struct load_link *link;
 	struct event *retry_timer;
-	uint64_t number, due_us, begin_us;
+	uint64_t number, due_us, begin_us, begun_wall_us;
 	unsigned entry, attempt;
 	uint32_t work_us;
 	bool second; /* the other of two with one key */
@@ -273,6 +273,7 @@
 
 	c->link = take_link(l, &l->entries[c->entry]);
 	c->begin_us = clock_now_us();
+	c->begun_wall_us = clock_wall_us();
 	c->req = req;
 	add_headers(c, evhttp_request_get_output_headers(req));
 	evbuffer_add_printf(out, "key=%s idem=%s work_us=%u answer_bytes=%u",
@@ -367,12 +368,13 @@
 
 	journal_event("answer",
 		      "{s:I,s:s,s:s,s:b,s:i,s:i,s:s,s:i,s:s?,s:s?,"
-		      "s:b,s:I}",
+		      "s:b,s:I,s:I}",
 		      "request", (json_int_t)c->number, "key", c->key, "kind",
 		      m->kind, "idempotent", m->idempotent, "entry",
 		      (int)c->entry, "attempt", (int)c->attempt, "outcome",
 		      outcome_names[outcome], "status", status, "reason",
-		      reason, "id", id, "good", good, "latency_us",
+		      reason, "id", id, "good", good, "begun_us",
+		      (json_int_t)c->begun_wall_us, "latency_us",
 		      (json_int_t)(now - c->due_us));
 	m->answered += status != 0;
 	if (may_retry(c, outcome, status)) {
--- a/tests/test-journal-check.c
+++ b/tests/test-journal-check.c
@@ -74,6 +74,16 @@
 	{ EVENT(10, "vm-state", "\"vm\":\"w\",\"state\":\"leaving\"")
 		  START(5000000, "t", 1, "w"),
 	  CHECK_LEAVING },
+	{ EVENT(50, "entry-drain", "\"entry\":2")
+		  EVENT(60, "answer",
+			"\"entry\":2,\"status\":0,\"begun_us\":40,"
+			"\"idempotent\":true"),
+	  CHECK_CUT },
+	{ EVENT(50, "entry-drain", "\"entry\":2")
+		  EVENT(60, "answer",
+			"\"entry\":1,\"status\":0,\"begun_us\":40,"
+			"\"idempotent\":true"),
+	  NONE },
 };
 
 static void read_text(struct check *c, const char *journal, bool dead)
