--- a/tests/bench-members.c
+++ b/tests/bench-members.c
@@ -117,6 +117,17 @@
 	return true;
 }
 
+/* True when each entry VM has a part of its zone's slots and a sheet. */
+static bool all_seated(struct cluster *c, void *arg)
+{
+	(void)arg;
+	for (uint32_t i = 0; i < c->entry_count; i++)
+		if (cluster_status(c, i, "seat", "revision") <= 0 ||
+		    cluster_status(c, i, NULL, "config_revision") <= 0)
+			return false;
+	return true;
+}
+
 /* Kills entry VMs, waits for new owners and starts the VMs anew. */
 static int replace(struct cluster *c, uint32_t mask, double *longest_s)
 {
@@ -133,7 +144,7 @@
 	for (uint32_t i = 0; i < c->entry_count; i++)
 		if ((mask & 1u << i) && cluster_entry_start(c, i) < 0)
 			return -1;
-	return cluster_wait_ready(c, 2 * RECOVER_MS);
+	return cluster_wait(c, all_seated, NULL, RECOVER_MS);
 }
 
 static int run_replace(uint64_t seed)
@@ -195,7 +206,7 @@
 	for (uint32_t i = 0; i < 3; i++) {
 		snprintf(id, sizeof(id), "%s-r%u", cluster_zone_names[i],
 			 3 + i);
-		if (cluster_vm_leaving(&c, id) < 0)
+		if (cluster_vm_state(&c, id, "leaving") < 0)
 			goto out;
 		clock_sleep_us(1000000);
 	}
--- a/tests/support-cluster.h
+++ b/tests/support-cluster.h
@@ -24,7 +24,6 @@
 #define CLUSTER_TOKEN "0123456789abcdef"
 #define CLUSTER_ZONES_MAX 3
 #define CLUSTER_ENTRIES_MAX 9
-#define CLUSTER_LEAVING_MAX 64
 
 struct cluster_options {
 	uint32_t zones;
@@ -63,8 +62,6 @@
 	uint32_t entry_zone[CLUSTER_ENTRIES_MAX];
 	uint32_t entry_generation[CLUSTER_ENTRIES_MAX];
 	uint32_t entry_count;
-	char leaving[CLUSTER_LEAVING_MAX][48];
-	uint32_t leaving_count;
 };
 
 extern const char *const cluster_zone_names[CLUSTER_ZONES_MAX];
@@ -91,8 +88,8 @@
 uint16_t cluster_worker_port(const struct cluster *c, uint32_t zone);
 uint16_t cluster_proxy_port(const struct cluster *c);
 
-/* Marks a runner or worker as leaving in the platform's list. */
-int cluster_vm_leaving(struct cluster *c, const char *id);
+/* Rewrites the list of VMs: state is "live", "leaving" or "gone". */
+int cluster_vm_state(struct cluster *c, const char *id, const char *state);
 
 /* One HTTP call on loopback with the operator's token; status or -1. */
 int cluster_http(uint16_t port, const char *method, const char *path,
