Let attempts run on past the deadline of their request

Cause: an attempt given up at its deadline may run on at the runner. Its slot was used again once the runner had room with all other seats at their share, which could send a ninth request. Change: at its deadline a request is answered, and its attempts keep their slot until the runner answers, at most 30 s more. The slot of a lost or given-up attempt is used again when a report a second later shows that nothing runs, or after 30 s with room.

--- a/src/core.h
+++ b/src/core.h
@@ -28,7 +28,7 @@
 
 enum flow_event_type {
 	FLOW_REQUEST, /* a caller's request arrived */
-	FLOW_CANCEL,  /* its caller is gone */
+	FLOW_CANCEL,  /* its deadline has passed, or its caller is gone */
 	FLOW_RESULT,  /* an attempt at a target ended */
 	FLOW_TARGET,  /* a target appeared or changed */
 	FLOW_TARGET_GONE,
@@ -134,10 +134,15 @@
 	uint32_t attempt;
 	enum flow_outcome outcome; /* FLOW_FINISH */
 	enum flow_reason reason;
-	enum flow_why why;   /* FLOW_SEND */
-	bool hedge;	     /* FLOW_SEND: an earlier attempt still runs */
-	uint64_t queued_us;  /* time spent in the queue */
-	uint64_t timeout_us; /* FLOW_SEND: give up after this time */
+	enum flow_why why;  /* FLOW_SEND */
+	bool hedge;	    /* FLOW_SEND: an earlier attempt still runs */
+	uint64_t queued_us; /* time spent in the queue */
+	/*
+	 * FLOW_SEND: time after which the attempt is given up. It is later
+	 * than the deadline, since the target runs on and its slot stays in
+	 * use.
+	 */
+	uint64_t timeout_us;
 	/* FLOW_SEND, FLOW_ASK: own part of the target's connections */
 	uint32_t connections;
 };
--- a/src/flow-internal.h
+++ b/src/flow-internal.h
@@ -40,7 +40,6 @@
 	bool idempotent;
 	bool may_have_run; /* an attempt ended and may have taken effect */
 	bool hedged;
-	bool cancelled;
 	bool counted; /* its first send has been counted */
 	int32_t kind; /* -1: the kind left the sheet */
 	uint32_t team;
@@ -232,6 +231,9 @@
 void route_sent(struct flow *f, uint32_t target, uint64_t now_us);
 void route_result(struct flow *f, uint32_t target, enum flow_outcome outcome,
 		  uint64_t sent_us, uint64_t service_us, uint64_t now_us);
+/* An attempt has missed its request's deadline and runs on. */
+void route_late(struct flow *f, uint32_t target, uint64_t sent_us,
+		uint64_t now_us);
 /* An attempt has run for elapsed_us without an answer. */
 void route_slow(struct flow *f, uint32_t target, uint64_t elapsed_us,
 		uint64_t now_us);
--- a/src/flow-route.c
+++ b/src/flow-route.c
@@ -29,9 +29,12 @@
 #define PROBE_INTERVAL_US 1500000u
 #define PROBE_LOST_US 3000000u
 /*
- * A request that was given up may run on; its slot is used again when the
- * target reports room, and without a report after the longest deadline.
+ * A request that was given up may run on, or arrive only then; its slot is
+ * used again when a report sampled after ABANDONED_MIN_US shows that nothing
+ * runs, or after ABANDONED_MAX_US when there is room even if all other seats
+ * use their part.
  */
+#define ABANDONED_MIN_US 1000000u
 #define ABANDONED_MAX_US 30000000u
 
 static void update_target(struct flow *f, uint32_t target);
@@ -289,6 +292,14 @@
 	t->sample_us = now_us;
 }
 
+static double failure_latency_us(uint64_t sent_us, uint64_t now_us)
+{
+	double latency_us = (double)(now_us - sent_us);
+
+	return latency_us < FAILURE_LATENCY_US ? FAILURE_LATENCY_US
+					       : latency_us;
+}
+
 static void add_mean(struct flow *f, double latency_us)
 {
 	if (f->mean_latency_us == 0)
@@ -344,7 +355,6 @@
 		  uint64_t sent_us, uint64_t service_us, uint64_t now_us)
 {
 	struct flow_target *t = &f->targets[target];
-	double latency_us = (double)(now_us - sent_us);
 
 	t->outstanding--;
 	if (outcome == FLOW_OK) {
@@ -353,9 +363,7 @@
 		count_success(t, sent_us, now_us);
 		goto out;
 	}
-	if (latency_us < FAILURE_LATENCY_US)
-		latency_us = FAILURE_LATENCY_US;
-	add_sample(t, latency_us, now_us);
+	add_sample(t, failure_latency_us(sent_us, now_us), now_us);
 	count_failure(f, t, sent_us, now_us);
 	if (outcome == FLOW_TIMEOUT || outcome == FLOW_LOST) {
 		t->abandoned++;
@@ -368,6 +376,16 @@
 	update_target(f, target);
 }
 
+void route_late(struct flow *f, uint32_t target, uint64_t sent_us,
+		uint64_t now_us)
+{
+	struct flow_target *t = &f->targets[target];
+
+	add_sample(t, failure_latency_us(sent_us, now_us), now_us);
+	count_failure(f, t, sent_us, now_us);
+	update_target(f, target);
+}
+
 void route_slow(struct flow *f, uint32_t target, uint64_t elapsed_us,
 		uint64_t now_us)
 {
@@ -378,16 +396,17 @@
 	add_sample(t, 2.0 * (double)elapsed_us, now_us);
 }
 
-/*
- * Takes the slots of given-up requests back when the target reports room for
- * them, even if all other seats used their whole part.
- */
+/* Takes back the slots of given-up requests that can no longer run. */
 static void recover_slots(struct flow_target *t, uint32_t busy,
 			  uint64_t sampled_us)
 {
 	uint32_t others = t->slots - t->own_slots;
 
-	if (t->abandoned && sampled_us > t->abandoned_us &&
+	if (sampled_us < t->abandoned_us + ABANDONED_MIN_US)
+		return;
+	if (t->abandoned > busy)
+		t->abandoned = busy;
+	if (sampled_us >= t->abandoned_us + ABANDONED_MAX_US &&
 	    busy <= t->outstanding + others)
 		t->abandoned = 0;
 }
@@ -437,11 +456,6 @@
 
 		if (!t->present)
 			continue;
-		if (t->abandoned &&
-		    now_us - t->abandoned_us >= ABANDONED_MAX_US) {
-			t->abandoned = 0;
-			update_target(f, i);
-		}
 		if (!probe_is_due(t, now_us))
 			continue;
 		t->asked = true;
--- a/src/flow.c
+++ b/src/flow.c
@@ -9,6 +9,8 @@
 /* Tokens kept for later: at most this many retries in a burst. */
 #define BUDGET_MAX (100 * 100)
 #define BUDGET_RETRY_COST 100
+/* The longest deadline once more; a slow target ends within it. */
+#define LINGER_US 30000000u
 #define QUANTILE_INTERVAL_US 100000u
 #define DECAY_INTERVAL_US 10000000u
 
@@ -213,21 +215,36 @@
 	admit_request(f, handle, now_us, out);
 }
 
+/*
+ * Ends a request whose attempts run on. Past its deadline that is a timeout
+ * of their targets.
+ */
+static void leave_running(struct flow *f, uint32_t handle, uint64_t now_us,
+			  struct flow_actions *out)
+{
+	struct flow_request *r = &f->requests[handle];
+
+	for (int i = 0; i < FLOW_ATTEMPTS_RUNNING; i++) {
+		const struct flow_attempt *a = &r->out[i];
+
+		if (a->target != FLOW_NONE && now_us >= r->deadline_us)
+			route_late(f, a->target, a->sent_us, now_us);
+	}
+	finish(f, handle, FLOW_TIMEOUT, NULL, out);
+}
+
 static void on_cancel(struct flow *f, uint64_t now_us,
 		      const struct flow_event *e, struct flow_actions *out)
 {
 	uint32_t handle = e->cancel.handle;
-	struct flow_request *r;
 
 	if (handle >= f->request_high)
 		return;
-	r = &f->requests[handle];
-	r->cancelled = true;
-	if (r->state == REQUEST_QUEUED) {
+	if (f->requests[handle].state == REQUEST_QUEUED) {
 		flow_queue_remove(f, handle);
-		flow_refuse(f, handle, FLOW_REASON_NONE, now_us, out);
-	} else if (r->state == REQUEST_RUNNING) {
-		hedge_list_remove(f, handle);
+		flow_refuse(f, handle, FLOW_REASON_DEADLINE, now_us, out);
+	} else if (f->requests[handle].state == REQUEST_RUNNING) {
+		leave_running(f, handle, now_us, out);
 	}
 }
 
@@ -249,7 +266,7 @@
 	a->why = why;
 	a->hedge = r->state == REQUEST_RUNNING;
 	a->queued_us = a->hedge ? 0 : now_us - r->queued_us;
-	a->timeout_us = r->deadline_us;
+	a->timeout_us = r->deadline_us + LINGER_US;
 	a->connections = f->targets[target].own_connections;
 	if (r->kind >= 0)
 		f->kinds[r->kind].running++;
@@ -301,7 +318,7 @@
 		earn_budget(f, r);
 		send(f, handle, target, passed_over, why, now_us, out);
 		r->state = REQUEST_RUNNING;
-		if (r->idempotent && !r->hedged && !r->cancelled)
+		if (r->idempotent && !r->hedged)
 			hedge_list_add(f, handle);
 	}
 }
@@ -316,7 +333,7 @@
 	*reason = FLOW_REASON_TARGET_FAILED;
 	if (!r->idempotent && outcome != FLOW_NOT_SENT)
 		return false;
-	if (r->cancelled || r->attempts >= ATTEMPTS_MAX)
+	if (r->attempts >= ATTEMPTS_MAX)
 		return false;
 	if (r->kind < 0 || f->capacity == 0)
 		return false;
--- a/src/svc-flow-internal.h
+++ b/src/svc-flow-internal.h
@@ -65,6 +65,7 @@
 	struct flow_svc *svc;
 	struct flow_job *job;
 	struct flow_action action;
+	struct http_cancel cancel;
 	uint64_t first_byte_us; /* 0: no byte left */
 };
 
@@ -141,6 +142,7 @@
 	pthread_cond_t send_cond;
 	struct flow_send *send_first;
 	struct flow_send **send_last;
+	struct flow_send *send_running;
 	uint32_t send_queued;
 	uint32_t send_threads;
 	uint32_t send_idle;
--- a/src/svc-flow-io.c
+++ b/src/svc-flow-io.c
@@ -36,6 +36,9 @@
 	pthread_mutex_lock(&f->send_lock);
 	f->stopping = true;
 	pthread_cond_broadcast(&f->send_cond);
+	/* Attempts that run past their deadline are of no use to anybody. */
+	for (struct flow_send *s = f->send_running; s; s = s->next)
+		http_cancel(f->http, &s->cancel);
 	/* The last thread to end signals; queued attempts are run first. */
 	while (f->send_threads)
 		pthread_cond_wait(&f->send_cond, &f->send_lock);
@@ -96,6 +99,8 @@
 		if (!s->next)
 			f->send_last = &f->send_first;
 		f->send_queued--;
+		s->next = f->send_running;
+		f->send_running = s;
 	} else {
 		f->send_threads--;
 		pthread_cond_broadcast(&f->send_cond);
@@ -104,6 +109,17 @@
 	return s;
 }
 
+static void remove_running(struct flow_svc *f, struct flow_send *s)
+{
+	struct flow_send **at = &f->send_running;
+
+	pthread_mutex_lock(&f->send_lock);
+	while (*at != s)
+		at = &(*at)->next;
+	*at = s->next;
+	pthread_mutex_unlock(&f->send_lock);
+}
+
 static void *run_sender(void *arg)
 {
 	struct flow_svc *f = arg;
@@ -112,6 +128,7 @@
 	rcu_register_thread();
 	while ((s = next_send(f))) {
 		run_attempt(s);
+		remove_running(f, s);
 		free(s);
 	}
 	rcu_unregister_thread();
@@ -202,11 +219,12 @@
 		.before_send = before_send,
 		.before_send_arg = s,
 		.max_connections = s->action.connections,
+		.cancel = &s->cancel,
 	};
 
 	if (now >= job->deadline_us)
 		return FLOW_NOT_SENT;
-	req.timeout_us = job->deadline_us - now;
+	req.timeout_us = s->action.timeout_us - now;
 	snprintf(headers, sizeof(headers),
 		 "X-Request-Id: %s\r\nX-Kind: %s\r\n"
 		 "Content-Type: application/octet-stream\r\n",
--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -11,11 +11,6 @@
 
 #define TICK_US 10000u
 #define STOPS_INTERVAL_US 1000000u
-/*
- * A caller is answered this long after its deadline at the latest. The usual
- * end is the timeout of the attempt, which comes at the deadline itself.
- */
-#define GRACE_US 50000u
 #define TEAM_QUEUED_BYTES (4u * 1024u * 1024u)
 #define PROBE_THREADS 8
 #define PROBE_QUEUE 4096
@@ -402,7 +397,7 @@
 	}
 }
 
-/* Waits for the decision, at most until shortly after the deadline. */
+/* Waits for the decision, at most until the deadline. */
 static void wait_for_end(struct flow_svc *f, struct flow_entry *entry,
 			 uint64_t deadline_us)
 {
@@ -410,11 +405,10 @@
 		uint64_t now = clock_now_us();
 		struct timespec ts;
 
-		if (now >= deadline_us + GRACE_US)
+		if (now >= deadline_us)
 			return;
 		clock_gettime(CLOCK_REALTIME, &ts);
-		now = (uint64_t)ts.tv_nsec / 1000u + deadline_us + GRACE_US -
-		      now;
+		now = (uint64_t)ts.tv_nsec / 1000u + deadline_us - now;
 		ts.tv_sec += (time_t)(now / 1000000u);
 		ts.tv_nsec = (long)(now % 1000000u) * 1000;
 		pthread_cond_timedwait(&entry->cond, &f->lock, &ts);
@@ -422,8 +416,8 @@
 }
 
 /*
- * The deadline has passed and an attempt still runs. No attempt starts to
- * send after the deadline, so "not run" is certain when none has sent.
+ * The deadline has passed. An attempt that is being sent runs on; no other
+ * starts to send after the deadline, so "not run" is certain when none has.
  */
 static void give_up(struct flow_svc *f, uint32_t handle,
 		    struct flow_reply *reply)
@@ -435,9 +429,8 @@
 	flow_post(f, &e);
 	reply->reason = FLOW_REASON_DEADLINE;
 	reply->outcome = FLOW_TIMEOUT;
-	reply->code = FLOW_REPLY_UNKNOWN;
-	if (!entry->may_have_run && atomic_load(&entry->job->sending) == 0)
-		reply->code = FLOW_REPLY_NOT_RUN;
+	if (entry->may_have_run || atomic_load(&entry->job->sending) > 0)
+		reply->code = FLOW_REPLY_UNKNOWN;
 }
 
 /* Turns the final action into the reply. */
@@ -542,10 +535,10 @@
 		e.request.handle = handle;
 		flow_post(f, &e);
 		wait_for_end(f, entry, call->deadline_us);
-		if (!entry->decided)
-			give_up(f, handle, reply);
 		if (entry->decided)
 			make_reply(entry, reply);
+		else
+			give_up(f, handle, reply);
 		entry->waited_for = false;
 		flow_entry_release(f, handle);
 	} else {
--- a/tests/bench-flow.c
+++ b/tests/bench-flow.c
@@ -27,6 +27,7 @@
 	TIMER_ARRIVAL,
 	TIMER_CALLER_RETRY,
 	TIMER_RESULT,
+	TIMER_DEADLINE,
 	TIMER_PROBE,
 	TIMER_TICK,
 	TIMER_SHIFT,
@@ -299,6 +300,7 @@
 static void arrive(struct model *m, uint32_t kind, uint32_t tries)
 {
 	uint32_t handle = m->free_handles[--m->free_count];
+	struct timer t = { .type = TIMER_DEADLINE };
 
 	m->pending[handle] = (struct pending){
 		.arrived_us = m->rig.now_us,
@@ -309,10 +311,27 @@
 	m->counts.requests++;
 	if (in_window(m, m->rig.now_us))
 		m->counts.demand[kind]++;
+	t.at_us = m->pending[handle].deadline_us;
+	t.action.handle = handle;
+	t.service_us = m->rig.now_us;
+	push_timer(m, t);
 	rig_request(&m->rig, handle, (int32_t)kind, true, m->plan->deadline_us);
 	execute(m);
 }
 
+/* Gives up a request at its deadline, unless its handle has a new one. */
+static void on_deadline(struct model *m, const struct timer *t)
+{
+	struct flow_event e = { .type = FLOW_CANCEL };
+	const struct pending *p = &m->pending[t->action.handle];
+
+	if (p->ended || p->arrived_us != t->service_us)
+		return;
+	e.cancel.handle = t->action.handle;
+	rig_post(&m->rig, &e);
+	execute(m);
+}
+
 /* Rate of a kind's arrivals now. */
 static double rate_of(const struct model *m, uint32_t kind)
 {
@@ -361,6 +380,9 @@
 	case TIMER_RESULT:
 		on_result(m, t);
 		break;
+	case TIMER_DEADLINE:
+		on_deadline(m, t);
+		break;
 	case TIMER_PROBE:
 		rig_probe(&m->rig, t->action.target, t->kind, false);
 		execute(m);
--- a/tests/test-flow-random.c
+++ b/tests/test-flow-random.c
@@ -63,6 +63,8 @@
 	uint32_t slots;
 	uint32_t out;
 	uint32_t failures;
+	uint32_t lost; /* given up, and not known to have ended */
+	uint64_t lost_us;
 };
 
 struct model {
@@ -150,7 +152,7 @@
 
 	if (!t->present || t->leaving || t->draining)
 		fail(m, "sent to target %u that is leaving", target);
-	if (t->out >= own)
+	if (t->out + t->lost >= own)
 		fail(m, "target %u above its %u own slots", target, own);
 	if (t->failures >= 3 && !t->probed)
 		fail(m, "sent to target %u with an open breaker", target);
@@ -210,7 +212,7 @@
 		fail(m, "second end of %u", a->handle);
 	if (a->type == FLOW_REFUSE && (r->may_have_run || is_out(r)))
 		fail(m, "%u \"not run\" although it may have run", a->handle);
-	if (a->type == FLOW_FINISH && !r->may_have_run)
+	if (a->type == FLOW_FINISH && !r->may_have_run && !is_out(r))
 		fail(m, "%u ended without having been sent", a->handle);
 	if (a->type == FLOW_FINISH &&
 	    (a->outcome == FLOW_OK || a->outcome == FLOW_FAILED) &&
@@ -306,6 +308,10 @@
 	t->failures = outcome == FLOW_OK ? 0 : t->failures + 1;
 	if (outcome != FLOW_OK)
 		t->probed = false;
+	if (outcome == FLOW_LOST || outcome == FLOW_TIMEOUT) {
+		t->lost++;
+		t->lost_us = m->rig.now_us;
+	}
 	if (outcome != FLOW_NOT_SENT && outcome != FLOW_REFUSED)
 		r->may_have_run = true;
 	r->queued = !r->final && !is_out(r);
@@ -363,6 +369,9 @@
 	e.probe.sampled_us = m->rig.now_us;
 	if (e.probe.answered) {
 		t->draining = e.probe.draining;
+		if (t->lost > e.probe.busy &&
+		    m->rig.now_us >= t->lost_us + 1000000)
+			t->lost = e.probe.busy;
 		t->probed = true;
 	} else {
 		t->failures++;
@@ -403,6 +412,21 @@
 	rig_policy(&m->rig, m->sheet);
 }
 
+/* Past its deadline a request that runs is a failure of its targets. */
+static void note_late(struct model *m, const struct request *r)
+{
+	if (!r->used || r->final || m->rig.now_us < r->deadline_us)
+		return;
+	for (int i = 0; i < r->sends; i++) {
+		struct target *t = &m->targets[r->attempts[i].action.target];
+
+		if (!r->attempts[i].out)
+			continue;
+		t->failures++;
+		t->probed = false;
+	}
+}
+
 static void do_cancel(struct model *m, const struct op *op)
 {
 	struct flow_event e = { .type = FLOW_CANCEL };
@@ -410,6 +434,7 @@
 	if (op->b % 4)
 		return;
 	e.cancel.handle = op->a % HANDLES;
+	note_late(m, &m->requests[e.cancel.handle]);
 	rig_post(&m->rig, &e);
 }
 
--- a/tests/test-flow.c
+++ b/tests/test-flow.c
@@ -265,29 +265,48 @@
 	rig_close(&rig);
 }
 
-/*
- * Guards against a ninth request at a runner with 8 slots of which some run
- * requests that were given up here.
- */
-static void test_abandoned_requests_keep_their_slot(void)
+/* Guards against a ninth request at a runner that still runs eight. */
+static void test_late_requests_keep_their_slot(void)
 {
+	struct flow_event e = { .type = FLOW_CANCEL };
+	struct flow_action sent;
 	struct flow_rig rig;
-	struct flow_action sent[2];
 
-	open_rig(&rig, 1, 2);
-	for (uint32_t i = 0; i < 2; i++) {
-		rig_request(&rig, i, 0, false, SECOND_US);
-		sent[i] = *rig_find(&rig, FLOW_SEND);
-	}
+	open_rig(&rig, 1, 1);
+	rig_request(&rig, 0, 0, false, SECOND_US);
+	sent = *rig_find(&rig, FLOW_SEND);
 	rig.now_us += SECOND_US;
-	rig_result(&rig, &sent[0], FLOW_TIMEOUT, SECOND_US);
-	rig_request(&rig, 2, 0, true, SECOND_US);
+	e.cancel.handle = 0;
+	rig_post(&rig, &e);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(rig_find(&rig, FLOW_FINISH));
+	CU_ASSERT_EQUAL(rig_find(&rig, FLOW_FINISH)->outcome, FLOW_TIMEOUT);
+	rig_request(&rig, 1, 0, true, 5 * SECOND_US);
 	CU_ASSERT_PTR_NULL(rig_find(&rig, FLOW_SEND));
-	rig_tick(&rig, 1000);
-	rig_probe(&rig, 0, 2, false);
+	rig_result(&rig, &sent, FLOW_OK, SECOND_US);
+	CU_ASSERT_PTR_NOT_NULL(rig_find(&rig, FLOW_SEND));
+	rig_close(&rig);
+}
+
+/* As above, when the connection to a runner is lost. */
+static void test_lost_requests_keep_their_slot(void)
+{
+	struct flow_rig rig;
+	struct flow_action sent;
+
+	open_rig(&rig, 1, 1);
+	rig_request(&rig, 0, 0, false, SECOND_US);
+	sent = *rig_find(&rig, FLOW_SEND);
+	rig_result(&rig, &sent, FLOW_LOST, 0);
+	rig_request(&rig, 1, 0, true, 60 * SECOND_US);
 	CU_ASSERT_PTR_NULL(rig_find(&rig, FLOW_SEND));
-	rig_tick(&rig, 1000);
+	rig_tick(&rig, 500000);
+	rig_probe(&rig, 0, 0, false); /* it may still be on its way */
+	CU_ASSERT_PTR_NULL(rig_find(&rig, FLOW_SEND));
+	rig_tick(&rig, 600000);
 	rig_probe(&rig, 0, 1, false);
+	CU_ASSERT_PTR_NULL(rig_find(&rig, FLOW_SEND));
+	rig_tick(&rig, 600000);
+	rig_probe(&rig, 0, 0, false);
 	CU_ASSERT_PTR_NOT_NULL(rig_find(&rig, FLOW_SEND));
 	rig_close(&rig);
 }
@@ -415,8 +434,10 @@
 		{ "breaker", test_breaker },
 		{ "draining target gets nothing",
 		  test_draining_target_gets_nothing },
-		{ "abandoned requests keep their slot",
-		  test_abandoned_requests_keep_their_slot },
+		{ "late requests keep their slot",
+		  test_late_requests_keep_their_slot },
+		{ "lost requests keep their slot",
+		  test_lost_requests_keep_their_slot },
 		{ "full queue displaces the flood",
 		  test_full_queue_displaces_the_flood },
 		{ "limits", test_limits },
