Estimate the wait in a queue more steadily and with a margin

Cause: with a deep queue or short deadlines requests were let in that could not be in time; they were refused only shortly before their deadline. Change: the interval between two sends of a queue is averaged over 64 sends instead of 8, starts from the share of the kind, and the expected wait is taken 1.25 times. The reserve of the retry budget is 20 requests.

--- a/src/flow-admit.c
+++ b/src/flow-admit.c
@@ -11,7 +11,13 @@
  * requests are all refused as too slow gets no sample that could correct it.
  */
 #define SERVICE_MAX_AGE_US 2000000u
-#define INTERVAL_WEIGHT_SHIFT 3
+/*
+ * Gaps between two sends vary as much as their mean. With a weight of 1/8 the
+ * estimate did, too, and let in requests that could not be in time.
+ */
+#define INTERVAL_WEIGHT_SHIFT 6
+/* Covers what the estimate of the wait misses; see docs/notes/admission.md. */
+#define WAIT_MARGIN 1.25
 #define QUANTILE_MIN_SAMPLES 20
 
 /* Part of the slots and of the queue that a kind uses, against its share. */
@@ -51,7 +57,7 @@
 {
 	if (q->queued == 0)
 		return 0;
-	return interval_us(f, k, q, now_us) * (q->queued + 1);
+	return WAIT_MARGIN * interval_us(f, k, q, now_us) * (q->queued + 1);
 }
 
 /*
@@ -298,7 +304,7 @@
 	k->last_send_us = now_us;
 	if (q->last_send_us) {
 		int64_t gap = (int64_t)(now_us - q->last_send_us);
-		int64_t old = (int64_t)q->interval_us;
+		int64_t old = (int64_t)interval_us(f, k, q, q->last_send_us);
 
 		q->interval_us = (uint64_t)(old + ((gap - old) >>
 						   INTERVAL_WEIGHT_SHIFT));
--- a/src/flow.c
+++ b/src/flow.c
@@ -6,8 +6,11 @@
 
 /* Attempts for one request; an end to loops when the budget is unlimited. */
 #define ATTEMPTS_MAX 100
-/* Tokens kept for later: at most this many retries in a burst. */
-#define BUDGET_MAX (100 * 100)
+/*
+ * Tokens kept for later. A larger reserve would let the requests sent exceed
+ * the budget over a short time.
+ */
+#define BUDGET_MAX (20 * 100)
 #define BUDGET_RETRY_COST 100
 /* The longest deadline once more; a slow target ends within it. */
 #define LINGER_US 30000000u
--- a/tests/bench-flow.c
+++ b/tests/bench-flow.c
@@ -573,8 +573,11 @@
 	return served / seconds / capacity;
 }
 
-/* Ten times the capacity of one kind for 30 s; others ask for their share. */
-static void bench_flood(const char *name, int kind, uint64_t seed)
+/*
+ * Ten times the capacity of one kind for 30 s; others ask for their share.
+ * With a deep queue only the early refusal keeps the wait below the deadline.
+ */
+static void bench_flood(const char *name, int kind, bool deep, uint64_t seed)
 {
 	double capacity = own_slots() * SECOND / SERVICE_US;
 	struct plan plan = basic_plan();
@@ -589,6 +592,8 @@
 	plan.measure_to_us = 35 * SECOND;
 	plan.end_us = 38 * SECOND;
 	plan.deadline_us = SECOND;
+	if (deep)
+		plan.options.queue_limit = 8192;
 	for (int k = 0; k < KINDS; k++)
 		plan.rate[k] = 0.9 * kinds[k].share_percent / 100.0 * capacity;
 	c = run(&plan, seed);
@@ -597,14 +602,14 @@
 	kept = kept_share(&plan, &c, capacity);
 	good = goodput(&plan, &c, capacity);
 	refusal = histogram_quantile(&c.refusal, 0.99) / 1000.0;
-	print_line(name, "kept-share", 100 * kept, "%",
-		   100 * kept_share(&plan, &base, capacity), 95, kept >= 0.95,
-		   seed);
-	print_line(name, "goodput", 100 * good, "%",
+	print_line(name, deep ? "kept-share-deep" : "kept-share", 100 * kept,
+		   "%", 100 * kept_share(&plan, &base, capacity), 95,
+		   kept >= 0.95, seed);
+	print_line(name, deep ? "goodput-deep" : "goodput", 100 * good, "%",
 		   100 * goodput(&plan, &base, capacity), 90, good >= 0.9,
 		   seed);
-	print_line(name, "refusal-p99", refusal, "ms",
-		   histogram_quantile(&base.refusal, 0.99) / 1000.0, 50,
+	print_line(name, deep ? "refusal-p99-deep" : "refusal-p99", refusal,
+		   "ms", histogram_quantile(&base.refusal, 0.99) / 1000.0, 50,
 		   refusal <= 50, seed);
 }
 
@@ -728,10 +733,12 @@
 	for (uint64_t i = seed; i < seed + runs; i++) {
 		if (wanted(scenario, "route"))
 			bench_route(i);
-		if (wanted(scenario, "flood-low"))
-			bench_flood("flood-low", 2, i);
-		if (wanted(scenario, "flood-high"))
-			bench_flood("flood-high", 0, i);
+		for (int deep = 0; deep < 2; deep++) {
+			if (wanted(scenario, "flood-low"))
+				bench_flood("flood-low", 2, deep, i);
+			if (wanted(scenario, "flood-high"))
+				bench_flood("flood-high", 0, deep, i);
+		}
 		if (wanted(scenario, "retry")) {
 			bench_retry("sent-per-accepted", RUNNERS / 3, i);
 			bench_retry("sent-per-accepted-all", RUNNERS, i);
