Place batch work where the services let it run whole

Cause: learnt sizes were counted in buckets 25% wide with 10% on top, so a worker was full on paper with 3 of 16 cores idle; and a task started beside a service that left it 20% of its CPU while a worker without services came free. Change: buckets are 6% wide and CPU has no margin; a task waits up to 300 s for a place with its whole CPU before it takes less; the limits follow the bound of 1.15.

--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -135,8 +135,9 @@
 	struct placement *cursor; /* of a pass of the scheduler */
 };
 
-/* Log-linear counts, 4 to a doubling, of values from 1 to 2^32. */
-#define SIZE_BUCKETS 128
+/* Log-linear counts, 16 to a doubling (6% wide), of 32-bit values. */
+#define SIZE_SUB 16
+#define SIZE_BUCKETS 464
 struct sizes {
 	uint16_t counts[SIZE_BUCKETS];
 	uint32_t total;
--- a/src/place-pair.c
+++ b/src/place-pair.c
@@ -18,24 +18,23 @@
 #define MEAN_MAX 20.0f
 #define BOUND_SIGMAS 1.0f
 /* Slowdowns, as parts of the latency when alone. */
-#define PLACE_LIMIT 0.13f
-#define RELIEVE_ABOVE 0.15f
-#define RELIEVE_TO 0.10f
-#define RESTORE_BELOW 0.13f
+#define PLACE_LIMIT 0.15f
+#define RELIEVE_ABOVE 0.17f
+#define RELIEVE_TO 0.12f
+#define RESTORE_BELOW 0.15f
 #define THRESHOLD_ABOVE 0.15f
 /* Below this part of its CPU a batch task is not worth keeping throttled. */
 #define PERCENT_MIN 20u
 #define PERCENT_STEP 25u
 /* A start must get this part of its CPU; a long wait makes it content. */
-#define SHARE_MIN 0.8f
+#define SHARE_MIN 1.0f
 #define SHARE_STEP 0.1f
-#define SHARE_WAIT_US 100000000.0f
+#define SHARE_WAIT_US 300000000.0f
 /* What harms no service goes beside them, and leaves the other workers. */
 #define BESIDE_SERVICES 0.3f
 #define STRIKES_MAX 3
 #define CANDIDATES 24
 #define CANDIDATE_STARTS 4
-#define SERVICES_MAX 32
 #define BASE_WEIGHT_MAX 200.0 /* samples */
 #define BASE_SHARED_ALPHA 0.002
 
--- a/src/place-usage.c
+++ b/src/place-usage.c
@@ -12,7 +12,9 @@
 /* Workers that report no usage must not keep a kind waiting. */
 #define UNKNOWN_US 30000000u
 #define MEMORY_HIGH_PERCENT 92
-#define MARGIN 1.1
+/* Memory cannot be shared beyond what there is; CPU can, for a while. */
+#define MEMORY_MARGIN 1.1
+#define CPU_MARGIN 1.0
 #define TOTAL_MAX 1000
 
 static void adjust_reserved(struct place *p, struct task *t);
@@ -21,19 +23,19 @@
 {
 	int log = 0;
 
-	if (value < 4)
+	if (value < SIZE_SUB)
 		return (int)value;
-	while (value >> (log + 3))
+	while (value >> log >= 2 * SIZE_SUB)
 		log++;
-	return 4 * log + (int)(value >> log);
+	return SIZE_SUB * log + (int)(value >> log);
 }
 
 /* The upper end of a bucket's values. */
 static uint32_t bucket_top(int bucket)
 {
-	int log = bucket < 8 ? 0 : bucket / 4 - 1;
+	int log = bucket < 2 * SIZE_SUB ? 0 : bucket / SIZE_SUB - 1;
 
-	return ((uint32_t)(bucket - 4 * log + 1) << log) - 1;
+	return ((uint32_t)(bucket - SIZE_SUB * log + 1) << log) - 1;
 }
 
 /* Adds a value; old ones lose half their weight at the limit. */
@@ -65,7 +67,7 @@
 /* Reserves the p95 of what was seen, else the declared size. */
 static int32_t size_need(const struct sizes *absolute,
 			 const struct sizes *ratio, uint32_t declared,
-			 uint32_t unknown_factor)
+			 uint32_t unknown_factor, double margin)
 {
 	double top, by_ratio, spread, ratio_spread;
 
@@ -78,7 +80,7 @@
 	/* The narrower of the two predicts better. */
 	if (ratio_spread < spread)
 		top = by_ratio * declared / 1000.0;
-	return (int32_t)(top * MARGIN) + 1;
+	return (int32_t)(top * margin) + 1;
 }
 
 void usage_need(const struct place *p, const struct placement *pl,
@@ -95,9 +97,11 @@
 	if (k->memory.total || !k->first_start_us ||
 	    p->now_us - k->first_start_us < UNKNOWN_US)
 		factor = UNKNOWN_FACTOR;
-	need[RES_CPU] = size_need(&k->cpu, &k->cpu_ratio, pl->need[RES_CPU], 1);
-	need[RES_MEMORY] = size_need(&k->memory, &k->memory_ratio,
-				     pl->need[RES_MEMORY], factor);
+	need[RES_CPU] = size_need(&k->cpu, &k->cpu_ratio, pl->need[RES_CPU], 1,
+				  CPU_MARGIN);
+	need[RES_MEMORY] =
+		size_need(&k->memory, &k->memory_ratio, pl->need[RES_MEMORY],
+			  factor, MEMORY_MARGIN);
 	/* Never above the capacity of the largest worker. */
 	if (p->capacity_index.leaves)
 		top = p->capacity_index.max[1];
@@ -179,7 +183,7 @@
 {
 	const struct kind *k = &p->kinds[t->placement->kind];
 	int32_t need[RES_COUNT];
-	int32_t peak = (int32_t)(t->peak_memory_mb * MARGIN);
+	int32_t peak = (int32_t)(t->peak_memory_mb * MEMORY_MARGIN);
 
 	if (k->memory.total < KNOWN_TASKS || !t->counted)
 		return;
