--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -283,6 +283,192 @@
 	shard_free(&s);
 }
 
+/* A usage sample of a task, then of its worker. */
+static void report_usage(const char *task, const char *worker, uint32_t attempt,
+			 uint32_t cpu, uint32_t memory, uint32_t latency_us)
+{
+	struct place_event e = { .type = PLACE_USAGE,
+				 .id = task,
+				 .worker = worker,
+				 .attempt = attempt,
+				 .cpu_milli = cpu,
+				 .memory_mb = memory,
+				 .latency_p99_us = latency_us,
+				 .at_us = ++s.now_us };
+
+	shard_step(&s, &e);
+	e.type = PLACE_WORKER_USAGE;
+	e.id = worker;
+	shard_step(&s, &e);
+}
+
+/* Answers all calls as a worker that does what it is told. */
+static uint32_t obey(enum place_action_type counted)
+{
+	static const enum place_event_type answers[] = {
+		[PLACE_START] = PLACE_STARTED,
+		[PLACE_STOP] = PLACE_STOPPED,
+		[PLACE_CHECKPOINT] = PLACE_CHECKPOINTED,
+		[PLACE_RENEW] = PLACE_RENEWED,
+	};
+	struct place_action next;
+	uint32_t count = 0;
+
+	while (place_next_action(s.place, &next)) {
+		if (next.type == counted) {
+			a = next;
+			count++;
+		}
+		if (next.type < PLACE_RENEW && next.type != PLACE_THROTTLE)
+			shard_answer(&s, answers[next.type], &next,
+				     PLACE_ANSWER_OK);
+		else if (next.type == PLACE_RENEW)
+			shard_answer(&s, PLACE_RENEWED, &next, PLACE_ANSWER_OK);
+	}
+	return count;
+}
+
+static uint32_t run_for(uint64_t us, enum place_action_type counted)
+{
+	uint32_t count = 0;
+
+	for (uint64_t t = 0; t < us; t += 100000) {
+		shard_tick(&s, 100000);
+		shard_commit(&s, 100);
+		count += obey(counted);
+	}
+	return count;
+}
+
+/* Guards against declared sizes that are taken for the truth. */
+static void test_reservation_follows_usage(void)
+{
+	struct place_task_view v;
+	char id[16] = "z.a";
+
+	set_up(PLACEMENT_LEARNED);
+	for (int i = 0; i < 6; i++) {
+		char task[16] = "z.a.0";
+
+		id[2] = task[2] = (char)('a' + i);
+		shard_create(&s, id, 1, 100, 100);
+		run_for(300000, PLACE_START);
+		CU_ASSERT_TRUE_FATAL(place_view_task(s.place, task, &v));
+		CU_ASSERT_EQUAL_FATAL(v.state, TASK_RUNNING);
+		/* An unknown kind reserves five times its memory. */
+		if (!i)
+			CU_ASSERT_EQUAL(v.memory_mb, 500);
+		report_usage(task, v.worker, v.attempt, 100, 300, 0);
+		report_usage(task, v.worker, v.attempt, 100, 300, 0);
+	}
+	shard_create(&s, "z.next", 1, 100, 100);
+	run_for(300000, PLACE_START);
+	CU_ASSERT_TRUE_FATAL(place_view_task(s.place, "z.next.0", &v));
+	CU_ASSERT(v.memory_mb >= 330 && v.memory_mb <= 360);
+	shard_free(&s);
+}
+
+/* Creates a service of one replica and returns with it running. */
+static void run_service(void)
+{
+	struct placement_spec spec = { .id = "z.front",
+				       .user = "u",
+				       .team = "t",
+				       .kind = "front",
+				       .service = true,
+				       .urgency = URGENCY_URGENT,
+				       .count = 1,
+				       .cpu_milli = 1000,
+				       .memory_mb = 100 };
+	struct place_event e = { .type = PLACE_CREATE, .placement = &spec };
+
+	shard_step(&s, &e);
+	run_for(300000, PLACE_START);
+}
+
+/* Guards against an eviction where a throttle would do, and haste. */
+static void test_throttle_comes_first(void)
+{
+	struct place_task_view v;
+
+	shard_init(&s, PLACEMENT_LEARNED);
+	shard_worker(&s, "w1", 16000, 8192);
+	shard_read_all(&s);
+	run_service();
+	for (int i = 0; i < 30; i++)
+		report_usage("z.front.0", "w1", 1, 500, 100, 10000);
+	shard_create(&s, "z.batch", 1, 1000, 100);
+	run_for(300000, PLACE_START);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.batch.0"), TASK_RUNNING);
+	report_usage("z.batch.0", "w1", 1, 1000, 100, 0);
+	report_usage("z.front.0", "w1", 1, 500, 100, 20000);
+	CU_ASSERT_EQUAL(run_for(200000, PLACE_THROTTLE), 1);
+	CU_ASSERT_STRING_EQUAL(a.task, "z.batch.0");
+	CU_ASSERT(a.percent < 100);
+	/* Reports of the time before the throttle bring no second one. */
+	for (int i = 0; i < 15; i++) {
+		report_usage("z.front.0", "w1", 1, 500, 100, 20000);
+		CU_ASSERT_EQUAL(run_for(100000, PLACE_THROTTLE), 0);
+	}
+	for (int i = 0; i < 30; i++) {
+		report_usage("z.batch.0", "w1", 1, 200, 100, 0);
+		report_usage("z.front.0", "w1", 1, 500, 100, 20000);
+		run_for(1000000, PLACE_THROTTLE);
+	}
+	CU_ASSERT_TRUE_FATAL(place_view_task(s.place, "z.batch.0", &v));
+	CU_ASSERT(v.attempt > 1 || v.state == TASK_EVICTED ||
+		  v.state == TASK_PENDING);
+	shard_free(&s);
+}
+
+/* Guards against a team that takes all room while another waits. */
+static void test_team_below_its_share_is_next(void)
+{
+	struct placement_spec spec = { .id = "z.other",
+				       .user = "u",
+				       .team = "other",
+				       .kind = "batch",
+				       .urgency = URGENCY_NORMAL,
+				       .count = 2,
+				       .cpu_milli = 2000,
+				       .memory_mb = 100 };
+	struct place_event e = { .type = PLACE_CREATE, .placement = &spec };
+
+	set_up(PLACEMENT_FIRST_FIT);
+	shard_create(&s, "z.many", 10, 2000, 100);
+	shard_step(&s, &e);
+	run_for(300000, PLACE_START);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.other.1"), TASK_RUNNING);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.many.1"), TASK_RUNNING);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.many.2"), TASK_PENDING);
+	shard_free(&s);
+}
+
+/* Guards against a quota that is only advice. */
+static void test_quota_holds(void)
+{
+	struct sheet_team team = { .user = "u",
+				   .name = "t",
+				   .cpu_milli = 1000 };
+	struct sheet sheet = { .teams = &team, .team_count = 1 };
+	struct place_event e = { .type = PLACE_POLICY, .policy = &sheet };
+	struct place_task_view v;
+
+	set_up(PLACEMENT_FIRST_FIT);
+	shard_step(&s, &e);
+	for (int i = 0; i < 60; i++)
+		shard_tick(&s, 100000);
+	shard_create(&s, "z.two", 2, 600, 100);
+	shard_create(&s, "z.big", 1, 1100, 100);
+	run_for(300000, PLACE_START);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.two.0"), TASK_RUNNING);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.two.1"), TASK_PENDING);
+	CU_ASSERT_TRUE_FATAL(place_view_task(s.place, "z.big.0", &v));
+	CU_ASSERT_EQUAL(v.state, TASK_IMPOSSIBLE);
+	CU_ASSERT_STRING_EQUAL(v.reason, "it alone exceeds the team's quota");
+	shard_free(&s);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -298,6 +484,11 @@
 		{ "impossible is named", test_impossible_is_named },
 		{ "quarantine and one trial", test_quarantine_and_one_trial },
 		{ "capacity is kept", test_capacity_is_kept },
+		{ "reservation follows usage", test_reservation_follows_usage },
+		{ "throttle comes first", test_throttle_comes_first },
+		{ "team below its share is next",
+		  test_team_below_its_share_is_next },
+		{ "quota holds", test_quota_holds },
 	};
 
 	return RUN_SUITE("place", tests);
