--- a/src/svc-members.h
+++ b/src/svc-members.h
@@ -33,6 +33,7 @@
 	uint64_t last_heard_us;
 	uint64_t config_revision;
 	bool draining;
+	bool store_reached; /* it reached the store within two lease times */
 	bool live;
 };
 
@@ -68,17 +69,10 @@
 /* Calls fn on the control thread after each change of the seat. */
 void members_on_seat(struct members *m, void (*fn)(void *arg), void *arg);
 
-/*
- * Tells that no request of this process is above its share of the seat's
- * revision any more, so that the other seats may grow. Without this call a
- * revision counts as applied when no request is in flight, and at the latest
- * after the lease and the longest deadline. Any thread.
- */
-void members_applied(struct members *m, uint64_t revision);
-
 /*
  * Tells whether this process is the zone's reader of the store: it holds the
- * lowest live seat.
+ * lowest live seat among those that reach the store, or the lowest live one
+ * when none does.
  */
 bool members_is_reader(struct members *m);
 
