Wait for the longest outage horizon that the log names

Cause: outage_horizon is a setting, so an owner with a shorter one could take over from an owner that still renews leases up to a longer one, and start its tasks again too early. Change: the horizon of an owner is an entry of the log before its first start, and before it makes use of a longer one; the bound after a take-over is the longest named. The policy of placement follows a reload of the settings. Conclusion: settings can differ between entry VMs without harm.

--- a/src/place-apply.c
+++ b/src/place-apply.c
@@ -118,6 +118,10 @@
 	if (c->slot < p->slot_count)
 		pl = p->slots[c->slot];
 	switch (c->type) {
+	case CHANGE_HORIZON:
+		if (c->horizon_ms * 1000ull > p->logged_horizon_us)
+			p->logged_horizon_us = c->horizon_ms * 1000ull;
+		return 0;
 	case CHANGE_CREATE:
 		return apply_create(p, c);
 	case CHANGE_UPDATE:
@@ -492,6 +496,7 @@
 	p->worker_count = 0;
 	p->rack_count = 0;
 	p->impossible_count = 0;
+	p->logged_horizon_us = 0;
 	memset(p->total, 0, sizeof(p->total));
 	index_free(&p->free_index);
 	index_free(&p->yield_index);
--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -214,7 +214,7 @@
 	int32_t (*max)[RES_COUNT];
 };
 
-enum waiter_type { WAIT_START, WAIT_REPLY };
+enum waiter_type { WAIT_START, WAIT_REPLY, WAIT_HORIZON };
 
 struct waiter {
 	uint64_t token;
@@ -240,6 +240,14 @@
 	uint64_t now_us;
 	uint64_t owned_us;
 	uint64_t last_append_us;
+	/*
+	 * Renewals leave up to this time after the last append. It is no
+	 * longer than what the log says, because the next owner waits for the
+	 * longest horizon that the log names.
+	 */
+	uint64_t horizon_us;
+	uint64_t logged_horizon_us;
+	bool horizon_asked;
 	uint64_t heartbeat_us;
 	uint64_t sweep_us;
 	uint64_t token;
@@ -290,7 +298,7 @@
 /* ---- place-log.c ---- */
 
 enum change_type {
-	CHANGE_NONE, /* shows that the log can be written */
+	CHANGE_HORIZON, /* longest outage horizon of any owner; a heartbeat */
 	CHANGE_CREATE,
 	CHANGE_UPDATE,
 	CHANGE_CANCEL,
@@ -311,6 +319,7 @@
 	const char *worker;
 	const char *checkpoint;
 	uint32_t failures;
+	uint32_t horizon_ms;
 	enum place_reason reason;
 	uint32_t reserved[RES_COUNT];
 	uint32_t asked[RES_COUNT];
--- a/src/place-log.c
+++ b/src/place-log.c
@@ -91,9 +91,9 @@
 		   msgpack_packer *k)
 {
 	static const uint32_t lengths[] = {
-		[CHANGE_NONE] = 1,   [CHANGE_CREATE] = 16, [CHANGE_UPDATE] = 5,
-		[CHANGE_CANCEL] = 2, [CHANGE_FORGET] = 2,  [CHANGE_START] = 9,
-		[CHANGE_TASK] = 7,   [CHANGE_KIND] = 10,   [CHANGE_WORKER] = 4,
+		[CHANGE_HORIZON] = 2, [CHANGE_CREATE] = 16, [CHANGE_UPDATE] = 5,
+		[CHANGE_CANCEL] = 2,  [CHANGE_FORGET] = 2,  [CHANGE_START] = 9,
+		[CHANGE_TASK] = 7,    [CHANGE_KIND] = 10,   [CHANGE_WORKER] = 4,
 		[CHANGE_PAIR] = 7,
 	};
 
@@ -101,7 +101,8 @@
 	msgpack_pack_array(k, lengths[c->type]);
 	msgpack_pack_int(k, c->type);
 	switch (c->type) {
-	case CHANGE_NONE:
+	case CHANGE_HORIZON:
+		msgpack_pack_uint32(k, c->horizon_ms);
 		break;
 	case CHANGE_CREATE:
 		encode_create(c, k);
@@ -286,8 +287,9 @@
 	c.type = (enum change_type)read_uint(&r);
 	c.spec = &spec;
 	switch (c.type) {
-	case CHANGE_NONE:
-		return 0;
+	case CHANGE_HORIZON:
+		c.horizon_ms = read_uint(&r);
+		break;
 	case CHANGE_CREATE:
 		c.slot = read_uint(&r);
 		decode_spec(&r, &spec);
@@ -464,6 +466,11 @@
 	msgpack_packer k;
 
 	msgpack_packer_init(&k, out, write_buffer);
+	if (p->logged_horizon_us) {
+		c.type = CHANGE_HORIZON;
+		c.horizon_ms = (uint32_t)(p->logged_horizon_us / 1000);
+		encode(p, &c, &k);
+	}
 	for (uint32_t i = 0; i < p->slot_count; i++)
 		if (p->slots[i])
 			snapshot_placement(p, p->slots[i], &k);
--- a/src/place-task.c
+++ b/src/place-task.c
@@ -368,7 +368,7 @@
 	struct worker *w = t->worker;
 
 	/* Past the horizon no call leaves, and nothing can start elsewhere. */
-	if (p->now_us - p->last_append_us > p->options.outage_horizon_us) {
+	if (p->now_us - p->last_append_us > p->horizon_us) {
 		t->ended = false;
 		return;
 	}
--- a/src/place-worker.c
+++ b/src/place-worker.c
@@ -356,7 +356,7 @@
 	bool any = false;
 	struct place_action *a;
 
-	if (p->now_us - p->last_append_us > p->options.outage_horizon_us)
+	if (p->now_us - p->last_append_us > p->horizon_us)
 		return;
 	for (struct task *t = w->tasks.first; t && !any; t = t->next)
 		any = t->state == TASK_RUNNING;
--- a/src/place.c
+++ b/src/place.c
@@ -130,6 +130,11 @@
 	free(p);
 }
 
+void place_set_policy(struct place *p, enum settings_placement policy)
+{
+	p->options.policy = policy;
+}
+
 struct oplog_client *place_client(struct place *p)
 {
 	return &p->client;
@@ -165,9 +170,14 @@
 static void client_owned(void *client, uint64_t epoch, uint64_t now_us)
 {
 	struct place *p = client;
-	uint64_t end = now_us + p->options.outage_horizon_us +
-		       PLACE_TASK_LEASE_US + PLACE_LATE_US;
-
+	uint64_t own_us = p->options.outage_horizon_us;
+	uint64_t logged_us = p->logged_horizon_us;
+	uint64_t longest_us = own_us > logged_us ? own_us : logged_us;
+	uint64_t end =
+		now_us + longest_us + PLACE_TASK_LEASE_US + PLACE_LATE_US;
+
+	p->horizon_us = logged_us && logged_us < own_us ? logged_us : own_us;
+	p->horizon_asked = false;
 	p->owner = true;
 	p->settled = false;
 	p->epoch = epoch;
@@ -207,6 +217,8 @@
 		p->waiter_count--;
 		if (w.type == WAIT_START)
 			task_started_durable(p, &w);
+		else if (w.type == WAIT_HORIZON)
+			p->horizon_us = p->options.outage_horizon_us;
 		else
 			reply(p, w.request, PLACE_ACCEPTED);
 	}
@@ -413,13 +425,30 @@
 	}
 }
 
+/* Logs the outage horizon, when it is new or for the sake of an append. */
+static void log_horizon(struct place *p)
+{
+	uint64_t own_us = p->options.outage_horizon_us;
+	struct change c = { .type = CHANGE_HORIZON,
+			    .horizon_ms = (uint32_t)(own_us / 1000) };
+	struct waiter w = { .type = WAIT_HORIZON };
+
+	w.token = place_commit(p, &c);
+	if (!w.token)
+		return;
+	p->horizon_asked = true;
+	place_wait(p, &w);
+}
+
 static void tick(struct place *p, const struct place_event *e)
 {
-	struct change c = { .type = CHANGE_NONE };
-	uint64_t quiet_us = p->options.outage_horizon_us / 4;
+	uint64_t quiet_us = p->horizon_us / 4;
 
 	if (e->at_us > p->last_append_us)
 		p->last_append_us = e->at_us;
+	if (!p->horizon_asked &&
+	    p->options.outage_horizon_us > p->logged_horizon_us)
+		log_horizon(p);
 	if (p->now_us - p->sweep_us >= SWEEP_US) {
 		p->sweep_us = p->now_us;
 		for (uint32_t i = 0; i < p->worker_count; i++)
@@ -430,7 +459,14 @@
 	if (p->now_us - p->last_append_us > quiet_us &&
 	    p->now_us - p->heartbeat_us > quiet_us) {
 		p->heartbeat_us = p->now_us;
-		place_commit(p, &c);
+		log_horizon(p);
 	}
-	queue_pass(p);
+	/* A start follows the horizon of its owner in the log. */
+	if (p->logged_horizon_us)
+		queue_pass(p);
+}
+
+uint64_t place_horizon_us(const struct place *p)
+{
+	return p->horizon_us;
 }
--- a/src/place.h
+++ b/src/place.h
@@ -50,6 +50,12 @@
 void place_destroy(struct place *p);
 struct oplog_client *place_client(struct place *p);
 
+/* Longest time from the log's last append to a call that leaves. */
+uint64_t place_horizon_us(const struct place *p);
+
+/* Takes effect with the next decision. */
+void place_set_policy(struct place *p, enum settings_placement policy);
+
 void place_step(struct place *p, uint64_t now_us, const struct place_event *e);
 
 /* Returns false when there is no further action. */
--- a/src/svc-placement-internal.h
+++ b/src/svc-placement-internal.h
@@ -82,7 +82,7 @@
 
 struct placement_svc {
 	struct service service;
-	struct settings settings;
+	const struct settings *running; /* its policy changes on reload */
 	struct loop *loop;
 	struct owner *owner;
 	struct peers *peers;
--- a/src/svc-placement-ops.c
+++ b/src/svc-placement-ops.c
@@ -177,7 +177,7 @@
 	/* A request is passed on once; an owner in between is waited for. */
 	if (op->sender[0])
 		refuse(p, op, 503, "this process does not own the shard");
-	else if (owner[0] && strcmp(owner, p->settings.node.id) != 0)
+	else if (owner[0] && strcmp(owner, p->running->node.id) != 0)
 		forward(p, op, owner);
 }
 
--- a/src/svc-placement.c
+++ b/src/svc-placement.c
@@ -40,7 +40,7 @@
 	struct placement_svc *p = xcalloc(1, sizeof(*p));
 
 	p->service.ops = &placement_ops;
-	p->settings = *s;
+	p->running = s;
 	p->decisions = xcalloc(DECISIONS_MAX, sizeof(*p->decisions));
 	return &p->service;
 }
@@ -127,8 +127,8 @@
 	struct placement_svc *p = arg;
 	struct place_shard *s = xcalloc(1, sizeof(*s));
 	struct place_options o = {
-		.policy = p->settings.policy.placement,
-		.outage_horizon_us = p->settings.policy.outage_horizon_us,
+		.policy = p->running->policy.placement,
+		.outage_horizon_us = p->running->policy.outage_horizon_us,
 		.seed = clock_now_us(),
 		.append = append_entry,
 		.append_arg = s,
@@ -139,7 +139,6 @@
 	s->svc = p;
 	s->log = log;
 	snprintf(s->name, sizeof(s->name), "%s", shard);
-	s->gate.horizon_us = o.outage_horizon_us;
 	s->place = place_create(&o);
 	p->shards[p->shard_count++] = s;
 	return place_client(s->place);
@@ -179,6 +178,7 @@
 
 	e.at_us = oplog_last_append_us(s->log);
 	atomic_store(&s->gate.last_append_us, e.at_us);
+	atomic_store(&s->gate.horizon_us, place_horizon_us(s->place));
 	atomic_store(&s->gate.epoch, epoch);
 	if (epoch != s->epoch) {
 		log_event(LOG_INFO, "placement-owner", "shard=%s epoch=%llu",
@@ -189,6 +189,7 @@
 	}
 	if (feed)
 		feed_workers(s, now_us);
+	place_set_policy(s->place, s->svc->running->policy.placement);
 	if (!epoch)
 		return;
 	place_step(s->place, now_us, &e);
--- a/src/svc-workers.c
+++ b/src/svc-workers.c
@@ -181,7 +181,8 @@
 		return true;
 	last_us = atomic_load(&g->last_append_us);
 	return atomic_load(&g->epoch) == c->epoch &&
-	       (now_us < last_us || now_us - last_us <= g->horizon_us);
+	       (now_us < last_us ||
+		now_us - last_us <= atomic_load(&g->horizon_us));
 }
 
 /* Runs done() on the control thread. */
--- a/src/svc-workers.h
+++ b/src/svc-workers.h
@@ -27,7 +27,7 @@
 struct worker_gate {
 	atomic_uint_least64_t epoch; /* 0: this process is not the owner */
 	atomic_uint_least64_t last_append_us;
-	uint64_t horizon_us;
+	atomic_uint_least64_t horizon_us;
 };
 
 struct worker_call;
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -152,6 +152,34 @@
 	shard_free(&s);
 }
 
+/* Guards against a new owner that waits for its own horizon only. */
+static void test_longer_horizon_of_an_owner_before(void)
+{
+	set_up(PLACEMENT_FIRST_FIT);
+	run_one();
+	shard_commit(&s, 100);
+	s.options.outage_horizon_us = 1000000u;
+	shard_replace(&s, true);
+	CU_ASSERT_EQUAL(place_horizon_us(s.place), 1000000u);
+	for (int i = 0; i < 200; i++) {
+		shard_tick(&s, 100000);
+		s.owner->last_append_us = s.now_us;
+	}
+	CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_STOPPING);
+	shard_free(&s);
+	/* A longer one must be in the log before it is made use of. */
+	set_up(PLACEMENT_FIRST_FIT);
+	run_one();
+	shard_commit(&s, 100);
+	s.options.outage_horizon_us = 2 * SHARD_HORIZON_US;
+	shard_replace(&s, true);
+	shard_tick(&s, 100000);
+	CU_ASSERT_EQUAL(place_horizon_us(s.place), SHARD_HORIZON_US);
+	shard_commit(&s, 100);
+	CU_ASSERT_EQUAL(place_horizon_us(s.place), 2 * SHARD_HORIZON_US);
+	shard_free(&s);
+}
+
 /* Guards against a cancelled task that is resumed instead of ended. */
 static void test_cancel_stops_and_ends(void)
 {
@@ -504,6 +532,8 @@
 		{ "new owner adopts", test_new_owner_adopts },
 		{ "unreachable worker holds its task",
 		  test_unreachable_worker_holds_its_task },
+		{ "longer horizon of an owner before",
+		  test_longer_horizon_of_an_owner_before },
 		{ "cancel stops and ends", test_cancel_stops_and_ends },
 		{ "leaving worker moves its task",
 		  test_leaving_worker_moves_its_task },
