Learn a peer's id from its connection

Cause: with discovery = seeds, connections lead through a proxy, but peers were reached by their ids at the addresses that their heartbeats told, so messages went past the proxy and a cut link was not cut.

--- a/src/svc-members.c
+++ b/src/svc-members.c
@@ -369,7 +369,8 @@
 	learn_shards(p, &r);
 	learn_addresses(m, &r);
 	p->member.store_reached = message_get_uint(&r) != 0;
-	peers_name(m->peers, sender, &address);
+	if (m->s->peers.discovery == DISCOVERY_ALL)
+		peers_name(m->peers, sender, &address);
 	if (!was_live) {
 		log_event(LOG_INFO, "member-up", "member=%s zone=%s address=%s",
 			  sender, heard.availability_zone, text);
--- a/src/svc-peers.h
+++ b/src/svc-peers.h
@@ -36,6 +36,7 @@
 	PEER_PLACEMENT_REPLY,
 	PEER_TARGETS_GET,
 	PEER_TARGETS,
+	PEER_WHO, /* asks for the id at the other end of a connection */
 	PEER_MESSAGE_TYPES,
 };
 
