Keep the place of an entry VM that is replaced

Cause: in a zone of 3, one entry VM was killed and replaced; the indices of the others moved, and until the change was confirmed 33 s later two of the three had no slot in both splits, so the zone had 5 of 16 slots in use. Change: a seat that is given up leaves an empty place that the next one fills; it is removed when it stays for 10 s. The reader marks a split when the last word has come, and tells the others at once. Conclusion: only a zone that shrinks or grows moves slots between the seats.

--- a/src/members-private.h
+++ b/src/members-private.h
@@ -81,6 +81,8 @@
 	bool seats_writing;
 	bool seats_behind; /* a peer has a newer value */
 	uint64_t seats_read_us;
+	uint64_t seats_changed_us; /* when its revision was first seen */
+	uint64_t seats_told;	   /* index that the others were told */
 	uint64_t seats_next_us;
 	uint64_t seats_retry_us; /* pause after the last failure, or 0 */
 	struct rng rng;
--- a/src/seats.c
+++ b/src/seats.c
@@ -35,7 +35,7 @@
 
 int seats_find(const struct seats *s, const char *name)
 {
-	return find_name(s->names, s->count, name);
+	return !*name ? -1 : find_name(s->names, s->count, name);
 }
 
 static json_t *names_to_json(const char (*names)[SEAT_NAME_BYTES],
@@ -71,8 +71,8 @@
 		json_t *item = json_array_get(list, i);
 		const char *name = json_string_value(item);
 
-		if (!name || !*name || strlen(name) >= SEAT_NAME_BYTES ||
-		    find_name(names, i, name) >= 0)
+		if (!name || strlen(name) >= SEAT_NAME_BYTES ||
+		    (*name && find_name(names, i, name) >= 0))
 			return -1;
 		memcpy(names[i], name, strlen(name) + 1);
 	}
@@ -123,15 +123,21 @@
 static void finish_change(struct seats *s)
 {
 	s->revision++;
-	s->confirmed = !s->previous_count;
+	s->confirmed = true;
+	for (uint32_t i = 0; i < s->previous_count; i++)
+		s->confirmed &= !s->previous[i][0];
 }
 
 int seats_add(struct seats *s, const char *name)
 {
-	if (seats_find(s, name) >= 0 || s->count == SEATS_MAX)
+	int place = find_name(s->names, s->count, "");
+
+	if (seats_find(s, name) >= 0 || (place < 0 && s->count == SEATS_MAX))
 		return -1;
 	begin_change(s);
-	snprintf(s->names[s->count++], SEAT_NAME_BYTES, "%s", name);
+	if (place < 0)
+		place = (int)s->count++;
+	snprintf(s->names[place], SEAT_NAME_BYTES, "%s", name);
 	finish_change(s);
 	return 0;
 }
@@ -143,9 +149,33 @@
 	if (i < 0)
 		return -1;
 	begin_change(s);
-	s->count--;
-	memmove(s->names[i], s->names[i + 1],
-		(s->count - (uint32_t)i) * sizeof(s->names[0]));
+	memset(s->names[i], 0, sizeof(s->names[i]));
+	finish_change(s);
+	return 0;
+}
+
+uint32_t seats_held(const struct seats *s)
+{
+	uint32_t held = 0;
+
+	for (uint32_t i = 0; i < s->count; i++)
+		held += s->names[i][0] != '\0';
+	return held;
+}
+
+int seats_compact(struct seats *s)
+{
+	uint32_t n = 0;
+
+	if (seats_held(s) == s->count)
+		return -1;
+	begin_change(s);
+	for (uint32_t i = 0; i < s->count; i++)
+		if (s->names[i][0])
+			memmove(s->names[n++], s->names[i],
+				sizeof(s->names[0]));
+	memset(s->names[n], 0, (s->count - n) * sizeof(s->names[0]));
+	s->count = n;
 	finish_change(s);
 	return 0;
 }
@@ -207,7 +237,8 @@
 	if (p->revision != s->revision)
 		return false;
 	for (uint32_t i = 0; i < p->count; i++)
-		if (!p->applied[i] && now_us - p->since_us[i] < wait_us)
+		if (p->names[i][0] && !p->applied[i] &&
+		    now_us - p->since_us[i] < wait_us)
 			return false;
 	return true;
 }
--- a/src/seats.h
+++ b/src/seats.h
@@ -18,6 +18,10 @@
  *	"ID/STARTED", so that a restarted process does not take the slots of
  *	requests that it sent before.
  *
+ *	A seat that is given up leaves its place empty (""), and the next one
+ *	that is taken fills it: all others keep their index and number, and so
+ *	all of their slots. seats_compact() removes empty places that stayed.
+ *
  *	A change keeps the last confirmed split in previous. Until the value
  *	is marked as confirmed, everybody uses only slots that are theirs in
  *	both splits; so nobody exceeds the last confirmed one, however many
@@ -31,7 +35,7 @@
 struct seats {
 	uint64_t revision; /* 0: the key does not exist */
 	bool confirmed;
-	uint32_t count;
+	uint32_t count; /* empty places included */
 	char names[SEATS_MAX][SEAT_NAME_BYTES];
 	uint32_t previous_count;
 	char previous[SEATS_MAX][SEAT_NAME_BYTES];
@@ -68,6 +72,12 @@
 int seats_add(struct seats *s, const char *name);
 int seats_remove(struct seats *s, const char *name);
 
+/* Removes the empty places; -1 when there is none. */
+int seats_compact(struct seats *s);
+
+/* Number of places that are held. */
+uint32_t seats_held(const struct seats *s);
+
 /* Fills this process's part; revision 0 when it holds no seat. */
 void seats_split(const struct seats *s, const char *name, struct seat *out);
 
--- a/src/svc-members.h
+++ b/src/svc-members.h
@@ -40,7 +40,7 @@
 struct seat {
 	uint64_t revision; /* 0 until a seat is held */
 	uint32_t index;
-	uint32_t count;
+	uint32_t count; /* places, the empty ones included */
 	/*
 	 * Seats of the split before, until its requests have ended: a slot
 	 * may be used only when it is this seat's in both splits.
@@ -76,6 +76,9 @@
  */
 bool members_is_reader(struct members *m);
 
+/* Number of entry VMs of the zone that hold a seat. Control thread. */
+uint32_t members_seats_held(struct members *m);
+
 /* Tells whether a drain has given up the seat. Any thread. */
 bool members_left(struct members *m);
 
--- a/src/svc-operator.c
+++ b/src/svc-operator.c
@@ -328,9 +328,10 @@
 	struct seat seat;
 
 	members_seat(o->members, &seat);
-	return json_pack("{s:I, s:i, s:i, s:b}", "revision",
+	return json_pack("{s:I, s:i, s:i, s:i, s:b}", "revision",
 			 (json_int_t)seat.revision, "index", (int)seat.index,
-			 "count", (int)seat.count, "confirmed",
+			 "count", (int)seat.count, "held",
+			 (int)members_seats_held(o->members), "confirmed",
 			 seat.revision && !seat.previous_count);
 }
 
--- a/src/svc-seats.c
+++ b/src/svc-seats.c
@@ -19,6 +19,11 @@
 #define RETRY_MIN_US 500000u
 #define RETRY_MAX_US 4000000u
 #define APPLIED_INTERVAL_US 250000u
+/*
+ * A place stays empty this long for a process that is restarted. When it goes,
+ * most slots change hands.
+ */
+#define EMPTY_MAX_US 10000000u
 /* The longest deadline of a request. */
 #define DEADLINE_MAX_US 30000000u
 
@@ -78,7 +83,7 @@
 	changed = memcmp(&seat, &m->seat, sizeof(seat)) != 0;
 	m->seat = seat;
 	pthread_mutex_unlock(&m->lock);
-	counter_set(m->seat_count, m->seats.count);
+	counter_set(m->seat_count, seats_held(&m->seats));
 	counter_set(m->seat_revision, (long long)m->seats.revision);
 	counter_set(m->seat_confirmed, m->seats.confirmed);
 	if (!changed)
@@ -120,6 +125,8 @@
 	}
 	if (index < m->seats_index && index)
 		return false; /* an answer that was overtaken */
+	if (s.revision != m->seats.revision)
+		m->seats_changed_us = clock_now_us();
 	m->seats = s;
 	m->seats_index = index;
 	m->seats_known = true;
@@ -157,6 +164,9 @@
 	seats_progress_seen(&m->progress, &m->seats, now);
 	if (reply->sent_us >= m->resumed_us)
 		m->revalidating = false;
+	if (m->seats_told != m->seats_index) /* tell the others at once */
+		m->next_heartbeat_us = 0;
+	m->seats_told = m->seats_index;
 	publish(m);
 	change(m, now);
 }
@@ -227,7 +237,7 @@
 	if (lowest_live(m) < 0 || !members_is_reader(m))
 		return false;
 	for (uint32_t i = 0; i < m->seats.count; i++)
-		if (!holder_live(m, m->seats.names[i]))
+		if (m->seats.names[i][0] && !holder_live(m, m->seats.names[i]))
 			return true;
 	return false;
 }
@@ -250,7 +260,7 @@
 	for (uint32_t i = 0; i < m->seats.count; i++) {
 		const char *name = m->seats.names[i];
 
-		if (!holder_live(m, name))
+		if (!*name || !holder_live(m, name))
 			continue;
 		if (holder_reaches_store(m, name))
 			return (int)i;
@@ -303,7 +313,8 @@
 	bool changed = false;
 
 	for (uint32_t i = 0; i < m->seats.count; i++) {
-		if (!holder_gone(m, m->seats.names[i], now))
+		if (!m->seats.names[i][0] ||
+		    !holder_gone(m, m->seats.names[i], now))
 			continue;
 		log_event(LOG_WARNING, "seat-departed", "seat=%s",
 			  m->seats.names[i]);
@@ -337,7 +348,11 @@
 		next.confirmed = true;
 		next.previous_count = 0;
 		write_seats(m, &next, "confirmed");
+		return;
 	}
+	if (m->seats.confirmed && now - m->seats_changed_us >= EMPTY_MAX_US &&
+	    seats_compact(&next) == 0)
+		write_seats(m, &next, "compact");
 }
 
 static void write_seats(struct members *m, const struct seats *next,
@@ -386,6 +401,11 @@
 	else
 		seats_progress_applied(&m->progress, name, revision);
 	message_reader_free(&r);
+	/* The reader marks the value at once when this was the last word. */
+	if (!m->seats.confirmed && members_is_reader(m) &&
+	    seats_progress_done(&m->progress, &m->seats, UINT64_MAX,
+				clock_now_us()))
+		m->seats_next_us = 0;
 }
 
 /* Tells whether no request is queued or in progress, so that slots can go. */
@@ -447,7 +467,8 @@
 	if (m->seats_behind || m->revalidating)
 		return READ_BEHIND_US;
 	if (!m->seats.confirmed || held == m->draining ||
-	    !members_have_peers(m) || seats_need_list(m))
+	    !members_have_peers(m) || seats_need_list(m) ||
+	    seats_held(&m->seats) < m->seats.count)
 		return READ_SOON_US;
 	return READ_INTERVAL_US;
 }
@@ -483,6 +504,11 @@
 			(struct seat_listener){ fn, arg };
 }
 
+uint32_t members_seats_held(struct members *m)
+{
+	return seats_held(&m->seats);
+}
+
 bool members_left(struct members *m)
 {
 	return atomic_load(&m->left);
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -68,6 +68,35 @@
 	CU_ASSERT_EQUAL(s.previous_count, 3);
 }
 
+/* Guards against slots that change hands when one entry VM is replaced. */
+static void test_others_keep_their_place(void)
+{
+	struct seats s = { 0 };
+	struct seat before, after;
+
+	seats_add(&s, "a/1");
+	seats_add(&s, "b/1");
+	seats_add(&s, "c/1");
+	s.confirmed = true;
+	seats_split(&s, "c/1", &before);
+	CU_ASSERT_EQUAL(seats_remove(&s, "a/1"), 0);
+	CU_ASSERT_EQUAL(seats_held(&s), 2);
+	CU_ASSERT_EQUAL(seats_add(&s, "a/2"), 0);
+	seats_split(&s, "c/1", &after);
+	CU_ASSERT_EQUAL(after.index, before.index);
+	CU_ASSERT_EQUAL(after.count, before.count);
+	CU_ASSERT_EQUAL(after.previous_index, before.index);
+	CU_ASSERT_EQUAL(after.previous_count, before.count);
+	seats_split(&s, "a/2", &after);
+	CU_ASSERT_EQUAL(after.index, 0);
+	CU_ASSERT_EQUAL(after.previous_index, 3); /* had no seat */
+	CU_ASSERT_EQUAL(seats_compact(&s), -1);
+	CU_ASSERT_EQUAL(seats_remove(&s, "b/1"), 0);
+	CU_ASSERT_EQUAL(seats_compact(&s), 0);
+	CU_ASSERT_EQUAL(s.count, 2);
+	CU_ASSERT_EQUAL(seats_find(&s, "c/1"), 1);
+}
+
 /* Guards against a confirmation that a seat of the split before lacks. */
 static void test_progress(void)
 {
@@ -186,6 +215,9 @@
 		if (!alive && rng_below(&m->rng, 4) == 0)
 			seats_remove(&next, next.names[i]);
 	}
+	if (next.revision == p->view.revision && next.confirmed &&
+	    rng_below(&m->rng, 4) == 0)
+		seats_compact(&next);
 	if (next.revision == p->view.revision && !next.confirmed &&
 	    seats_progress_done(&p->progress, &p->view, WAIT, m->now)) {
 		next.confirmed = true;
@@ -294,6 +326,7 @@
 	static const struct unit_test tests[] = {
 		{ "growth only when confirmed",
 		  test_growth_only_when_confirmed },
+		{ "others keep their place", test_others_keep_their_place },
 		{ "progress", test_progress },
 		{ "stored form", test_stored_form },
 		{ "no slot is used twice", test_no_slot_is_used_twice },
