Say truthfully which keys SIGHUP puts in force

Cause: placement and outage_horizon were taken over in silence, but placement reads them at the start only. Change: a const table of live keys; the others are reported.

--- a/src/waxwingd.c
+++ b/src/waxwingd.c
@@ -130,13 +130,24 @@
 	return sig < 0 ? 0 : sig;
 }
 
+/* Keys that SIGHUP puts in force; the others are only read at the start. */
+static const struct {
+	const char *section;
+	const char *key;
+} live_keys[] = {
+	{ "operator", "token" },   { "policy", "routing" },
+	{ "policy", "admission" }, { "policy", "retry_budget" },
+	{ "log", "level" },
+};
+
 /* Reports a key that changed in the file and is only read at the start. */
 static void report_key(void *arg, const char *section, const char *key)
 {
 	(void)arg;
-	if (!strcmp(section, "policy") || !strcmp(section, "log") ||
-	    (!strcmp(section, "operator") && !strcmp(key, "token")))
-		return;
+	for (size_t i = 0; i < sizeof(live_keys) / sizeof(live_keys[0]); i++)
+		if (!strcmp(live_keys[i].section, section) &&
+		    !strcmp(live_keys[i].key, key))
+			return;
 	log_event(LOG_WARNING, "settings-need-restart", "section=%s key=%s",
 		  section, key);
 }
@@ -151,8 +162,10 @@
 {
 	struct reload_call *c = arg;
 
-	c->running->policy = c->read->policy;
-	c->running->log_level = c->read->log_level;
+	c->running->policy.routing = c->read->policy.routing;
+	c->running->policy.admission = c->read->policy.admission;
+	c->running->policy.retry_budget_percent =
+		c->read->policy.retry_budget_percent;
 }
 
 static void log_fault(void *arg, const char *file, int line,
