Split slots so that a new seat takes slots from each of the others evenly

Cause: slot k belonged to seat (k + hash) mod seats. While a new seat waited for its confirmation, each of three seats kept only the slots that were its own in both splits, which is one slot in twelve per seat. Change: the split of n + 1 seats is that of n seats with the slots of the last seat taken evenly from the others.

--- a/src/share.c
+++ b/src/share.c
@@ -1,26 +1,94 @@
+#include <string.h>
+
+#include "rng.h"
 #include "share.h"
 
-/* Whether the seat of that index owns the slot in a split of count seats. */
-static bool owns(uint64_t hash, uint32_t slot, uint32_t index, uint32_t count)
+#define SEATS_MAX 64u
+
+static uint32_t choose_giver(const uint32_t *load, uint32_t seats,
+			     struct rng *r);
+static void add_seat(uint8_t *owner, uint32_t *load, uint32_t slots,
+		     uint32_t seat, struct rng *r);
+static void split_slots(uint64_t hash, uint32_t slots, uint32_t count,
+			uint8_t *owner);
+
+/* Returns a seat with the most slots; the random source breaks ties. */
+static uint32_t choose_giver(const uint32_t *load, uint32_t seats,
+			     struct rng *r)
 {
-	return (slot + hash % count) % count == index;
+	uint32_t first = rng_below(r, seats), best = first;
+
+	for (uint32_t i = 1; i < seats; i++) {
+		uint32_t seat = (first + i) % seats;
+
+		if (load[seat] > load[best])
+			best = seat;
+	}
+	return best;
 }
 
-bool share_owns(const struct share_split *s, uint64_t hash, uint32_t slot)
+/* Moves slots of the seats before to a new last seat. */
+static void add_seat(uint8_t *owner, uint32_t *load, uint32_t slots,
+		     uint32_t seat, struct rng *r)
 {
-	if (s->count == 0 || s->index >= s->count)
-		return false;
-	if (!owns(hash, slot, s->index, s->count))
-		return false;
-	return s->previous_count == 0 ||
-	       owns(hash, slot, s->previous_index, s->previous_count);
+	uint32_t quota = slots / (seat + 1);
+
+	/* On average over many targets each seat has the same number. */
+	quota += rng_below(r, seat + 1) < slots % (seat + 1);
+	while (load[seat] < quota) {
+		uint32_t giver = choose_giver(load, seat, r);
+		uint32_t k = slots - 1;
+
+		while (owner[k] != giver)
+			k--;
+		owner[k] = (uint8_t)seat;
+		load[giver]--;
+		load[seat]++;
+	}
 }
 
-uint32_t share_count(const struct share_split *s, uint64_t hash, uint32_t slots)
+/* Fills the owner of each slot; what a seat moves depends only on the hash. */
+static void split_slots(uint64_t hash, uint32_t slots, uint32_t count,
+			uint8_t *owner)
 {
+	uint32_t load[SEATS_MAX] = { slots };
+	struct rng r = { .state = hash };
+
+	memset(owner, 0, slots);
+	for (uint32_t seat = 1; seat < count; seat++)
+		add_seat(owner, load, slots, seat, &r);
+}
+
+/* Counts the slots up to a limit that the seat owns in all its splits. */
+static uint32_t count_owned(const struct share_split *s, uint64_t hash,
+			    uint32_t slots, uint32_t from, uint32_t to)
+{
+	uint8_t now[SHARE_SLOTS_MAX], before[SHARE_SLOTS_MAX];
 	uint32_t n = 0;
 
-	for (uint32_t k = 0; k < slots; k++)
-		n += share_owns(s, hash, k);
+	if (slots > SHARE_SLOTS_MAX)
+		slots = SHARE_SLOTS_MAX;
+	if (to > slots)
+		to = slots;
+	if (s->index >= s->count || s->count > SEATS_MAX ||
+	    s->previous_count > SEATS_MAX)
+		return 0;
+	split_slots(hash, slots, s->count, now);
+	if (s->previous_count)
+		split_slots(hash, slots, s->previous_count, before);
+	for (uint32_t k = from; k < to; k++)
+		n += now[k] == s->index &&
+		     (!s->previous_count || before[k] == s->previous_index);
 	return n;
 }
+
+bool share_owns(const struct share_split *s, uint64_t hash, uint32_t slots,
+		uint32_t slot)
+{
+	return count_owned(s, hash, slots, slot, slot + 1) > 0;
+}
+
+uint32_t share_count(const struct share_split *s, uint64_t hash, uint32_t slots)
+{
+	return count_owned(s, hash, slots, 0, slots);
+}
--- a/src/share.h
+++ b/src/share.h
@@ -9,13 +9,17 @@
  *	share - split of a target's slots between the zone's entry VMs
  *
  * DESCRIPTION
- *	Slot k of a target belongs to the seat with index
- *	(k + hash of the target) mod seats (docs/design.md 5.5). While a growth
- *	is not confirmed, a seat uses a slot only when it owns the slot in the
- *	split before, too. Connections are split in the same way. Pure
- *	functions.
+ *	The split of n + 1 seats is that of n seats, with the slots of the last
+ *	seat taken evenly from the others (docs/design.md 5.5). So a seat that
+ *	is added or removed at the end moves no slot between the others. The
+ *	numbers of slots of two seats differ by at most one, and the hash of
+ *	the target decides who has one more. While a growth is not confirmed, a
+ *	seat uses a slot only when it owns the slot in the split before, too.
+ *	Connections are split in the same way. Pure functions.
  */
 
+#define SHARE_SLOTS_MAX 256u /* of one target; more are not used */
+
 struct share_split {
 	uint32_t index;
 	uint32_t count; /* 0: no seat, so no slots */
@@ -23,7 +27,9 @@
 	uint32_t previous_count; /* 0: growth is confirmed */
 };
 
-bool share_owns(const struct share_split *s, uint64_t hash, uint32_t slot);
+/* Whether the seat may use that slot of a target with so many slots. */
+bool share_owns(const struct share_split *s, uint64_t hash, uint32_t slots,
+		uint32_t slot);
 
 /* Number of a target's slots that the seat may use. */
 uint32_t share_count(const struct share_split *s, uint64_t hash,
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -157,7 +157,8 @@
 	split = (struct share_split){ seat.index, seat.count,
 				      seat.previous_index,
 				      seat.previous_count };
-	return seat.revision && share_owns(&split, (uint64_t)target * 77, slot);
+	return seat.revision &&
+	       share_owns(&split, (uint64_t)target * 77, SLOTS, slot);
 }
 
 static bool requests_fit(const struct process *p, uint64_t now)
--- a/tests/test-share.c
+++ b/tests/test-share.c
@@ -17,7 +17,7 @@
 			struct share_split s = { .index = seat,
 						 .count = seats };
 
-			owners += share_owns(&s, hash, i % 64);
+			owners += share_owns(&s, hash, 64, i % 64);
 		}
 		wrong += owners != 1;
 	}
@@ -51,8 +51,8 @@
 			if (seat == fresh.previous_index)
 				continue;
 			for (uint32_t k = 0; k < 8; k++)
-				shared += share_owns(&fresh, hash, k) &&
-					  share_owns(&old, hash, k);
+				shared += share_owns(&fresh, hash, 8, k) &&
+					  share_owns(&old, hash, 8, k);
 		}
 	}
 	CU_ASSERT_EQUAL(shared, 0);
@@ -76,6 +76,55 @@
 	CU_ASSERT_EQUAL(share_count(&s, 7, 8), 0);
 }
 
+/*
+ * Guards against a replacement that takes slots from seats that stay: the new
+ * seat joins at the end, and until that is confirmed the others must keep all
+ * but the slots that they give to it.
+ */
+static void test_growth_moves_only_slots_of_the_new_seat(void)
+{
+	struct rng r = { .state = 3 };
+	uint32_t kept = 0, owned = 0;
+
+	for (int i = 0; i < 300; i++) {
+		uint64_t hash = rng_next(&r);
+
+		for (uint32_t seat = 0; seat < 3; seat++) {
+			struct share_split now = {
+				.index = seat,
+				.count = 4,
+				.previous_index = seat,
+				.previous_count = 3,
+			};
+			struct share_split then = { .index = seat, .count = 3 };
+
+			kept += share_count(&now, hash, 8);
+			owned += share_count(&then, hash, 8);
+		}
+	}
+	CU_ASSERT_EQUAL(owned, 300 * 8);
+	CU_ASSERT_EQUAL(kept, 300 * 6);
+}
+
+/* Guards against seats that have fewer slots over all targets than others. */
+static void test_sums_over_targets_are_even(void)
+{
+	struct rng r = { .state = 4 };
+	uint32_t sums[3] = { 0 };
+
+	for (int i = 0; i < 3000; i++) {
+		uint64_t hash = rng_next(&r);
+
+		for (uint32_t seat = 0; seat < 3; seat++) {
+			struct share_split s = { .index = seat, .count = 3 };
+
+			sums[seat] += share_count(&s, hash, 8);
+		}
+	}
+	for (int i = 0; i < 3; i++)
+		CU_ASSERT(sums[i] > 7800 && sums[i] < 8200);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -83,6 +132,10 @@
 		{ "unconfirmed growth overlaps nobody",
 		  test_unconfirmed_growth_overlaps_nobody },
 		{ "counts", test_counts },
+		{ "growth moves only slots of the new seat",
+		  test_growth_moves_only_slots_of_the_new_seat },
+		{ "sums over targets are even",
+		  test_sums_over_targets_are_even },
 	};
 
 	return RUN_SUITE("share", tests);
