--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -64,6 +64,8 @@
 	uint32_t attempt;
 	uint32_t ended_reads; /* reads of the worker when the lease ended */
 	uint32_t avoid;	      /* handle + 1 of the worker of the last failure */
+	uint32_t blamed[2]; /* handles + 1 of the workers that it counts against
+			     */
 	int32_t reserved[RES_COUNT];
 	int32_t asked[RES_COUNT]; /* of the worker, at the start */
 	uint32_t used_cpu_milli;
@@ -76,6 +78,7 @@
 	uint8_t failures; /* on workers, of its own */
 	bool ended;	  /* the end of the lease was noticed */
 	bool fitted;	  /* throttled to the headroom after its start */
+	bool adopted;	  /* its throttle is not known */
 	uint8_t percent;  /* of its CPU that it keeps */
 	bool ran;	  /* a start was confirmed once */
 	bool sent;	  /* the start left in this epoch, or may have before */
@@ -135,13 +138,21 @@
 	struct placement *cursor; /* of a pass of the scheduler */
 };
 
-/* Log-linear counts, 4 to a doubling, of values from 1 to 2^32. */
-#define SIZE_BUCKETS 128
+/* Log-linear counts, 16 to a doubling (6% wide), of 32-bit values. */
+#define SIZE_SUB 16
+#define SIZE_BUCKETS 464
 struct sizes {
 	uint16_t counts[SIZE_BUCKETS];
 	uint32_t total;
 };
 
+/* Workers that failed tasks of a kind since one succeeded. */
+#define FAIL_WORKERS_MAX 3
+struct fail_set {
+	uint32_t workers[FAIL_WORKERS_MAX]; /* handles */
+	uint8_t count;
+};
+
 /* Slowdown of a service kind per share of a worker's CPU that another uses. */
 struct pair {
 	float mean;
@@ -156,8 +167,10 @@
 	struct sizes memory;	   /* MB */
 	struct sizes cpu_ratio;	   /* permille of the declared size */
 	struct sizes memory_ratio; /* permille of the declared size */
-	struct pair *pairs;	   /* PLACE_KINDS_MAX, of a service, or NULL */
-	double base_us;		   /* latency of a service when alone */
+	struct fail_set start_failures;
+	struct fail_set task_failures;
+	struct pair *pairs; /* PLACE_KINDS_MAX, of a service, or NULL */
+	double base_us;	    /* latency of a service when alone */
 	double base_weight;
 	uint64_t first_start_us;
 };
@@ -201,7 +214,7 @@
 	int32_t (*max)[RES_COUNT];
 };
 
-enum waiter_type { WAIT_START, WAIT_REPLY };
+enum waiter_type { WAIT_START, WAIT_REPLY, WAIT_HORIZON };
 
 struct waiter {
 	uint64_t token;
@@ -227,6 +240,14 @@
 	uint64_t now_us;
 	uint64_t owned_us;
 	uint64_t last_append_us;
+	/*
+	 * Renewals leave up to this time after the last append. It is no
+	 * longer than what the log says, because the next owner waits for the
+	 * longest horizon that the log names.
+	 */
+	uint64_t horizon_us;
+	uint64_t logged_horizon_us;
+	bool horizon_asked;
 	uint64_t heartbeat_us;
 	uint64_t sweep_us;
 	uint64_t token;
@@ -277,7 +298,7 @@
 /* ---- place-log.c ---- */
 
 enum change_type {
-	CHANGE_NONE, /* shows that the log can be written */
+	CHANGE_HORIZON, /* longest outage horizon of any owner; a heartbeat */
 	CHANGE_CREATE,
 	CHANGE_UPDATE,
 	CHANGE_CANCEL,
@@ -298,6 +319,7 @@
 	const char *worker;
 	const char *checkpoint;
 	uint32_t failures;
+	uint32_t horizon_ms;
 	enum place_reason reason;
 	uint32_t reserved[RES_COUNT];
 	uint32_t asked[RES_COUNT];
@@ -359,6 +381,8 @@
 void worker_set_reserved(struct place *p, struct task *t,
 			 const int32_t reserved[RES_COUNT]);
 void worker_recount(struct place *p, struct worker *w);
+/* Takes back a failure, and the quarantine that it led to. */
+void worker_absolve(struct place *p, struct worker *w);
 void worker_blame(struct place *p, struct worker *w);
 void worker_succeeded(struct place *p, struct worker *w);
 /* Begins the quarantine again that the log shows. */
