Move the runners out of their program's main file

Change: support-runner.[ch] hold the runners, with the faults in the header; the program keeps its arguments. No behaviour changes.

--- a/tests/fake-runner.c
+++ b/tests/fake-runner.c
@@ -1,67 +1,18 @@
 /*
  * Stand-in for runners: one process serves many, each on its own port, from
- * one libevent loop. CivetWeb would need 64 threads for each runner. See
- * docs/design.md 3.2.
+ * one libevent loop. CivetWeb would need 64 threads for each runner.
  */
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 #include <sys/resource.h>
 
 #include <argtable2.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
 
-#include "buffer.h"
-#include "clock.h"
-#include "rng.h"
 #include "support-journal.h"
+#include "support-runner.h"
 #include "support-wire.h"
 
 #define RUNNERS_MAX 512
-#define SLOTS 8
-#define CONNECTIONS_MAX 64
-#define DEFAULT_WORK_US 20000
-
-struct runner {
-	char id[64];
-	struct event_base *base;
-	struct evconnlistener *listener;
-	struct sockaddr_storage addr;
-	int addr_len;
-	struct conn *conns;
-	struct run *runs;
-	unsigned busy, connections;
-	unsigned busy_max, connections_max;
-	uint64_t started, finished, over_slots, over_connections;
-	/* Faults; rates are probabilities. */
-	double slow; /* factor of the service time */
-	double error_rate, drop_rate, truncate_rate, wrong_id_rate;
-	bool hang, draining, down;
-};
-
-struct conn {
-	struct runner *runner;
-	struct bufferevent *bev;
-	struct run *run; /* waits for its answer */
-	bool over;	 /* above the connection limit */
-	bool closing;	 /* closed once its output is written */
-	struct conn *next, **link;
-};
-
-struct run {
-	struct runner *runner;
-	struct conn *conn; /* NULL once the caller is gone */
-	struct event *timer;
-	struct wire_request req;
-	char key[128];
-	int status;
-	bool hung;
-	struct run *next, **link;
-};
 
 struct arguments {
 	struct arg_str *listen;
@@ -74,424 +25,10 @@
 	struct arg_end *end;
 };
 
-static struct rng rng;
-static struct runner *runners;
-static unsigned runner_count;
-
-static bool draw(double rate);
-static int listen_runner(struct runner *r);
-static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
-		      struct sockaddr *peer, int len, void *arg);
-static void on_read(struct bufferevent *bev, void *arg);
-static void on_write(struct bufferevent *bev, void *arg);
-static void on_event(struct bufferevent *bev, short what, void *arg);
-static void close_conn(struct conn *c);
-static void handle(struct conn *c, struct wire_request *req);
-static void refuse(struct conn *c, struct wire_request *req, const char *limit);
-static void start_run(struct conn *c, struct wire_request *req);
-static uint64_t service_time_us(const struct runner *r, const struct run *run);
-static void on_work_done(evutil_socket_t fd, short what, void *arg);
-static void free_run(struct run *run);
-static void answer_run(struct run *run);
-static void send_answer(struct conn *c, int status, const char *headers,
-			const char *body, size_t len, size_t cut);
-static void send_status(struct conn *c);
-static void stop_runner(struct runner *r);
-static void release_hung(struct runner *r);
-static void set_rate(const json_t *o, const char *name, double *value);
-static void set_flag(const json_t *o, const char *name, bool *value);
-static void apply_fault(struct runner *r, const json_t *change);
-static json_t *runner_stats(const struct runner *r);
-static json_t *on_control(void *arg, const char *path, const json_t *body);
 static void on_signal(evutil_socket_t fd, short what, void *arg);
-static int serve(struct event_base *base, const char *listen, unsigned count,
-		 const char *prefix);
 static void raise_file_limit(void);
 static int run_all(const struct arguments *a);
 
-static bool draw(double rate)
-{
-	return rate > 0 && rng_unit(&rng) < rate;
-}
-
-static int listen_runner(struct runner *r)
-{
-	r->listener = evconnlistener_new_bind(
-		r->base, on_accept, r,
-		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
-			LEV_OPT_CLOSE_ON_EXEC,
-		1024, (struct sockaddr *)&r->addr, r->addr_len);
-	if (r->listener)
-		return 0;
-	fprintf(stderr, "%s: cannot listen\n", r->id);
-	return -1;
-}
-
-static void on_accept(struct evconnlistener *l, evutil_socket_t fd,
-		      struct sockaddr *peer, int len, void *arg)
-{
-	struct runner *r = arg;
-	struct conn *c = xcalloc(1, sizeof(*c));
-	int on = 1;
-
-	(void)l;
-	(void)peer;
-	(void)len;
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	c->runner = r;
-	c->bev = bufferevent_socket_new(r->base, fd, BEV_OPT_CLOSE_ON_FREE);
-	c->next = r->conns;
-	c->link = &r->conns;
-	if (c->next)
-		c->next->link = &c->next;
-	r->conns = c;
-	if (++r->connections > r->connections_max)
-		r->connections_max = r->connections;
-	if (r->connections > CONNECTIONS_MAX) {
-		c->over = true;
-		r->over_connections++;
-		journal_event("over", "{s:s,s:s,s:i}", "runner", r->id, "limit",
-			      "connections", "held", (int)r->connections);
-	}
-	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
-	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
-}
-
-/* Closes a connection; a run whose caller is gone goes on, unless it hangs. */
-static void close_conn(struct conn *c)
-{
-	struct run *run = c->run;
-
-	if (run)
-		run->conn = NULL;
-	if (run && run->hung) {
-		journal_event("run-end", "{s:s,s:s,s:s,s:i,s:b}", "runner",
-			      c->runner->id, "request", run->req.id, "key",
-			      run->key, "status", 0, "hung", 1);
-		free_run(run);
-	}
-	*c->link = c->next;
-	if (c->next)
-		c->next->link = c->link;
-	c->runner->connections--;
-	bufferevent_free(c->bev);
-	free(c);
-}
-
-static void on_event(struct bufferevent *bev, short what, void *arg)
-{
-	(void)bev;
-	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-		close_conn(arg);
-}
-
-static void on_write(struct bufferevent *bev, void *arg)
-{
-	struct conn *c = arg;
-
-	if (c->closing && !evbuffer_get_length(bufferevent_get_output(bev)))
-		close_conn(c);
-}
-
-static void on_read(struct bufferevent *bev, void *arg)
-{
-	struct conn *c = arg;
-	struct wire_request req;
-	int n;
-
-	if (c->run || c->closing)
-		return;
-	n = wire_take_request(bufferevent_get_input(bev), &req);
-	if (n < 0)
-		close_conn(c);
-	if (n > 0)
-		handle(c, &req);
-}
-
-static void handle(struct conn *c, struct wire_request *req)
-{
-	struct runner *r = c->runner;
-
-	if (req->close || c->over)
-		c->closing = true;
-	if (!strcmp(req->path, "/status")) {
-		send_status(c);
-	} else if (strcmp(req->path, "/run")) {
-		send_answer(c, 404, "", "", 0, 0);
-	} else if (c->over) {
-		refuse(c, req, "connections");
-	} else if (r->busy >= SLOTS) {
-		r->over_slots++;
-		journal_event("over", "{s:s,s:s,s:i,s:s,s:b}", "runner", r->id,
-			      "limit", "slots", "held", (int)r->busy + 1,
-			      "request", req->id, "draining", r->draining);
-		refuse(c, req, "slots");
-	} else {
-		start_run(c, req);
-		return;
-	}
-	free(req->body);
-}
-
-static void refuse(struct conn *c, struct wire_request *req, const char *limit)
-{
-	char headers[256];
-
-	snprintf(headers, sizeof(headers),
-		 "X-Not-Run: true\r\nX-Request-Id: %s\r\n", req->id);
-	send_answer(c, 503, headers, limit, strlen(limit), 0);
-}
-
-static uint64_t service_time_us(const struct runner *r, const struct run *run)
-{
-	char text[32];
-	double us = DEFAULT_WORK_US;
-
-	if (wire_find_value(run->req.body, "work_us", text, sizeof(text)) ||
-	    wire_find_value(run->req.body, "X-Work-Us", text, sizeof(text)))
-		us = strtod(text, NULL);
-	return (uint64_t)(us * r->slow);
-}
-
-static void start_run(struct conn *c, struct wire_request *req)
-{
-	struct runner *r = c->runner;
-	struct run *run = xcalloc(1, sizeof(*run));
-	struct timeval tv;
-	uint64_t us;
-
-	run->runner = r;
-	run->conn = c;
-	run->req = *req;
-	run->status = draw(r->error_rate) ? 500 : 200;
-	run->hung = r->hang;
-	wire_find_value(req->body, "key", run->key, sizeof(run->key));
-	run->next = r->runs;
-	run->link = &r->runs;
-	if (run->next)
-		run->next->link = &run->next;
-	r->runs = run;
-	c->run = run;
-	r->started++;
-	if (++r->busy > r->busy_max)
-		r->busy_max = r->busy;
-	journal_event("run-start", "{s:s,s:s,s:s,s:s,s:i,s:i}", "runner", r->id,
-		      "request", req->id, "key", run->key, "kind", req->kind,
-		      "busy", (int)r->busy, "connections", (int)r->connections);
-	us = run->status == 200 ? service_time_us(r, run) : 0;
-	tv.tv_sec = (time_t)(us / 1000000);
-	tv.tv_usec = (suseconds_t)(us % 1000000);
-	run->timer = evtimer_new(r->base, on_work_done, run);
-	if (!run->hung)
-		evtimer_add(run->timer, &tv);
-}
-
-static void on_work_done(evutil_socket_t fd, short what, void *arg)
-{
-	struct run *run = arg;
-	struct runner *r = run->runner;
-	struct conn *c = run->conn;
-
-	(void)fd;
-	(void)what;
-	r->finished++;
-	journal_event("run-end", "{s:s,s:s,s:s,s:i,s:b}", "runner", r->id,
-		      "request", run->req.id, "key", run->key, "status",
-		      run->status, "caller_gone", c == NULL);
-	if (c) {
-		c->run = NULL;
-		answer_run(run);
-	}
-	/* Nothing leaves before this turn of the loop ends. */
-	free_run(run);
-}
-
-static void free_run(struct run *run)
-{
-	run->runner->busy--;
-	*run->link = run->next;
-	if (run->next)
-		run->next->link = run->link;
-	event_free(run->timer);
-	free(run->req.body);
-	free(run);
-}
-
-/* Answers a run, with the faults that change the answer. */
-static void answer_run(struct run *run)
-{
-	struct runner *r = run->runner;
-	struct conn *c = run->conn;
-	bool wrong = draw(r->wrong_id_rate);
-	struct buffer body = BUFFER_INIT;
-	char headers[256], text[32];
-	size_t want = 0, cut = 0;
-
-	if (draw(r->drop_rate)) {
-		journal_event("answer-dropped", "{s:s,s:s}", "runner", r->id,
-			      "request", run->req.id);
-		close_conn(c);
-		return;
-	}
-	if (wire_find_value(run->req.body, "answer_bytes", text, sizeof(text)))
-		want = strtoul(text, NULL, 10);
-	buffer_printf(&body, "key=%s request=%s runner=%s ", run->key,
-		      wrong ? "another" : run->req.id, r->id);
-	while (body.len + 4 < want && body.len < WIRE_BODY_MAX)
-		buffer_append(&body, ".", 1);
-	buffer_append_str(&body, " end");
-	if (draw(r->truncate_rate))
-		cut = body.len / 2 + 1;
-	snprintf(headers, sizeof(headers), "X-Request-Id: %s%s\r\n",
-		 run->req.id, wrong ? "-another" : "");
-	send_answer(c, run->status, headers, body.data, body.len, cut);
-	buffer_free(&body);
-}
-
-/* Sends an answer; the last cut bytes are held back and the peer closes. */
-static void send_answer(struct conn *c, int status, const char *headers,
-			const char *body, size_t len, size_t cut)
-{
-	struct evbuffer *out = bufferevent_get_output(c->bev);
-	struct evbuffer *in = bufferevent_get_input(c->bev);
-
-	if (cut)
-		c->closing = true;
-	evbuffer_add_printf(out,
-			    "HTTP/1.1 %d %s\r\n%sContent-Length: %zu\r\n%s\r\n",
-			    status, status == 200 ? "OK" : "Error", headers,
-			    len, c->closing ? "Connection: close\r\n" : "");
-	evbuffer_add(out, body, len - cut);
-	/* A request that came meanwhile is taken on the next turn. */
-	if (!c->closing && evbuffer_get_length(in))
-		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
-}
-
-static void send_status(struct conn *c)
-{
-	const struct runner *r = c->runner;
-	char text[128];
-	int len;
-
-	len = snprintf(text, sizeof(text),
-		       "{\"slots\":%d,\"busy\":%u,\"connections\":%u,"
-		       "\"draining\":%s}",
-		       SLOTS, r->busy, r->connections,
-		       r->draining ? "true" : "false");
-	send_answer(c, 200, "Content-Type: application/json\r\n", text,
-		    (size_t)len, 0);
-}
-
-/* A dead VM: connections are refused and its work is gone. */
-static void stop_runner(struct runner *r)
-{
-	if (r->listener)
-		evconnlistener_free(r->listener);
-	r->listener = NULL;
-	while (r->conns)
-		close_conn(r->conns);
-	while (r->runs) {
-		journal_event("run-killed", "{s:s,s:s,s:s}", "runner", r->id,
-			      "request", r->runs->req.id, "key", r->runs->key);
-		free_run(r->runs);
-	}
-}
-
-/* Lets the hung runs end, now that the runner works again. */
-static void release_hung(struct runner *r)
-{
-	const struct timeval now = { 0, 0 };
-
-	for (struct run *run = r->runs; run; run = run->next) {
-		if (!run->hung)
-			continue;
-		run->hung = false;
-		evtimer_add(run->timer, &now);
-	}
-}
-
-static void set_rate(const json_t *o, const char *name, double *value)
-{
-	json_t *v = json_object_get(o, name);
-
-	if (json_is_number(v))
-		*value = json_number_value(v);
-}
-
-static void set_flag(const json_t *o, const char *name, bool *value)
-{
-	json_t *v = json_object_get(o, name);
-
-	if (json_is_boolean(v))
-		*value = json_is_true(v);
-}
-
-static void apply_fault(struct runner *r, const json_t *change)
-{
-	bool was_down = r->down, was_draining = r->draining;
-
-	if (json_is_true(json_object_get(change, "reset"))) {
-		r->slow = 1;
-		r->error_rate = r->drop_rate = 0;
-		r->truncate_rate = r->wrong_id_rate = 0;
-		r->hang = r->draining = r->down = false;
-	}
-	set_rate(change, "slow", &r->slow);
-	set_rate(change, "error_rate", &r->error_rate);
-	set_rate(change, "drop", &r->drop_rate);
-	set_rate(change, "truncate", &r->truncate_rate);
-	set_rate(change, "wrong_id", &r->wrong_id_rate);
-	set_flag(change, "hang", &r->hang);
-	set_flag(change, "draining", &r->draining);
-	set_flag(change, "down", &r->down);
-	if (r->draining != was_draining)
-		journal_event("draining", "{s:s,s:b}", "runner", r->id,
-			      "draining", r->draining);
-	if (r->down && !was_down)
-		stop_runner(r);
-	if (!r->down && was_down)
-		listen_runner(r);
-	if (!r->hang)
-		release_hung(r);
-}
-
-static json_t *runner_stats(const struct runner *r)
-{
-	return json_pack("{s:s,s:i,s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:b}", "id",
-			 r->id, "busy", (int)r->busy, "busy_max",
-			 (int)r->busy_max, "connections", (int)r->connections,
-			 "connections_max", (int)r->connections_max, "started",
-			 (json_int_t)r->started, "finished",
-			 (json_int_t)r->finished, "over_slots",
-			 (json_int_t)r->over_slots, "over_connections",
-			 (json_int_t)r->over_connections, "down", r->down);
-}
-
-/*
- * POST /v1/fault {"runner":ID or "*",...} changes faults; GET /v1/stats
- * answers what each runner saw.
- */
-static json_t *on_control(void *arg, const char *path, const json_t *body)
-{
-	const char *id = json_string_value(json_object_get(body, "runner"));
-	json_t *list;
-
-	(void)arg;
-	if (!strcmp(path, "/v1/stats")) {
-		list = json_array();
-		for (unsigned i = 0; i < runner_count; i++)
-			json_array_append_new(list, runner_stats(&runners[i]));
-		return list;
-	}
-	if (strcmp(path, "/v1/fault") || !body)
-		return NULL;
-	journal_event("fault", "{s:O}", "change", body);
-	for (unsigned i = 0; i < runner_count; i++)
-		if (!id || !strcmp(id, "*") || !strcmp(id, runners[i].id))
-			apply_fault(&runners[i], body);
-	return json_object();
-}
-
 static void on_signal(evutil_socket_t fd, short what, void *arg)
 {
 	(void)fd;
@@ -499,33 +36,6 @@
 	event_base_loopbreak(arg);
 }
 
-static int serve(struct event_base *base, const char *listen, unsigned count,
-		 const char *prefix)
-{
-	struct sockaddr_storage addr;
-	uint16_t port;
-	int len;
-
-	if (wire_parse_address(listen, &addr, &len) < 0)
-		return -1;
-	port = ntohs(((struct sockaddr_in *)&addr)->sin_port);
-	runners = xcalloc(count, sizeof(*runners));
-	for (; runner_count < count; runner_count++) {
-		struct runner *r = &runners[runner_count];
-
-		snprintf(r->id, sizeof(r->id), "%s%u", prefix, runner_count);
-		r->base = base;
-		r->slow = 1;
-		r->addr = addr;
-		r->addr_len = len;
-		((struct sockaddr_in *)&r->addr)->sin_port =
-			htons((uint16_t)(port + runner_count));
-		if (listen_runner(r) < 0)
-			return -1;
-	}
-	return 0;
-}
-
 /* 65 runners with 64 connections each pass the usual limit of 1024 files. */
 static void raise_file_limit(void)
 {
@@ -541,29 +51,29 @@
 {
 	struct event_base *base = wire_event_base();
 	struct event *term = evsignal_new(base, SIGTERM, on_signal, base);
+	struct runner_set *set =
+		runner_set_create(base, (uint64_t)a->seed->ival[0]);
 	struct wire_control *control = NULL;
 	int rc = 1;
 
-	rng.state = (uint64_t)a->seed->ival[0];
 	evsignal_add(term, NULL);
 	if (a->control->count) {
-		control = wire_control(base, a->control->sval[0], on_control,
-				       NULL);
+		control = wire_control(base, a->control->sval[0],
+				       runner_set_control, set);
 		if (!control)
 			goto out;
 	}
-	if (serve(base, a->listen->sval[0], (unsigned)a->count->ival[0],
-		  a->prefix->sval[0]) < 0)
+	if (runner_set_listen(set, a->listen->sval[0],
+			      (unsigned)a->count->ival[0],
+			      a->prefix->sval[0]) < 0)
 		goto out;
 	printf("ready seed=%d\n", a->seed->ival[0]);
 	fflush(stdout);
 	event_base_dispatch(base);
 	rc = 0;
 out:
-	for (unsigned i = 0; i < runner_count; i++)
-		stop_runner(&runners[i]);
-	free(runners);
 	wire_control_free(control);
+	runner_set_free(set);
 	event_free(term);
 	event_base_free(base);
 	return rc;
