--- a/src/oplog-internal.h
+++ b/src/oplog-internal.h
@@ -67,6 +67,7 @@
 	uint64_t lease_gained_us;
 	uint64_t interval_us;
 	uint32_t snapshot_records;
+	uint64_t snapshot_bytes;
 	uint64_t last_id;
 
 	/* Position: seq is the last record of epoch that exists. */
--- a/src/oplog-snapshot.c
+++ b/src/oplog-snapshot.c
@@ -18,7 +18,7 @@
 {
 	return log->snap_phase == SNAP_NONE &&
 	       (log->log_records + 1 >= log->snapshot_records ||
-		log->log_bytes >= OPLOG_SNAPSHOT_BYTES ||
+		log->log_bytes >= log->snapshot_bytes ||
 		log->chain >= CHAIN_MAX);
 }
 
--- a/src/oplog.c
+++ b/src/oplog.c
@@ -31,6 +31,7 @@
 	log->rng.state = seed;
 	log->backoff_us = OPLOG_BACKOFF_MIN_US;
 	log->snapshot_records = OPLOG_SNAPSHOT_RECORDS;
+	log->snapshot_bytes = OPLOG_SNAPSHOT_BYTES;
 	return log;
 }
 
@@ -75,9 +76,11 @@
 	log->interval_us = interval_us;
 }
 
-void oplog_set_snapshot_records(struct oplog *log, uint32_t records)
+void oplog_set_snapshot_limits(struct oplog *log, uint32_t records,
+			       uint64_t bytes)
 {
 	log->snapshot_records = records;
+	log->snapshot_bytes = bytes;
 }
 
 bool oplog_is_owner(const struct oplog *log)
--- a/src/oplog.h
+++ b/src/oplog.h
@@ -207,8 +207,9 @@
 /* Least time between two appends: the shard's share of the write budget. */
 void oplog_set_interval(struct oplog *log, uint64_t interval_us);
 
-/* Takes a snapshot after that many records, for tests. */
-void oplog_set_snapshot_records(struct oplog *log, uint32_t records);
+/* Takes a snapshot after that many records or bytes, for tests. */
+void oplog_set_snapshot_limits(struct oplog *log, uint32_t records,
+			       uint64_t bytes);
 
 void oplog_step(struct oplog *log, uint64_t now_us,
 		const struct oplog_event *e);
--- a/tests/support-oplog.c
+++ b/tests/support-oplog.c
@@ -321,7 +321,8 @@
 	n->log = oplog_create(writer,
 			      m->seed + n->run * 131u + (uint64_t)node * 7u);
 	if (m->snapshot_records)
-		oplog_set_snapshot_records(n->log, m->snapshot_records);
+		oplog_set_snapshot_limits(n->log, m->snapshot_records,
+					  OPLOG_SNAPSHOT_BYTES);
 	n->claims = claims_create(n->log, CLAIMS_MEMORY_MAX_BYTES);
 	n->probe.client.ops = &probe_ops;
 	n->probe.node = n;
