--- a/src/oplog-internal.h
+++ b/src/oplog-internal.h
@@ -97,6 +97,7 @@
 
 	uint64_t log_records; /* since the snapshot */
 	uint64_t log_bytes;
+	uint64_t state_bytes; /* of the last snapshot */
 
 	enum snapshot_phase snap_phase;
 	bool snap_waiting;
--- a/src/oplog-load.c
+++ b/src/oplog-load.c
@@ -105,6 +105,7 @@
 	memset(&log->snap, 0, sizeof(log->snap));
 	log->snap_index = e->count ? e->modify_index : 0;
 	log->oldest = 1;
+	log->state_bytes = 0;
 	log->epoch = 1;
 	log->seq = 0;
 	if (!e->count) {
@@ -120,6 +121,7 @@
 		return;
 	}
 	log->oldest = log->snap.oldest;
+	log->state_bytes = log->snap.length;
 	/* It existed at this time, so the epochs before it can go later. */
 	log->covered_epoch = log->snap.epoch;
 	log->covered_us = now;
--- a/src/oplog-snapshot.c
+++ b/src/oplog-snapshot.c
@@ -5,6 +5,7 @@
 
 /* Bounds the calls of a load: one is made for each epoch. */
 #define CHAIN_MAX 8u
+#define LARGE_STATE_FACTOR 4u
 
 static void send_part(struct oplog *log);
 static void send_manifest(struct oplog *log);
@@ -14,11 +15,23 @@
 			  const struct oplog_event *e);
 static void delete_next(struct oplog *log);
 
+/*
+ * After OPLOG_SNAPSHOT_RECORDS or _BYTES of log. While the state is larger than
+ * that, after as many bytes as it has, so that the snapshots together write at
+ * most as much as the log. Records are bounded all the same, because a load
+ * reads one key for each.
+ */
 bool oplog_snapshot_due(const struct oplog *log)
 {
+	uint64_t records = log->snapshot_records;
+	uint64_t bytes = log->snapshot_bytes;
+
+	if (log->state_bytes > bytes) {
+		bytes = log->state_bytes;
+		records *= LARGE_STATE_FACTOR;
+	}
 	return log->snap_phase == SNAP_NONE &&
-	       (log->log_records + 1 >= log->snapshot_records ||
-		log->log_bytes >= log->snapshot_bytes ||
+	       (log->log_records + 1 >= records || log->log_bytes >= bytes ||
 		log->chain >= CHAIN_MAX);
 }
 
@@ -44,6 +57,7 @@
 	s->nonce = rng_next(&log->rng);
 	s->epoch = log->rec.next;
 	s->length = s->state.len;
+	log->state_bytes = s->length;
 	s->hash = oplog_hash(s->state.data, s->state.len);
 	if (s->length > OPLOG_PART_BYTES)
 		s->parts =
