--- a/src/core.h
+++ b/src/core.h
@@ -28,7 +28,7 @@
 
 enum flow_event_type {
 	FLOW_REQUEST, /* a caller's request arrived */
-	FLOW_CANCEL,  /* its caller is gone */
+	FLOW_CANCEL,  /* its deadline has passed, or its caller is gone */
 	FLOW_RESULT,  /* an attempt at a target ended */
 	FLOW_TARGET,  /* a target appeared or changed */
 	FLOW_TARGET_GONE,
@@ -134,10 +134,15 @@
 	uint32_t attempt;
 	enum flow_outcome outcome; /* FLOW_FINISH */
 	enum flow_reason reason;
-	enum flow_why why;   /* FLOW_SEND */
-	bool hedge;	     /* FLOW_SEND: an earlier attempt still runs */
-	uint64_t queued_us;  /* time spent in the queue */
-	uint64_t timeout_us; /* FLOW_SEND: give up after this time */
+	enum flow_why why;  /* FLOW_SEND */
+	bool hedge;	    /* FLOW_SEND: an earlier attempt still runs */
+	uint64_t queued_us; /* time spent in the queue */
+	/*
+	 * FLOW_SEND: time after which the attempt is given up. It is later
+	 * than the deadline, since the target runs on and its slot stays in
+	 * use.
+	 */
+	uint64_t timeout_us;
 	/* FLOW_SEND, FLOW_ASK: own part of the target's connections */
 	uint32_t connections;
 };
@@ -149,7 +154,12 @@
 };
 
 struct flow_options {
+	/*
+	 * Baseline: a target with a free own slot at random, without breaker
+	 * and hedges. random_choice keeps breaker and hedges.
+	 */
 	bool random_routing;
+	bool random_choice;
 	bool fifo_admission;
 	uint32_t retry_budget_percent; /* 0 = unlimited, the baseline */
 	uint32_t queue_limit;
@@ -194,6 +204,8 @@
 	uint64_t first_sends;
 	uint64_t retries;
 	uint64_t hedges;
+	/* Targets that run more for this process than its own slots. */
+	uint32_t over_share;
 };
 
 /*
@@ -204,9 +216,19 @@
  */
 struct flow *flow_create(const struct flow_options *o);
 void flow_destroy(struct flow *f);
+
+/* Replaces the options, but for the seed. */
+void flow_set_options(struct flow *f, const struct flow_options *o);
 void flow_step(struct flow *f, uint64_t now_us, const struct flow_event *e,
 	       struct flow_actions *out);
 
+/*
+ * Reason for which the event FLOW_REQUEST would be refused now, or NONE. The
+ * state does not change, and the event may still be refused when posted.
+ */
+enum flow_reason flow_check(const struct flow *f, uint64_t now_us,
+			    const struct flow_event *e);
+
 /* Returns -1 when the handle or index is not in use. */
 int flow_target_info(const struct flow *f, uint32_t target,
 		     struct flow_target_info *out);
--- a/src/flow-admit.c
+++ b/src/flow-admit.c
@@ -11,7 +11,13 @@
  * requests are all refused as too slow gets no sample that could correct it.
  */
 #define SERVICE_MAX_AGE_US 2000000u
-#define INTERVAL_WEIGHT_SHIFT 3
+/*
+ * Gaps between two sends vary as much as their mean. With a weight of 1/8 the
+ * estimate did, too, and let in requests that could not be in time.
+ */
+#define INTERVAL_WEIGHT_SHIFT 6
+/* Covers what the estimate of the wait misses; see docs/notes/admission.md. */
+#define WAIT_MARGIN 1.25
 #define QUANTILE_MIN_SAMPLES 20
 
 /* Part of the slots and of the queue that a kind uses, against its share. */
@@ -51,12 +57,15 @@
 {
 	if (q->queued == 0)
 		return 0;
-	return interval_us(f, k, q, now_us) * (q->queued + 1);
+	return WAIT_MARGIN * interval_us(f, k, q, now_us) * (q->queued + 1);
 }
 
-/* Reason to refuse a request, which is counted already; NONE to accept it. */
+/*
+ * Reason to refuse a request, or NONE. The request is one more than those
+ * that are counted, or with counted = true one of them.
+ */
 static enum flow_reason check_limits(const struct flow *f,
-				     const struct flow_request *r,
+				     const struct flow_request *r, bool counted,
 				     uint64_t now_us)
 {
 	const struct flow_kind *k = &f->kinds[r->kind];
@@ -64,9 +73,9 @@
 
 	if (f->capacity == 0)
 		return FLOW_REASON_NO_TARGET;
-	if (k->limit && k->in_flight > k->limit)
+	if (k->limit && k->in_flight + !counted > k->limit)
 		return FLOW_REASON_KIND_LIMIT;
-	if (t->limit && t->in_flight > t->limit)
+	if (t->limit && t->in_flight + !counted > t->limit)
 		return FLOW_REASON_TEAM_LIMIT;
 	if (f->options.team_bytes_limit &&
 	    t->queued_bytes + r->bytes > f->options.team_bytes_limit)
@@ -152,7 +161,7 @@
 
 	k->in_flight++;
 	f->teams[r->team].in_flight++;
-	reason = check_limits(f, r, now_us);
+	reason = check_limits(f, r, true, now_us);
 	/* A request that can be sent at once needs no place in the queue. */
 	if (!reason && f->queued >= f->options.queue_limit &&
 	    (f->free_count == 0 || f->queued > 0) &&
@@ -166,6 +175,18 @@
 	queue_push_all(f, handle, false);
 }
 
+enum flow_reason admit_check(const struct flow *f, const struct flow_request *r,
+			     uint64_t now_us)
+{
+	enum flow_reason reason = check_limits(f, r, false, now_us);
+
+	if (!reason && f->queued >= f->options.queue_limit &&
+	    (f->options.fifo_admission ||
+	     use_of_share(f, &f->kinds[r->kind]) >= 0))
+		reason = FLOW_REASON_QUEUE_FULL;
+	return reason;
+}
+
 void admit_done(struct flow *f, uint32_t handle)
 {
 	struct flow_request *r = &f->requests[handle];
@@ -283,7 +304,7 @@
 	k->last_send_us = now_us;
 	if (q->last_send_us) {
 		int64_t gap = (int64_t)(now_us - q->last_send_us);
-		int64_t old = (int64_t)q->interval_us;
+		int64_t old = (int64_t)interval_us(f, k, q, q->last_send_us);
 
 		q->interval_us = (uint64_t)(old + ((gap - old) >>
 						   INTERVAL_WEIGHT_SHIFT));
--- a/src/flow-internal.h
+++ b/src/flow-internal.h
@@ -40,7 +40,6 @@
 	bool idempotent;
 	bool may_have_run; /* an attempt ended and may have taken effect */
 	bool hedged;
-	bool cancelled;
 	bool counted; /* its first send has been counted */
 	int32_t kind; /* -1: the kind left the sheet */
 	uint32_t team;
@@ -158,6 +157,7 @@
 	uint32_t free_count;
 	uint32_t capacity;
 	struct share_split split;
+	double mean_latency_us; /* EWMA over all targets, 0: not known */
 	/* Retries and hedges. */
 	int64_t budget; /* in hundredths of a request */
 	uint64_t first_sends;
@@ -190,9 +190,12 @@
 		  struct flow_actions *out);
 void admit_free(struct flow *f);
 /* Finds queue and team of a request; team is an index of the sheet or -1. */
-void admit_place(struct flow *f, uint32_t handle, int32_t team);
+void admit_place(const struct flow *f, struct flow_request *r, int32_t team);
 
 /* flow-admit.c */
+/* Reason for which a request would be refused now, or NONE. */
+enum flow_reason admit_check(const struct flow *f, const struct flow_request *r,
+			     uint64_t now_us);
 /* Queues the request or refuses it. */
 void admit_request(struct flow *f, uint32_t handle, uint64_t now_us,
 		   struct flow_actions *out);
@@ -217,13 +220,20 @@
 void route_seat(struct flow *f, const struct flow_event *e);
 void route_probe(struct flow *f, const struct flow_event *e, uint64_t now_us);
 void route_tick(struct flow *f, uint64_t now_us, struct flow_actions *out);
-/* Chooses among the targets with a free own slot; FLOW_NONE: none. */
+/*
+ * Chooses among the targets with a free own slot; FLOW_NONE when there is
+ * none or when the request rather waits for a better one.
+ */
 uint32_t route_choose(struct flow *f, const struct flow_request *r,
 		      uint64_t now_us, uint32_t *passed_over,
 		      enum flow_why *why);
+uint32_t route_over_share(const struct flow *f);
 void route_sent(struct flow *f, uint32_t target, uint64_t now_us);
 void route_result(struct flow *f, uint32_t target, enum flow_outcome outcome,
 		  uint64_t sent_us, uint64_t service_us, uint64_t now_us);
+/* An attempt has missed its request's deadline and runs on. */
+void route_late(struct flow *f, uint32_t target, uint64_t sent_us,
+		uint64_t now_us);
 /* An attempt has run for elapsed_us without an answer. */
 void route_slow(struct flow *f, uint32_t target, uint64_t elapsed_us,
 		uint64_t now_us);
--- a/src/flow.c
+++ b/src/flow.c
@@ -6,9 +6,14 @@
 
 /* Attempts for one request; an end to loops when the budget is unlimited. */
 #define ATTEMPTS_MAX 100
-/* Tokens kept for later: at most this many retries in a burst. */
-#define BUDGET_MAX (100 * 100)
+/*
+ * Tokens kept for later. A larger reserve would let the requests sent exceed
+ * the budget over a short time.
+ */
+#define BUDGET_MAX (20 * 100)
 #define BUDGET_RETRY_COST 100
+/* The longest deadline once more; a slow target ends within it. */
+#define LINGER_US 30000000u
 #define QUANTILE_INTERVAL_US 100000u
 #define DECAY_INTERVAL_US 10000000u
 
@@ -44,6 +49,11 @@
 	free(f);
 }
 
+void flow_set_options(struct flow *f, const struct flow_options *o)
+{
+	f->options = *o;
+}
+
 struct flow_action *flow_emit(struct flow_actions *out,
 			      enum flow_action_type type, uint32_t handle)
 {
@@ -146,59 +156,98 @@
 	dispatch(f, now_us, out);
 }
 
+/* Reason to refuse an event whose kind cannot be looked up, or NONE. */
+static enum flow_reason check_kind(const struct flow *f,
+				   const struct flow_event *e)
+{
+	if (!f->has_policy)
+		return FLOW_REASON_NO_POLICY;
+	if (e->request.kind < 0 || (uint32_t)e->request.kind >= f->kind_count)
+		return FLOW_REASON_UNKNOWN_KIND;
+	return FLOW_REASON_NONE;
+}
+
+static struct flow_request
+make_request(const struct flow *f, const struct flow_event *e, uint64_t now_us)
+{
+	struct flow_request r = {
+		.urgency = e->request.urgency,
+		.idempotent = e->request.idempotent,
+		.kind = e->request.kind,
+		.bytes = e->request.bytes,
+		.avoid = FLOW_NONE,
+		.arrived_us = now_us,
+		.queued_us = now_us,
+		.deadline_us = e->request.deadline_us,
+	};
+
+	for (int i = 0; i < FLOW_ATTEMPTS_RUNNING; i++)
+		r.out[i].target = FLOW_NONE;
+	admit_place(f, &r, e->request.team);
+	return r;
+}
+
+enum flow_reason flow_check(const struct flow *f, uint64_t now_us,
+			    const struct flow_event *e)
+{
+	enum flow_reason reason = check_kind(f, e);
+	struct flow_request r;
+
+	if (reason)
+		return reason;
+	r = make_request(f, e, now_us);
+	return admit_check(f, &r, now_us);
+}
+
 static void on_request(struct flow *f, uint64_t now_us,
 		       const struct flow_event *e, struct flow_actions *out)
 {
 	uint32_t handle = e->request.handle;
-	enum flow_reason reason = FLOW_REASON_NONE;
-	struct flow_request *r;
+	enum flow_reason reason = check_kind(f, e);
 
 	if (handle >= FLOW_REQUESTS_MAX ||
 	    f->requests[handle].state != REQUEST_FREE)
 		return;
-	if (!f->has_policy)
-		reason = FLOW_REASON_NO_POLICY;
-	else if (e->request.kind < 0 ||
-		 (uint32_t)e->request.kind >= f->kind_count)
-		reason = FLOW_REASON_UNKNOWN_KIND;
 	if (reason) {
 		flow_emit(out, FLOW_REFUSE, handle)->reason = reason;
 		return;
 	}
 	if (handle >= f->request_high)
 		f->request_high = handle + 1;
-	r = &f->requests[handle];
-	*r = (struct flow_request){
-		.urgency = e->request.urgency,
-		.idempotent = e->request.idempotent,
-		.kind = e->request.kind,
-		.bytes = e->request.bytes,
-		.avoid = FLOW_NONE,
-		.arrived_us = now_us,
-		.queued_us = now_us,
-		.deadline_us = e->request.deadline_us,
-	};
-	for (int i = 0; i < FLOW_ATTEMPTS_RUNNING; i++)
-		r->out[i].target = FLOW_NONE;
-	admit_place(f, handle, e->request.team);
+	f->requests[handle] = make_request(f, e, now_us);
 	admit_request(f, handle, now_us, out);
 }
 
+/*
+ * Ends a request whose attempts run on. Past its deadline that is a timeout
+ * of their targets.
+ */
+static void leave_running(struct flow *f, uint32_t handle, uint64_t now_us,
+			  struct flow_actions *out)
+{
+	struct flow_request *r = &f->requests[handle];
+
+	for (int i = 0; i < FLOW_ATTEMPTS_RUNNING; i++) {
+		const struct flow_attempt *a = &r->out[i];
+
+		if (a->target != FLOW_NONE && now_us >= r->deadline_us)
+			route_late(f, a->target, a->sent_us, now_us);
+	}
+	finish(f, handle, FLOW_TIMEOUT, NULL, out);
+}
+
 static void on_cancel(struct flow *f, uint64_t now_us,
 		      const struct flow_event *e, struct flow_actions *out)
 {
 	uint32_t handle = e->cancel.handle;
-	struct flow_request *r;
 
 	if (handle >= f->request_high)
 		return;
-	r = &f->requests[handle];
-	r->cancelled = true;
-	if (r->state == REQUEST_QUEUED) {
+	if (f->requests[handle].state == REQUEST_QUEUED) {
 		flow_queue_remove(f, handle);
-		flow_refuse(f, handle, FLOW_REASON_NONE, now_us, out);
-	} else if (r->state == REQUEST_RUNNING) {
-		hedge_list_remove(f, handle);
+		flow_refuse(f, handle, FLOW_REASON_DEADLINE, now_us, out);
+	} else if (f->requests[handle].state == REQUEST_RUNNING) {
+		leave_running(f, handle, now_us, out);
 	}
 }
 
@@ -220,7 +269,7 @@
 	a->why = why;
 	a->hedge = r->state == REQUEST_RUNNING;
 	a->queued_us = a->hedge ? 0 : now_us - r->queued_us;
-	a->timeout_us = r->deadline_us;
+	a->timeout_us = r->deadline_us + LINGER_US;
 	a->connections = f->targets[target].own_connections;
 	if (r->kind >= 0)
 		f->kinds[r->kind].running++;
@@ -266,11 +315,13 @@
 			continue;
 		}
 		target = route_choose(f, r, now_us, &passed_over, &why);
+		if (target == FLOW_NONE)
+			return;
 		admit_sent(f, handle, now_us);
 		earn_budget(f, r);
 		send(f, handle, target, passed_over, why, now_us, out);
 		r->state = REQUEST_RUNNING;
-		if (r->idempotent && !r->hedged && !r->cancelled)
+		if (r->idempotent && !r->hedged)
 			hedge_list_add(f, handle);
 	}
 }
@@ -285,7 +336,7 @@
 	*reason = FLOW_REASON_TARGET_FAILED;
 	if (!r->idempotent && outcome != FLOW_NOT_SENT)
 		return false;
-	if (r->cancelled || r->attempts >= ATTEMPTS_MAX)
+	if (r->attempts >= ATTEMPTS_MAX)
 		return false;
 	if (r->kind < 0 || f->capacity == 0)
 		return false;
@@ -434,9 +485,11 @@
 			f->next_decay_us = now_us + DECAY_INTERVAL_US;
 		admit_quantiles(f, decay);
 	}
-	/* Waiting requests have a better claim on a free slot than a hedge. */
+	if (f->options.random_routing)
+		return;
+	/* A slot that is free now was not wanted by the requests that wait. */
 	for (uint32_t i = 0; i < f->kind_count; i++)
-		if (f->kinds[i].p95_us && f->queued == 0 && f->free_count)
+		if (f->kinds[i].p95_us && f->free_count)
 			hedge_kind(f, &f->kinds[i], now_us, out);
 }
 
@@ -448,6 +501,7 @@
 	out->first_sends = f->first_sends;
 	out->retries = f->retries;
 	out->hedges = f->hedges;
+	out->over_share = route_over_share(f);
 }
 
 const char *flow_reason_name(enum flow_reason reason)
--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -56,15 +56,18 @@
 	char *checkpoint;      /* or NULL */
 	uint64_t since_us;     /* of the state */
 	uint64_t lease_end_us; /* provable end of the lease */
-	uint64_t ended_us;     /* the end of the lease was noticed; or 0 */
 	uint64_t settled_us;   /* absence in a later read is conclusive */
 	uint64_t call_us;      /* last stop or checkpoint call */
 	uint32_t held;	       /* handle + 1 of the worker kept for it */
 	uint64_t sampled_us;   /* last usage sample */
 	uint32_t number;
 	uint32_t attempt;
-	uint32_t avoid; /* handle + 1 of the worker of the last failure */
+	uint32_t ended_reads; /* reads of the worker when the lease ended */
+	uint32_t avoid;	      /* handle + 1 of the worker of the last failure */
+	uint32_t blamed[2]; /* handles + 1 of the workers that it counts against
+			     */
 	int32_t reserved[RES_COUNT];
+	int32_t asked[RES_COUNT]; /* of the worker, at the start */
 	uint32_t used_cpu_milli;
 	uint32_t used_memory_mb;
 	uint32_t peak_memory_mb;
@@ -73,13 +76,18 @@
 	uint8_t state;
 	uint8_t reason;
 	uint8_t failures; /* on workers, of its own */
+	bool ended;	  /* the end of the lease was noticed */
+	bool fitted;	  /* throttled to the headroom after its start */
+	bool adopted;	  /* its throttle is not known */
 	uint8_t percent;  /* of its CPU that it keeps */
 	bool ran;	  /* a start was confirmed once */
 	bool sent;	  /* the start left in this epoch, or may have before */
+	bool held_back;	  /* its start is durable and will not leave */
 	bool checkpointing;
 	bool checkpointed;
-	bool counted; /* its size is in the kind's statistics */
-	bool seen;    /* in the current read of its worker */
+	uint8_t samples; /* of usage, up to 255 */
+	bool counted;	 /* its size is in the kind's statistics */
+	bool seen;	 /* in the current read of its worker */
 };
 
 /* Value of settled_us while the start is not durable or not answered. */
@@ -130,13 +138,21 @@
 	struct placement *cursor; /* of a pass of the scheduler */
 };
 
-/* Log-linear counts, 4 to a doubling, of values from 1 to 2^32. */
-#define SIZE_BUCKETS 128
+/* Log-linear counts, 16 to a doubling (6% wide), of 32-bit values. */
+#define SIZE_SUB 16
+#define SIZE_BUCKETS 464
 struct sizes {
 	uint16_t counts[SIZE_BUCKETS];
 	uint32_t total;
 };
 
+/* Workers that failed tasks of a kind since one succeeded. */
+#define FAIL_WORKERS_MAX 3
+struct fail_set {
+	uint32_t workers[FAIL_WORKERS_MAX]; /* handles */
+	uint8_t count;
+};
+
 /* Slowdown of a service kind per share of a worker's CPU that another uses. */
 struct pair {
 	float mean;
@@ -151,8 +167,10 @@
 	struct sizes memory;	   /* MB */
 	struct sizes cpu_ratio;	   /* permille of the declared size */
 	struct sizes memory_ratio; /* permille of the declared size */
-	struct pair *pairs;	   /* PLACE_KINDS_MAX, of a service, or NULL */
-	double base_us;		   /* latency of a service when alone */
+	struct fail_set start_failures;
+	struct fail_set task_failures;
+	struct pair *pairs; /* PLACE_KINDS_MAX, of a service, or NULL */
+	double base_us;	    /* latency of a service when alone */
 	double base_weight;
 	uint64_t first_start_us;
 };
@@ -167,6 +185,7 @@
 	bool known;			/* in the list of VMs */
 	bool leaving;
 	bool fenced; /* read in this epoch */
+	bool raised; /* its fencing token is of this epoch */
 	bool reading;
 	bool trial; /* its one start after a quarantine may go, or went */
 	bool trial_used;
@@ -181,7 +200,11 @@
 	uint64_t sampled_us;
 	uint32_t used_cpu_milli;
 	uint32_t used_memory_mb;
-	uint64_t held_us; /* end of its keeping for one task; 0: none */
+	uint64_t held_us;     /* end of its keeping for one task; 0: none */
+	uint64_t reported_us; /* when the last usage came */
+	uint64_t judged_us;   /* reported_us of the last judgement */
+	uint32_t starting;    /* tasks in that state */
+	uint32_t failed_reads;
 	uint32_t strikes; /* samples in a row above the bound */
 	struct task_list tasks;
 };
@@ -191,7 +214,7 @@
 	int32_t (*max)[RES_COUNT];
 };
 
-enum waiter_type { WAIT_START, WAIT_REPLY };
+enum waiter_type { WAIT_START, WAIT_REPLY, WAIT_HORIZON };
 
 struct waiter {
 	uint64_t token;
@@ -210,17 +233,28 @@
 	struct place_options options;
 	struct rng rng;
 	bool owner;
-	bool settled; /* owned long enough to call a job impossible */
-	bool dirty;   /* room or pending tasks changed since the last pass */
+	bool log_full; /* an entry was not taken in this pass */
+	bool settled;  /* owned long enough to call a job impossible */
+	bool dirty;    /* room or pending tasks changed since the last pass */
 	uint64_t epoch;
 	uint64_t now_us;
 	uint64_t owned_us;
 	uint64_t last_append_us;
+	/*
+	 * Renewals leave up to this time after the last append. It is no
+	 * longer than what the log says, because the next owner waits for the
+	 * longest horizon that the log names.
+	 */
+	uint64_t horizon_us;
+	uint64_t logged_horizon_us;
+	bool horizon_asked;
 	uint64_t heartbeat_us;
 	uint64_t sweep_us;
 	uint64_t token;
 	uint64_t evictions;
 	uint64_t decisions;
+	uint64_t held_back; /* tasks that interference kept waiting */
+	uint64_t retry_us;
 
 	struct placement **slots;
 	uint32_t slot_count;
@@ -264,7 +298,7 @@
 /* ---- place-log.c ---- */
 
 enum change_type {
-	CHANGE_NONE, /* shows that the log can be written */
+	CHANGE_HORIZON, /* longest outage horizon of any owner; a heartbeat */
 	CHANGE_CREATE,
 	CHANGE_UPDATE,
 	CHANGE_CANCEL,
@@ -285,15 +319,20 @@
 	const char *worker;
 	const char *checkpoint;
 	uint32_t failures;
+	uint32_t horizon_ms;
 	enum place_reason reason;
 	uint32_t reserved[RES_COUNT];
+	uint32_t asked[RES_COUNT];
 	const struct placement_spec *spec;
 	struct kind *kind;
 	struct kind *other;
 	struct pair pair;
 };
 
-/* Applies a change and appends it; returns its token, or 0 when refused. */
+/*
+ * Appends a change and applies it; returns its token. 0 when the log did not
+ * take it: the state is as before, and periodic work tries again.
+ */
 uint64_t place_commit(struct place *p, const struct change *c);
 int place_replay(struct place *p, const void *data, size_t len);
 void place_write_snapshot(struct place *p, struct buffer *out);
@@ -342,6 +381,8 @@
 void worker_set_reserved(struct place *p, struct task *t,
 			 const int32_t reserved[RES_COUNT]);
 void worker_recount(struct place *p, struct worker *w);
+/* Takes back a failure, and the quarantine that it led to. */
+void worker_absolve(struct place *p, struct worker *w);
 void worker_blame(struct place *p, struct worker *w);
 void worker_succeeded(struct place *p, struct worker *w);
 /* Begins the quarantine again that the log shows. */
@@ -353,7 +394,7 @@
 
 /* ---- place-task.c ---- */
 
-void task_begin(struct place *p, struct task *t, struct worker *w,
+bool task_begin(struct place *p, struct task *t, struct worker *w,
 		const int32_t need[RES_COUNT], struct worker *passed_over,
 		const char *why);
 void task_set(struct place *p, struct task *t, enum task_state state,
@@ -383,6 +424,12 @@
 
 /* ---- place-usage.c ---- */
 
+/*
+ * Fills the part of a reservation that the worker is asked for: the worker
+ * adds up what it was asked for, and does not hear of later changes.
+ */
+void usage_asked(const struct place *p, const struct placement *pl,
+		 const int32_t need[RES_COUNT], uint32_t asked[RES_COUNT]);
 /* Fills the room to reserve for the next start of a task. */
 void usage_need(const struct place *p, const struct placement *pl,
 		int32_t need[RES_COUNT]);
--- a/src/place-log.c
+++ b/src/place-log.c
@@ -46,6 +46,7 @@
 uint64_t place_commit(struct place *p, const struct change *c)
 {
 	struct buffer b = BUFFER_INIT;
+	bool later = c->type == CHANGE_TASK || c->type == CHANGE_FORGET;
 	msgpack_packer k;
 	uint64_t token = 0;
 
@@ -53,10 +54,14 @@
 		goto out;
 	msgpack_packer_init(&k, &b, write_buffer);
 	encode(p, c, &k);
-	if (change_apply(p, c) < 0)
+	/* A full log refuses; the state must not get ahead of it then. */
+	if (p->options.append(p->options.append_arg, b.data, b.len,
+			      p->token + 1, later) < 0) {
+		p->log_full = true;
 		goto out;
+	}
 	token = ++p->token;
-	if (p->options.append(p->options.append_arg, b.data, b.len, token) < 0)
+	if (change_apply(p, c) < 0)
 		token = 0;
 out:
 	buffer_free(&b);
@@ -86,9 +91,9 @@
 		   msgpack_packer *k)
 {
 	static const uint32_t lengths[] = {
-		[CHANGE_NONE] = 1,   [CHANGE_CREATE] = 16, [CHANGE_UPDATE] = 5,
-		[CHANGE_CANCEL] = 2, [CHANGE_FORGET] = 2,  [CHANGE_START] = 8,
-		[CHANGE_TASK] = 7,   [CHANGE_KIND] = 10,   [CHANGE_WORKER] = 4,
+		[CHANGE_HORIZON] = 2, [CHANGE_CREATE] = 16, [CHANGE_UPDATE] = 5,
+		[CHANGE_CANCEL] = 2,  [CHANGE_FORGET] = 2,  [CHANGE_START] = 9,
+		[CHANGE_TASK] = 7,    [CHANGE_KIND] = 10,   [CHANGE_WORKER] = 4,
 		[CHANGE_PAIR] = 7,
 	};
 
@@ -96,7 +101,8 @@
 	msgpack_pack_array(k, lengths[c->type]);
 	msgpack_pack_int(k, c->type);
 	switch (c->type) {
-	case CHANGE_NONE:
+	case CHANGE_HORIZON:
+		msgpack_pack_uint32(k, c->horizon_ms);
 		break;
 	case CHANGE_CREATE:
 		encode_create(c, k);
@@ -118,6 +124,7 @@
 		pack_text(k, c->worker);
 		for (int r = 0; r < RES_COUNT; r++)
 			msgpack_pack_uint32(k, c->reserved[r]);
+		msgpack_pack_uint32(k, c->asked[RES_MEMORY]);
 		break;
 	case CHANGE_TASK:
 		msgpack_pack_uint32(k, c->slot);
@@ -280,8 +287,9 @@
 	c.type = (enum change_type)read_uint(&r);
 	c.spec = &spec;
 	switch (c.type) {
-	case CHANGE_NONE:
-		return 0;
+	case CHANGE_HORIZON:
+		c.horizon_ms = read_uint(&r);
+		break;
 	case CHANGE_CREATE:
 		c.slot = read_uint(&r);
 		decode_spec(&r, &spec);
@@ -304,6 +312,8 @@
 		c.worker = text;
 		for (int i = 0; i < RES_COUNT; i++)
 			c.reserved[i] = read_uint(&r);
+		memcpy(c.asked, c.reserved, sizeof(c.asked));
+		c.asked[RES_MEMORY] = read_uint(&r);
 		break;
 	case CHANGE_TASK:
 		c.slot = read_uint(&r);
@@ -411,6 +421,7 @@
 			c.worker = t->worker->id;
 			for (int r = 0; r < RES_COUNT; r++)
 				c.reserved[r] = (uint32_t)t->reserved[r];
+			c.asked[RES_MEMORY] = (uint32_t)t->asked[RES_MEMORY];
 			encode(p, &c, k);
 		}
 		if (t->state == TASK_PENDING && !t->attempt && !t->reason)
@@ -455,6 +466,11 @@
 	msgpack_packer k;
 
 	msgpack_packer_init(&k, out, write_buffer);
+	if (p->logged_horizon_us) {
+		c.type = CHANGE_HORIZON;
+		c.horizon_ms = (uint32_t)(p->logged_horizon_us / 1000);
+		encode(p, &c, &k);
+	}
 	for (uint32_t i = 0; i < p->slot_count; i++)
 		if (p->slots[i])
 			snapshot_placement(p, p->slots[i], &k);
--- a/src/place-worker.c
+++ b/src/place-worker.c
@@ -74,7 +74,10 @@
 {
 	static const int32_t none[RES_COUNT] = { -1, -1, -1 };
 	int32_t yield[RES_COUNT];
-	bool usable = worker_usable(p, w) && !w->held_us;
+	/* More at once could all fail before the first answer shows it. */
+	bool usable =
+		worker_usable(p, w) && !w->held_us &&
+		(w->quarantine_us || w->starting + w->failures < FAILURES_MAX);
 
 	for (int r = 0; r < RES_COUNT; r++)
 		yield[r] = w->free[r] + w->reclaimable[r];
@@ -108,6 +111,7 @@
 		w->tasks.first = t;
 	w->tasks.last = t;
 	reserve(w, t, 1);
+	w->starting += t->state == TASK_STARTING;
 	if (w->quarantine_us)
 		w->trial_used = true;
 	worker_reindex(p, w);
@@ -129,6 +133,7 @@
 	t->next = NULL;
 	t->worker = NULL;
 	reserve(w, t, -1);
+	w->starting -= t->state == TASK_STARTING;
 	worker_reindex(p, w);
 	p->dirty = true;
 }
@@ -173,6 +178,19 @@
 	worker_reindex(p, w);
 }
 
+void worker_absolve(struct place *p, struct worker *w)
+{
+	if (!w->failures)
+		return;
+	w->failures--;
+	if (w->quarantine_us && !w->trial && w->failures < FAILURES_MAX) {
+		w->quarantine_us = 0;
+		w->quarantines--;
+	}
+	worker_reindex(p, w);
+	p->dirty = true;
+}
+
 void worker_restored(struct place *p, struct worker *w)
 {
 	if (w->quarantine_us)
@@ -235,6 +253,7 @@
 			struct task *next;
 
 			w->fenced = true;
+			w->raised = true;
 			w->answered_us = p->now_us;
 			for (struct task *t = w->tasks.first; t; t = next) {
 				bool seen = t->seen;
@@ -245,6 +264,7 @@
 					task_absent(p, t, e->at_us);
 			}
 		} else {
+			w->failed_reads++;
 			w->fenced = false;
 			for (struct task *t = w->tasks.first; t; t = t->next)
 				t->seen = false;
@@ -336,7 +356,7 @@
 	bool any = false;
 	struct place_action *a;
 
-	if (p->now_us - p->last_append_us > p->options.outage_horizon_us)
+	if (p->now_us - p->last_append_us > p->horizon_us)
 		return;
 	for (struct task *t = w->tasks.first; t && !any; t = t->next)
 		any = t->state == TASK_RUNNING;
--- a/src/place.h
+++ b/src/place.h
@@ -31,15 +31,16 @@
 /* A call that ended without an answer reaches its worker within this time. */
 #define PLACE_LATE_US 5000000u
 
+/* later: nobody waits for the entry. Returns -1 when it was not taken. */
 typedef int place_append_fn(void *arg, const void *data, size_t len,
-			    uint64_t token);
+			    uint64_t token, bool later);
 
 struct place_options {
 	enum settings_placement policy;
 	uint64_t outage_horizon_us;
 	uint64_t report_lag_us; /* of usage reports; 0: 2 s */
 	uint64_t seed;
-	place_append_fn *append; /* oplog_append() of the shard's log */
+	place_append_fn *append; /* to the shard's log */
 	void *append_arg;
 };
 
@@ -49,6 +50,12 @@
 void place_destroy(struct place *p);
 struct oplog_client *place_client(struct place *p);
 
+/* Longest time from the log's last append to a call that leaves. */
+uint64_t place_horizon_us(const struct place *p);
+
+/* Takes effect with the next decision. */
+void place_set_policy(struct place *p, enum settings_placement policy);
+
 void place_step(struct place *p, uint64_t now_us, const struct place_event *e);
 
 /* Returns false when there is no further action. */
--- a/src/svc-flow-internal.h
+++ b/src/svc-flow-internal.h
@@ -65,6 +65,7 @@
 	struct flow_svc *svc;
 	struct flow_job *job;
 	struct flow_action action;
+	struct http_cancel cancel;
 	uint64_t first_byte_us; /* 0: no byte left */
 };
 
@@ -110,6 +111,8 @@
 struct flow_svc {
 	struct service service;
 	struct settings settings;
+	const struct settings *running; /* its policy may change on the loop */
+	struct flow_options options;
 	struct loop *loop;
 	struct config_svc *config;
 	struct members *members;
@@ -131,6 +134,7 @@
 	uint32_t entry_count;
 	uint32_t first_free;
 	uint32_t attempts_at[FLOW_TARGETS_MAX];
+	bool leaving[FLOW_TARGETS_MAX]; /* as the core knows it; the loop's */
 	struct flow_record *ring;
 	uint64_t ring_next;
 	/* Threads for attempts; they are started when none is idle. */
@@ -138,6 +142,7 @@
 	pthread_cond_t send_cond;
 	struct flow_send *send_first;
 	struct flow_send **send_last;
+	struct flow_send *send_running;
 	uint32_t send_queued;
 	uint32_t send_threads;
 	uint32_t send_idle;
@@ -162,6 +167,8 @@
 /* svc-flow-targets.c */
 /* Passes a changed list of targets to the core. Control thread. */
 void flow_targets_changed(void *svc);
+/* Tells the core which targets a planned stop is near for. Control thread. */
+void flow_stops_check(struct flow_svc *f);
 /* Copies a row of the table; -1 when the handle is not in use. */
 int flow_target_row(struct flow_svc *f, uint32_t target,
 		    struct flow_address *out);
--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -10,11 +10,7 @@
 #include "svc-flow-internal.h"
 
 #define TICK_US 10000u
-/*
- * A caller is answered this long after its deadline at the latest. The usual
- * end is the timeout of the attempt, which comes at the deadline itself.
- */
-#define GRACE_US 50000u
+#define STOPS_INTERVAL_US 1000000u
 #define TEAM_QUEUED_BYTES (4u * 1024u * 1024u)
 #define PROBE_THREADS 8
 #define PROBE_QUEUE 4096
@@ -32,6 +28,8 @@
 static void sync_policy(void *svc);
 static void sync_seat(void *svc);
 static void tick(void *svc);
+static void set_options(struct flow_svc *f, uint32_t capacity);
+static void check_stops(void *svc);
 static void make_counters(struct flow_counters *c);
 
 static const struct service_ops flow_ops = {
@@ -45,19 +43,15 @@
 struct service *flow_svc_create(const struct settings *s)
 {
 	struct flow_svc *f = xcalloc(1, sizeof(*f));
-	struct flow_options o = {
-		.random_routing = s->policy.routing == ROUTING_RANDOM,
-		.fifo_admission = s->policy.admission == ADMISSION_FIFO,
-		.retry_budget_percent = s->policy.retry_budget_percent,
-		.queue_limit = s->front.queue_limit,
-		.team_bytes_limit = TEAM_QUEUED_BYTES,
-	};
 
 	f->service.ops = &flow_ops;
 	f->settings = *s;
-	if (getrandom(&o.seed, sizeof(o.seed), 0) < 0)
-		o.seed = clock_wall_us();
-	f->core = flow_create(&o);
+	f->running = s;
+	if (getrandom(&f->options.seed, sizeof(f->options.seed), 0) < 0)
+		f->options.seed = clock_wall_us();
+	f->options.team_bytes_limit = TEAM_QUEUED_BYTES;
+	set_options(f, 0);
+	f->core = flow_create(&f->options);
 	f->entry_count = 2 * s->front.threads + SPARE_ENTRIES;
 	if (f->entry_count > ENTRIES_MAX)
 		f->entry_count = ENTRIES_MAX;
@@ -73,6 +67,28 @@
 	return &f->service;
 }
 
+/*
+ * Sets the options from the policy in force. Each request that waits or runs
+ * holds a thread of the front; some threads must stay free, or a refusal
+ * would wait for a thread itself.
+ */
+static void set_options(struct flow_svc *f, uint32_t capacity)
+{
+	struct flow_options *o = &f->options;
+	uint32_t threads = f->settings.front.threads;
+	uint32_t usable = threads - threads / 8;
+	uint32_t room = usable > capacity ? usable - capacity : 0;
+
+	if (room < threads / 4)
+		room = threads / 4;
+	if (room > f->settings.front.queue_limit)
+		room = f->settings.front.queue_limit;
+	o->random_routing = f->running->policy.routing == ROUTING_RANDOM;
+	o->fifo_admission = f->running->policy.admission == ADMISSION_FIFO;
+	o->retry_budget_percent = f->running->policy.retry_budget_percent;
+	o->queue_limit = room;
+}
+
 struct flow_svc *flow_svc_find(struct kernel *k)
 {
 	return (struct flow_svc *)kernel_find(k, "flow");
@@ -139,6 +155,7 @@
 	sync_seat(f);
 	flow_targets_changed(f);
 	loop_every(f->loop, TICK_US, tick, f);
+	loop_every(f->loop, STOPS_INTERVAL_US, check_stops, f);
 }
 
 static void flow_svc_drain(struct service *svc)
@@ -266,6 +283,19 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
+bool flow_seat_applied(struct flow_svc *f, uint64_t revision)
+{
+	struct flow_totals totals;
+
+	sync_seat(f);
+	pthread_mutex_lock(&f->lock);
+	flow_totals(f->core, &totals);
+	pthread_mutex_unlock(&f->lock);
+	/* A process that lost its seat has revision 0 and no slots. */
+	return (f->seat.revision == 0 || f->seat.revision >= revision) &&
+	       totals.over_share == 0;
+}
+
 static void tick(void *svc)
 {
 	struct flow_svc *f = svc;
@@ -280,6 +310,8 @@
 	pthread_mutex_lock(&f->lock);
 	flow_post(f, &e);
 	flow_totals(f->core, &totals);
+	set_options(f, totals.capacity);
+	flow_set_options(f->core, &f->options);
 	pthread_mutex_unlock(&f->lock);
 	atomic_store(&f->last_tick_us, clock_now_us());
 	counter_set(f->counters.queued, totals.queued);
@@ -287,6 +319,11 @@
 	counter_set(f->counters.capacity, totals.capacity);
 }
 
+static void check_stops(void *svc)
+{
+	flow_stops_check(svc);
+}
+
 /* ---- requests ---- */
 
 void flow_job_release(struct flow_job *job)
@@ -311,11 +348,12 @@
 	return job;
 }
 
-/* Fills the event of a request; its indices are those of job->revision. */
-static void describe(struct flow_svc *f, const struct flow_call *call,
-		     struct flow_job *job, struct flow_event *e)
+/* Fills the event of a request; returns the revision of its indices. */
+static uint64_t describe(struct flow_svc *f, const struct flow_call *call,
+			 struct flow_event *e)
 {
 	const struct config *c;
+	uint64_t revision = 0;
 
 	e->type = FLOW_REQUEST;
 	e->request.kind = -1;
@@ -324,13 +362,12 @@
 	e->request.idempotent = call->idempotent;
 	e->request.deadline_us = call->deadline_us;
 	e->request.bytes = (uint32_t)call->body_len;
-	job->revision = 0;
 	rcu_read_lock();
 	c = config_read(f->config);
 	if (c) {
 		int kind = sheet_find_kind(c->sheet, call->user, call->kind);
 
-		job->revision = c->revision;
+		revision = c->revision;
 		e->request.kind = kind;
 		e->request.team =
 			sheet_find_team(c->sheet, call->user, call->team);
@@ -340,16 +377,18 @@
 	rcu_read_unlock();
 	if (call->urgency >= 0)
 		e->request.urgency = (enum urgency)call->urgency;
+	return revision;
 }
 
 /* Takes the lock when the core has the sheet that the event refers to. */
 static void lock_at_revision(struct flow_svc *f, const struct flow_call *call,
-			     struct flow_job *job, struct flow_event *e)
+			     struct flow_event *e)
 {
 	for (;;) {
-		describe(f, call, job, e);
+		uint64_t revision = describe(f, call, e);
+
 		pthread_mutex_lock(&f->lock);
-		if (job->revision == f->revision)
+		if (revision == f->revision)
 			return;
 		pthread_mutex_unlock(&f->lock);
 		rcu_read_lock();
@@ -358,7 +397,7 @@
 	}
 }
 
-/* Waits for the decision, at most until shortly after the deadline. */
+/* Waits for the decision, at most until the deadline. */
 static void wait_for_end(struct flow_svc *f, struct flow_entry *entry,
 			 uint64_t deadline_us)
 {
@@ -366,11 +405,10 @@
 		uint64_t now = clock_now_us();
 		struct timespec ts;
 
-		if (now >= deadline_us + GRACE_US)
+		if (now >= deadline_us)
 			return;
 		clock_gettime(CLOCK_REALTIME, &ts);
-		now = (uint64_t)ts.tv_nsec / 1000u + deadline_us + GRACE_US -
-		      now;
+		now = (uint64_t)ts.tv_nsec / 1000u + deadline_us - now;
 		ts.tv_sec += (time_t)(now / 1000000u);
 		ts.tv_nsec = (long)(now % 1000000u) * 1000;
 		pthread_cond_timedwait(&entry->cond, &f->lock, &ts);
@@ -378,8 +416,8 @@
 }
 
 /*
- * The deadline has passed and an attempt still runs. No attempt starts to
- * send after the deadline, so "not run" is certain when none has sent.
+ * The deadline has passed. An attempt that is being sent runs on; no other
+ * starts to send after the deadline, so "not run" is certain when none has.
  */
 static void give_up(struct flow_svc *f, uint32_t handle,
 		    struct flow_reply *reply)
@@ -391,9 +429,8 @@
 	flow_post(f, &e);
 	reply->reason = FLOW_REASON_DEADLINE;
 	reply->outcome = FLOW_TIMEOUT;
-	reply->code = FLOW_REPLY_UNKNOWN;
-	if (!entry->may_have_run && atomic_load(&entry->job->sending) == 0)
-		reply->code = FLOW_REPLY_NOT_RUN;
+	if (entry->may_have_run || atomic_load(&entry->job->sending) > 0)
+		reply->code = FLOW_REPLY_UNKNOWN;
 }
 
 /* Turns the final action into the reply. */
@@ -457,6 +494,23 @@
 		counter_add(f->counters.not_run[reply->reason], 1);
 }
 
+bool flow_would_refuse(struct flow_svc *f, const struct flow_call *call,
+		       struct flow_reply *reply)
+{
+	struct flow_event e;
+
+	memset(reply, 0, sizeof(*reply));
+	memset(&e, 0, sizeof(e));
+	reply->code = FLOW_REPLY_NOT_RUN;
+	lock_at_revision(f, call, &e);
+	reply->revision = f->revision;
+	reply->reason = flow_check(f->core, clock_now_us(), &e);
+	pthread_mutex_unlock(&f->lock);
+	if (reply->reason)
+		count_reply(f, reply);
+	return reply->reason != FLOW_REASON_NONE;
+}
+
 void flow_serve(struct flow_svc *f, const struct flow_call *call,
 		struct flow_reply *reply)
 {
@@ -472,7 +526,8 @@
 		reply->reason = FLOW_REASON_DRAINING;
 		goto out;
 	}
-	lock_at_revision(f, call, job, &e);
+	lock_at_revision(f, call, &e);
+	job->revision = f->revision;
 	handle = take_entry(f, job);
 	if (handle < f->entry_count) {
 		struct flow_entry *entry = &f->entries[handle];
@@ -480,10 +535,10 @@
 		e.request.handle = handle;
 		flow_post(f, &e);
 		wait_for_end(f, entry, call->deadline_us);
-		if (!entry->decided)
-			give_up(f, handle, reply);
 		if (entry->decided)
 			make_reply(entry, reply);
+		else
+			give_up(f, handle, reply);
 		entry->waited_for = false;
 		flow_entry_release(f, handle);
 	} else {
--- a/src/svc-flow.h
+++ b/src/svc-flow.h
@@ -60,6 +60,13 @@
 void flow_serve(struct flow_svc *f, const struct flow_call *call,
 		struct flow_reply *reply);
 
+/*
+ * Whether the request would be refused now; then the reply says why. Spares a
+ * request that needs a claim the claim.
+ */
+bool flow_would_refuse(struct flow_svc *f, const struct flow_call *call,
+		       struct flow_reply *reply);
+
 /* Mark the time from a request's arrival to the end of its answer. */
 void flow_enter(struct flow_svc *f);
 void flow_leave(struct flow_svc *f);
@@ -67,6 +74,12 @@
 /* Requests accepted and not yet answered; 0 ends a drain. */
 uint32_t flow_in_flight(struct flow_svc *f);
 
+/*
+ * Whether that revision of the seats is applied and no target runs more for
+ * this process than its share of it. Control thread.
+ */
+bool flow_seat_applied(struct flow_svc *f, uint64_t revision);
+
 /* Appends what is known of a request's decisions as JSON; -1 if unknown. */
 int flow_explain(struct flow_svc *f, const char *request_id,
 		 struct buffer *json);
--- a/src/svc-seats.c
+++ b/src/svc-seats.c
@@ -19,6 +19,11 @@
 #define RETRY_MIN_US 500000u
 #define RETRY_MAX_US 4000000u
 #define APPLIED_INTERVAL_US 250000u
+/*
+ * A place stays empty this long for a process that is restarted. When it goes,
+ * most slots change hands.
+ */
+#define EMPTY_MAX_US 10000000u
 /* The longest deadline of a request. */
 #define DEADLINE_MAX_US 30000000u
 
@@ -35,9 +40,11 @@
 static void send_applied(struct members *m, uint64_t now);
 static void check_left(struct members *m, uint64_t now);
 static uint64_t read_after(struct members *m);
+static bool own_requests_done(struct members *m);
 static bool own_requests_ended(struct members *m);
 static bool holder_live(struct members *m, const char *name);
 static bool holder_gone(struct members *m, const char *name, uint64_t now);
+static bool holder_reaches_store(struct members *m, const char *name);
 static int lowest_live(struct members *m);
 static bool change_own(struct members *m, struct seats *next,
 		       const char **reason);
@@ -76,7 +83,7 @@
 	changed = memcmp(&seat, &m->seat, sizeof(seat)) != 0;
 	m->seat = seat;
 	pthread_mutex_unlock(&m->lock);
-	counter_set(m->seat_count, m->seats.count);
+	counter_set(m->seat_count, seats_held(&m->seats));
 	counter_set(m->seat_revision, (long long)m->seats.revision);
 	counter_set(m->seat_confirmed, m->seats.confirmed);
 	if (!changed)
@@ -118,6 +125,8 @@
 	}
 	if (index < m->seats_index && index)
 		return false; /* an answer that was overtaken */
+	if (s.revision != m->seats.revision)
+		m->seats_changed_us = clock_now_us();
 	m->seats = s;
 	m->seats_index = index;
 	m->seats_known = true;
@@ -155,6 +164,9 @@
 	seats_progress_seen(&m->progress, &m->seats, now);
 	if (reply->sent_us >= m->resumed_us)
 		m->revalidating = false;
+	if (m->seats_told != m->seats_index) /* tell the others at once */
+		m->next_heartbeat_us = 0;
+	m->seats_told = m->seats_index;
 	publish(m);
 	change(m, now);
 }
@@ -225,17 +237,37 @@
 	if (lowest_live(m) < 0 || !members_is_reader(m))
 		return false;
 	for (uint32_t i = 0; i < m->seats.count; i++)
-		if (!holder_live(m, m->seats.names[i]))
+		if (m->seats.names[i][0] && !holder_live(m, m->seats.names[i]))
 			return true;
 	return false;
 }
 
+/* Tells whether the holder of a seat reaches the store. */
+static bool holder_reaches_store(struct members *m, const char *name)
+{
+	const struct member *member;
+	char id[64];
+
+	seats_id(name, id);
+	member = members_get(m, id);
+	return member && member->store_reached;
+}
+
 static int lowest_live(struct members *m)
 {
-	for (uint32_t i = 0; i < m->seats.count; i++)
-		if (holder_live(m, m->seats.names[i]))
+	int first = -1;
+
+	for (uint32_t i = 0; i < m->seats.count; i++) {
+		const char *name = m->seats.names[i];
+
+		if (!*name || !holder_live(m, name))
+			continue;
+		if (holder_reaches_store(m, name))
 			return (int)i;
-	return -1;
+		if (first < 0)
+			first = (int)i;
+	}
+	return first;
 }
 
 bool members_is_reader(struct members *m)
@@ -251,11 +283,11 @@
 {
 	bool held = seats_find(&m->seats, m->seat_name) >= 0;
 
-	if (held && m->draining && own_requests_ended(m)) {
+	if (held && m->draining && own_requests_done(m)) {
 		*reason = "leave";
 		return seats_remove(next, m->seat_name) == 0;
 	}
-	if (held || m->draining || !m->registered)
+	if (held || m->draining || !members_self_registered(m))
 		return false;
 	*reason = "join";
 	for (uint32_t i = 0; i < next->count; i++) {
@@ -281,7 +313,8 @@
 	bool changed = false;
 
 	for (uint32_t i = 0; i < m->seats.count; i++) {
-		if (!holder_gone(m, m->seats.names[i], now))
+		if (!m->seats.names[i][0] ||
+		    !holder_gone(m, m->seats.names[i], now))
 			continue;
 		log_event(LOG_WARNING, "seat-departed", "seat=%s",
 			  m->seats.names[i]);
@@ -315,7 +348,11 @@
 		next.confirmed = true;
 		next.previous_count = 0;
 		write_seats(m, &next, "confirmed");
+		return;
 	}
+	if (m->seats.confirmed && now - m->seats_changed_us >= EMPTY_MAX_US &&
+	    seats_compact(&next) == 0)
+		write_seats(m, &next, "compact");
 }
 
 static void write_seats(struct members *m, const struct seats *next,
@@ -364,6 +401,19 @@
 	else
 		seats_progress_applied(&m->progress, name, revision);
 	message_reader_free(&r);
+	/* The reader marks the value at once when this was the last word. */
+	if (!m->seats.confirmed && members_is_reader(m) &&
+	    seats_progress_done(&m->progress, &m->seats, UINT64_MAX,
+				clock_now_us()))
+		m->seats_next_us = 0;
+}
+
+/* Tells whether no request is queued or in progress, so that slots can go. */
+static bool own_requests_done(struct members *m)
+{
+	struct flow_svc *f = flow(m);
+
+	return !f || flow_in_flight(f) == 0;
 }
 
 /* Tells whether no request of this process is above its share any more. */
@@ -371,7 +421,7 @@
 {
 	struct flow_svc *f = flow(m);
 
-	return !f || flow_in_flight(f) == 0;
+	return !f || flow_seat_applied(f, m->seats.revision);
 }
 
 /* Repeats the confirmation until the store's value is marked. */
@@ -380,11 +430,7 @@
 	struct message_writer w;
 
 	if (m->seats.confirmed || !m->seats.revision ||
-	    now < m->next_applied_us)
-		return;
-	if (own_requests_ended(m))
-		atomic_store(&m->applied_revision, m->seats.revision);
-	if (atomic_load(&m->applied_revision) < m->seats.revision)
+	    now < m->next_applied_us || !own_requests_ended(m))
 		return;
 	m->next_applied_us = now + APPLIED_INTERVAL_US;
 	seats_progress_applied(&m->progress, m->seat_name, m->seats.revision);
@@ -421,7 +467,8 @@
 	if (m->seats_behind || m->revalidating)
 		return READ_BEHIND_US;
 	if (!m->seats.confirmed || held == m->draining ||
-	    !members_have_peers(m) || seats_need_list(m))
+	    !members_have_peers(m) || seats_need_list(m) ||
+	    seats_held(&m->seats) < m->seats.count)
 		return READ_SOON_US;
 	return READ_INTERVAL_US;
 }
@@ -457,13 +504,9 @@
 			(struct seat_listener){ fn, arg };
 }
 
-void members_applied(struct members *m, uint64_t revision)
+uint32_t members_seats_held(struct members *m)
 {
-	uint64_t old = atomic_load(&m->applied_revision);
-
-	while (old < revision && !atomic_compare_exchange_weak(
-					 &m->applied_revision, &old, revision))
-		;
+	return seats_held(&m->seats);
 }
 
 bool members_left(struct members *m)
--- a/src/waxwingd.c
+++ b/src/waxwingd.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <zmq.h>
 
 #include "clock.h"
 #include "kernel.h"
@@ -37,6 +38,7 @@
 static void print_fault(void *arg, const char *file, int line,
 			const char *message);
 static int check_file(const char *path);
+static int print_keys(void);
 static int register_services(struct kernel *k, const struct settings *s,
 			     struct error *err);
 static void block_signals(sigset_t *set);
@@ -45,11 +47,14 @@
 static void drain(struct kernel *k, const sigset_t *set);
 static int run(const char *path);
 
-/* Services start in this order and stop in the reverse one. */
+/*
+ * Services start in this order and stop in the reverse one. Placement adds its
+ * client to the owner's logs, so it starts before the owner can read them.
+ */
 static create_fn *const services[] = {
-	create_loop,	  store_create,	   peers_create, members_create,
-	targets_create,	  config_create,   owner_create, workers_create,
-	placement_create, flow_svc_create, front_create, operator_create,
+	create_loop,	store_create,	 peers_create,	 members_create,
+	targets_create, config_create,	 workers_create, placement_create,
+	owner_create,	flow_svc_create, front_create,	 operator_create,
 };
 
 static struct service *create_loop(const struct settings *s)
@@ -75,6 +80,19 @@
 	return faults ? EXIT_FAILED : EXIT_OK;
 }
 
+static int print_keys(void)
+{
+	char public_key[41], secret_key[41];
+
+	if (zmq_curve_keypair(public_key, secret_key) < 0) {
+		fprintf(stderr, "waxwingd: %s\n", zmq_strerror(zmq_errno()));
+		return EXIT_FAILED;
+	}
+	printf("curve_public = %s\ncurve_secret = %s\n", public_key,
+	       secret_key);
+	return EXIT_OK;
+}
+
 static int register_services(struct kernel *k, const struct settings *s,
 			     struct error *err)
 {
@@ -112,13 +130,24 @@
 	return sig < 0 ? 0 : sig;
 }
 
+/* Keys that SIGHUP puts in force; the others are only read at the start. */
+static const struct {
+	const char *section;
+	const char *key;
+} live_keys[] = {
+	{ "operator", "token" },   { "policy", "routing" },
+	{ "policy", "admission" }, { "policy", "retry_budget" },
+	{ "log", "level" },
+};
+
 /* Reports a key that changed in the file and is only read at the start. */
 static void report_key(void *arg, const char *section, const char *key)
 {
 	(void)arg;
-	if (!strcmp(section, "policy") || !strcmp(section, "log") ||
-	    (!strcmp(section, "operator") && !strcmp(key, "token")))
-		return;
+	for (size_t i = 0; i < sizeof(live_keys) / sizeof(live_keys[0]); i++)
+		if (!strcmp(live_keys[i].section, section) &&
+		    !strcmp(live_keys[i].key, key))
+			return;
 	log_event(LOG_WARNING, "settings-need-restart", "section=%s key=%s",
 		  section, key);
 }
@@ -133,8 +162,10 @@
 {
 	struct reload_call *c = arg;
 
-	c->running->policy = c->read->policy;
-	c->running->log_level = c->read->log_level;
+	c->running->policy.routing = c->read->policy.routing;
+	c->running->policy.admission = c->read->policy.admission;
+	c->running->policy.retry_budget_percent =
+		c->read->policy.retry_budget_percent;
 }
 
 static void log_fault(void *arg, const char *file, int line,
@@ -229,10 +260,12 @@
 					    "run with the settings of FILE");
 	struct arg_file *test =
 		arg_file0("t", "test", "FILE", "check FILE and exit");
+	struct arg_lit *keys =
+		arg_lit0("k", "keys", "print a new key pair for the settings");
 	struct arg_lit *help = arg_lit0("h", "help", "print this text");
 	struct arg_lit *version = arg_lit0("V", "version", "print the version");
 	struct arg_end *end = arg_end(8);
-	void *table[] = { config, test, help, version, end };
+	void *table[] = { config, test, keys, help, version, end };
 	int faults = arg_parse(argc, argv, table);
 	int ret = EXIT_USAGE;
 
@@ -246,12 +279,14 @@
 		ret = EXIT_OK;
 	} else if (faults) {
 		arg_print_errors(stderr, end, "waxwingd");
+	} else if (keys->count) {
+		ret = print_keys();
 	} else if (test->count) {
 		ret = check_file(test->filename[0]);
 	} else if (config->count) {
 		ret = run(config->filename[0]);
 	} else {
-		fprintf(stderr, "waxwingd: one of -c and -t is needed\n");
+		fprintf(stderr, "waxwingd: -c, -t or -k is needed\n");
 	}
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
 	return ret;
