Bound the usage polls and tell workers that an end was heard

Cause: usage of every task each second would cost ten times the 12 KB/s that an entry VM may spend on control at the two-year size, and workers list ended tasks until they are told to stop them.

--- a/src/core.h
+++ b/src/core.h
@@ -350,6 +350,7 @@
 	const char *reason; /* static text of the decision */
 	uint64_t request;   /* PLACE_REPLY */
 	enum place_refusal refusal;
+	bool upkeep; /* PLACE_STOP: no decision, the task has ended */
 	uint32_t attempt;
 	uint32_t cpu_milli;
 	uint32_t memory_mb;
--- a/src/place-task.c
+++ b/src/place-task.c
@@ -293,6 +293,15 @@
 	t->ended = false;
 }
 
+/* A worker reports an ended task until it is told to stop it. */
+static void acknowledge(struct place *p, const struct task *t)
+{
+	struct place_action *a = emit(p, PLACE_STOP, t);
+
+	a->upkeep = true;
+	a->reason = "done";
+}
+
 /* A worker's report of an attempt, from a read or a usage sample. */
 static void reported(struct place *p, struct task *t,
 		     const struct place_event *e)
@@ -329,6 +338,7 @@
 		}
 		break;
 	case TASK_DONE:
+		acknowledge(p, t);
 		task_set(p, t, TASK_DONE, REASON_NONE, e->checkpoint);
 		break;
 	case TASK_FAILED:
--- a/src/svc-placement-calls.c
+++ b/src/svc-placement-calls.c
@@ -11,6 +11,12 @@
 #define LEAVE_WITHIN_US 1000000u
 #define CALL_TIMEOUT_US 1500000u
 
+#define POLL_EVERY_US 1000000u
+#define POLL_CHECK_S 0.2
+/* Half of the 12 KB/s that an entry VM may spend on control. */
+#define USAGE_BYTES_PER_S 6000.0
+#define USAGE_BYTES_MAX 60000.0
+
 struct task_call {
 	struct place_shard *shard;
 	struct place_action action;
@@ -26,6 +32,8 @@
 static void done_renew(struct worker_call *c);
 static void done_read(struct worker_call *c);
 static void done_usage(struct worker_call *c);
+static bool same_address(const struct settings_address *a,
+			 const struct settings_address *b);
 
 static const struct {
 	const char *name;
@@ -80,7 +88,7 @@
 	struct worker_call *c = xcalloc(1, sizeof(*c));
 	struct task_call *t = xcalloc(1, sizeof(*t));
 
-	if (calls[a->type].logged)
+	if (calls[a->type].logged && !a->upkeep)
 		log_decision(s, a);
 	t->shard = s;
 	t->action = *a;
@@ -424,6 +432,12 @@
 	uint64_t at_us;
 	size_t i;
 
+	for (i = 0; i < s->known_count; i++) {
+		if (!same_address(&s->known[i].address, &c->address))
+			continue;
+		s->known[i].polling = false;
+		s->known[i].usage_bytes = (double)c->answer.len;
+	}
 	if (!s->epoch || s->epoch != c->epoch ||
 	    answer_of(c) != PLACE_ANSWER_OK)
 		return;
@@ -443,31 +457,69 @@
 	return a->port == b->port && !strcmp(a->host, b->host);
 }
 
+/* The worker that stands for its address: the first one that has it. */
+static struct known_worker *polled(struct place_shard *s, uint32_t n)
+{
+	struct known_worker *k = &s->known[n];
+
+	if (!k->present || k->polling)
+		return NULL;
+	for (uint32_t i = 0; i < n; i++)
+		if (s->known[i].present &&
+		    same_address(&s->known[i].address, &k->address))
+			return NULL;
+	return k;
+}
+
+static void poll_address(struct place_shard *s, struct known_worker *k)
+{
+	struct worker_call *c = xcalloc(1, sizeof(*c));
+
+	snprintf(c->lane, sizeof(c->lane), "usage:%s:%u", k->address.host,
+		 k->address.port);
+	c->address = k->address;
+	c->method = "GET";
+	snprintf(c->path, sizeof(c->path), "/usage");
+	c->leave_by_us = clock_now_us() + LEAVE_WITHIN_US;
+	c->timeout_us = CALL_TIMEOUT_US;
+	c->gate = &s->gate;
+	c->epoch = s->epoch;
+	c->done = done_usage;
+	c->arg = s;
+	k->polling = true;
+	k->polled_us = clock_now_us();
+	workers_submit(s->svc->workers, c);
+}
+
+/*
+ * Polls the addresses that were polled longest ago, once a second at most and
+ * while the answers stay within the bytes for them.
+ */
 void placement_poll_usage(struct place_shard *s)
 {
-	for (uint32_t i = 0; i < s->known_count; i++) {
-		const struct known_worker *k = &s->known[i];
-		struct worker_call *c;
-		bool asked = !k->present;
-
-		/* One call serves all workers of an address. */
-		for (uint32_t j = 0; j < i && !asked; j++)
-			asked = s->known[j].present &&
-				same_address(&s->known[j].address, &k->address);
-		if (asked)
-			continue;
-		c = xcalloc(1, sizeof(*c));
-		snprintf(c->lane, sizeof(c->lane), "usage:%s:%u",
-			 k->address.host, k->address.port);
-		c->address = k->address;
-		c->method = "GET";
-		snprintf(c->path, sizeof(c->path), "/usage");
-		c->leave_by_us = clock_now_us() + LEAVE_WITHIN_US;
-		c->timeout_us = CALL_TIMEOUT_US;
-		c->gate = &s->gate;
-		c->epoch = s->epoch;
-		c->done = done_usage;
-		c->arg = s;
-		workers_submit(s->svc->workers, c);
+	uint64_t now_us = clock_now_us();
+	double passed = (double)(now_us - s->usage_us) / 1e6;
+
+	if (passed < POLL_CHECK_S)
+		return;
+	s->usage_us = now_us;
+	s->usage_bytes += passed * USAGE_BYTES_PER_S;
+	if (s->usage_bytes > USAGE_BYTES_MAX)
+		s->usage_bytes = USAGE_BYTES_MAX;
+	while (s->usage_bytes > 0) {
+		struct known_worker *next = NULL;
+
+		for (uint32_t i = 0; i < s->known_count; i++) {
+			struct known_worker *k = polled(s, i);
+
+			if (k && now_us - k->polled_us >= POLL_EVERY_US &&
+			    (!next || k->polled_us < next->polled_us))
+				next = k;
+		}
+		if (!next)
+			return;
+		/* Its answer will cost about as much as the last one. */
+		s->usage_bytes -= next->usage_bytes;
+		poll_address(s, next);
 	}
 }
--- a/src/svc-placement-internal.h
+++ b/src/svc-placement-internal.h
@@ -32,6 +32,9 @@
 	char id[64];
 	struct settings_address address;
 	bool present;
+	bool polling;
+	uint64_t polled_us;
+	double usage_bytes; /* of the last answer of its address */
 	uint64_t absent_us;
 };
 
@@ -45,6 +48,8 @@
 	struct known_worker *known;
 	uint32_t known_count;
 	uint32_t known_capacity;
+	uint64_t usage_us;
+	double usage_bytes; /* that polls may cost now */
 };
 
 struct decision {
@@ -97,7 +102,6 @@
 	struct op *ops;
 	uint64_t next_op;
 	uint64_t fed_us;
-	uint64_t polled_us;
 	bool stopping;
 };
 
@@ -114,7 +118,7 @@
 /* Turns an action into a call on its worker. */
 void placement_call(struct place_shard *s, const struct place_action *a);
 
-/* Asks each address of the shard's workers for usage. */
+/* Asks addresses of the shard's workers for usage, within a budget. */
 void placement_poll_usage(struct place_shard *s);
 
 /* ---- svc-placement-ops.c ---- */
--- a/src/svc-placement.c
+++ b/src/svc-placement.c
@@ -10,7 +10,6 @@
 
 #define TICK_US 20000u
 #define FEED_EVERY_US 1000000u
-#define POLL_EVERY_US 1000000u
 /* Tasks leave a planned stop's machines this long before it starts. */
 #define STOP_LEAD_US 60000000u
 #define FORGET_WORKER_US 3600000000u
@@ -23,8 +22,7 @@
 static struct oplog_client *create_client(void *arg, const char *shard,
 					  struct oplog *log);
 static void tick(void *arg);
-static void tick_shard(struct place_shard *s, uint64_t now_us, bool feed,
-		       bool poll);
+static void tick_shard(struct place_shard *s, uint64_t now_us, bool feed);
 static void feed_workers(struct place_shard *s, uint64_t now_us);
 static void feed_policy(void *arg);
 
@@ -157,21 +155,17 @@
 	struct placement_svc *p = arg;
 	uint64_t now_us = clock_now_us();
 	bool feed = now_us - p->fed_us >= FEED_EVERY_US;
-	bool poll = now_us - p->polled_us >= POLL_EVERY_US;
 
 	if (p->stopping)
 		return;
 	if (feed)
 		p->fed_us = now_us;
-	if (poll)
-		p->polled_us = now_us;
 	for (uint32_t i = 0; i < p->shard_count; i++)
-		tick_shard(p->shards[i], now_us, feed, poll);
+		tick_shard(p->shards[i], now_us, feed);
 	placement_ops_tick(p);
 }
 
-static void tick_shard(struct place_shard *s, uint64_t now_us, bool feed,
-		       bool poll)
+static void tick_shard(struct place_shard *s, uint64_t now_us, bool feed)
 {
 	struct place_event e = { .type = PLACE_TICK };
 	uint64_t epoch = oplog_is_owner(s->log) ? oplog_epoch(s->log) : 0;
@@ -193,8 +187,7 @@
 	if (!epoch)
 		return;
 	place_step(s->place, now_us, &e);
-	if (poll)
-		placement_poll_usage(s);
+	placement_poll_usage(s);
 	placement_drain_actions(s);
 }
 
--- a/tests/itest-placement.c
+++ b/tests/itest-placement.c
@@ -138,6 +138,120 @@
 			0);
 }
 
+/* Sets the state of a worker's VM in the list, replaced as a whole. */
+static void set_vm_state(const char *id, const char *state)
+{
+	char path[300], tmp[320];
+	char *text = cluster_read(&cluster, "vms.json");
+	json_t *list = json_loads(text ? text : "", 0, NULL);
+	json_t *vm;
+	size_t i;
+
+	json_array_foreach(list, i, vm)
+	{
+		const char *name = json_string_value(json_object_get(vm, "id"));
+
+		if (name && !strcmp(name, id))
+			json_object_set_new(vm, "state", json_string(state));
+	}
+	snprintf(path, sizeof(path), "%s/vms.json", cluster.folder);
+	snprintf(tmp, sizeof(tmp), "%s.new", path);
+	json_dump_file(list, tmp, 0);
+	rename(tmp, path);
+	json_decref(list);
+	free(text);
+}
+
+/* Fills the worker of a placement's first task. */
+static void worker_of(const char *name, char worker[64])
+{
+	struct buffer answer = BUFFER_INIT;
+	json_t *root;
+
+	operate(0, "GET", name, "", &answer);
+	root = json_loadb(answer.data ? answer.data : "", answer.len, 0, NULL);
+	snprintf(worker, 64, "%s",
+		 json_string_value(json_object_get(
+			 json_array_get(json_object_get(root, "tasks"), 0),
+			 "worker")));
+	json_decref(root);
+	buffer_free(&answer);
+}
+
+/* Guards against a planned stop that loses a task's work. */
+static void test_leaving_worker_hands_its_task_on(void)
+{
+	char worker[64], left[200];
+
+	CU_ASSERT_EQUAL(create(0, "move", 1, 256, "run_ms=600000"), 201);
+	CU_ASSERT_TRUE_FATAL(wait_for("\"task-start\"", ".move.0\"", 1));
+	worker_of("move", worker);
+	set_vm_state(worker, "leaving");
+	CU_ASSERT_TRUE(wait_for("\"task-start\"", ".move.0\"", 2));
+	CU_ASSERT_EQUAL(cluster_count(&cluster, "workers-0.jsonl",
+				      "\"task-checkpoint\"", ".move.0\""),
+			1);
+	snprintf(left, sizeof(left), "\"worker\":\"%s\",\"task\":\"%s.move.0\"",
+		 worker, zone);
+	CU_ASSERT_EQUAL(cluster_count(&cluster, "workers-0.jsonl",
+				      "\"task-start\"", left),
+			1);
+	set_vm_state(worker, "live");
+}
+
+/* Guards against tasks that are lost or doubled with an answer. */
+static void test_lost_answers_do_no_harm(void)
+{
+	uint16_t port = cluster_worker_port(&cluster, 0);
+
+	CU_ASSERT_EQUAL(cluster_fault(port, "{\"lose\":0.2}"), 0);
+	CU_ASSERT_EQUAL(create(0, "lossy", 20, 256, "run_ms=1000"), 201);
+	CU_ASSERT_TRUE(wait_for(".lossy.", "\"state\":\"done\"", 20));
+	CU_ASSERT_EQUAL(cluster_fault(port, "{\"reset\":true}"), 0);
+	CU_ASSERT_EQUAL(cluster_count(&cluster, "workers-0.jsonl", ".lossy.",
+				      "\"state\":\"done\""),
+			20);
+}
+
+/* Guards against a task that ran in two places, in the whole journal. */
+static void test_journal_shows_no_task_twice(void)
+{
+	char *text = cluster_read(&cluster, "workers-0.jsonl");
+	json_t *running = json_object(), *attempts = json_object();
+	char *save = NULL;
+	uint32_t starts = 0, doubled = 0, repeated = 0;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(text);
+	for (char *line = strtok_r(text, "\n", &save); line;
+	     line = strtok_r(NULL, "\n", &save)) {
+		json_t *o = json_loads(line, 0, NULL);
+		const char *event =
+			json_string_value(json_object_get(o, "event"));
+		const char *task =
+			json_string_value(json_object_get(o, "task"));
+		json_t *attempt = json_object_get(o, "attempt");
+
+		if (event && task && !strcmp(event, "task-start")) {
+			starts++;
+			doubled += json_object_get(running, task) != NULL;
+			repeated += json_integer_value(
+					    json_object_get(attempts, task)) >=
+				    json_integer_value(attempt);
+			json_object_set(running, task, attempt);
+			json_object_set(attempts, task, attempt);
+		} else if (event && task && !strcmp(event, "task-end")) {
+			json_object_del(running, task);
+		}
+		json_decref(o);
+	}
+	CU_ASSERT(starts > 30);
+	CU_ASSERT_EQUAL(doubled, 0);
+	CU_ASSERT_EQUAL(repeated, 0);
+	json_decref(running);
+	json_decref(attempts);
+	free(text);
+}
+
 /* Kills every entry VM that owns the zone's shard now. */
 static void kill_owner(void)
 {
@@ -209,6 +323,11 @@
 		{ "cancelled task stops", test_cancelled_task_stops },
 		{ "impossible job is named", test_impossible_job_is_named },
 		{ "task survives its owner", test_task_survives_its_owner },
+		{ "leaving worker hands its task on",
+		  test_leaving_worker_hands_its_task_on },
+		{ "lost answers do no harm", test_lost_answers_do_no_harm },
+		{ "journal shows no task twice",
+		  test_journal_shows_no_task_twice },
 	};
 	struct cluster_options o;
 	int status = 1;
