Split the model of the random test from its operations

Change: workers, calls and time move to tests/support-place-model.[ch]; the operations, the reduction and the checks at the end stay. Conclusion: the same test in two files.

--- /dev/null
+++ b/tests/support-place-model.c
@@ -0,0 +1,439 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "support-place-model.h"
+
+struct place_model pm;
+
+static const char *const action_names[] = {
+	[PLACE_START] = "start",	   [PLACE_STOP] = "stop",
+	[PLACE_CHECKPOINT] = "checkpoint", [PLACE_THROTTLE] = "throttle",
+	[PLACE_RENEW] = "renew",	   [PLACE_READ] = "read",
+};
+
+void place_model_fail(const char *fmt, ...)
+{
+	va_list ap;
+
+	if (pm.failure[0])
+		return;
+	pm.failure_kind = fmt;
+	va_start(ap, fmt);
+	vsnprintf(pm.failure, sizeof(pm.failure), fmt, ap);
+	va_end(ap);
+}
+
+struct model_worker *place_model_worker_of(const char *id)
+{
+	for (int i = 0; i < WORKERS; i++)
+		if (!strcmp(pm.workers[i].id, id))
+			return &pm.workers[i];
+	return NULL;
+}
+
+struct run *place_model_run_of(struct model_worker *w, const char *id)
+{
+	for (int i = 0; i < w->run_count; i++)
+		if (!strcmp(w->runs[i].id, id))
+			return &w->runs[i];
+	return NULL;
+}
+
+/* Checks what must hold at every moment. */
+void place_model_check(void)
+{
+	for (int i = 0; i < WORKERS; i++) {
+		struct model_worker *w = &pm.workers[i];
+		int32_t cpu = 0, memory = 0;
+
+		for (int r = 0; w->alive && r < w->run_count; r++) {
+			struct run *run = &w->runs[r];
+
+			if (run->state != TASK_RUNNING)
+				continue;
+			cpu += run->cpu;
+			memory += run->memory;
+			for (int j = i + 1; j < WORKERS; j++) {
+				struct run *other =
+					pm.workers[j].alive
+						? place_model_run_of(
+							  &pm.workers[j],
+							  run->id)
+						: NULL;
+
+				if (other && other->state == TASK_RUNNING)
+					place_model_fail("%s runs on %s and %s",
+							 run->id, w->id,
+							 pm.workers[j].id);
+			}
+		}
+		if (cpu > CPU || memory > MEMORY)
+			place_model_fail("%s holds %d of CPU and %d of memory",
+					 w->id, cpu, memory);
+	}
+}
+
+/* Records that an attempt began; attempts of a task only grow. */
+static void place_model_note_start(const char *id, uint32_t attempt)
+{
+	struct started *s = NULL;
+
+	for (int i = 0; i < pm.started_count && !s; i++)
+		if (!strcmp(pm.started[i].id, id))
+			s = &pm.started[i];
+	if (!s && pm.started_count < STARTED_MAX) {
+		s = &pm.started[pm.started_count++];
+		snprintf(s->id, sizeof(s->id), "%s", id);
+		s->attempt = 0;
+	}
+	if (!s)
+		return;
+	if (attempt <= s->attempt)
+		place_model_fail("%s began attempt %u after %u", id, attempt,
+				 s->attempt);
+	s->attempt = attempt;
+	for (int i = 0; i < WORKERS; i++) {
+		struct run *run = place_model_run_of(&pm.workers[i], id);
+
+		if (run && run->state == TASK_DONE && pm.workers[i].alive &&
+		    !pm.workers[i].was_unreachable)
+			place_model_fail("%s is done on %s and begins again",
+					 id, pm.workers[i].id);
+	}
+}
+
+/* ---- the pm.workers ---- */
+
+static enum place_answer serve_start(struct model_worker *w,
+				     const struct place_action *a)
+{
+	struct run *run = place_model_run_of(w, a->task);
+
+	if (run && run->state == TASK_RUNNING)
+		return run->attempt == a->attempt ? PLACE_ANSWER_OK
+						  : PLACE_ANSWER_STALE;
+	if (w->broken)
+		return PLACE_ANSWER_FAILED;
+	if (!run) {
+		if (w->run_count == WORKER_TASKS)
+			return PLACE_ANSWER_NO_ROOM;
+		run = &w->runs[w->run_count++];
+	}
+	place_model_note_start(a->task, a->attempt);
+	snprintf(run->id, sizeof(run->id), "%s", a->task);
+	run->attempt = a->attempt;
+	run->state = TASK_RUNNING;
+	run->lease_end_us = pm.shard.now_us + PLACE_TASK_LEASE_US;
+	run->cpu = (int32_t)a->cpu_milli;
+	run->memory = (int32_t)a->memory_mb;
+	return PLACE_ANSWER_OK;
+}
+
+/* A call reaches its worker; c keeps the answer. */
+static void serve(struct model_call *c)
+{
+	struct model_worker *w = place_model_worker_of(c->action.worker);
+	struct run *run = place_model_run_of(w, c->action.task);
+
+	if (c->owner->epoch < w->fence) {
+		c->answer = PLACE_ANSWER_STALE;
+		return;
+	}
+	w->fence = c->owner->epoch;
+	c->answer = PLACE_ANSWER_OK;
+	switch (c->action.type) {
+	case PLACE_START:
+		c->answer = serve_start(w, &c->action);
+		break;
+	case PLACE_STOP:
+		if (run && run->state == TASK_RUNNING)
+			*run = w->runs[--w->run_count];
+		else
+			c->answer = PLACE_ANSWER_ABSENT;
+		break;
+	case PLACE_READ:
+		memcpy(c->runs, w->runs, sizeof(c->runs));
+		c->run_count = w->run_count;
+		break;
+	case PLACE_RENEW:
+		for (int i = 0; i < c->run_count; i++) {
+			run = place_model_run_of(w, c->runs[i].id);
+			if (run && run->state == TASK_RUNNING)
+				run->lease_end_us =
+					pm.shard.now_us + PLACE_TASK_LEASE_US;
+		}
+		break;
+	default:
+		if (!run || run->state != TASK_RUNNING)
+			c->answer = PLACE_ANSWER_ABSENT;
+		break;
+	}
+}
+
+/* ---- pm.calls ---- */
+
+void place_model_report(struct shard_owner *o, const char *worker,
+			const struct run *run, bool read)
+{
+	struct place_event e = { .type = PLACE_REPORT,
+				 .id = run->id,
+				 .worker = worker,
+				 .attempt = run->attempt,
+				 .state = run->state,
+				 .read = read };
+
+	place_step(o->place, pm.shard.now_us, &e);
+}
+
+static void renew_missing(struct model_call *c)
+{
+	struct model_worker *w = place_model_worker_of(c->action.worker);
+
+	for (int i = 0; i < c->run_count; i++) {
+		struct run *run = place_model_run_of(w, c->runs[i].id);
+		struct place_event e = { .type = PLACE_MISSING,
+					 .id = c->runs[i].id,
+					 .worker = w->id };
+
+		if (!run || run->state != TASK_RUNNING)
+			place_step(c->owner->place, pm.shard.now_us, &e);
+	}
+}
+
+/* Ends a call towards its owner. */
+void place_model_end_call(struct model_call *c, enum place_answer answer)
+{
+	static const enum place_event_type types[] = {
+		[PLACE_START] = PLACE_STARTED,
+		[PLACE_STOP] = PLACE_STOPPED,
+		[PLACE_CHECKPOINT] = PLACE_CHECKPOINTED,
+		[PLACE_RENEW] = PLACE_RENEWED,
+		[PLACE_READ] = PLACE_READ_END,
+	};
+	struct place_event e = { .type = types[c->action.type],
+				 .id = c->action.task,
+				 .worker = c->action.worker,
+				 .attempt = c->action.attempt,
+				 .answer = answer,
+				 .at_us = c->sent_us };
+
+	if (pm.verbose)
+		printf("%10.1f epoch=%u %s %s %s attempt=%u answer=%d\n",
+		       (double)pm.shard.now_us / 1e6, (unsigned)c->owner->epoch,
+		       action_names[c->action.type], c->action.worker,
+		       c->action.task, c->action.attempt, answer);
+	if (c->state != CALL_LATE)
+		c->state = CALL_FREE;
+	if (c->action.type == PLACE_THROTTLE)
+		return;
+	if (c->action.type == PLACE_READ || c->action.type == PLACE_RENEW)
+		e.id = c->action.worker;
+	if (c->action.type == PLACE_READ && answer == PLACE_ANSWER_OK)
+		for (int i = 0; i < c->run_count; i++)
+			place_model_report(c->owner, c->action.worker,
+					   &c->runs[i], true);
+	place_step(c->owner->place, pm.shard.now_us, &e);
+	if (c->action.type == PLACE_RENEW && answer == PLACE_ANSWER_OK)
+		renew_missing(c);
+	place_model_take_actions(c->owner);
+}
+
+/* The lane's first call leaves, when the gate lets it. */
+void place_model_leave_calls(void)
+{
+	for (int i = 0; i < pm.call_high; i++) {
+		struct model_call *c = &pm.calls[i];
+		bool first = c->state == CALL_QUEUED;
+
+		for (int j = 0; first && j < pm.call_high; j++) {
+			const struct model_call *d = &pm.calls[j];
+
+			first = d->state == CALL_FREE ||
+				d->state == CALL_LATE || d->owner != c->owner ||
+				d->order >= c->order ||
+				strcmp(d->action.worker, c->action.worker);
+		}
+		if (!first)
+			continue;
+		c->sent_us = pm.shard.now_us;
+		if (pm.shard.now_us - c->created_us > 1000000u ||
+		    pm.shard.now_us - c->owner->last_append_us >
+			    pm.shard.options.outage_horizon_us)
+			place_model_end_call(c, PLACE_ANSWER_NOT_SENT);
+		else
+			c->state = CALL_LEFT;
+	}
+}
+
+static void add_run(void *arg, const char *task)
+{
+	struct model_call *c = arg;
+
+	if (c->run_count < WORKER_TASKS)
+		snprintf(c->runs[c->run_count++].id, sizeof(c->runs[0].id),
+			 "%s", task);
+}
+
+/* Queues the pm.calls that an owner's core asks for. */
+void place_model_take_actions(struct shard_owner *o)
+{
+	struct place_action a;
+
+	while (place_next_action(o->place, &a)) {
+		struct model_call *c = NULL;
+
+		if (a.type == PLACE_REPLY)
+			continue;
+		while (pm.call_high &&
+		       pm.calls[pm.call_high - 1].state == CALL_FREE)
+			pm.call_high--;
+		for (int i = 0; i < CALLS_MAX && !c; i++)
+			if (pm.calls[i].state == CALL_FREE)
+				c = &pm.calls[i];
+		if (c >= pm.calls + pm.call_high)
+			pm.call_high = (int)(c - pm.calls) + 1;
+		if (!c) {
+			place_model_fail("more than %d calls in flight",
+					 CALLS_MAX);
+			return;
+		}
+		c->state = CALL_QUEUED;
+		c->action = a;
+		c->owner = o;
+		c->order = ++pm.call_order;
+		c->created_us = pm.shard.now_us;
+		c->run_count = 0;
+		if (a.type == PLACE_RENEW)
+			place_each_renewed(o->place, a.worker, add_run, c);
+	}
+	place_model_leave_calls();
+}
+
+/* Returns the n-th call, modulo their number, in either of two states. */
+struct model_call *place_model_call_at(uint32_t n, enum call_state a,
+				       enum call_state b)
+{
+	struct model_call *list[CALLS_MAX];
+	uint32_t count = 0;
+
+	for (int i = 0; i < pm.call_high; i++)
+		if (pm.calls[i].state == a || pm.calls[i].state == b)
+			list[count++] = &pm.calls[i];
+	return count ? list[n % count] : NULL;
+}
+
+void place_model_arrive(struct model_call *c)
+{
+	struct model_worker *w =
+		c ? place_model_worker_of(c->action.worker) : NULL;
+
+	if (!c || !w || !w->alive || !w->reachable ||
+	    (w->cut && c->owner == pm.shard.owner))
+		return;
+	serve(c);
+	c->state = c->state == CALL_LATE ? CALL_FREE : CALL_ARRIVED;
+}
+
+/* The answer does not come; what did not arrive yet may still do so. */
+void place_model_lose(struct model_call *c)
+{
+	c->ended_us = pm.shard.now_us;
+	/* Without the answer to a read nobody can know what is done there. */
+	if (c->action.type == PLACE_READ &&
+	    place_model_worker_of(c->action.worker))
+		place_model_worker_of(c->action.worker)->was_unreachable = true;
+	c->state = c->state == CALL_LEFT ? CALL_LATE : CALL_ARRIVED;
+	place_model_end_call(c, PLACE_ANSWER_UNKNOWN);
+}
+
+/* ---- time ---- */
+
+static void pass_time(void)
+{
+	for (int i = 0; i < WORKERS; i++)
+		for (int r = 0; r < pm.workers[i].run_count; r++)
+			if (pm.workers[i].runs[r].state == TASK_RUNNING &&
+			    pm.workers[i].runs[r].lease_end_us <=
+				    pm.shard.now_us)
+				pm.workers[i].runs[r].state = TASK_EVICTED;
+	for (int i = 0; i < pm.call_high; i++) {
+		struct model_call *c = &pm.calls[i];
+
+		if ((c->state == CALL_LEFT || c->state == CALL_ARRIVED) &&
+		    pm.shard.now_us - c->sent_us > 1500000u)
+			place_model_lose(c);
+		else if (c->state == CALL_LATE &&
+			 pm.shard.now_us - c->ended_us >= PLACE_LATE_US)
+			c->state = CALL_FREE;
+	}
+	place_model_leave_calls();
+}
+
+/* Passes the list of VMs, as the driver does. */
+void place_model_feed(struct shard_owner *o)
+{
+	for (int i = 0; i < WORKERS; i++) {
+		struct model_worker *w = &pm.workers[i];
+		struct place_event e = { .type = PLACE_WORKER,
+					 .id = w->id,
+					 .rack = "r",
+					 .leaving = w->leaving,
+					 .cpu_milli = CPU,
+					 .memory_mb = MEMORY };
+
+		if (!w->listed)
+			e.type = PLACE_WORKER_GONE;
+		place_step(o->place, pm.shard.now_us, &e);
+	}
+}
+
+void place_model_tick_owner(struct shard_owner *o)
+{
+	struct place_event e = { .type = PLACE_TICK,
+				 .at_us = o->last_append_us };
+
+	place_model_feed(o);
+	place_step(o->place, pm.shard.now_us, &e);
+	place_model_take_actions(o);
+}
+
+/* Delivers an owner's pm.calls and their answers. */
+static void deliver(struct shard_owner *o)
+{
+	for (int i = 0; i < pm.call_high; i++) {
+		if (pm.calls[i].owner != o)
+			continue;
+		if (pm.calls[i].state == CALL_LEFT)
+			place_model_arrive(&pm.calls[i]);
+		if (pm.calls[i].state == CALL_ARRIVED)
+			place_model_end_call(&pm.calls[i], pm.calls[i].answer);
+	}
+}
+
+void place_model_advance(uint64_t us, bool owner_runs)
+{
+	for (uint64_t t = 0; t < us; t += STEP_US) {
+		pm.shard.now_us += STEP_US;
+		pass_time();
+		if (owner_runs)
+			place_model_tick_owner(pm.shard.owner);
+		if (pm.old_runs && pm.owners[0]) {
+			place_model_tick_owner(pm.owners[0]);
+			deliver(pm.owners[0]);
+		}
+		pm.steps++;
+	}
+}
+
+/* Lets everything go on by itself. */
+void place_model_wait_idle(uint64_t us)
+{
+	for (uint64_t t = 0; t < us; t += STEP_US) {
+		place_model_advance(STEP_US, true);
+		shard_commit(&pm.shard, SIZE_MAX);
+		place_model_take_actions(pm.shard.owner);
+		deliver(pm.shard.owner);
+		place_model_check();
+	}
+}
