Let a new process wait for the place of one that vanished

Cause: itest-control found the capacity of the others changed once: the process that replaced a killed one under a new id joined before the old seat was known to be gone, and took a fourth place in a zone of three. Change: as long as a seat's holder is silent, a new process waits up to 15 s from its first read of the seats for that place. Conclusion: the new process loses nothing, as it could use no slot before.

--- a/src/members-private.h
+++ b/src/members-private.h
@@ -81,6 +81,7 @@
 	bool seats_writing;
 	bool seats_behind; /* a peer has a newer value */
 	uint64_t seats_read_us;
+	uint64_t seats_known_us;   /* time of the first read */
 	uint64_t seats_changed_us; /* when its revision was first seen */
 	uint64_t seats_told;	   /* index that the others were told */
 	uint64_t seats_next_us;
--- a/src/svc-seats.c
+++ b/src/svc-seats.c
@@ -24,6 +24,8 @@
  * most slots change hands.
  */
 #define EMPTY_MAX_US 10000000u
+/* A seat is seen to be given up within two leases and two reads. */
+#define PLACE_WAIT_US 15000000u
 /* The longest deadline of a request. */
 #define DEADLINE_MAX_US 30000000u
 
@@ -46,6 +48,7 @@
 static bool holder_gone(struct members *m, const char *name, uint64_t now);
 static bool holder_reaches_store(struct members *m, const char *name);
 static int lowest_live(struct members *m);
+static bool place_expected(struct members *m);
 static bool change_own(struct members *m, struct seats *next,
 		       const char **reason);
 static bool remove_departed(struct members *m, struct seats *next,
@@ -127,6 +130,8 @@
 		return false; /* an answer that was overtaken */
 	if (s.revision != m->seats.revision)
 		m->seats_changed_us = clock_now_us();
+	if (!m->seats_known)
+		m->seats_known_us = clock_now_us();
 	m->seats = s;
 	m->seats_index = index;
 	m->seats_known = true;
@@ -278,6 +283,30 @@
 	return i < 0 || !strcmp(m->seats.names[i], m->seat_name);
 }
 
+/*
+ * A new process waits for the place of one that vanished, rather than to take
+ * one more: with another number of places most slots change hands, and none of
+ * those can be used before the one that vanished is certain to have ended.
+ */
+static bool place_expected(struct members *m)
+{
+	bool expected = false;
+
+	if (clock_now_us() - m->seats_known_us > PLACE_WAIT_US)
+		return false;
+	for (uint32_t i = 0; i < m->seats.count; i++) {
+		char id[64];
+
+		if (!m->seats.names[i][0])
+			return false; /* it can be taken now */
+		seats_id(m->seats.names[i], id);
+		if (!strcmp(id, m->s->node.id))
+			return false; /* an earlier process of this id */
+		expected |= !holder_live(m, m->seats.names[i]);
+	}
+	return expected;
+}
+
 /* Joins, or leaves when a drain has finished the requests. */
 static bool change_own(struct members *m, struct seats *next,
 		       const char **reason)
@@ -288,7 +317,8 @@
 		*reason = "leave";
 		return seats_remove(next, m->seat_name) == 0;
 	}
-	if (held || m->draining || !members_self_registered(m))
+	if (held || m->draining || !members_self_registered(m) ||
+	    place_expected(m))
 		return false;
 	*reason = "join";
 	for (uint32_t i = 0; i < next->count; i++) {
