Let idle targets prove that a killed entry VM has no request left

Cause: new seats waited 33 s (lease and longest deadline) for the slots of a killed process, so a zone whose entry VMs were all replaced refused everything. Change: while a split is not confirmed, targets are asked every 250 ms; a seat that was given up a lease ago needs no confirmation once each target that answers was seen to run nothing since. At 70% load a target is seldom idle and the wait of 33 s remains.

--- a/src/core.h
+++ b/src/core.h
@@ -206,6 +206,8 @@
 	uint64_t hedges;
 	/* Targets that run more for this process than its own slots. */
 	uint32_t over_share;
+	/* Every target that answers was seen to run nothing after this time. */
+	uint64_t idle_since_us;
 };
 
 /*
--- a/src/flow-internal.h
+++ b/src/flow-internal.h
@@ -123,6 +123,7 @@
 	uint64_t open_until_us;
 	uint64_t pause_us;
 	uint64_t asked_us;
+	uint64_t idle_us; /* when a report last showed no request, 0: never */
 	uint64_t abandoned_us; /* when the last one was given up */
 	double latency_us;
 	uint64_t sample_us; /* time of the last sample, 0: none */
@@ -218,6 +219,7 @@
 void route_target(struct flow *f, const struct flow_event *e, uint64_t now_us);
 void route_gone(struct flow *f, uint32_t target);
 void route_seat(struct flow *f, const struct flow_event *e);
+uint64_t route_idle_since(const struct flow *f);
 void route_probe(struct flow *f, const struct flow_event *e, uint64_t now_us);
 void route_tick(struct flow *f, uint64_t now_us, struct flow_actions *out);
 /*
--- a/src/flow-route.c
+++ b/src/flow-route.c
@@ -28,6 +28,8 @@
 /* With a probe timeout of 1 s a draining target is known within 3 s. */
 #define PROBE_INTERVAL_US 1500000u
 #define PROBE_LOST_US 3000000u
+/* While a split is not confirmed, an idle target is to be seen soon. */
+#define PROBE_UNCONFIRMED_US 250000u
 /*
  * A request that was given up may run on, or arrive only then; its slot is
  * used again when a report sampled after ABANDONED_MIN_US shows that nothing
@@ -427,6 +429,8 @@
 		goto out;
 	}
 	t->draining = e->probe.draining;
+	if (e->probe.busy == 0)
+		t->idle_us = e->probe.sampled_us;
 	recover_slots(t, e->probe.busy, e->probe.sampled_us);
 	if (t->breaker == FLOW_BREAKER_OPEN && now_us >= t->open_until_us) {
 		t->breaker = FLOW_BREAKER_TRIAL;
@@ -437,15 +441,40 @@
 }
 
 /* Whether the target's status is due to be asked. */
-static bool probe_is_due(const struct flow_target *t, uint64_t now_us)
+static bool probe_is_due(const struct flow *f, const struct flow_target *t,
+			 uint64_t now_us)
 {
-	if (t->own_slots == 0)
+	bool unconfirmed = f->split.count && f->split.previous_count;
+	uint64_t interval =
+		unconfirmed ? PROBE_UNCONFIRMED_US : PROBE_INTERVAL_US;
+
+	if (t->own_slots == 0 && !unconfirmed)
 		return false;
 	if (t->asked)
 		return now_us - t->asked_us >= PROBE_LOST_US;
 	if (t->breaker == FLOW_BREAKER_OPEN && now_us >= t->open_until_us)
 		return true;
-	return now_us - t->asked_us >= PROBE_INTERVAL_US;
+	return now_us - t->asked_us >= interval;
+}
+
+/*
+ * Returns the earliest of the last times at which a report of each target
+ * showed that it ran nothing; 0 when one never did. Targets that do not answer
+ * get no request and do not count.
+ */
+uint64_t route_idle_since(const struct flow *f)
+{
+	uint64_t earliest = UINT64_MAX;
+
+	for (uint32_t i = 0; i < f->target_count; i++) {
+		const struct flow_target *t = &f->targets[i];
+
+		if (!t->present || t->breaker == FLOW_BREAKER_OPEN)
+			continue;
+		if (t->idle_us < earliest)
+			earliest = t->idle_us;
+	}
+	return earliest == UINT64_MAX ? 0 : earliest;
 }
 
 void route_tick(struct flow *f, uint64_t now_us, struct flow_actions *out)
@@ -456,7 +485,7 @@
 
 		if (!t->present)
 			continue;
-		if (!probe_is_due(t, now_us))
+		if (!probe_is_due(f, t, now_us))
 			continue;
 		t->asked = true;
 		t->asked_us = now_us;
--- a/src/flow.c
+++ b/src/flow.c
@@ -502,6 +502,7 @@
 	out->retries = f->retries;
 	out->hedges = f->hedges;
 	out->over_share = route_over_share(f);
+	out->idle_since_us = route_idle_since(f);
 }
 
 const char *flow_reason_name(enum flow_reason reason)
--- a/src/seats.c
+++ b/src/seats.c
@@ -222,6 +222,18 @@
 	*p = next;
 }
 
+bool seats_progress_idle(const struct seats_progress *p, const struct seats *s,
+			 uint64_t lease_us, uint64_t idle_us)
+{
+	if (p->revision != s->revision)
+		return false;
+	for (uint32_t i = 0; i < p->count; i++)
+		if (p->names[i][0] && !p->applied[i] &&
+		    (p->present[i] || idle_us < p->since_us[i] + lease_us))
+			return false;
+	return true;
+}
+
 void seats_progress_applied(struct seats_progress *p, const char *name,
 			    uint64_t revision)
 {
--- a/src/seats.h
+++ b/src/seats.h
@@ -96,4 +96,11 @@
 bool seats_progress_done(const struct seats_progress *p, const struct seats *s,
 			 uint64_t wait_us, uint64_t now_us);
 
+/*
+ * The same when each target was seen to run nothing after idle_us: a seat that
+ * was given up lease_us before that has no request left.
+ */
+bool seats_progress_idle(const struct seats_progress *p, const struct seats *s,
+			 uint64_t lease_us, uint64_t idle_us);
+
 #endif
--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -283,6 +283,16 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
+uint64_t flow_idle_since_us(struct flow_svc *f)
+{
+	struct flow_totals totals;
+
+	pthread_mutex_lock(&f->lock);
+	flow_totals(f->core, &totals);
+	pthread_mutex_unlock(&f->lock);
+	return totals.idle_since_us;
+}
+
 bool flow_seat_applied(struct flow_svc *f, uint64_t revision)
 {
 	struct flow_totals totals;
--- a/src/svc-flow.h
+++ b/src/svc-flow.h
@@ -80,6 +80,12 @@
  */
 bool flow_seat_applied(struct flow_svc *f, uint64_t revision);
 
+/*
+ * Every target that answers was seen to run nothing after this time; 0 when
+ * one never was. Any thread.
+ */
+uint64_t flow_idle_since_us(struct flow_svc *f);
+
 /* Appends what is known of a request's decisions as JSON; -1 if unknown. */
 int flow_explain(struct flow_svc *f, const char *request_id,
 		 struct buffer *json);
--- a/src/svc-seats.c
+++ b/src/svc-seats.c
@@ -355,6 +355,19 @@
 	return changed;
 }
 
+/*
+ * Tells whether the targets show that seats which are gone have no request
+ * left, and all others confirmed.
+ */
+static bool departed_requests_ended(struct members *m)
+{
+	struct flow_svc *f = flow(m);
+
+	return f && seats_progress_idle(&m->progress, &m->seats,
+					m->s->platform.lease_us,
+					flow_idle_since_us(f));
+}
+
 /* Makes at most one change of the value that was just read. */
 static void change(struct members *m, uint64_t now)
 {
@@ -375,7 +388,8 @@
 		return;
 	}
 	if (!m->seats.confirmed &&
-	    seats_progress_done(&m->progress, &m->seats, wait, now)) {
+	    (seats_progress_done(&m->progress, &m->seats, wait, now) ||
+	     departed_requests_ended(m))) {
 		next.confirmed = true;
 		next.previous_count = 0;
 		write_seats(m, &next, "confirmed");
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -68,6 +68,38 @@
 	CU_ASSERT_EQUAL(s.previous_count, 3);
 }
 
+/* Guards against slots of a killed process that are free before it ended. */
+static void test_idle_targets_end_a_departed_seat(void)
+{
+	struct seats_progress p = { 0 };
+	struct seats s = { 0 };
+
+	seats_add(&s, "a/1");
+	seats_add(&s, "b/1");
+	s.confirmed = true;
+	seats_remove(&s, "b/1");
+	seats_progress_seen(&p, &s, 1000);
+	seats_progress_applied(&p, "a/1", s.revision);
+	CU_ASSERT_FALSE(seats_progress_idle(&p, &s, 300, 0));
+	CU_ASSERT_FALSE(seats_progress_idle(&p, &s, 300, 1299));
+	CU_ASSERT_TRUE(seats_progress_idle(&p, &s, 300, 1300));
+}
+
+/* Guards against idle targets that stand for a seat which is still held. */
+static void test_idle_targets_do_not_stand_for_a_held_seat(void)
+{
+	struct seats_progress p = { 0 };
+	struct seats s = { 0 };
+
+	seats_add(&s, "a/1");
+	seats_add(&s, "b/1");
+	s.confirmed = true;
+	seats_add(&s, "c/1");
+	seats_progress_seen(&p, &s, 1000);
+	seats_progress_applied(&p, "a/1", s.revision);
+	CU_ASSERT_FALSE(seats_progress_idle(&p, &s, 300, 5000));
+}
+
 /* Guards against slots that change hands when one entry VM is replaced. */
 static void test_others_keep_their_place(void)
 {
@@ -329,6 +361,10 @@
 		  test_growth_only_when_confirmed },
 		{ "others keep their place", test_others_keep_their_place },
 		{ "progress", test_progress },
+		{ "idle targets end a departed seat",
+		  test_idle_targets_end_a_departed_seat },
+		{ "idle targets do not stand for a held seat",
+		  test_idle_targets_do_not_stand_for_a_held_seat },
 		{ "stored form", test_stored_form },
 		{ "no slot is used twice", test_no_slot_is_used_twice },
 	};
