Keep a quarter of the queue for kinds below their share

Cause: in a flood on real processes 5% of the refusals were displaced requests that had waited up to 75 ms, which missed the bound of 50 ms. Change: a kind above its share sees a full queue at three quarters of it. The front keeps a quarter of its threads for refusals instead of an eighth.

--- a/src/flow-admit.c
+++ b/src/flow-admit.c
@@ -18,6 +18,8 @@
 #define INTERVAL_WEIGHT_SHIFT 6
 /* Covers what the estimate of the wait misses; see docs/notes/admission.md. */
 #define WAIT_MARGIN 1.25
+/* One place in so many is kept for kinds below their share. */
+#define KEPT_PART 4
 #define QUANTILE_MIN_SAMPLES 20
 
 /* Part of the slots and of the queue that a kind uses, against its share. */
@@ -135,6 +137,20 @@
 	return FLOW_NONE;
 }
 
+/*
+ * Whether the queue is full for a kind. The last places are kept for kinds
+ * below their share: most of their requests then displace nobody, and a
+ * displaced request is one that is refused late.
+ */
+static bool queue_is_full(const struct flow *f, const struct flow_kind *k)
+{
+	uint32_t places = f->options.queue_limit;
+
+	if (!f->options.fifo_admission && use_of_share(f, k) >= 0)
+		places -= places / KEPT_PART;
+	return f->queued >= places;
+}
+
 /* Makes room in a full queue; -1 when the arriving request must go. */
 static int make_room(struct flow *f, const struct flow_kind *arriving,
 		     uint64_t now_us, struct flow_actions *out)
@@ -163,7 +179,7 @@
 	f->teams[r->team].in_flight++;
 	reason = check_limits(f, r, true, now_us);
 	/* A request that can be sent at once needs no place in the queue. */
-	if (!reason && f->queued >= f->options.queue_limit &&
+	if (!reason && queue_is_full(f, k) &&
 	    (f->free_count == 0 || f->queued > 0) &&
 	    make_room(f, k, now_us, out) < 0)
 		reason = FLOW_REASON_QUEUE_FULL;
@@ -178,11 +194,11 @@
 enum flow_reason admit_check(const struct flow *f, const struct flow_request *r,
 			     uint64_t now_us)
 {
+	const struct flow_kind *k = &f->kinds[r->kind];
 	enum flow_reason reason = check_limits(f, r, false, now_us);
 
-	if (!reason && f->queued >= f->options.queue_limit &&
-	    (f->options.fifo_admission ||
-	     use_of_share(f, &f->kinds[r->kind]) >= 0))
+	if (!reason && queue_is_full(f, k) &&
+	    (f->options.fifo_admission || use_of_share(f, k) >= 0))
 		reason = FLOW_REASON_QUEUE_FULL;
 	return reason;
 }
--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -76,7 +76,7 @@
 {
 	struct flow_options *o = &f->options;
 	uint32_t threads = f->settings.front.threads;
-	uint32_t usable = threads - threads / 8;
+	uint32_t usable = threads - threads / 4;
 	uint32_t room = usable > capacity ? usable - capacity : 0;
 
 	if (room < threads / 4)
