Add the time since the last send to the expected wait

Cause: the time since the last send took the place of the interval when it was longer. Slots become free in groups when service times are alike, so a short queue after a gap counted as a long wait, and kinds below their share were refused 0.4 to 3.0% of their requests in a flood. Change: the gap is added once instead of multiplied by the queue.

--- a/src/flow-admit.c
+++ b/src/flow-admit.c
@@ -41,25 +41,33 @@
 static double interval_us(const struct flow *f, const struct flow_kind *k,
 			  const struct flow_queue *q, uint64_t now_us)
 {
-	uint64_t waited = q->last_send_us ? now_us - q->last_send_us : 0;
 	double slots;
 
 	if (q->interval_us)
-		return waited > q->interval_us ? (double)waited
-					       : (double)q->interval_us;
+		return (double)q->interval_us;
 	slots = k->share * f->capacity;
 	if (slots < 1)
 		slots = 1;
 	return known_service_us(k, now_us) / slots;
 }
 
-/* Expected time in the queue for one more request. */
+/*
+ * Expected time in the queue for one more request. The time since the last
+ * send lets it grow while nothing is sent. It is added and does not take the
+ * place of the interval, since slots become free in groups when service times
+ * are alike, and a long gap then is followed by many sends.
+ */
 static double expected_wait_us(const struct flow *f, const struct flow_kind *k,
 			       const struct flow_queue *q, uint64_t now_us)
 {
+	double wait_us;
+
 	if (q->queued == 0)
 		return 0;
-	return WAIT_MARGIN * interval_us(f, k, q, now_us) * (q->queued + 1);
+	wait_us = WAIT_MARGIN * interval_us(f, k, q, now_us) * (q->queued + 1);
+	if (q->last_send_us)
+		wait_us += (double)(now_us - q->last_send_us);
+	return wait_us;
 }
 
 /*
