--- a/src/place-worker.c
+++ b/src/place-worker.c
@@ -178,6 +178,19 @@
 	worker_reindex(p, w);
 }
 
+void worker_absolve(struct place *p, struct worker *w)
+{
+	if (!w->failures)
+		return;
+	w->failures--;
+	if (w->quarantine_us && !w->trial && w->failures < FAILURES_MAX) {
+		w->quarantine_us = 0;
+		w->quarantines--;
+	}
+	worker_reindex(p, w);
+	p->dirty = true;
+}
+
 void worker_restored(struct place *p, struct worker *w)
 {
 	if (w->quarantine_us)
@@ -343,7 +356,7 @@
 	bool any = false;
 	struct place_action *a;
 
-	if (p->now_us - p->last_append_us > p->options.outage_horizon_us)
+	if (p->now_us - p->last_append_us > p->horizon_us)
 		return;
 	for (struct task *t = w->tasks.first; t && !any; t = t->next)
 		any = t->state == TASK_RUNNING;
--- a/src/svc-placement.c
+++ b/src/svc-placement.c
@@ -10,7 +10,6 @@
 
 #define TICK_US 20000u
 #define FEED_EVERY_US 1000000u
-#define POLL_EVERY_US 1000000u
 /* Tasks leave a planned stop's machines this long before it starts. */
 #define STOP_LEAD_US 60000000u
 #define FORGET_WORKER_US 3600000000u
@@ -23,8 +22,7 @@
 static struct oplog_client *create_client(void *arg, const char *shard,
 					  struct oplog *log);
 static void tick(void *arg);
-static void tick_shard(struct place_shard *s, uint64_t now_us, bool feed,
-		       bool poll);
+static void tick_shard(struct place_shard *s, uint64_t now_us, bool feed);
 static void feed_workers(struct place_shard *s, uint64_t now_us);
 static void feed_policy(void *arg);
 
@@ -40,7 +38,7 @@
 	struct placement_svc *p = xcalloc(1, sizeof(*p));
 
 	p->service.ops = &placement_ops;
-	p->settings = *s;
+	p->running = s;
 	p->decisions = xcalloc(DECISIONS_MAX, sizeof(*p->decisions));
 	return &p->service;
 }
@@ -127,8 +125,8 @@
 	struct placement_svc *p = arg;
 	struct place_shard *s = xcalloc(1, sizeof(*s));
 	struct place_options o = {
-		.policy = p->settings.policy.placement,
-		.outage_horizon_us = p->settings.policy.outage_horizon_us,
+		.policy = p->running->policy.placement,
+		.outage_horizon_us = p->running->policy.outage_horizon_us,
 		.seed = clock_now_us(),
 		.append = append_entry,
 		.append_arg = s,
@@ -139,7 +137,6 @@
 	s->svc = p;
 	s->log = log;
 	snprintf(s->name, sizeof(s->name), "%s", shard);
-	s->gate.horizon_us = o.outage_horizon_us;
 	s->place = place_create(&o);
 	p->shards[p->shard_count++] = s;
 	return place_client(s->place);
@@ -158,27 +155,24 @@
 	struct placement_svc *p = arg;
 	uint64_t now_us = clock_now_us();
 	bool feed = now_us - p->fed_us >= FEED_EVERY_US;
-	bool poll = now_us - p->polled_us >= POLL_EVERY_US;
 
 	if (p->stopping)
 		return;
 	if (feed)
 		p->fed_us = now_us;
-	if (poll)
-		p->polled_us = now_us;
 	for (uint32_t i = 0; i < p->shard_count; i++)
-		tick_shard(p->shards[i], now_us, feed, poll);
+		tick_shard(p->shards[i], now_us, feed);
 	placement_ops_tick(p);
 }
 
-static void tick_shard(struct place_shard *s, uint64_t now_us, bool feed,
-		       bool poll)
+static void tick_shard(struct place_shard *s, uint64_t now_us, bool feed)
 {
 	struct place_event e = { .type = PLACE_TICK };
 	uint64_t epoch = oplog_is_owner(s->log) ? oplog_epoch(s->log) : 0;
 
 	e.at_us = oplog_last_append_us(s->log);
 	atomic_store(&s->gate.last_append_us, e.at_us);
+	atomic_store(&s->gate.horizon_us, place_horizon_us(s->place));
 	atomic_store(&s->gate.epoch, epoch);
 	if (epoch != s->epoch) {
 		log_event(LOG_INFO, "placement-owner", "shard=%s epoch=%llu",
@@ -189,11 +183,11 @@
 	}
 	if (feed)
 		feed_workers(s, now_us);
+	place_set_policy(s->place, s->svc->running->policy.placement);
 	if (!epoch)
 		return;
 	place_step(s->place, now_us, &e);
-	if (poll)
-		placement_poll_usage(s);
+	placement_poll_usage(s);
 	placement_drain_actions(s);
 }
 
--- a/tests/support-check-internal.h
+++ b/tests/support-check-internal.h
@@ -10,6 +10,7 @@
 	char *name;    /* key of the request, or task */
 	char *place;   /* runner or worker */
 	char *request; /* request id, or the checkpoint resumed from */
+	char *stopped; /* checkpoint of a task that was stopped, or NULL */
 	int64_t attempt;
 	uint64_t begin_us, end_us;
 	bool done;
@@ -24,7 +25,15 @@
 struct answer {
 	char *key, *request;
 	bool idempotent, good, done, not_run;
-	int status;
+	int status; /* 0: no answer */
+	int entry;
+	uint64_t begun_us;
+};
+
+/* The planned stop of an entry VM began. */
+struct drain {
+	int entry;
+	uint64_t at_us;
 };
 
 /* A VM began to leave, or is no longer leaving. */
@@ -41,6 +50,8 @@
 	size_t answer_count;
 	struct notice *notices;
 	size_t notice_count;
+	struct drain *drains;
+	size_t drain_count;
 	uint64_t over_slots, over_connections, over_memory;
 	uint64_t evicted, finished;
 };
--- a/tests/support-check-judge.c
+++ b/tests/support-check-judge.c
@@ -20,11 +20,13 @@
 			      0 },
 	[CHECK_ATTEMPT] = { "3", "attempt started twice", 0, 0 },
 	[CHECK_AFTER_DONE] = { "3", "task started after it was done", 0, 0 },
+	[CHECK_RESUME] = { "note", "evicted task lost some progress", 0, 0 },
 	[CHECK_ANSWER] = { "4", "answer cut or of another request", 0, 0 },
 	[CHECK_INVENTED] = { "4", "answer to a key that never ran", 0, 0 },
 	[CHECK_NOT_RUN] = { "5", "told not-run, but it ran", 0, 0 },
 	[CHECK_ONCE] = { "6", "once-only key run more than once", 0, 0 },
 	[CHECK_LEAVING] = { "7", "new work on a VM that is leaving", 0, 0 },
+	[CHECK_CUT] = { "8", "planned stop cut a request", 0, 0 },
 };
 
 static void report(struct judge *j, enum check_rule rule, const char *what,
@@ -36,12 +38,14 @@
 			   int (*order)(const void *, const void *));
 static const struct interval *find_name(const struct interval_list *l,
 					const char *name);
+static void judge_resume(struct judge *j, const struct interval *t);
 static void judge_tasks(struct judge *j);
 static void judge_answers(struct judge *j);
 static void judge_not_run(struct judge *j);
 static void judge_keys(struct judge *j);
 static void judge_key(struct judge *j, const char *key);
 static void judge_leaving(struct judge *j, const struct interval_list *l);
+static void judge_drains(struct judge *j);
 
 static void report(struct judge *j, enum check_rule rule, const char *what,
 		   const char *where)
@@ -49,7 +53,7 @@
 	struct check_result *r = &j->results[rule];
 
 	if (r->broken++ < j->examples)
-		printf("broken %s: %s: %s %s\n", r->invariant, r->text, what,
+		printf("case of %s: %s: %s %s\n", r->invariant, r->text, what,
 		       where);
 }
 
@@ -103,6 +107,18 @@
 	return &l->items[low];
 }
 
+/* A task that was stopped goes on from the checkpoint of that stop. */
+static void judge_resume(struct judge *j, const struct interval *t)
+{
+	const char *stopped = t[-1].stopped;
+
+	if (!stopped || !stopped[0])
+		return;
+	j->results[CHECK_RESUME].cases++;
+	if (strcmp(stopped, t->request))
+		report(j, CHECK_RESUME, t->name, t->place);
+}
+
 /* Compares each start of a task with the starts before it. */
 static void judge_tasks(struct judge *j)
 {
@@ -126,6 +142,7 @@
 				report(j, CHECK_ATTEMPT, t->name, t->place);
 			if (done)
 				report(j, CHECK_AFTER_DONE, t->name, t->place);
+			judge_resume(j, t);
 		}
 		done |= t->done;
 		if (t->end_us > end_us)
@@ -241,6 +258,25 @@
 	}
 }
 
+/* A request that was begun before the stop gets an answer. */
+static void judge_drains(struct judge *j)
+{
+	struct check *c = j->check;
+
+	for (size_t d = 0; d < c->drain_count; d++) {
+		for (size_t i = 0; i < c->answer_count; i++) {
+			const struct answer *a = &c->answers[i];
+
+			if (a->entry != c->drains[d].entry ||
+			    a->begun_us >= c->drains[d].at_us)
+				continue;
+			j->results[CHECK_CUT].cases++;
+			if (!a->status)
+				report(j, CHECK_CUT, a->key, a->request);
+		}
+	}
+}
+
 void check_count(const struct check *c, struct check_counts *counts)
 {
 	memset(counts, 0, sizeof(*counts));
@@ -276,4 +312,5 @@
 	judge_answers(&j);
 	judge_keys(&j);
 	judge_leaving(&j, &c->runs);
+	judge_drains(&j);
 }
--- a/tests/support-check.c
+++ b/tests/support-check.c
@@ -15,15 +15,15 @@
 static char *copy_text(const json_t *e, const char *name);
 static int64_t number(const json_t *e, const char *name);
 static struct interval *add_interval(struct interval_list *l);
-static void end_interval(struct interval_list *l, const char *name,
-			 const char *place, const char *request,
-			 int64_t attempt, uint64_t at_us, bool done);
+static struct interval *end_interval(struct interval_list *l, const char *name,
+				     const char *place, const char *request,
+				     int64_t attempt, uint64_t at_us);
 static void note_leaving(struct check *c, const char *vm, uint64_t at_us,
 			 bool leaving);
 static void end_open(struct interval_list *l, uint64_t at_us);
 static int take_line(struct check *c, const char *line, uint64_t *last_us);
 static event_fn on_run_start, on_run_end, on_task_start, on_task_end, on_over,
-	on_over_memory, on_answer, on_draining, on_vm_state;
+	on_over_memory, on_answer, on_draining, on_vm_state, on_drain;
 
 static const struct {
 	const char *event;
@@ -33,7 +33,8 @@
 	{ "run-killed", on_run_end },	   { "task-start", on_task_start },
 	{ "task-end", on_task_end },	   { "over", on_over },
 	{ "over-memory", on_over_memory }, { "answer", on_answer },
-	{ "draining", on_draining },	   { "vm-state", on_vm_state },
+	{ "entry-drain", on_drain },	   { "draining", on_draining },
+	{ "vm-state", on_vm_state },
 };
 
 struct check *check_create(uint64_t leave_us)
@@ -50,6 +51,7 @@
 		free(l->items[i].name);
 		free(l->items[i].place);
 		free(l->items[i].request);
+		free(l->items[i].stopped);
 	}
 	free(l->items);
 }
@@ -66,6 +68,7 @@
 		free(c->notices[i].vm);
 	free(c->answers);
 	free(c->notices);
+	free(c->drains);
 	free(c);
 }
 
@@ -102,10 +105,10 @@
 	return i;
 }
 
-/* Ends the newest open interval that matches; it began not long ago. */
-static void end_interval(struct interval_list *l, const char *name,
-			 const char *place, const char *request,
-			 int64_t attempt, uint64_t at_us, bool done)
+/* Ends the newest open interval that matches; NULL when there is none. */
+static struct interval *end_interval(struct interval_list *l, const char *name,
+				     const char *place, const char *request,
+				     int64_t attempt, uint64_t at_us)
 {
 	for (size_t i = l->count; i-- > 0;) {
 		struct interval *v = &l->items[i];
@@ -115,9 +118,9 @@
 		    (request && strcmp(v->request, request)))
 			continue;
 		v->end_us = at_us;
-		v->done = done;
-		return;
+		return v;
 	}
+	return NULL;
 }
 
 static void on_run_start(struct check *c, const json_t *e, uint64_t at_us)
@@ -135,7 +138,7 @@
 	char *key = copy_text(e, "key"), *runner = copy_text(e, "runner");
 	char *request = copy_text(e, "request");
 
-	end_interval(&c->runs, key, runner, request, 0, at_us, true);
+	end_interval(&c->runs, key, runner, request, 0, at_us);
 	free(key);
 	free(runner);
 	free(request);
@@ -156,12 +159,16 @@
 {
 	const char *state = json_string_value(json_object_get(e, "state"));
 	char *task = copy_text(e, "task"), *worker = copy_text(e, "worker");
-	bool done = state && !strcmp(state, "done");
-
-	end_interval(&c->tasks, task, worker, NULL, number(e, "attempt"), at_us,
-		     done);
-	c->evicted += state && !strcmp(state, "stopped");
-	c->finished += done;
+	struct interval *i = end_interval(&c->tasks, task, worker, NULL,
+					  number(e, "attempt"), at_us);
+
+	if (i && state && !strcmp(state, "done")) {
+		i->done = true;
+		c->finished++;
+	} else if (i && state && !strcmp(state, "stopped")) {
+		i->stopped = copy_text(e, "checkpoint");
+		c->evicted++;
+	}
 	free(task);
 	free(worker);
 }
@@ -197,6 +204,8 @@
 	a->idempotent = json_is_true(json_object_get(e, "idempotent"));
 	a->good = json_is_true(json_object_get(e, "good"));
 	a->status = (int)number(e, "status");
+	a->entry = (int)number(e, "entry");
+	a->begun_us = (uint64_t)number(e, "begun_us");
 	a->done = outcome && !strcmp(outcome, "done");
 	a->not_run = outcome && !strcmp(outcome, "not-run");
 }
@@ -231,6 +240,16 @@
 		note_leaving(c, vm, at_us, !strcmp(state, "leaving"));
 }
 
+static void on_drain(struct check *c, const json_t *e, uint64_t at_us)
+{
+	struct drain *d;
+
+	c->drains = grow(c->drains, c->drain_count, sizeof(*c->drains));
+	d = &c->drains[c->drain_count++];
+	d->entry = (int)number(e, "entry");
+	d->at_us = at_us;
+}
+
 static int take_line(struct check *c, const char *line, uint64_t *last_us)
 {
 	json_t *e = json_loads(line, 0, NULL);
--- a/tests/test-journal-check.c
+++ b/tests/test-journal-check.c
@@ -52,6 +52,12 @@
 	{ START(10, "t", 1, "w") STOP(20, "t", 1, "w", "done")
 		  START(30, "t", 2, "v"),
 	  CHECK_AFTER_DONE },
+	{ START(10, "t", 1, "w")
+		  EVENT(20, "task-end",
+			"\"worker\":\"w\",\"task\":\"t\",\"attempt\":1,"
+			"\"state\":\"stopped\",\"checkpoint\":\"cp-1\"")
+			  START(30, "t", 2, "v"),
+	  CHECK_RESUME },
 	{ RUN(10, "a", "k", "r") TOLD("k", "a", true, "done", false),
 	  CHECK_ANSWER },
 	{ RUN(10, "a", "k", "r") TOLD("j", "a", true, "done", true),
@@ -74,6 +80,16 @@
 	{ EVENT(10, "vm-state", "\"vm\":\"w\",\"state\":\"leaving\"")
 		  START(5000000, "t", 1, "w"),
 	  CHECK_LEAVING },
+	{ EVENT(50, "entry-drain", "\"entry\":2")
+		  EVENT(60, "answer",
+			"\"entry\":2,\"status\":0,\"begun_us\":40,"
+			"\"idempotent\":true"),
+	  CHECK_CUT },
+	{ EVENT(50, "entry-drain", "\"entry\":2")
+		  EVENT(60, "answer",
+			"\"entry\":1,\"status\":0,\"begun_us\":40,"
+			"\"idempotent\":true"),
+	  NONE },
 };
 
 static void read_text(struct check *c, const char *journal, bool dead)
