Hand a shard back to its own zone

Cause: a shard that another zone took over stayed there until its owner ended, though its owner is preferably of the same zone. Change: OPLOG_HAND_OVER writes what waits, releases the shard and lets the process own it again later; the owner service sends it once the zone has had a live entry VM for three lease times, with doubled waits when nobody there takes the shard. The benchmark prints the bytes of a claim with a record of its own.

--- a/src/oplog-internal.h
+++ b/src/oplog-internal.h
@@ -64,6 +64,7 @@
 	uint32_t client_count;
 	bool lease_held;
 	bool draining;
+	bool hands_over; /* draining ends with the release */
 	uint64_t lease_gained_us;
 	uint64_t interval_us;
 	uint32_t snapshot_records;
--- a/src/oplog.c
+++ b/src/oplog.c
@@ -253,6 +253,8 @@
 	a->epoch = log->fence;
 	snprintf(a->text, sizeof(a->text), "%s", why);
 	reset(log);
+	if (log->hands_over)
+		log->draining = false;
 	if (!log->lease_held || log->draining)
 		return;
 	/* Waits, so that two who seal each other do not do so in a loop. */
@@ -538,6 +540,8 @@
 {
 	oplog_push(log, OPLOG_RELEASED)->epoch = log->fence;
 	reset(log);
+	if (log->hands_over)
+		log->draining = false;
 }
 
 /* Does what time or new entries ask for. */
@@ -590,10 +594,19 @@
 static void drain(struct oplog *log)
 {
 	log->draining = true;
+	log->hands_over = false;
 	if (log->state != OPLOG_OWNER)
 		release(log);
 }
 
+static void hand_over(struct oplog *log)
+{
+	if (log->state != OPLOG_OWNER || log->draining)
+		return;
+	log->draining = true;
+	log->hands_over = true;
+}
+
 static void answer(struct oplog *log, uint64_t now, const struct oplog_event *e)
 {
 	static void (*const fns[])(struct oplog *, uint64_t,
@@ -624,6 +637,9 @@
 	case OPLOG_DRAIN:
 		drain(log);
 		break;
+	case OPLOG_HAND_OVER:
+		hand_over(log);
+		break;
 	case OPLOG_RELOAD:
 		if (log->state != OPLOG_FOLLOWER)
 			oplog_drop(log, now_us, "a client was added");
--- a/src/oplog.h
+++ b/src/oplog.h
@@ -121,6 +121,7 @@
 	OPLOG_LEASE_GAINED,
 	OPLOG_LEASE_LOST,    /* lapsed, or not certain any more */
 	OPLOG_DRAIN,	     /* accept no entry, write the rest, release */
+	OPLOG_HAND_OVER,     /* an owner does the same, and may own again */
 	OPLOG_RELOAD,	     /* a client was added after the first step */
 	OPLOG_SNAPSHOT_READ, /* answer to OPLOG_READ_SNAPSHOT */
 	OPLOG_PARTS_READ,    /* answer to OPLOG_READ_PARTS */
--- a/src/svc-owner-internal.h
+++ b/src/svc-owner-internal.h
@@ -40,7 +40,8 @@
 	char holder[64];	/* of the key, as last seen; "" when free */
 	uint64_t free_since_us; /* 0: held, or not known yet */
 	uint64_t not_before_us; /* no attempt to acquire before this */
-	uint64_t last_epoch;
+	uint64_t home_since_us; /* its zone has a live entry VM; 0: none */
+	uint64_t home_wait_us;
 };
 
 /* A request thread in claim_begin(); lives on its stack. */
--- a/src/svc-owner-log.c
+++ b/src/svc-owner-log.c
@@ -70,7 +70,6 @@
 static void log_gained(struct shard *sh, const struct oplog_action *a)
 {
 	counter_add(sh->owner->gained, 1);
-	sh->last_epoch = a->epoch;
 	log_event(LOG_INFO, "shard-owned",
 		  "shard=%s epoch=%" PRIu64 " records=%" PRIu64
 		  " took_us=%" PRIu64,
@@ -102,7 +101,8 @@
 		log_event(LOG_INFO, "shard-released", "shard=%s epoch=%" PRIu64,
 			  sh->name, a->epoch);
 	}
-	owner_release(sh, 0);
+	/* Gives the zone's own entry VMs the time to acquire it. */
+	owner_release(sh, 2 * sh->owner->lease_us);
 }
 
 static void execute(struct shard *sh, const struct oplog_action *a)
--- a/src/svc-owner.c
+++ b/src/svc-owner.c
@@ -14,6 +14,8 @@
 /* A part of the write budget stays for sessions, seats and leases. */
 #define APPEND_SHARE 0.6
 #define LOOK_INTERVAL_US 1000000u
+#define HOME_WAIT_LEASES 3u
+#define HOME_WAIT_MAX_US 600000000u
 /* A stop waits so long for reports of ended requests. */
 #define STOP_WAIT_US 2000000u
 
@@ -491,9 +493,47 @@
 	owner_log_event(sh, certain ? OPLOG_LEASE_GAINED : OPLOG_LEASE_LOST);
 }
 
+static bool zone_has_entry(const struct owner *o, const char *zone, uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++)
+		if (o->list[i].live && !o->list[i].draining &&
+		    !strcmp(o->list[i].availability_zone, zone))
+			return true;
+	return false;
+}
+
+/*
+ * Hands a shard of another zone over once that zone has an entry VM again. When
+ * nobody there takes it, the next attempt waits twice as long.
+ */
+static void tend_home(struct shard *sh, uint64_t now, uint32_t members)
+{
+	struct owner *o = sh->owner;
+
+	if (!strcmp(sh->name, o->availability_zone))
+		return;
+	if (!zone_has_entry(o, sh->name, members)) {
+		sh->home_since_us = 0;
+		return;
+	}
+	if (!sh->home_since_us)
+		sh->home_since_us = now;
+	if (!sh->home_wait_us ||
+	    (sh->holder[0] && strcmp(sh->holder, o->id) != 0))
+		sh->home_wait_us = HOME_WAIT_LEASES * o->lease_us;
+	if (!oplog_is_owner(sh->log) ||
+	    now - sh->home_since_us < sh->home_wait_us)
+		return;
+	log_event(LOG_INFO, "shard-handed-over", "shard=%s", sh->name);
+	sh->home_since_us = now;
+	if (sh->home_wait_us < HOME_WAIT_MAX_US)
+		sh->home_wait_us *= 2;
+	owner_log_event(sh, OPLOG_HAND_OVER);
+}
+
 /*
- * Once a second: new zones, and the appends spread over the process's share of
- * the write budget.
+ * Once a second: new zones, shards that belong elsewhere, and the appends
+ * spread over the process's share of the write budget.
  */
 static void look_around(struct owner *o, uint64_t now)
 {
@@ -507,6 +547,8 @@
 	for (uint32_t i = 0; i < n; i++)
 		live += o->list[i].live;
 	add_new_zones(o);
+	for (uint32_t i = 0; i < o->shard_count; i++)
+		tend_home(&o->shards[i], now, n);
 	rate = o->write_budget * APPEND_SHARE / (live ? live : 1);
 	for (uint32_t i = 0; i < o->shard_count; i++)
 		oplog_set_interval(o->shards[i].log,
--- a/tests/bench-oplog.c
+++ b/tests/bench-oplog.c
@@ -431,6 +431,8 @@
 
 	b.answer_len = answer_len;
 	start(&b, 0);
+	oplog_set_snapshot_limits(b.log, UINT32_MAX, UINT64_MAX);
+	b.bytes = 0;
 	for (uint64_t i = 1; i <= claims; i++) {
 		claim(&b, i);
 		b.now_us += STORE_US;
@@ -451,6 +453,12 @@
 	print(name, "memory-per-claim", per_claim, "B", NAN,
 	      256 + (double)answer_len * 1.1,
 	      per_claim <= 256 + (double)answer_len * 1.1);
+	/* A record for each claim and one for each result. */
+	print(name, "ungrouped-bytes-per-claim",
+	      (double)b.bytes / (double)claims, "B", NAN,
+	      512 + (double)answer_len * 1.1,
+	      (double)b.bytes / (double)claims <=
+		      512 + (double)answer_len * 1.1);
 	/* What each change would write if the whole table were one value. */
 	print(name, "snapshot-bytes-per-claim",
 	      (double)state.len / (double)claims, "B", NAN,
--- a/tests/test-orderings.c
+++ b/tests/test-orderings.c
@@ -22,23 +22,24 @@
 #define DEFAULT_RUNS 6000u
 
 enum event_type {
-	EV_EFFECT,  /* a call takes effect in the store */
-	EV_ANSWER,  /* a call that took effect is answered */
-	EV_SERVE,   /* both at once */
-	EV_LOSE,    /* the answer is lost; the effect may still come */
-	EV_UNSENT,  /* the call never left */
-	EV_TIME,    /* time passes for all; a node without events is paused */
-	EV_TICK,    /* a node looks at the time */
-	EV_LEASE,   /* the lease goes to a node, whoever had it */
-	EV_NOTICE,  /* a node learns that it lost the lease */
-	EV_KILL,    /* a node ends and starts again */
-	EV_DRAIN,   /* a node drains, ends and starts again */
-	EV_APPEND,  /* a node appends a probe entry */
-	EV_CLAIM,   /* an entry VM claims a key, or asks again */
-	EV_RUN,	    /* a granted request ends */
-	EV_GIVE_UP, /* a request's deadline passes before a grant */
-	EV_REPORT,  /* an entry VM reports the end, perhaps again */
-	EV_REGRANT, /* a copy of an old grant arrives */
+	EV_EFFECT,    /* a call takes effect in the store */
+	EV_ANSWER,    /* a call that took effect is answered */
+	EV_SERVE,     /* both at once */
+	EV_LOSE,      /* the answer is lost; the effect may still come */
+	EV_UNSENT,    /* the call never left */
+	EV_TIME,      /* time passes for all; a node without events is paused */
+	EV_TICK,      /* a node looks at the time */
+	EV_LEASE,     /* the lease goes to a node, whoever had it */
+	EV_NOTICE,    /* a node learns that it lost the lease */
+	EV_KILL,      /* a node ends and starts again */
+	EV_DRAIN,     /* a node drains, ends and starts again */
+	EV_HAND_OVER, /* a node gives the shard away and goes on */
+	EV_APPEND,    /* a node appends a probe entry */
+	EV_CLAIM,     /* an entry VM claims a key, or asks again */
+	EV_RUN,	      /* a granted request ends */
+	EV_GIVE_UP,   /* a request's deadline passes before a grant */
+	EV_REPORT,    /* an entry VM reports the end, perhaps again */
+	EV_REGRANT,   /* a copy of an old grant arrives */
 	EV_TYPES,
 };
 
@@ -46,15 +47,15 @@
 	const char *name;
 	uint32_t weight;
 } kinds[EV_TYPES] = {
-	[EV_EFFECT] = { "effect", 60 },	  [EV_ANSWER] = { "answer", 60 },
-	[EV_SERVE] = { "serve", 300 },	  [EV_LOSE] = { "lose", 25 },
-	[EV_UNSENT] = { "unsent", 10 },	  [EV_TIME] = { "time", 60 },
-	[EV_TICK] = { "tick", 80 },	  [EV_LEASE] = { "lease", 8 },
-	[EV_NOTICE] = { "notice", 8 },	  [EV_KILL] = { "kill", 3 },
-	[EV_DRAIN] = { "drain", 2 },	  [EV_APPEND] = { "append", 40 },
-	[EV_CLAIM] = { "claim", 120 },	  [EV_RUN] = { "run", 60 },
-	[EV_GIVE_UP] = { "give-up", 10 }, [EV_REPORT] = { "report", 80 },
-	[EV_REGRANT] = { "regrant", 20 },
+	[EV_EFFECT] = { "effect", 60 },	     [EV_ANSWER] = { "answer", 60 },
+	[EV_SERVE] = { "serve", 300 },	     [EV_LOSE] = { "lose", 25 },
+	[EV_UNSENT] = { "unsent", 10 },	     [EV_TIME] = { "time", 60 },
+	[EV_TICK] = { "tick", 80 },	     [EV_LEASE] = { "lease", 8 },
+	[EV_NOTICE] = { "notice", 8 },	     [EV_KILL] = { "kill", 3 },
+	[EV_DRAIN] = { "drain", 2 },	     [EV_APPEND] = { "append", 40 },
+	[EV_CLAIM] = { "claim", 120 },	     [EV_RUN] = { "run", 60 },
+	[EV_GIVE_UP] = { "give-up", 10 },    [EV_REPORT] = { "report", 80 },
+	[EV_HAND_OVER] = { "hand-over", 6 }, [EV_REGRANT] = { "regrant", 20 },
 };
 
 struct event {
@@ -405,6 +406,9 @@
 	case EV_KILL:
 		model_restart(&w->m, node);
 		break;
+	case EV_HAND_OVER:
+		model_event(&w->m, node, OPLOG_HAND_OVER);
+		break;
 	case EV_APPEND:
 		if (owner(w, e->a) >= 0)
 			model_append(&w->m, owner(w, e->a));
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -26,7 +26,8 @@
 	struct loop *loop;
 	struct owner *owner;
 	char id[64];
-	bool up;
+	char zone[64];
+	atomic_bool up;
 	peer_fn *handlers[PEER_MESSAGE_TYPES];
 	void *args[PEER_MESSAGE_TYPES];
 };
@@ -94,11 +95,17 @@
 
 uint32_t members_list(struct members *m, struct member *out, uint32_t max)
 {
+	uint32_t n = 0;
+
 	(void)m;
-	(void)max;
-	memset(out, 0, sizeof(*out));
-	out->live = true;
-	return 1;
+	for (int i = 0; i < NODES && n < max; i++) {
+		if (!nodes[i].up)
+			continue;
+		memset(&out[n], 0, sizeof(*out));
+		out[n].live = true;
+		snprintf(out[n++].availability_zone, 64, "%s", nodes[i].zone);
+	}
+	return n;
 }
 
 void members_shard_owner(struct members *m, const char *shard, char id[64],
@@ -128,7 +135,8 @@
 	struct error err;
 
 	memset(&s, 0, sizeof(s));
-	memset(&nodes[i], 0, sizeof(nodes[i]));
+	/* The other node's thread reads up, and the rest only while it is. */
+	memset(nodes[i].handlers, 0, sizeof(nodes[i].handlers));
 	snprintf(s.node.id, sizeof(s.node.id), "e%d", i + 1);
 	snprintf(s.node.deployment, sizeof(s.node.deployment), "test");
 	snprintf(s.node.availability_zone, sizeof(s.node.availability_zone),
@@ -144,6 +152,7 @@
 	kernel_register(nodes[i].kernel, loop_create(), &err);
 	kernel_register(nodes[i].kernel, store_create(&s), &err);
 	kernel_register(nodes[i].kernel, owner_create(&s), &err);
+	snprintf(nodes[i].zone, sizeof(nodes[i].zone), "%s", zone);
 	nodes[i].loop = loop_find(nodes[i].kernel);
 	nodes[i].owner = owner_find(nodes[i].kernel);
 	nodes[i].up = true;
@@ -353,6 +362,26 @@
 	end_server();
 }
 
+/* Guards against a shard that stays outside its zone, or flaps. */
+static void test_shard_returns_home(void)
+{
+	struct claim_answer a = { 0 };
+	struct claim_key one = key(1);
+
+	begin_server();
+	start_node(1, "zone-b");
+	CU_ASSERT_FATAL(wait_owned(1, true));
+	CU_ASSERT_EQUAL(begin(1, &one, 5000000, &a), CLAIM_GRANTED);
+	start_node(0, "zone-a");
+	CU_ASSERT(wait_owned(0, true));
+	CU_ASSERT(wait_owned(1, false));
+	claim_finish(nodes[1].owner, &one, CLAIM_DONE, 200, "b", 1);
+	CU_ASSERT_EQUAL(begin_until(0, 1, CLAIM_REPLAY, &a), CLAIM_REPLAY);
+	CU_ASSERT_EQUAL(shards_of(0).epoch, 3);
+	buffer_free(&a.body);
+	end_server();
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -361,6 +390,7 @@
 		{ "store down", test_store_down },
 		{ "lost append", test_lost_append },
 		{ "paused holder", test_paused_holder },
+		{ "shard returns home", test_shard_returns_home },
 	};
 
 	return RUN_SUITE("owner", tests);
