--- a/src/core.h
+++ b/src/core.h
@@ -206,6 +206,8 @@
 	uint64_t hedges;
 	/* Targets that run more for this process than its own slots. */
 	uint32_t over_share;
+	/* Every target that answers was seen to run nothing after this time. */
+	uint64_t idle_since_us;
 };
 
 /*
@@ -355,6 +357,7 @@
 	const char *reason; /* static text of the decision */
 	uint64_t request;   /* PLACE_REPLY */
 	enum place_refusal refusal;
+	bool upkeep; /* PLACE_STOP: no decision, the task has ended */
 	uint32_t attempt;
 	uint32_t cpu_milli;
 	uint32_t memory_mb;
