Name a task's owner, warn of a readable file, bound the denied lines

Cause: explain of a task of another entry VM's shard only said "not known"; wrong tokens wrote one line each; the settings' mode was not looked at. Change: the answer names the owner and its address; one operator-denied line a second; event settings-readable.

--- a/src/operator-private.h
+++ b/src/operator-private.h
@@ -3,6 +3,7 @@
 
 #include <jansson.h>
 #include <pthread.h>
+#include <stdatomic.h>
 
 #include "buffer.h"
 #include "counter.h"
@@ -41,6 +42,7 @@
 	char token[SETTINGS_TEXT_BYTES];
 	struct operator_history history[OPERATOR_HISTORY];
 	uint32_t history_next;
+	_Atomic uint64_t denied_log_us; /* next line about a wrong token */
 	struct counter *calls;
 	struct counter *denied;
 };
--- a/src/svc-operator.c
+++ b/src/svc-operator.c
@@ -22,6 +22,7 @@
 #define SHEET_BODY_MAX_BYTES (8u * 1024u * 1024u)
 #define PLACEMENT_BODY_MAX_BYTES (64u * 1024u)
 #define PLACEMENT_TIMEOUT_US 10000000u
+#define DENIED_LOG_INTERVAL_US 1000000u
 
 typedef void route_fn(struct operator_svc *o, struct operator_call *call);
 
@@ -41,6 +42,8 @@
 static const struct route *find_route(const char *method, const char *path,
 				      bool *path_known);
 static bool token_matches(struct operator_svc *o, struct mg_connection *conn);
+static void log_denied(struct operator_svc *o,
+		       const struct mg_request_info *info);
 static int read_body(struct mg_connection *conn, size_t max,
 		     struct buffer *body);
 static void answer(struct mg_connection *conn,
@@ -246,6 +249,21 @@
 		mg_write(conn, call->answer.data, call->answer.len);
 }
 
+/* Who tries tokens must not fill the log. */
+static void log_denied(struct operator_svc *o,
+		       const struct mg_request_info *info)
+{
+	uint64_t now = clock_now_us(), next;
+
+	next = atomic_load(&o->denied_log_us);
+	if (now < next ||
+	    !atomic_compare_exchange_strong(&o->denied_log_us, &next,
+					    now + DENIED_LOG_INTERVAL_US))
+		return;
+	log_event(LOG_WARNING, "operator-denied", "from=%s path=%s denied=%lld",
+		  info->remote_addr, info->local_uri, counter_value(o->denied));
+}
+
 static int on_request(struct mg_connection *conn, void *arg)
 {
 	struct operator_svc *o = arg;
@@ -265,8 +283,7 @@
 					  : "no such path");
 	} else if (!route->open && !token_matches(o, conn)) {
 		counter_add(o->denied, 1);
-		log_event(LOG_WARNING, "operator-denied", "from=%s path=%s",
-			  info->remote_addr, info->local_uri);
+		log_denied(o, info);
 		operator_error(&call, 401, "missing or wrong token");
 	} else {
 		failed = read_body(conn, route->body_max, &call.body);
@@ -393,6 +410,47 @@
 	operator_json(call, 200, c.root);
 }
 
+struct owner_call {
+	struct operator_svc *o;
+	char shard[64];
+	char owner[64];
+	struct settings_address address;
+};
+
+static void look_up_owner(void *arg)
+{
+	struct owner_call *c = arg;
+	const struct member *member;
+	uint64_t epoch;
+
+	members_shard_owner(c->o->members, c->shard, c->owner, &epoch);
+	member = c->owner[0] ? members_get(c->o->members, c->owner) : NULL;
+	if (member)
+		c->address = member->operator_address;
+}
+
+/* Says whom to ask about a task of another entry VM's shard. */
+static void answer_unknown(struct operator_svc *o, struct operator_call *call,
+			   const char *task)
+{
+	struct owner_call c = { .o = o };
+	char text[256];
+
+	snprintf(c.shard, sizeof(c.shard), "%.*s", (int)strcspn(task, "."),
+		 task);
+	if (*task)
+		loop_call(o->loop, look_up_owner, &c);
+	if (!c.address.port || !strcmp(c.owner, o->s->node.id)) {
+		operator_error(call, 404, "not known by this entry VM");
+		return;
+	}
+	snprintf(text, sizeof(text),
+		 "not known by this entry VM; the owner of zone %s is %s at "
+		 "%s:%u",
+		 c.shard, c.owner, c.address.host, c.address.port);
+	operator_error(call, 404, text);
+}
+
 static void get_explain(struct operator_svc *o, struct operator_call *call)
 {
 	char request[128], task[128];
@@ -412,7 +470,7 @@
 					  &call->answer);
 	call->status = 200;
 	if (found < 0)
-		operator_error(call, 404, "not known by this entry VM");
+		answer_unknown(o, call, task);
 }
 
 static void placements(struct operator_svc *o, struct operator_call *call)
--- a/src/waxwingd.c
+++ b/src/waxwingd.c
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <time.h>
 #include <zmq.h>
 
@@ -45,6 +46,7 @@
 static int next_signal(const sigset_t *set, uint64_t timeout_us);
 static void reload(struct kernel *k, const char *path, struct settings *s);
 static void drain(struct kernel *k, const sigset_t *set);
+static void warn_readable(const char *path);
 static int run(const char *path);
 
 /*
@@ -171,9 +173,15 @@
 static void log_fault(void *arg, const char *file, int line,
 		      const char *message)
 {
+	char text[ERROR_MESSAGE_BYTES];
+
 	(void)arg;
+	snprintf(text, sizeof(text), "%s", message);
+	for (char *c = text; *c; c++)
+		if (*c == '"')
+			*c = '\'';
 	log_event(LOG_ERROR, "settings-fault", "at=%s:%d message=\"%s\"", file,
-		  line, message);
+		  line, text);
 }
 
 static void reload(struct kernel *k, const char *path, struct settings *s)
@@ -216,6 +224,18 @@
 		  members_left(members_find(k)));
 }
 
+/* The file holds the deployment's secret key and the operators' token. */
+static void warn_readable(const char *path)
+{
+	struct stat st;
+
+	if (!stat(path, &st) && (st.st_mode & (S_IRWXG | S_IRWXO)))
+		log_event(LOG_WARNING, "settings-readable",
+			  "file=%s mode=%03o reason=\"others can read the "
+			  "secret key\"",
+			  path, (unsigned)st.st_mode & 0777u);
+}
+
 static int run(const char *path)
 {
 	struct settings s;
@@ -228,6 +248,7 @@
 		return EXIT_FAILED;
 	log_set_node(s.node.id);
 	log_set_level(s.log_level);
+	warn_readable(path);
 	block_signals(&set);
 	mg_init_library(0);
 	k = kernel_create();
