--- a/src/oplog-internal.h
+++ b/src/oplog-internal.h
@@ -67,6 +67,7 @@
 	uint64_t lease_gained_us;
 	uint64_t interval_us;
 	uint32_t snapshot_records;
+	uint64_t snapshot_bytes;
 	uint64_t last_id;
 
 	/* Position: seq is the last record of epoch that exists. */
@@ -96,6 +97,7 @@
 
 	uint64_t log_records; /* since the snapshot */
 	uint64_t log_bytes;
+	uint64_t state_bytes; /* of the last snapshot */
 
 	enum snapshot_phase snap_phase;
 	bool snap_waiting;
