--- /dev/null
+++ b/tests/bench-once.c
@@ -0,0 +1,332 @@
+/*
+ * Scenarios once and resume: what callers were told and what ran, while entry
+ * VMs die or pause and answers of the store, runners and workers are lost.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "support-bench.h"
+#include "support-check.h"
+
+#define SECOND_US 1000000u
+#define LEAVE_US (3 * SECOND_US)
+#define EXAMPLES 5
+#define BATCH_TASKS 24 /* of each zone */
+#define SERVICES 8     /* of each zone, in a wave */
+#define WAVES 3
+#define FINISH_MS 60000
+#define OPERATION_TRIES 50
+#define DONE "\"state\":\"done\""
+
+#define ONCE_SHEET                                       \
+	BENCH_SHEET_HEADER                               \
+	"kind,yildirim,,draft,urgent,40,0,no,,,,,\n"     \
+	"kind,yildirim,,statement,normal,20,0,no,,,,,\n" \
+	"kind,bandargah,,closure,normal,20,0,no,,,,,\n"
+
+#define RESUME_SHEET                                        \
+	BENCH_SHEET_HEADER                                  \
+	"kind,yildirim,,archive,deferrable,20,0,yes,,,,,\n" \
+	"kind,bandargah,,booking,urgent,40,0,no,,,,,\n"     \
+	"team,yildirim,court,,,100,0,,1000,4000,,,\n"       \
+	"team,bandargah,port,,,100,0,,1000,4000,,,\n"
+
+struct event_at {
+	double at_s;
+	uint32_t entry;
+	int signal; /* 0: start it anew */
+};
+
+static int run_once(uint64_t seed);
+static int run_resume(uint64_t seed);
+static int read_journals(struct cluster *c, struct check *k);
+static int judge(struct cluster *c, struct check_result results[CHECK_RULES],
+		 struct check_counts *counts);
+static void report(const char *name, uint64_t seed, const char *metric,
+		   const struct check_result *r);
+static void play(struct cluster *c, const struct event_at *events,
+		 size_t count);
+static int operate(struct cluster *c, const char *method, const char *path,
+		   const char *body);
+static int create(struct cluster *c, uint32_t zone, const char *name,
+		  uint32_t count, bool service);
+static int cancel(struct cluster *c, uint32_t zone, const char *name);
+static uint32_t ended_tasks(struct cluster *c, const char *state);
+static bool all_finished(struct cluster *c, void *arg);
+static int wave(struct cluster *c, uint32_t number);
+
+/* Entry VMs killed while they serve, own shards and replay; one is paused. */
+static const struct event_at once_events[] = {
+	{ 5, 0, SIGKILL },  { 7.5, 3, SIGSTOP }, { 9, 0, 0 },
+	{ 12, 3, SIGCONT }, { 14, 5, SIGKILL },	 { 16, 2, SIGKILL },
+	{ 18, 5, 0 },
+};
+
+static int read_journals(struct cluster *c, struct check *k)
+{
+	static const char *const names[] = { "runners", "workers" };
+	char path[400];
+
+	for (size_t n = 0; n < 2; n++) {
+		for (uint32_t z = 0; z < c->o.zones; z++) {
+			if (n == 0 ? !c->o.runners : !c->o.workers)
+				continue;
+			snprintf(path, sizeof(path), "%s/%s-%u.jsonl",
+				 c->folder, names[n], z);
+			if (check_read(k, path, false) < 0)
+				return -1;
+		}
+	}
+	return 0;
+}
+
+static int judge(struct cluster *c, struct check_result results[CHECK_RULES],
+		 struct check_counts *counts)
+{
+	struct check *k = check_create(LEAVE_US);
+	char path[400];
+	int ret = read_journals(c, k);
+
+	snprintf(path, sizeof(path), "%s/load.jsonl", c->folder);
+	if (ret == 0 && c->o.runners && !c->o.workers)
+		ret = check_read(k, path, false);
+	if (ret == 0) {
+		check_count(k, counts);
+		check_judge(k, results, EXAMPLES);
+	}
+	check_free(k);
+	return ret;
+}
+
+static void report(const char *name, uint64_t seed, const char *metric,
+		   const struct check_result *r)
+{
+	bench_max(name, seed, metric, (double)r->broken, "cases", 0);
+}
+
+static void play(struct cluster *c, const struct event_at *events, size_t count)
+{
+	uint64_t begin_us = clock_now_us();
+
+	for (size_t i = 0; i < count; i++) {
+		uint64_t due_us =
+			begin_us + (uint64_t)(events[i].at_s * SECOND_US);
+		uint64_t now_us = clock_now_us();
+
+		if (due_us > now_us)
+			clock_sleep_us(due_us - now_us);
+		if (events[i].signal)
+			cluster_entry_signal(c, events[i].entry,
+					     events[i].signal);
+		else
+			cluster_entry_start(c, events[i].entry);
+	}
+}
+
+static int run_once(uint64_t seed)
+{
+	static const char *const mixes[] = {
+		"user=yildirim,kind=draft,rate=100,work_us=15000,"
+		"work_spread=60,deadline_ms=1500,retries=2,answer_bytes=4000",
+		"user=yildirim,kind=statement,idempotent=no,rate=40,"
+		"work_us=20000,deadline_ms=3000,retries=3,"
+		"duplicate_percent=30,answer_bytes=2000",
+		"user=bandargah,kind=closure,idempotent=no,rate=30,"
+		"work_us=50000,deadline_ms=3000,retries=3,duplicate_percent=30",
+		NULL,
+	};
+	struct check_result results[CHECK_RULES];
+	struct check_counts counts;
+	struct cluster_options o;
+	struct bench_load load;
+	struct bench_kind kind;
+	struct cluster c;
+	int ret = -1;
+
+	cluster_defaults(&o);
+	o.workers = 0;
+	o.seed = seed;
+	if (bench_cluster(&c, &o, ONCE_SHEET) < 0)
+		goto out;
+	for (uint32_t z = 0; z < o.zones; z++)
+		cluster_fault(cluster_runner_control_port(&c, z),
+			      "{\"drop\":0.05,\"truncate\":0.05,"
+			      "\"wrong_id\":0.05,\"error_rate\":0.03}");
+	cluster_fault(cluster_store_port(&c), "{\"lose\":0.1,\"delay_ms\":20}");
+	if (bench_load_start(&load, &c, 0x7f, mixes, 24, seed, "load") < 0)
+		goto out;
+	play(&c, once_events, sizeof(once_events) / sizeof(once_events[0]));
+	if (bench_load_wait(&load) < 0 || judge(&c, results, &counts) < 0)
+		goto out;
+	bench_load_kind(&load, NULL, &kind);
+	bench_info("once", seed, "sent", kind.sent, "requests");
+	bench_info("once", seed, "done", kind.done, "requests");
+	bench_info("once", seed, "runs", (double)counts.runs, "runs");
+	report("once", seed, "run-twice", &results[CHECK_ONCE]);
+	report("once", seed, "not-run-that-ran", &results[CHECK_NOT_RUN]);
+	report("once", seed, "done-never-ran", &results[CHECK_INVENTED]);
+	report("once", seed, "answers-not-whole", &results[CHECK_ANSWER]);
+	report("once", seed, "above-slots", &results[CHECK_SLOTS]);
+	ret = 0;
+out:
+	cluster_stop(&c);
+	return ret;
+}
+
+/* Asks one entry VM after the other, as an operator would in a failure. */
+static int operate(struct cluster *c, const char *method, const char *path,
+		   const char *body)
+{
+	for (uint32_t n = 0; n < OPERATION_TRIES * c->entry_count; n++) {
+		uint32_t entry = n % c->entry_count;
+		int status = -1;
+
+		if (c->entries[entry].pid > 0)
+			status = cluster_http(cluster_operator_port(c, entry),
+					      method, path, NULL, body, NULL);
+		/* 404 and 409 say that a try without an answer took effect. */
+		if (status == 200 || status == 201 || status == 404 ||
+		    status == 409)
+			return 0;
+		if (entry == c->entry_count - 1)
+			clock_sleep_us(SECOND_US / 5);
+	}
+	fprintf(stderr, "%s %s was never accepted\n", method, path);
+	return -1;
+}
+
+static int create(struct cluster *c, uint32_t zone, const char *name,
+		  uint32_t count, bool service)
+{
+	char body[768];
+
+	snprintf(body, sizeof(body),
+		 "{\"id\":\"%s.%s\",\"user\":\"%s\",\"team\":\"%s\","
+		 "\"name\":\"%s\",\"class\":\"%s\",\"kind\":\"%s\","
+		 "\"urgency\":\"%s\",\"count\":%u,\"cpu_milli\":4000,"
+		 "\"memory_mb\":2000,\"accelerators\":0,\"yields\":%s,"
+		 "\"spread\":\"none\",\"max_run_ms\":0,\"spec\":\"%s\"}",
+		 cluster_zone_names[zone], name,
+		 service ? "bandargah" : "yildirim", service ? "port" : "court",
+		 name, service ? "service" : "batch",
+		 service ? "booking" : "archive",
+		 service ? "urgent" : "deferrable", count,
+		 service ? "false" : "true",
+		 service ? "service=1 cpu=3000 mem=1500 kind=booking"
+			 : "run_ms=4000 cpu=3500 mem=1500 kind=archive");
+	return operate(c, "POST", "/v1/placements", body);
+}
+
+static int cancel(struct cluster *c, uint32_t zone, const char *name)
+{
+	char path[128];
+
+	snprintf(path, sizeof(path), "/v1/placements?id=%s.%s",
+		 cluster_zone_names[zone], name);
+	return operate(c, "DELETE", path, NULL);
+}
+
+/* Ends of batch tasks in that state, in all zones. */
+static uint32_t ended_tasks(struct cluster *c, const char *state)
+{
+	uint32_t count = 0;
+
+	for (uint32_t z = 0; z < c->o.zones; z++) {
+		char file[32];
+
+		snprintf(file, sizeof(file), "workers-%u.jsonl", z);
+		count += cluster_count(c, file, ".archive.", state);
+	}
+	return count;
+}
+
+static bool all_finished(struct cluster *c, void *arg)
+{
+	(void)arg;
+	clock_sleep_us(SECOND_US / 5);
+	return ended_tasks(c, DONE) >= BATCH_TASKS * c->o.zones;
+}
+
+/* Urgent services push batch tasks out; two entry VMs die meanwhile. */
+static int wave(struct cluster *c, uint32_t number)
+{
+	uint32_t one = number * 2 % c->entry_count;
+	uint32_t other = (number * 2 + 3) % c->entry_count;
+	char name[16];
+	int ret = 0;
+
+	snprintf(name, sizeof(name), "wave%u", number);
+	for (uint32_t z = 0; z < c->o.zones; z++)
+		ret |= create(c, z, name, SERVICES, true);
+	clock_sleep_us(SECOND_US / 2);
+	cluster_entry_signal(c, one, SIGKILL);
+	ret |= cluster_entry_start(c, one);
+	clock_sleep_us(3 * SECOND_US / 2);
+	cluster_entry_signal(c, other, SIGKILL);
+	ret |= cluster_entry_start(c, other);
+	clock_sleep_us(3 * SECOND_US / 2);
+	for (uint32_t z = 0; z < c->o.zones; z++)
+		ret |= cancel(c, z, name);
+	clock_sleep_us(3 * SECOND_US);
+	return ret;
+}
+
+static int run_resume(uint64_t seed)
+{
+	const char *fault = "{\"lose\":0.1,\"delay_ms\":10}";
+	struct check_result results[CHECK_RULES];
+	struct check_counts counts;
+	struct cluster_options o;
+	struct cluster c;
+	int ret = -1;
+
+	cluster_defaults(&o);
+	o.runners = 1;
+	o.worker_cpu_milli = 8000;
+	o.worker_memory_mb = 8000;
+	o.seed = seed;
+	if (bench_cluster(&c, &o, RESUME_SHEET) < 0 ||
+	    cluster_fault(cluster_store_port(&c), fault) < 0)
+		goto out;
+	for (uint32_t z = 0; z < o.zones; z++)
+		if (cluster_fault(cluster_worker_port(&c, z), fault) < 0 ||
+		    create(&c, z, "archive", BATCH_TASKS, false) < 0)
+			goto out;
+	clock_sleep_us(3 * SECOND_US);
+	for (uint32_t n = 0; n < WAVES; n++)
+		if (wave(&c, n) < 0)
+			goto out;
+	cluster_wait(&c, all_finished, NULL, FINISH_MS);
+	if (judge(&c, results, &counts) < 0)
+		goto out;
+	bench_info("resume", seed, "evictions",
+		   ended_tasks(&c, "\"state\":\"stopped\""), "tasks");
+	bench_info("resume", seed, "resumes", (double)counts.resumed, "tasks");
+	bench_info("resume", seed, "lost-progress",
+		   (double)results[CHECK_RESUME].broken, "tasks");
+	bench_max("resume", seed, "not-finished",
+		  (double)BATCH_TASKS * o.zones - ended_tasks(&c, DONE),
+		  "tasks", 0);
+	report("resume", seed, "two-places", &results[CHECK_TASK_TWICE]);
+	report("resume", seed, "attempt-twice", &results[CHECK_ATTEMPT]);
+	report("resume", seed, "after-done", &results[CHECK_AFTER_DONE]);
+	report("resume", seed, "above-memory", &results[CHECK_MEMORY]);
+	ret = 0;
+out:
+	cluster_stop(&c);
+	return ret;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct bench_scenario scenarios[] = {
+		{ "once", run_once },
+		{ "resume", run_resume },
+	};
+
+	return bench_main(argc, argv, scenarios,
+			  sizeof(scenarios) / sizeof(scenarios[0]));
+}
