--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -76,7 +76,7 @@
 {
 	struct flow_options *o = &f->options;
 	uint32_t threads = f->settings.front.threads;
-	uint32_t usable = threads - threads / 8;
+	uint32_t usable = threads - threads / 4;
 	uint32_t room = usable > capacity ? usable - capacity : 0;
 
 	if (room < threads / 4)
@@ -283,6 +283,16 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
+uint64_t flow_idle_since_us(struct flow_svc *f)
+{
+	struct flow_totals totals;
+
+	pthread_mutex_lock(&f->lock);
+	flow_totals(f->core, &totals);
+	pthread_mutex_unlock(&f->lock);
+	return totals.idle_since_us;
+}
+
 bool flow_seat_applied(struct flow_svc *f, uint64_t revision)
 {
 	struct flow_totals totals;
