Refuse unknown fields of faults

Cause: bench-once asked runners for "drop_rate", which the stand-in calls "drop" and ignored: the scenario ran without that fault and passed. Conclusion: a misspelt fault can no longer make a test pass.

--- a/tests/bench-once.c
+++ b/tests/bench-once.c
@@ -36,7 +36,7 @@
 		return 0;
 	case 2:
 		if (cluster_fault(cluster_runner_control_port(c, zone),
-				  "{\"runner\":\"*\",\"drop_rate\":0.3}") < 0)
+				  "{\"runner\":\"*\",\"drop\":0.3}") < 0)
 			return -1;
 		clock_sleep_us(STEP_US);
 		return cluster_fault(cluster_runner_control_port(c, zone),
--- /dev/null
+++ b/tests/support-control.c
@@ -0,0 +1,46 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "support-control.h"
+
+bool control_fields_known(const json_t *change, const char *const names[])
+{
+	const char *field;
+	json_t *value;
+
+	/* The iteration needs a pointer that is not const; nothing changes. */
+	json_object_foreach((json_t *)change, field, value)
+	{
+		size_t i = 0;
+
+		while (names[i] && strcmp(names[i], field))
+			i++;
+		if (!names[i]) {
+			fprintf(stderr, "unknown field of a fault: %s\n",
+				field);
+			return false;
+		}
+	}
+	return true;
+}
+
+void control_number(const json_t *change, const char *name, double *value)
+{
+	json_t *v = json_object_get(change, name);
+
+	if (json_is_number(v))
+		*value = json_number_value(v);
+}
+
+void control_flag(const json_t *change, const char *name, bool *value)
+{
+	json_t *v = json_object_get(change, name);
+
+	if (json_is_boolean(v))
+		*value = json_is_true(v);
+}
+
+bool control_resets(const json_t *change)
+{
+	return json_is_true(json_object_get(change, "reset"));
+}
--- a/tests/support-fault.c
+++ b/tests/support-fault.c
@@ -2,11 +2,14 @@
 #include <string.h>
 
 #include "clock.h"
+#include "support-control.h"
 #include "support-fault.h"
 
 #define HOLD_STEP_US 20000
 
-static void read_number(const json_t *o, const char *name, double *value);
+static const char *const fields[] = { "delay_ms", "error_rate", "lose",
+				      "down",	  "reset",	NULL };
+
 static void hold_while_down(struct fault *f);
 static bool draw(struct fault *f, double rate);
 static uint64_t half_delay(struct fault *f);
@@ -18,36 +21,30 @@
 	f->rng.state = seed;
 }
 
-static void read_number(const json_t *o, const char *name, double *value)
-{
-	json_t *v = json_object_get(o, name);
-
-	if (json_is_number(v))
-		*value = json_number_value(v);
-}
-
-void fault_set(struct fault *f, const json_t *change)
+bool fault_set(struct fault *f, const json_t *change)
 {
-	json_t *down = json_object_get(change, "down");
+	bool was_down;
 	double delay_ms;
 
+	if (!control_fields_known(change, fields))
+		return false;
 	pthread_mutex_lock(&f->lock);
-	if (json_is_true(json_object_get(change, "reset"))) {
+	was_down = f->down;
+	if (control_resets(change)) {
 		f->delay_us = 0;
 		f->error_rate = 0;
 		f->lose_rate = 0;
 		f->down = false;
 	}
 	delay_ms = (double)f->delay_us / 1000;
-	read_number(change, "delay_ms", &delay_ms);
-	read_number(change, "error_rate", &f->error_rate);
-	read_number(change, "lose", &f->lose_rate);
+	control_number(change, "delay_ms", &delay_ms);
+	control_number(change, "error_rate", &f->error_rate);
+	control_number(change, "lose", &f->lose_rate);
 	f->delay_us = (uint64_t)(delay_ms * 1000);
-	if (json_is_boolean(down)) {
-		f->down = json_is_true(down);
-		f->generation += f->down;
-	}
+	control_flag(change, "down", &f->down);
+	f->generation += f->down && !was_down;
 	pthread_mutex_unlock(&f->lock);
+	return true;
 }
 
 bool fault_is_down(struct fault *f)
--- a/tests/support-fault.h
+++ b/tests/support-fault.h
@@ -38,9 +38,10 @@
 
 /*
  * Changes the fields present in the object: delay_ms, error_rate, lose,
- * down; {"reset":true} clears all first.
+ * down; {"reset":true} clears all first. Returns false, without a change, when
+ * a field is unknown.
  */
-void fault_set(struct fault *f, const json_t *change);
+bool fault_set(struct fault *f, const json_t *change);
 
 /* Returns true when the call may take effect; else the call is answered. */
 bool fault_enter(struct fault *f, struct httpd_call *call);
--- a/tests/support-proxy.c
+++ b/tests/support-proxy.c
@@ -10,6 +10,7 @@
 
 #include "buffer.h"
 #include "clock.h"
+#include "support-control.h"
 #include "support-journal.h"
 #include "support-proxy.h"
 
@@ -54,6 +55,11 @@
 	uint64_t accepted, bytes[2], lost_answers;
 };
 
+static const char *const fields[] = {
+	"delay_ms",    "jitter_ms", "drop",  "cut", "lose_answer",
+	"bytes_per_s", "close",	    "reset", NULL,
+};
+
 struct proxy {
 	struct event_base *base;
 	struct rng rng;
@@ -78,7 +84,6 @@
 static bool draw(struct proxy *p, double rate);
 static void no_delay(struct bufferevent *bev);
 static void change_link(struct link *l, const json_t *change);
-static void set_number(const json_t *o, const char *name, double *value);
 static void set_cut(struct link *l, const char *cut);
 static json_t *describe(const struct link *l);
 static bool name_matches(const char *pattern, const char *name);
@@ -390,14 +395,6 @@
 
 /* ---- control ---- */
 
-static void set_number(const json_t *o, const char *name, double *value)
-{
-	json_t *v = json_object_get(o, name);
-
-	if (json_is_number(v))
-		*value = json_number_value(v);
-}
-
 static void set_cut(struct link *l, const char *cut)
 {
 	l->cut[UP] = !strcmp(cut, "both") || !strcmp(cut, "up");
@@ -413,16 +410,16 @@
 {
 	const char *cut = json_string_value(json_object_get(change, "cut"));
 
-	if (json_is_true(json_object_get(change, "reset"))) {
+	if (control_resets(change)) {
 		l->delay_ms = l->jitter_ms = l->bytes_per_s = 0;
 		l->drop = l->lose_answer = 0;
 		set_cut(l, "none");
 	}
-	set_number(change, "delay_ms", &l->delay_ms);
-	set_number(change, "jitter_ms", &l->jitter_ms);
-	set_number(change, "drop", &l->drop);
-	set_number(change, "lose_answer", &l->lose_answer);
-	set_number(change, "bytes_per_s", &l->bytes_per_s);
+	control_number(change, "delay_ms", &l->delay_ms);
+	control_number(change, "jitter_ms", &l->jitter_ms);
+	control_number(change, "drop", &l->drop);
+	control_number(change, "lose_answer", &l->lose_answer);
+	control_number(change, "bytes_per_s", &l->bytes_per_s);
 	if (cut)
 		set_cut(l, cut);
 	while (json_is_true(json_object_get(change, "close")) && l->conns)
@@ -465,7 +462,8 @@
 			json_array_append_new(list, describe(p->links[i]));
 		return list;
 	}
-	if (strncmp(path, "/v1/links/", 10) || !body)
+	if (strncmp(path, "/v1/links/", 10) || !body ||
+	    !control_fields_known(body, fields))
 		return NULL;
 	for (unsigned i = 0; i < p->link_count; i++) {
 		if (!name_matches(path + 10, p->links[i]->name))
--- a/tests/support-runner.c
+++ b/tests/support-runner.c
@@ -10,6 +10,7 @@
 #include "buffer.h"
 #include "clock.h"
 #include "rng.h"
+#include "support-control.h"
 #include "support-journal.h"
 #include "support-runner.h"
 #include "support-wire.h"
@@ -53,6 +54,11 @@
 	struct run *next, **link;
 };
 
+static const char *const fields[] = {
+	"runner", "slow",     "error_rate", "drop",  "truncate", "wrong_id",
+	"hang",	  "draining", "down",	    "reset", NULL,
+};
+
 struct runner_set {
 	struct event_base *base;
 	struct rng rng;
@@ -80,8 +86,6 @@
 static void send_status(struct conn *c);
 static void stop_runner(struct runner *r);
 static void release_hung(struct runner *r);
-static void set_rate(const json_t *o, const char *name, double *value);
-static void set_flag(const json_t *o, const char *name, bool *value);
 static void apply_fault(struct runner *r, const json_t *change);
 static json_t *runner_stats(const struct runner *r);
 static json_t *set_stats(const struct runner_set *s);
@@ -388,40 +392,24 @@
 	}
 }
 
-static void set_rate(const json_t *o, const char *name, double *value)
-{
-	json_t *v = json_object_get(o, name);
-
-	if (json_is_number(v))
-		*value = json_number_value(v);
-}
-
-static void set_flag(const json_t *o, const char *name, bool *value)
-{
-	json_t *v = json_object_get(o, name);
-
-	if (json_is_boolean(v))
-		*value = json_is_true(v);
-}
-
 static void apply_fault(struct runner *r, const json_t *change)
 {
 	bool was_down = r->down, was_draining = r->draining;
 
-	if (json_is_true(json_object_get(change, "reset"))) {
+	if (control_resets(change)) {
 		r->slow = 1;
 		r->error_rate = r->drop_rate = 0;
 		r->truncate_rate = r->wrong_id_rate = 0;
 		r->hang = r->draining = r->down = false;
 	}
-	set_rate(change, "slow", &r->slow);
-	set_rate(change, "error_rate", &r->error_rate);
-	set_rate(change, "drop", &r->drop_rate);
-	set_rate(change, "truncate", &r->truncate_rate);
-	set_rate(change, "wrong_id", &r->wrong_id_rate);
-	set_flag(change, "hang", &r->hang);
-	set_flag(change, "draining", &r->draining);
-	set_flag(change, "down", &r->down);
+	control_number(change, "slow", &r->slow);
+	control_number(change, "error_rate", &r->error_rate);
+	control_number(change, "drop", &r->drop_rate);
+	control_number(change, "truncate", &r->truncate_rate);
+	control_number(change, "wrong_id", &r->wrong_id_rate);
+	control_flag(change, "hang", &r->hang);
+	control_flag(change, "draining", &r->draining);
+	control_flag(change, "down", &r->down);
 	if (r->draining != was_draining)
 		journal_event("draining", "{s:s,s:b}", "runner", r->id,
 			      "draining", r->draining);
@@ -458,16 +446,23 @@
 {
 	const char *id = json_string_value(json_object_get(body, "runner"));
 	struct runner_set *s = set;
+	unsigned matched = 0;
 
 	if (!strcmp(path, "/v1/stats"))
 		return set_stats(s);
-	if (strcmp(path, "/v1/fault") || !body)
+	if (strcmp(path, "/v1/fault") || !body ||
+	    !control_fields_known(body, fields))
 		return NULL;
 	journal_event("fault", "{s:O}", "change", body);
-	for (unsigned i = 0; i < s->count; i++)
-		if (!id || !strcmp(id, "*") || !strcmp(id, s->runners[i].id))
-			apply_fault(&s->runners[i], body);
-	return json_object();
+	for (unsigned i = 0; i < s->count; i++) {
+		struct runner *r = &s->runners[i];
+
+		if (id && strcmp(id, "*") && strcmp(id, r->id))
+			continue;
+		apply_fault(r, body);
+		matched++;
+	}
+	return matched ? json_pack("{s:i}", "runners", (int)matched) : NULL;
 }
 
 struct runner_set *runner_set_create(struct event_base *base, uint64_t seed)
--- a/tests/support-store.c
+++ b/tests/support-store.c
@@ -339,9 +339,12 @@
 		httpd_answer(call, 400, "{\"error\":\"not a JSON object\"}");
 		return true;
 	}
-	fault_set(f, o);
-	journal_event("fault", "{s:O}", "change", o);
-	httpd_answer(call, 200, "{}");
+	if (fault_set(f, o)) {
+		journal_event("fault", "{s:O}", "change", o);
+		httpd_answer(call, 200, "{}");
+	} else {
+		httpd_answer(call, 400, "{\"error\":\"unknown field\"}");
+	}
 	json_decref(o);
 	return true;
 }
--- a/tests/support-wire.c
+++ b/tests/support-wire.c
@@ -130,8 +130,8 @@
 	if (answer)
 		text = json_dumps(answer, JSON_COMPACT);
 	evbuffer_add_printf(out, "%s\n", text ? text : "{}");
-	evhttp_send_reply(req, answer ? 200 : 404, answer ? "OK" : "Not Found",
-			  out);
+	evhttp_send_reply(req, answer ? 200 : 400,
+			  answer ? "OK" : "Bad Request", out);
 	evbuffer_free(out);
 	free(text);
 	json_decref(answer);
--- a/tests/support-wire.h
+++ b/tests/support-wire.h
@@ -56,7 +56,8 @@
 
 /*
  * Serves a control port. fn gets the path and the body (NULL unless it is a
- * JSON object) and returns the answer, or NULL for 404.
+ * JSON object) and returns the answer, or NULL for
+ * 400.
  */
 typedef json_t *wire_control_fn(void *arg, const char *path,
 				const json_t *body);
--- a/tests/support-workers-http.c
+++ b/tests/support-workers-http.c
@@ -2,12 +2,15 @@
 #include <string.h>
 
 #include "clock.h"
+#include "support-control.h"
 #include "support-journal.h"
 #include "support-store.h"
 #include "support-workers-http.h"
 
+static const char *const worker_fields[] = { "worker", "fail_starts", "kill",
+					     "down", NULL };
+
 static bool handle_worker_fault(struct worker_pool *p, struct httpd_call *call);
-static void set_flag(const json_t *o, const char *name, bool *flag);
 static bool split_path(char *path, char *parts[], size_t count);
 static int handle_task(struct worker_pool *p, struct sim_worker *v,
 		       const char *task, const char *verb, const json_t *body,
@@ -44,14 +47,6 @@
 	pthread_mutex_unlock(&p->lock);
 }
 
-static void set_flag(const json_t *o, const char *name, bool *flag)
-{
-	json_t *v = json_object_get(o, name);
-
-	if (json_is_boolean(v))
-		*flag = json_is_true(v);
-}
-
 /* Returns false when the call is no fault of a single worker. */
 static bool handle_worker_fault(struct worker_pool *p, struct httpd_call *call)
 {
@@ -68,15 +63,20 @@
 		json_decref(o);
 		return false;
 	}
+	if (!control_fields_known(o, worker_fields)) {
+		httpd_answer(call, 400, "{\"error\":\"unknown field\"}");
+		json_decref(o);
+		return true;
+	}
 	pthread_mutex_lock(&p->lock);
 	v = sim_find(&p->workers, id);
 	if (v) {
-		set_flag(o, "fail_starts", &v->fail_starts);
+		control_flag(o, "fail_starts", &v->fail_starts);
 		if (json_is_true(json_object_get(o, "kill"))) {
 			sim_kill(v);
 			v->down = true;
 		}
-		set_flag(o, "down", &v->down);
+		control_flag(o, "down", &v->down);
 	}
 	pthread_mutex_unlock(&p->lock);
 	journal_event("fault", "{s:O}", "change", o);
