Test the bound on connections and on the size of an answer

Cause: max_connections keeps a seat within its part of a runner's 64 connections and had no test. Change: two tests of the HTTP client. Conclusion: a call above the bound ends as not sent.

--- a/tests/test-http-client.c
+++ b/tests/test-http-client.c
@@ -283,6 +283,54 @@
 	server_stop(&s);
 }
 
+static void *call_until_cancelled(void *arg)
+{
+	struct canceller *x = arg;
+	struct http_request req = get;
+
+	req.cancel = &x->token;
+	req.max_connections = 1;
+	CU_ASSERT_EQUAL(call(x->client, x->server->port, &req), HTTP_SENT);
+	return NULL;
+}
+
+/* Guards against more connections to a runner than the seat's part. */
+static void test_connections_are_bounded(void)
+{
+	struct http_request req = get;
+	struct canceller x = { .client = http_client_create(4) };
+	struct server s;
+	pthread_t thread;
+
+	server_start(&s, "ho");
+	x.server = &s;
+	req.max_connections = 1;
+	pthread_create(&thread, NULL, call_until_cancelled, &x);
+	while (__atomic_load_n(&s.requests, __ATOMIC_SEQ_CST) == 0)
+		clock_sleep_us(1000);
+	CU_ASSERT_EQUAL(call(x.client, s.port, &req), HTTP_NOT_SENT);
+	http_cancel(x.client, &x.token);
+	pthread_join(thread, NULL);
+	CU_ASSERT_EQUAL(call(x.client, s.port, &req), 0);
+	server_stop(&s);
+	CU_ASSERT_EQUAL(s.accepted, 2);
+	http_client_destroy(x.client);
+}
+
+/* Guards against memory that grows with the answer of a faulty server. */
+static void test_large_answer_is_refused(void)
+{
+	struct http_request req = get;
+	struct http_client *c = http_client_create(4);
+	struct server s;
+
+	req.max_answer_bytes = 3;
+	server_start(&s, "o");
+	CU_ASSERT_EQUAL(call(c, s.port, &req), HTTP_TOO_LARGE);
+	server_stop(&s);
+	http_client_destroy(c);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -299,6 +347,8 @@
 		{ "before_send stops the request",
 		  test_before_send_stops_the_request },
 		{ "cancel ends a call", test_cancel_ends_a_call },
+		{ "connections are bounded", test_connections_are_bounded },
+		{ "large answer is refused", test_large_answer_is_refused },
 	};
 
 	return RUN_SUITE("http-client", tests);
