Pace appends by the store's own share; show each shard in the metrics

Cause: the interval of appends followed the live members, which a cut-off process counts too low, while the store's budget counts silent ones too. Change: store_write_share(); gauges for ownership, claims and their memory, counters of records, entries and recognised records by shard.

--- a/src/svc-owner-internal.h
+++ b/src/svc-owner-internal.h
@@ -42,6 +42,12 @@
 	uint64_t not_before_us; /* no attempt to acquire before this */
 	uint64_t home_since_us; /* its zone has a live entry VM; 0: none */
 	uint64_t home_wait_us;
+	struct counter *owned;
+	struct counter *claim_count;
+	struct counter *claim_bytes;
+	struct counter *records;
+	struct counter *entries;
+	struct counter *recognised;
 };
 
 /* A request thread in claim_begin(); lives on its stack. */
@@ -79,7 +85,6 @@
 	char availability_zone[64];
 	char prefix[96]; /* "waxwing/D/" */
 	uint64_t lease_us;
-	uint32_t write_budget;
 	struct loop *loop;
 	struct store *store;
 	struct peers *peers;
--- a/src/svc-owner.c
+++ b/src/svc-owner.c
@@ -58,7 +58,6 @@
 	snprintf(o->prefix, sizeof(o->prefix), "waxwing/%s/",
 		 s->node.deployment);
 	o->lease_us = s->platform.lease_us;
-	o->write_budget = s->platform.write_budget;
 	o->rng.state = clock_wall_us() ^ (uint64_t)getpid() << 32;
 	o->gained = counter_get(COUNTER, "waxwing_shards_gained_total", NULL);
 	o->lost = counter_get(COUNTER, "waxwing_shards_lost_total", NULL);
@@ -209,6 +208,20 @@
 
 /* ---- which shards there are ---- */
 
+static void add_counters(struct shard *sh)
+{
+	char label[80];
+
+	snprintf(label, sizeof(label), "shard=\"%s\"", sh->name);
+	sh->owned = counter_get(GAUGE, "waxwing_shard_owned", label);
+	sh->claim_count = counter_get(GAUGE, "waxwing_claims", label);
+	sh->claim_bytes = counter_get(GAUGE, "waxwing_claims_bytes", label);
+	sh->records = counter_get(COUNTER, "waxwing_log_records_total", label);
+	sh->entries = counter_get(COUNTER, "waxwing_log_entries_total", label);
+	sh->recognised =
+		counter_get(COUNTER, "waxwing_log_recognised_total", label);
+}
+
 static void add_shard(struct owner *o, const char *name)
 {
 	struct shard *sh;
@@ -225,6 +238,7 @@
 	sh->log = oplog_create(writer, rng_next(&o->rng));
 	sh->claims = claims_create(sh->log, CLAIMS_MEMORY_MAX_BYTES);
 	oplog_add_client(sh->log, claims_client(sh->claims));
+	add_counters(sh);
 	for (uint32_t i = 0; i < o->client_count; i++)
 		add_client(sh, i);
 }
@@ -531,28 +545,41 @@
 	owner_log_event(sh, OPLOG_HAND_OVER);
 }
 
+/* Sets what /metrics tells of the shard. */
+static void show(struct shard *sh)
+{
+	const struct oplog_counts *n = oplog_get_counts(sh->log);
+
+	counter_set(sh->owned, oplog_is_owner(sh->log));
+	counter_set(sh->claim_count, claims_count(sh->claims));
+	counter_set(sh->claim_bytes, (long long)claims_memory(sh->claims));
+	counter_set(sh->records, (long long)n->records);
+	counter_set(sh->entries, (long long)n->entries);
+	counter_set(sh->recognised, (long long)n->recognised);
+}
+
 /*
  * Once a second: new zones, shards that belong elsewhere, and the appends
  * spread over the process's share of the write budget.
  */
 static void look_around(struct owner *o, uint64_t now)
 {
-	uint32_t n, live = 0, held = shards_held(o);
+	uint32_t n, held = shards_held(o);
 	double rate;
 
 	if (now < o->next_look_us)
 		return;
 	o->next_look_us = now + LOOK_INTERVAL_US;
 	n = members_list(o->members, o->list, MEMBERS_MAX);
-	for (uint32_t i = 0; i < n; i++)
-		live += o->list[i].live;
 	add_new_zones(o);
-	for (uint32_t i = 0; i < o->shard_count; i++)
-		tend_home(&o->shards[i], now, n);
-	rate = o->write_budget * APPEND_SHARE / (live ? live : 1);
-	for (uint32_t i = 0; i < o->shard_count; i++)
-		oplog_set_interval(o->shards[i].log,
-				   (uint64_t)(1e6 * (held ? held : 1) / rate));
+	rate = store_write_share(o->store) * APPEND_SHARE / (held ? held : 1);
+	for (uint32_t i = 0; i < o->shard_count; i++) {
+		struct shard *sh = &o->shards[i];
+
+		tend_home(sh, now, n);
+		oplog_set_interval(sh->log, (uint64_t)(1e6 / rate));
+		show(sh);
+	}
 }
 
 static void owner_tick(void *arg)
--- a/src/svc-store.c
+++ b/src/svc-store.c
@@ -454,6 +454,11 @@
 	st->reads.rate = (double)st->read_budget / entry_vms;
 }
 
+double store_write_share(struct store *st)
+{
+	return st->writes.rate;
+}
+
 /*
  * Creates or renews the session when it is time. These calls take their token
  * without waiting for it, because a late renewal ends every lease.
--- a/src/svc-store.h
+++ b/src/svc-store.h
@@ -49,6 +49,9 @@
 /* Sets the number of live entry VMs that share the call budget. */
 void store_set_sharers(struct store *st, uint32_t entry_vms);
 
+/* This process's share of the write budget, in calls per second. */
+double store_write_share(struct store *st);
+
 /* The session's id, or "" while there is none. */
 const char *store_session(struct store *st);
 
