--- a/src/svc-owner-internal.h
+++ b/src/svc-owner-internal.h
@@ -17,8 +17,8 @@
 /*
  * NAME
  *	svc-owner-internal - state shared by svc-owner.c (leases),
- *	svc-owner-log.c (the store's side of the log) and svc-owner-claims.c
- *	(requests and messages)
+ *	svc-owner-shards.c (the list of shards), svc-owner-log.c (the log's
+ *	calls on the store) and svc-owner-claims.c (requests and messages)
  *
  * DESCRIPTION
  *	All of it belongs to the control thread.
@@ -134,9 +134,15 @@
 void owner_run(struct shard *sh);
 void owner_log_event(struct shard *sh, enum oplog_event_type type);
 
+/* svc-owner-shards.c: which shards there are */
+void owner_shards_tick(struct owner *o, uint64_t now_us);
+void owner_shards_new_zones(struct owner *o);
+void owner_shard_client(struct shard *sh, uint32_t i);
+void owner_shard_show(struct shard *sh);
+struct shard *owner_find_shard(struct owner *o, const char *name);
+
 /* svc-owner.c */
 void owner_release(struct shard *sh, uint64_t wait_us);
-struct shard *owner_find_shard(struct owner *o, const char *name);
 
 /* svc-owner-claims.c */
 void owner_claims_start(struct owner *o);
