--- /dev/null
+++ b/src/oplog-append.c
@@ -0,0 +1,252 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "oplog-internal.h"
+
+static void commit(struct oplog *log, uint64_t now);
+static void known_open(struct oplog *log, uint64_t now, uint64_t read_us);
+static void become_owner(struct oplog *log, uint64_t now);
+
+static void build_record(struct oplog *log, uint64_t next,
+			 const struct buffer *entries, uint32_t count)
+{
+	log->rec.present = true;
+	log->rec.nonce = rng_next(&log->rng);
+	log->rec.next = next;
+	buffer_reset(&log->rec.data);
+	oplog_pack_record(&log->rec.data, log->writer, log->rec.nonce, next,
+			  entries, count);
+}
+
+void oplog_seal(struct oplog *log, uint64_t now)
+{
+	struct buffer none = BUFFER_INIT;
+
+	buffer_append(&none, "", 0);
+	log->state = OPLOG_SEALING;
+	oplog_clear_record(log);
+	build_record(log, log->epoch + 1, &none, 0);
+	buffer_free(&none);
+	log->rec.chosen_us = now;
+	oplog_append_send(log, now);
+}
+
+/* Moves the entries that wait into one record and sends it. */
+void oplog_append_start(struct oplog *log, uint64_t now)
+{
+	bool roll = oplog_snapshot_due(log);
+	struct token_list spare;
+
+	oplog_clear_record(log);
+	build_record(log, roll ? log->epoch + 1 : 0, &log->pending,
+		     log->pending_count);
+	spare = log->rec.tokens;
+	log->rec.tokens = log->pending_tokens;
+	log->pending_tokens = spare;
+	oplog_clear_pending(log);
+	/* The clients' state now stands for all entries up to this record. */
+	if (roll)
+		oplog_snapshot_take(log);
+	log->rec.chosen_us = now;
+	log->appended_us = now;
+	oplog_append_send(log, now);
+}
+
+/* Sends the record under its number, unless that must be verified first. */
+void oplog_append_send(struct oplog *log, uint64_t now)
+{
+	if (now - log->rec.chosen_us > OPLOG_APPEND_MAX_US ||
+	    now - log->verified_us > OPLOG_VERIFIED_US) {
+		if (log->state == OPLOG_SEALING)
+			oplog_drop(log, now, "the load took too long");
+		else
+			oplog_verify(log, now);
+		return;
+	}
+	oplog_issue(log, now, OP_APPEND);
+}
+
+/* Reads the next number: is it free, ours or another's? */
+void oplog_verify(struct oplog *log, uint64_t now)
+{
+	log->last_check_us = now;
+	oplog_issue(log, now, OP_READ_BACK);
+}
+
+void oplog_append_done(struct oplog *log, uint64_t now,
+		       const struct oplog_event *e)
+{
+	switch (e->result) {
+	case OPLOG_APPLIED:
+		if (now - log->rec.chosen_us <= OPLOG_APPEND_MAX_US)
+			commit(log, now);
+		else
+			oplog_verify(log, now);
+		break;
+	case OPLOG_REFUSED:
+		log->rec.refused = true;
+		oplog_verify(log, now);
+		break;
+	case OPLOG_UNKNOWN:
+		log->counts.lost_answers++;
+		oplog_verify(log, now);
+		break;
+	case OPLOG_UNREACHABLE:
+		oplog_back_off(log, now);
+		break;
+	}
+}
+
+static bool is_ours(struct oplog *log, const struct oplog_value *v)
+{
+	struct oplog_record r;
+	const char *fault;
+	bool ours;
+
+	if (!log->rec.present ||
+	    oplog_unpack_record(v->data, v->len, &r, &fault) < 0)
+		return false;
+	ours = !strcmp(r.writer, log->writer) && r.nonce == log->rec.nonce;
+	oplog_record_free(&r);
+	return ours;
+}
+
+/*
+ * True when the epoch cannot have been deleted before this answer came, so
+ * that an absent record was not sealed and one of ours is in the log.
+ */
+static bool read_in_time(const struct oplog *log, uint64_t now)
+{
+	return now - log->verified_us <=
+	       OPLOG_VERIFIED_US + OPLOG_APPEND_MAX_US;
+}
+
+/*
+ * Another writer has the number. An owner is deposed by it. A seal can also
+ * meet a last append of the owner before, which is replayed like the others.
+ */
+static void taken_by_other(struct oplog *log, uint64_t now)
+{
+	if (log->state == OPLOG_OWNER) {
+		oplog_drop(log, now, "sealed by another owner");
+		return;
+	}
+	oplog_clear_record(log);
+	log->state = OPLOG_LOADING;
+	oplog_issue(log, now, OP_LOAD_EPOCH);
+}
+
+void oplog_record_read(struct oplog *log, uint64_t now,
+		       const struct oplog_event *e)
+{
+	uint64_t read_us = log->issued_us;
+
+	if (e->result != OPLOG_APPLIED) {
+		oplog_back_off(log, now);
+		return;
+	}
+	if (e->count && !is_ours(log, &e->values[0])) {
+		taken_by_other(log, now);
+		return;
+	}
+	if (!e->count && log->rec.refused) {
+		oplog_drop(log, now, "epoch deleted");
+		return;
+	}
+	log->found = e->count > 0;
+	if (!read_in_time(log, now)) {
+		oplog_issue(log, now, OP_CHECK_SNAPSHOT);
+		/* What counts is when the record was read. */
+		log->issued_us = read_us;
+		return;
+	}
+	if (log->found)
+		commit(log, now);
+	else
+		known_open(log, now, read_us);
+}
+
+/* A snapshot that does not cover the epoch proves that it still exists. */
+void oplog_snapshot_check(struct oplog *log, uint64_t now,
+			  const struct oplog_event *e)
+{
+	struct oplog_snapshot s = { 0 };
+	const char *fault;
+	uint64_t read_us = log->issued_us;
+
+	if (e->result != OPLOG_APPLIED) {
+		log->phase = OP_READ_BACK;
+		oplog_back_off(log, now);
+		return;
+	}
+	if (e->count &&
+	    (oplog_unpack_snapshot(e->values[0].data, e->values[0].len, &s,
+				   &fault) < 0 ||
+	     s.epoch > log->epoch))
+		oplog_drop(log, now, "a later owner wrote a snapshot");
+	else if (log->found)
+		commit(log, now);
+	else
+		known_open(log, now, read_us);
+	buffer_free(&s.state);
+}
+
+/* The next number was free at read_us and the epoch not sealed. */
+static void known_open(struct oplog *log, uint64_t now, uint64_t read_us)
+{
+	if (read_us > log->verified_us)
+		log->verified_us = read_us;
+	log->phase = OP_IDLE;
+	if (!log->rec.present)
+		return;
+	log->rec.chosen_us = now;
+	oplog_append_send(log, now);
+}
+
+/* The record in flight exists; its entries are durable. */
+static void commit(struct oplog *log, uint64_t now)
+{
+	struct token_list done = log->rec.tokens;
+	uint64_t next = log->rec.next;
+
+	if (log->phase != OP_APPEND)
+		log->counts.recognised++;
+	memset(&log->rec.tokens, 0, sizeof(log->rec.tokens));
+	if (log->rec.chosen_us > log->verified_us)
+		log->verified_us = log->rec.chosen_us;
+	log->counts.records++;
+	log->counts.record_bytes += log->rec.data.len;
+	log->counts.entries += done.count;
+	log->log_records++;
+	log->log_bytes += log->rec.data.len;
+	log->seq++;
+	log->phase = OP_IDLE;
+	log->backoff_us = OPLOG_BACKOFF_MIN_US;
+	oplog_clear_record(log);
+	if (next) {
+		log->epoch = next;
+		log->seq = 0;
+		log->chain++;
+	}
+	if (log->state == OPLOG_SEALING)
+		become_owner(log, now);
+	else if (log->snap_phase == SNAP_TAKEN)
+		oplog_snapshot_write(log);
+	for (uint32_t i = 0; i < done.count; i++)
+		done.items[i].client->ops->committed(done.items[i].client,
+						     done.items[i].token, now);
+	free(done.items);
+}
+
+static void become_owner(struct oplog *log, uint64_t now)
+{
+	struct oplog_action *a = oplog_push(log, OPLOG_OWNED);
+
+	log->state = OPLOG_OWNER;
+	log->fence = log->epoch;
+	a->epoch = log->epoch;
+	a->records = log->replayed;
+	a->took_us = now - log->lease_gained_us;
+	for (uint32_t i = 0; i < log->client_count; i++)
+		log->clients[i]->ops->owned(log->clients[i], log->epoch, now);
+}
--- a/src/oplog-internal.h
+++ b/src/oplog-internal.h
@@ -7,8 +7,8 @@
 
 /*
  * NAME
- *	oplog-internal - state shared by oplog.c, oplog-load.c and
- *	oplog-snapshot.c
+ *	oplog-internal - state shared by oplog.c, oplog-append.c, oplog-load.c
+ *	and oplog-snapshot.c
  */
 
 #define OPLOG_ACTIONS_MAX 16u
@@ -154,7 +154,28 @@
 			  const struct oplog_event *e);
 void oplog_snapshot_tick(struct oplog *log, uint64_t now_us);
 
-/* oplog.c: creates the seal at the end of a load. */
+/* oplog.c: the record in flight, and the entries that wait. */
+void oplog_clear_record(struct oplog *log);
+void oplog_clear_pending(struct oplog *log);
+
+/* oplog-append.c: creates the seal at the end of a load. */
 void oplog_seal(struct oplog *log, uint64_t now_us);
 
+/* Moves the entries that wait into one record and sends it. */
+void oplog_append_start(struct oplog *log, uint64_t now_us);
+
+/* Sends the record under its number, unless that must be verified first. */
+void oplog_append_send(struct oplog *log, uint64_t now_us);
+
+/* Reads the next number: is it free, ours or another's? */
+void oplog_verify(struct oplog *log, uint64_t now_us);
+
+/* Answers to OP_APPEND, OP_READ_BACK and OP_CHECK_SNAPSHOT. */
+void oplog_append_done(struct oplog *log, uint64_t now_us,
+		       const struct oplog_event *e);
+void oplog_record_read(struct oplog *log, uint64_t now_us,
+		       const struct oplog_event *e);
+void oplog_snapshot_check(struct oplog *log, uint64_t now_us,
+			  const struct oplog_event *e);
+
 #endif
--- a/src/oplog.c
+++ b/src/oplog.c
@@ -9,18 +9,6 @@
 /* The same while the lease is not held; another may have taken over. */
 #define SUSPECT_CHECK_US 3000000u
 
-static void start_append(struct oplog *log, uint64_t now);
-static void send_append(struct oplog *log, uint64_t now);
-static void verify(struct oplog *log, uint64_t now);
-static void commit(struct oplog *log, uint64_t now);
-static void known_open(struct oplog *log, uint64_t now, uint64_t read_us);
-static void become_owner(struct oplog *log, uint64_t now);
-static void append_done(struct oplog *log, uint64_t now,
-			const struct oplog_event *e);
-static void record_read(struct oplog *log, uint64_t now,
-			const struct oplog_event *e);
-static void snapshot_read(struct oplog *log, uint64_t now,
-			  const struct oplog_event *e);
 static void move_on(struct oplog *log, uint64_t now);
 
 struct oplog *oplog_create(const char *writer, uint64_t seed)
@@ -35,14 +23,14 @@
 	return log;
 }
 
-static void clear_rec(struct oplog *log)
+void oplog_clear_record(struct oplog *log)
 {
 	buffer_free(&log->rec.data);
 	free(log->rec.tokens.items);
 	memset(&log->rec, 0, sizeof(log->rec));
 }
 
-static void clear_pending(struct oplog *log)
+void oplog_clear_pending(struct oplog *log)
 {
 	buffer_reset(&log->pending);
 	log->pending_count = 0;
@@ -55,7 +43,7 @@
 {
 	if (!log)
 		return;
-	clear_rec(log);
+	oplog_clear_record(log);
 	buffer_free(&log->pending);
 	free(log->pending_tokens.items);
 	buffer_free(&log->snap.state);
@@ -240,8 +228,8 @@
 	log->covered_epoch = 0;
 	log->fence = 0;
 	log->verified_us = 0;
-	clear_rec(log);
-	clear_pending(log);
+	oplog_clear_record(log);
+	oplog_clear_pending(log);
 	for (uint32_t i = 0; i < log->client_count; i++)
 		log->clients[i]->ops->reset(log->clients[i]);
 }
@@ -263,252 +251,6 @@
 	oplog_back_off(log, now);
 }
 
-/* ---- append, and recognition after a lost answer ---- */
-
-static void build_record(struct oplog *log, uint64_t next,
-			 const struct buffer *entries, uint32_t count)
-{
-	log->rec.present = true;
-	log->rec.nonce = rng_next(&log->rng);
-	log->rec.next = next;
-	buffer_reset(&log->rec.data);
-	oplog_pack_record(&log->rec.data, log->writer, log->rec.nonce, next,
-			  entries, count);
-}
-
-void oplog_seal(struct oplog *log, uint64_t now)
-{
-	struct buffer none = BUFFER_INIT;
-
-	buffer_append(&none, "", 0);
-	log->state = OPLOG_SEALING;
-	clear_rec(log);
-	build_record(log, log->epoch + 1, &none, 0);
-	buffer_free(&none);
-	log->rec.chosen_us = now;
-	send_append(log, now);
-}
-
-/* Moves the entries that wait into one record and sends it. */
-static void start_append(struct oplog *log, uint64_t now)
-{
-	bool roll = oplog_snapshot_due(log);
-	struct token_list spare;
-
-	clear_rec(log);
-	build_record(log, roll ? log->epoch + 1 : 0, &log->pending,
-		     log->pending_count);
-	spare = log->rec.tokens;
-	log->rec.tokens = log->pending_tokens;
-	log->pending_tokens = spare;
-	clear_pending(log);
-	/* The clients' state now stands for all entries up to this record. */
-	if (roll)
-		oplog_snapshot_take(log);
-	log->rec.chosen_us = now;
-	log->appended_us = now;
-	send_append(log, now);
-}
-
-/* Sends the record under its number, unless that must be verified first. */
-static void send_append(struct oplog *log, uint64_t now)
-{
-	if (now - log->rec.chosen_us > OPLOG_APPEND_MAX_US ||
-	    now - log->verified_us > OPLOG_VERIFIED_US) {
-		if (log->state == OPLOG_SEALING)
-			oplog_drop(log, now, "the load took too long");
-		else
-			verify(log, now);
-		return;
-	}
-	oplog_issue(log, now, OP_APPEND);
-}
-
-/* Reads the next number: is it free, ours or another's? */
-static void verify(struct oplog *log, uint64_t now)
-{
-	log->last_check_us = now;
-	oplog_issue(log, now, OP_READ_BACK);
-}
-
-static void append_done(struct oplog *log, uint64_t now,
-			const struct oplog_event *e)
-{
-	switch (e->result) {
-	case OPLOG_APPLIED:
-		if (now - log->rec.chosen_us <= OPLOG_APPEND_MAX_US)
-			commit(log, now);
-		else
-			verify(log, now);
-		break;
-	case OPLOG_REFUSED:
-		log->rec.refused = true;
-		verify(log, now);
-		break;
-	case OPLOG_UNKNOWN:
-		log->counts.lost_answers++;
-		verify(log, now);
-		break;
-	case OPLOG_UNREACHABLE:
-		oplog_back_off(log, now);
-		break;
-	}
-}
-
-static bool is_ours(struct oplog *log, const struct oplog_value *v)
-{
-	struct oplog_record r;
-	const char *fault;
-	bool ours;
-
-	if (!log->rec.present ||
-	    oplog_unpack_record(v->data, v->len, &r, &fault) < 0)
-		return false;
-	ours = !strcmp(r.writer, log->writer) && r.nonce == log->rec.nonce;
-	oplog_record_free(&r);
-	return ours;
-}
-
-/*
- * True when the epoch cannot have been deleted before this answer came, so
- * that an absent record was not sealed and one of ours is in the log.
- */
-static bool read_in_time(const struct oplog *log, uint64_t now)
-{
-	return now - log->verified_us <=
-	       OPLOG_VERIFIED_US + OPLOG_APPEND_MAX_US;
-}
-
-/*
- * Another writer has the number. An owner is deposed by it. A seal can also
- * meet a last append of the owner before, which is replayed like the others.
- */
-static void taken_by_other(struct oplog *log, uint64_t now)
-{
-	if (log->state == OPLOG_OWNER) {
-		oplog_drop(log, now, "sealed by another owner");
-		return;
-	}
-	clear_rec(log);
-	log->state = OPLOG_LOADING;
-	oplog_issue(log, now, OP_LOAD_EPOCH);
-}
-
-static void record_read(struct oplog *log, uint64_t now,
-			const struct oplog_event *e)
-{
-	uint64_t read_us = log->issued_us;
-
-	if (e->result != OPLOG_APPLIED) {
-		oplog_back_off(log, now);
-		return;
-	}
-	if (e->count && !is_ours(log, &e->values[0])) {
-		taken_by_other(log, now);
-		return;
-	}
-	if (!e->count && log->rec.refused) {
-		oplog_drop(log, now, "epoch deleted");
-		return;
-	}
-	log->found = e->count > 0;
-	if (!read_in_time(log, now)) {
-		oplog_issue(log, now, OP_CHECK_SNAPSHOT);
-		/* What counts is when the record was read. */
-		log->issued_us = read_us;
-		return;
-	}
-	if (log->found)
-		commit(log, now);
-	else
-		known_open(log, now, read_us);
-}
-
-/* A snapshot that does not cover the epoch proves that it still exists. */
-static void snapshot_read(struct oplog *log, uint64_t now,
-			  const struct oplog_event *e)
-{
-	struct oplog_snapshot s = { 0 };
-	const char *fault;
-	uint64_t read_us = log->issued_us;
-
-	if (e->result != OPLOG_APPLIED) {
-		log->phase = OP_READ_BACK;
-		oplog_back_off(log, now);
-		return;
-	}
-	if (e->count &&
-	    (oplog_unpack_snapshot(e->values[0].data, e->values[0].len, &s,
-				   &fault) < 0 ||
-	     s.epoch > log->epoch))
-		oplog_drop(log, now, "a later owner wrote a snapshot");
-	else if (log->found)
-		commit(log, now);
-	else
-		known_open(log, now, read_us);
-	buffer_free(&s.state);
-}
-
-/* The next number was free at read_us and the epoch not sealed. */
-static void known_open(struct oplog *log, uint64_t now, uint64_t read_us)
-{
-	if (read_us > log->verified_us)
-		log->verified_us = read_us;
-	log->phase = OP_IDLE;
-	if (!log->rec.present)
-		return;
-	log->rec.chosen_us = now;
-	send_append(log, now);
-}
-
-/* The record in flight exists; its entries are durable. */
-static void commit(struct oplog *log, uint64_t now)
-{
-	struct token_list done = log->rec.tokens;
-	uint64_t next = log->rec.next;
-
-	if (log->phase != OP_APPEND)
-		log->counts.recognised++;
-	memset(&log->rec.tokens, 0, sizeof(log->rec.tokens));
-	if (log->rec.chosen_us > log->verified_us)
-		log->verified_us = log->rec.chosen_us;
-	log->counts.records++;
-	log->counts.record_bytes += log->rec.data.len;
-	log->counts.entries += done.count;
-	log->log_records++;
-	log->log_bytes += log->rec.data.len;
-	log->seq++;
-	log->phase = OP_IDLE;
-	log->backoff_us = OPLOG_BACKOFF_MIN_US;
-	clear_rec(log);
-	if (next) {
-		log->epoch = next;
-		log->seq = 0;
-		log->chain++;
-	}
-	if (log->state == OPLOG_SEALING)
-		become_owner(log, now);
-	else if (log->snap_phase == SNAP_TAKEN)
-		oplog_snapshot_write(log);
-	for (uint32_t i = 0; i < done.count; i++)
-		done.items[i].client->ops->committed(done.items[i].client,
-						     done.items[i].token, now);
-	free(done.items);
-}
-
-static void become_owner(struct oplog *log, uint64_t now)
-{
-	struct oplog_action *a = oplog_push(log, OPLOG_OWNED);
-
-	log->state = OPLOG_OWNER;
-	log->fence = log->epoch;
-	a->epoch = log->epoch;
-	a->records = log->replayed;
-	a->took_us = now - log->lease_gained_us;
-	for (uint32_t i = 0; i < log->client_count; i++)
-		log->clients[i]->ops->owned(log->clients[i], log->epoch, now);
-}
-
 /* ---- events ---- */
 
 /* True when the entries that wait should be written now. */
@@ -550,9 +292,9 @@
 	if (log->waiting && now >= log->retry_us) {
 		log->waiting = false;
 		if (log->phase == OP_APPEND)
-			send_append(log, now);
+			oplog_append_send(log, now);
 		else if (log->phase == OP_READ_BACK)
-			verify(log, now);
+			oplog_verify(log, now);
 		else if (log->phase == OP_LOAD_SNAPSHOT)
 			oplog_load_start(log, now);
 		else
@@ -562,9 +304,9 @@
 		return;
 	if (log->phase == OP_IDLE) {
 		if (ready_to_append(log, now))
-			start_append(log, now);
+			oplog_append_start(log, now);
 		else if (check_due(log, now))
-			verify(log, now);
+			oplog_verify(log, now);
 		else if (log->draining && !log->pending_count)
 			release(log);
 	}
@@ -614,9 +356,9 @@
 		[OP_LOAD_SNAPSHOT] = oplog_load_snapshot,
 		[OP_LOAD_PARTS] = oplog_load_parts,
 		[OP_LOAD_EPOCH] = oplog_load_epoch,
-		[OP_APPEND] = append_done,
-		[OP_READ_BACK] = record_read,
-		[OP_CHECK_SNAPSHOT] = snapshot_read,
+		[OP_APPEND] = oplog_append_done,
+		[OP_READ_BACK] = oplog_record_read,
+		[OP_CHECK_SNAPSHOT] = oplog_snapshot_check,
 	};
 
 	if (log->phase != OP_IDLE && e->id == log->id)
