--- a/src/svc-owner-internal.h
+++ b/src/svc-owner-internal.h
@@ -17,8 +17,8 @@
 /*
  * NAME
  *	svc-owner-internal - state shared by svc-owner.c (leases),
- *	svc-owner-log.c (the store's side of the log) and svc-owner-claims.c
- *	(requests and messages)
+ *	svc-owner-shards.c (the list of shards), svc-owner-log.c (the log's
+ *	calls on the store) and svc-owner-claims.c (requests and messages)
  *
  * DESCRIPTION
  *	All of it belongs to the control thread.
@@ -42,6 +42,12 @@
 	uint64_t not_before_us; /* no attempt to acquire before this */
 	uint64_t home_since_us; /* its zone has a live entry VM; 0: none */
 	uint64_t home_wait_us;
+	struct counter *owned;
+	struct counter *claim_count;
+	struct counter *claim_bytes;
+	struct counter *records;
+	struct counter *entries;
+	struct counter *recognised;
 };
 
 /* A request thread in claim_begin(); lives on its stack. */
@@ -79,7 +85,6 @@
 	char availability_zone[64];
 	char prefix[96]; /* "waxwing/D/" */
 	uint64_t lease_us;
-	uint32_t write_budget;
 	struct loop *loop;
 	struct store *store;
 	struct peers *peers;
@@ -129,9 +134,15 @@
 void owner_run(struct shard *sh);
 void owner_log_event(struct shard *sh, enum oplog_event_type type);
 
+/* svc-owner-shards.c: which shards there are */
+void owner_shards_tick(struct owner *o, uint64_t now_us);
+void owner_shards_new_zones(struct owner *o);
+void owner_shard_client(struct shard *sh, uint32_t i);
+void owner_shard_show(struct shard *sh);
+struct shard *owner_find_shard(struct owner *o, const char *name);
+
 /* svc-owner.c */
 void owner_release(struct shard *sh, uint64_t wait_us);
-struct shard *owner_find_shard(struct owner *o, const char *name);
 
 /* svc-owner-claims.c */
 void owner_claims_start(struct owner *o);
