Test a pause during an outage with real processes

Cause: a paused process may trust its split again by a peer's word; nothing tested that, nor that the split is void until then. Change: one more test in itest-control, with the store down. Conclusion: a process continued after 5 s holds no seat until a heartbeat of its zone shows the same split.

--- a/tests/itest-control.c
+++ b/tests/itest-control.c
@@ -214,6 +214,31 @@
 				READY_MS));
 }
 
+/*
+ * Guards against a continued process that trusts its split while the store
+ * cannot tell it, or that never trusts it again although a peer can.
+ */
+static void test_paused_in_an_outage(void)
+{
+	uint32_t last = cluster.entry_count - 1;
+	int64_t split = cluster_status(&cluster, last, "seat", "revision");
+
+	CU_ASSERT(split > 0);
+	cluster_fault(cluster_store_port(&cluster), "{\"down\":true}");
+	cluster_entry_signal(&cluster, last, SIGSTOP);
+	clock_sleep_us(5000000); /* above the lease */
+	cluster_entry_signal(&cluster, last, SIGCONT);
+	CU_ASSERT_TRUE(wait_for(last, 1, "seat", "revision", split, READY_MS));
+	CU_ASSERT(cluster_count(&cluster, "entry-6.log", "seat-changed",
+				"revision=0 ") >= 1);
+	CU_ASSERT(cluster_count(&cluster, "entry-6.log", "seat-revalidated",
+				"by=peer") == 1);
+	cluster_fault(cluster_store_port(&cluster), "{\"reset\":true}");
+	CU_ASSERT_TRUE(wait_for(last, 1, "seat", "held",
+				cluster.o.entries[cluster.entry_zone[last]],
+				READY_MS));
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -224,6 +249,7 @@
 		  test_fresh_process_in_an_outage },
 		{ "seats follow the members", test_seats_follow_the_members },
 		{ "paused process", test_paused_process },
+		{ "paused in an outage", test_paused_in_an_outage },
 	};
 	struct cluster_options o;
 	int status = 1;
