--- /dev/null
+++ b/tests/bench-once.c
@@ -0,0 +1,107 @@
+/*
+ * Scenario once: non-idempotent requests whose callers retry through other
+ * entry VMs, while answers are lost, entry VMs are killed or stopped past
+ * their lease, and the store's answers are lost after the effect.
+ */
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+
+#include "clock.h"
+#include "rng.h"
+#include "support-bench.h"
+
+#define SECONDS 40
+#define STOPPED_US 7000000u /* more than two leases */
+#define STEP_US 2500000u
+#define READY_MS 40000
+
+static int run_once(uint64_t seed);
+
+/* One fault, chosen by the random source, and its end. */
+static int disturb(struct cluster *c, struct rng *r, uint32_t step)
+{
+	uint32_t entry = rng_below(r, c->entry_count);
+	uint32_t zone = rng_below(r, c->o.zones);
+
+	switch (step % 4) {
+	case 0:
+		cluster_entry_signal(c, entry, SIGKILL);
+		clock_sleep_us(STEP_US);
+		return cluster_entry_start(c, entry);
+	case 1:
+		cluster_entry_signal(c, entry, SIGSTOP);
+		clock_sleep_us(STOPPED_US);
+		cluster_entry_signal(c, entry, SIGCONT);
+		return 0;
+	case 2:
+		if (cluster_fault(cluster_runner_control_port(c, zone),
+				  "{\"runner\":\"*\",\"drop\":0.3}") < 0)
+			return -1;
+		clock_sleep_us(STEP_US);
+		return cluster_fault(cluster_runner_control_port(c, zone),
+				     "{\"runner\":\"*\",\"reset\":true}");
+	default:
+		if (cluster_fault(cluster_store_port(c), "{\"lose\":0.3}") < 0)
+			return -1;
+		clock_sleep_us(STEP_US);
+		return cluster_fault(cluster_store_port(c), "{\"reset\":true}");
+	}
+}
+
+static int run_once(uint64_t seed)
+{
+	static const char *const mixes[] = {
+		"user=bandargah,team=port,kind=closure,rate=120,"
+		"deadline_ms=4000,work_us=50000,idempotent=no,retries=5,"
+		"retry_ms=700,duplicate_percent=10",
+		"user=yildirim,team=court,kind=draft,urgency=urgent,rate=200,"
+		"deadline_ms=4000,work_us=50000,idempotent=yes,retries=5,"
+		"retry_ms=700",
+		NULL
+	};
+	const char *name = "once";
+	struct rng r = { seed };
+	struct cluster_options o;
+	struct bench_load load;
+	struct bench_kind k;
+	struct cluster c;
+	uint64_t end;
+	int ret = -1;
+
+	bench_today(&o, seed);
+	if (bench_cluster(&c, &o, BENCH_SHEET) < 0 ||
+	    bench_load_start(&load, &c, 0x7f, mixes, SECONDS, seed, "load") < 0)
+		goto out;
+	end = clock_now_us() + SECONDS * 1000000ull;
+	for (uint32_t step = 0; clock_now_us() < end; step++)
+		if (disturb(&c, &r, step) < 0)
+			goto out;
+	if (bench_load_wait(&load) < 0)
+		goto out;
+	bench_load_kind(&load, "closure", &k);
+	bench_info(name, seed, "closures", k.sent, "count");
+	bench_info(name, seed, "closures-done", k.done, "count");
+	bench_info(name, seed, "closures-not-run", k.not_run, "count");
+	bench_info(name, seed, "closures-unknown", k.unknown, "count");
+	bench_max(name, seed, "bad-answers", k.bad_answers, "count", 0);
+	bench_max(name, seed, "store-writes-peak",
+		  bench_store_peak(&c, "write"), "1/s", 300);
+	bench_max(name, seed, "not-ready-after",
+		  cluster_wait_ready(&c, READY_MS) < 0, "count", 0);
+	bench_max(name, seed, "invariants-broken", bench_check(&c), "count", 0);
+	ret = 0;
+out:
+	cluster_stop(&c);
+	return ret;
+}
+
+int main(int argc, char **argv)
+{
+	static const struct bench_scenario scenarios[] = {
+		{ "once", run_once },
+	};
+
+	return bench_main(argc, argv, scenarios,
+			  sizeof(scenarios) / sizeof(scenarios[0]));
+}
