Bind a lease to the session that acquired it

Cause: when the session ended between an acquisition and its answer, the newer session was taken for the holder's: the process would have believed in the lease and, deposed, have sealed the next owner again and again. Change: the session of the call is kept, a key that is seen free or held by another ends the lease, and what a call saw that left before the last acquisition or release here does not count. No test provokes that moment yet.

--- a/src/svc-owner-internal.h
+++ b/src/svc-owner-internal.h
@@ -37,10 +37,12 @@
 	bool lease;	  /* as the log was told */
 	char session[64]; /* the one that acquired the key, or "" */
 	bool acquiring;
-	char holder[64];	/* of the key, as last seen; "" when free */
-	uint64_t free_since_us; /* 0: held, or not known yet */
-	uint64_t not_before_us; /* no attempt to acquire before this */
-	uint64_t home_since_us; /* its zone has a live entry VM; 0: none */
+	char acquire_session[64]; /* of the acquisition in flight */
+	uint64_t changed_us;	  /* when it was acquired or released here */
+	char holder[64];	  /* of the key, as last seen; "" when free */
+	uint64_t free_since_us;	  /* 0: held, or not known yet */
+	uint64_t not_before_us;	  /* no attempt to acquire before this */
+	uint64_t home_since_us;	  /* its zone has a live entry VM; 0: none */
 	uint64_t home_wait_us;
 	struct counter *owned;
 	struct counter *claim_count;
--- a/src/svc-owner.c
+++ b/src/svc-owner.c
@@ -185,7 +185,9 @@
 
 /* ---- who holds them ---- */
 
-static void see_holder(struct shard *sh, const struct kv_pair *p, uint64_t now)
+/* A call that left before the key was acquired or released here is old. */
+static void see_holder(struct shard *sh, const struct kv_pair *p, uint64_t now,
+		       uint64_t sent_us)
 {
 	struct owner *o = sh->owner;
 	const char *session = store_session(o->store);
@@ -197,10 +199,16 @@
 		sh->free_since_us = 0;
 	else if (!sh->free_since_us)
 		sh->free_since_us = now;
+	if (sh->acquiring)
+		return;
 	/* An acquisition whose answer was lost is recognised here. */
-	if (held && !sh->acquiring && session[0] &&
-	    !strcmp(p->session, session))
-		snprintf(sh->session, sizeof(sh->session), "%s", session);
+	if (held && session[0] && !strcmp(p->session, session)) {
+		if (sent_us > sh->changed_us)
+			snprintf(sh->session, sizeof(sh->session), "%s",
+				 session);
+	} else if (sent_us > sh->changed_us) {
+		sh->session[0] = '\0';
+	}
 }
 
 static void watched(void *arg, struct store_reply *r)
@@ -229,7 +237,7 @@
 			if (slash && !strcmp(slash + 1, sh->name))
 				found = &r->kv.pairs[j];
 		}
-		see_holder(sh, found, now);
+		see_holder(sh, found, now, r->sent_us);
 	}
 }
 
@@ -259,6 +267,7 @@
 	sh->not_before_us = clock_now_us() + wait_us;
 	if (!sh->session[0])
 		return;
+	sh->changed_us = clock_now_us();
 	sh->session[0] = '\0';
 	owner_key(sh, key);
 	store_release(sh->owner->store, key, NULL, NULL);
@@ -272,9 +281,12 @@
 	sh->acquiring = false;
 	sh->not_before_us =
 		clock_now_us() + RETRY_US / 2 + rng_below(&o->rng, RETRY_US);
-	if (!r->failed && r->applied)
+	/* The session can have changed since the call left. */
+	if (!r->failed && r->applied) {
 		snprintf(sh->session, sizeof(sh->session), "%s",
-			 store_session(o->store));
+			 sh->acquire_session);
+		sh->changed_us = clock_now_us();
+	}
 	/* Reads the holders again, in case the answer was lost. */
 	if (r->failed)
 		o->watch_index = 0;
@@ -315,6 +327,8 @@
 	    atomic_load(&o->draining))
 		return;
 	sh->acquiring = true;
+	snprintf(sh->acquire_session, sizeof(sh->acquire_session), "%s",
+		 store_session(o->store));
 	owner_key(sh, key);
 	store_acquire(o->store, key, o->id, strlen(o->id), acquired, sh);
 }
