Take the load into the pairs and do not pack services

Cause: against the workers' stand-in, whose slowdown grows with the load and where services slow each other, all 16 services went to two of eight workers and had a p99 of 6249 us where 2000 us is the base. Change: the slowdown of a pair is per load of the worker; an untried pair has a deviation of 2; services fill at most 0.35 of a worker while there is room elsewhere; relief goes to 0.13. Usage polls may take 8 KB/s.

--- a/src/place-pair.c
+++ b/src/place-pair.c
@@ -6,12 +6,13 @@
 /*
  * A service that shares a worker is slowed by the others. For each pair of a
  * service kind and another kind the slowdown per part of the worker's CPU that
- * the other uses is estimated, with a variance: a Kalman filter with a
- * diagonal covariance, one step a usage sample. An untried pair starts with
- * mean 0 and a variance that makes its upper bound prohibitive at high use.
+ * the other uses, and per load of the worker, is estimated, with a variance: a
+ * Kalman filter with a diagonal covariance, one step a usage sample. An untried
+ * pair starts with mean 0 and a variance that makes its upper bound prohibitive
+ * at high use.
  */
 
-#define PRIOR_VARIANCE 1.0f
+#define PRIOR_VARIANCE 4.0f
 /* The pairs change with the load, so an estimate loses certainty again. */
 #define DRIFT_VARIANCE 2e-4f
 #define MEASURE_VARIANCE 9e-4f /* of a relative p99, (3%) squared */
@@ -20,7 +21,7 @@
 /* Slowdowns, as parts of the latency when alone. */
 #define PLACE_LIMIT 0.15f
 #define RELIEVE_ABOVE 0.17f
-#define RELIEVE_TO 0.12f
+#define RELIEVE_TO 0.13f
 #define RESTORE_BELOW 0.15f
 #define THRESHOLD_ABOVE 0.15f
 /* Below this part of its CPU a batch task is not worth keeping throttled. */
@@ -32,13 +33,21 @@
 #define SHARE_WAIT_US 300000000.0f
 /* What harms no service goes beside them, and leaves the other workers. */
 #define BESIDE_SERVICES 0.3f
+/*
+ * Services slow each other as well, and their latency alone is learnt beside
+ * other services, so no more than this part of a worker is filled with them
+ * while there is room elsewhere.
+ */
+#define SERVICES_PART 0.35f
+#define CROWDED 2.0f
 #define STRIKES_MAX 3
 #define CANDIDATES 24
 #define CANDIDATE_STARTS 4
 #define BASE_WEIGHT_MAX 200.0 /* samples */
 #define BASE_SHARED_ALPHA 0.002
 
-static float upper(struct pair sum);
+static float load_of(const struct worker *w);
+static float upper(struct pair sum, float load);
 static float cpu_part(const struct worker *w, const struct task *t);
 static struct pair predict(struct place *p, const struct worker *w,
 			   const struct task *service);
@@ -95,6 +104,17 @@
 	return false;
 }
 
+/* Part of the worker's CPU that is reserved for services. */
+static float services_part(const struct worker *w)
+{
+	int64_t cpu = 0;
+
+	for (const struct task *t = w->tasks.first; t; t = t->next)
+		if (t->placement->service)
+			cpu += t->reserved[RES_CPU];
+	return (float)cpu / (float)(w->capacity[RES_CPU] + 1);
+}
+
 /* Least part of its CPU with which a task may start. */
 static float least_share(const struct place *p, const struct task *t)
 {
@@ -118,10 +138,14 @@
 	const struct placement *pl = t->placement;
 	float part = (float)need[RES_CPU] / (float)(w->capacity[RES_CPU] + 1);
 	float score = 0.2f * fullness(w, need);
+	float crowd;
 
 	*share = 1;
 	if (pl->service) {
-		score -= upper(predict(p, w, t));
+		score -= upper(predict(p, w, t), load_of(w));
+		crowd = services_part(w) + part - SERVICES_PART;
+		if (crowd > 0)
+			score -= CROWDED * crowd;
 	} else {
 		*share = headroom(p, w, t, part);
 		score += *share;
@@ -206,10 +230,20 @@
 	return cpu / (float)(w->capacity[RES_CPU] + 1);
 }
 
-/* Upper bound of a sum of mean and variance. */
-static float upper(struct pair sum)
+/* Part of the worker's CPU that all its tasks use. */
+static float load_of(const struct worker *w)
 {
-	return sum.mean + BOUND_SIGMAS * sqrtf(sum.variance);
+	float load = 0;
+
+	for (const struct task *t = w->tasks.first; t; t = t->next)
+		load += cpu_part(w, t);
+	return load < 1 ? load : 1;
+}
+
+/* Upper bound of a sum of mean and variance, at a load of the worker. */
+static float upper(struct pair sum, float load)
+{
+	return load * (sum.mean + BOUND_SIGMAS * sqrtf(sum.variance));
 }
 
 static struct pair add(struct pair sum, struct pair pair, float part)
@@ -219,7 +253,7 @@
 	return sum;
 }
 
-/* Slowdown of a service on a worker, as it is used now. */
+/* Slowdown of a service by what runs beside it, for a load of 1. */
 static struct pair predict(struct place *p, const struct worker *w,
 			   const struct task *service)
 {
@@ -239,6 +273,7 @@
 static float headroom(struct place *p, const struct worker *w,
 		      const struct task *t, float part)
 {
+	float load = load_of(w);
 	float least = 1;
 
 	for (struct task *s = w->tasks.first; s; s = s->next) {
@@ -249,7 +284,8 @@
 		now = predict(p, w, s);
 		pair = pair_of(p, s, t->placement->kind);
 		while (least > 0 &&
-		       upper(add(now, pair, least * part)) > PLACE_LIMIT)
+		       upper(add(now, pair, least * part),
+			     fminf(load + least * part, 1)) > PLACE_LIMIT)
 			least -= SHARE_STEP;
 	}
 	return least > 0 ? least : 0;
@@ -276,7 +312,7 @@
 		if (!t->placement->service)
 			sum += k->pairs[t->placement->kind].mean *
 			       cpu_part(w, t);
-	return sum;
+	return sum * load_of(w);
 }
 
 /*
@@ -308,10 +344,11 @@
 	uint16_t kind = service->placement->kind;
 	float innovation = measured(p, service);
 	float spread = MEASURE_VARIANCE;
+	float load = load_of(w);
 
 	for (struct task *t = w->tasks.first; t; t = t->next) {
 		struct pair *pair;
-		float part = cpu_part(w, t);
+		float part = cpu_part(w, t) * load;
 
 		if (t->placement->service || !t->sampled_us)
 			continue;
@@ -323,7 +360,7 @@
 	}
 	for (struct task *t = w->tasks.first; t; t = t->next) {
 		struct pair *pair;
-		float gain, part = cpu_part(w, t);
+		float gain, part = cpu_part(w, t) * load;
 
 		if (t->placement->service || !t->sampled_us)
 			continue;
@@ -404,7 +441,7 @@
 			   const struct task *service, float slowdown)
 {
 	struct task *worst = NULL;
-	float most = 0, keep;
+	float most = 0, keep, load = load_of(w);
 	uint32_t percent;
 
 	for (struct task *t = w->tasks.first; t; t = t->next) {
@@ -414,7 +451,8 @@
 		if (pl->service || !pl->yields || t->state != TASK_RUNNING ||
 		    t->percent <= PERCENT_MIN)
 			continue;
-		weight = pair_of(p, service, pl->kind).mean * cpu_part(w, t);
+		weight = pair_of(p, service, pl->kind).mean * cpu_part(w, t) *
+			 load;
 		if (weight > most) {
 			worst = t;
 			most = weight;
--- a/src/svc-placement-calls.c
+++ b/src/svc-placement-calls.c
@@ -13,8 +13,8 @@
 
 #define POLL_EVERY_US 1000000u
 #define POLL_CHECK_S 0.2
-/* Half of the 12 KB/s that an entry VM may spend on control. */
-#define USAGE_BYTES_PER_S 6000.0
+/* Two thirds of the 12 KB/s that an entry VM may spend on control. */
+#define USAGE_BYTES_PER_S 8000.0
 #define USAGE_BYTES_MAX 60000.0
 
 struct task_call {
