--- a/src/oplog.h
+++ b/src/oplog.h
@@ -121,6 +121,7 @@
 	OPLOG_LEASE_GAINED,
 	OPLOG_LEASE_LOST,    /* lapsed, or not certain any more */
 	OPLOG_DRAIN,	     /* accept no entry, write the rest, release */
+	OPLOG_HAND_OVER,     /* an owner does the same, and may own again */
 	OPLOG_RELOAD,	     /* a client was added after the first step */
 	OPLOG_SNAPSHOT_READ, /* answer to OPLOG_READ_SNAPSHOT */
 	OPLOG_PARTS_READ,    /* answer to OPLOG_READ_PARTS */
@@ -207,8 +208,9 @@
 /* Least time between two appends: the shard's share of the write budget. */
 void oplog_set_interval(struct oplog *log, uint64_t interval_us);
 
-/* Takes a snapshot after that many records, for tests. */
-void oplog_set_snapshot_records(struct oplog *log, uint32_t records);
+/* Takes a snapshot after that many records or bytes, for tests. */
+void oplog_set_snapshot_limits(struct oplog *log, uint32_t records,
+			       uint64_t bytes);
 
 void oplog_step(struct oplog *log, uint64_t now_us,
 		const struct oplog_event *e);
--- a/src/svc-owner.c
+++ b/src/svc-owner.c
@@ -1,4 +1,3 @@
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -14,6 +13,8 @@
 /* A part of the write budget stays for sessions, seats and leases. */
 #define APPEND_SHARE 0.6
 #define LOOK_INTERVAL_US 1000000u
+#define HOME_WAIT_LEASES 3u
+#define HOME_WAIT_MAX_US 600000000u
 /* A stop waits so long for reports of ended requests. */
 #define STOP_WAIT_US 2000000u
 
@@ -24,10 +25,6 @@
 static void owner_destroy(struct service *svc);
 static void owner_tick(void *arg);
 static void watch(struct owner *o, uint64_t now);
-static void read_shards(struct owner *o);
-static void shards_read(void *arg, struct store_reply *r);
-static void vms_read(void *arg, struct store_reply *r);
-static void shards_stored(void *arg, struct store_reply *r);
 
 static const struct service_ops owner_ops = {
 	.name = "owner",
@@ -56,7 +53,6 @@
 	snprintf(o->prefix, sizeof(o->prefix), "waxwing/%s/",
 		 s->node.deployment);
 	o->lease_us = s->platform.lease_us;
-	o->write_budget = s->platform.write_budget;
 	o->rng.state = clock_wall_us() ^ (uint64_t)getpid() << 32;
 	o->gained = counter_get(COUNTER, "waxwing_shards_gained_total", NULL);
 	o->lost = counter_get(COUNTER, "waxwing_shards_lost_total", NULL);
@@ -79,16 +75,6 @@
 	return (struct owner *)kernel_find(k, "owner");
 }
 
-static void add_client(struct shard *sh, uint32_t i)
-{
-	struct owner *o = sh->owner;
-	struct oplog_client *c =
-		o->clients[i].create(o->clients[i].arg, sh->name, sh->log);
-
-	if (c)
-		oplog_add_client(sh->log, c);
-}
-
 void owner_add_client(struct owner *o, owner_client_fn *create, void *arg)
 {
 	if (o->client_count + 1 >= OPLOG_CLIENTS_MAX)
@@ -99,7 +85,7 @@
 	for (uint32_t i = 0; i < o->shard_count; i++) {
 		struct shard *sh = &o->shards[i];
 
-		add_client(sh, o->client_count - 1);
+		owner_shard_client(sh, o->client_count - 1);
 		owner_log_event(sh, OPLOG_RELOAD);
 	}
 }
@@ -197,152 +183,11 @@
 	free(o);
 }
 
-struct shard *owner_find_shard(struct owner *o, const char *name)
-{
-	for (uint32_t i = 0; i < o->shard_count; i++)
-		if (!strcmp(o->shards[i].name, name))
-			return &o->shards[i];
-	return NULL;
-}
-
-/* ---- which shards there are ---- */
-
-static void add_shard(struct owner *o, const char *name)
-{
-	struct shard *sh;
-	char writer[64];
-
-	if (o->shard_count == OWNER_SHARDS_MAX || owner_find_shard(o, name))
-		return;
-	sh = &o->shards[o->shard_count++];
-	sh->owner = o;
-	snprintf(sh->name, sizeof(sh->name), "%s", name);
-	/* Distinguishes two runs of one id; records name their writer. */
-	snprintf(writer, sizeof(writer), "%.40s.%llx", o->id,
-		 (unsigned long long)(rng_next(&o->rng) & 0xffffffffffffu));
-	sh->log = oplog_create(writer, rng_next(&o->rng));
-	sh->claims = claims_create(sh->log, CLAIMS_MEMORY_MAX_BYTES);
-	oplog_add_client(sh->log, claims_client(sh->claims));
-	for (uint32_t i = 0; i < o->client_count; i++)
-		add_client(sh, i);
-}
-
-/*
- * Zones that appeared after the list was stored have a shard for their tasks.
- * Keys do not hash to it: a claim must be found where it was made.
- */
-static void add_new_zones(struct owner *o)
-{
-	const struct vm_list *l = o->targets ? targets_list(o->targets) : NULL;
-
-	for (size_t i = 0; l && o->claim_shards && i < l->count; i++)
-		if (l->vms[i].availability_zone[0])
-			add_shard(o, l->vms[i].availability_zone);
-}
-
-/* The list is a sorted JSON array, stored once and never changed. */
-static void read_shards(struct owner *o)
-{
-	char key[OWNER_KEY_BYTES];
-
-	snprintf(key, sizeof(key), "%sshards", o->prefix);
-	o->reading_shards = true;
-	store_get(o->store, key, false, 0, 0, shards_read, o);
-}
-
-static void retry_shards(struct owner *o)
-{
-	o->reading_shards = false;
-	o->next_shards_us =
-		clock_now_us() + RETRY_US / 2 + rng_below(&o->rng, RETRY_US);
-}
-
-static void shards_read(void *arg, struct store_reply *r)
-{
-	struct owner *o = arg;
-	json_t *list;
-
-	if (r->failed) {
-		retry_shards(o);
-		return;
-	}
-	if (!r->kv.count) {
-		store_list_vms(o->store, vms_read, o);
-		return;
-	}
-	list = json_loadb(r->kv.pairs[0].value, r->kv.pairs[0].value_len, 0,
-			  NULL);
-	for (size_t i = 0; i < json_array_size(list); i++) {
-		const char *name = json_string_value(json_array_get(list, i));
-
-		if (name && name[0])
-			add_shard(o, name);
-	}
-	json_decref(list);
-	o->claim_shards = o->shard_count;
-	if (!o->shard_count) {
-		log_event(LOG_ERROR, "shards-malformed", "key=%sshards",
-			  o->prefix);
-		retry_shards(o);
-	}
-}
-
-static int compare_names(const void *a, const void *b)
-{
-	return strcmp(a, b);
-}
-
-/* Returns the sorted zones of all VMs as JSON, or NULL when there is none. */
-static char *zones_of(const struct vm_list *l)
-{
-	char(*names)[64] = xcalloc(l->count, sizeof(*names));
-	json_t *list = json_array();
-	char *text = NULL;
-
-	for (size_t i = 0; i < l->count; i++)
-		memcpy(names[i], l->vms[i].availability_zone, sizeof(names[i]));
-	if (l->count)
-		qsort(names, l->count, sizeof(*names), compare_names);
-	for (size_t i = 0; i < l->count; i++)
-		if (names[i][0] && (!i || strcmp(names[i], names[i - 1]) != 0))
-			json_array_append_new(list, json_string(names[i]));
-	if (json_array_size(list))
-		text = json_dumps(list, JSON_COMPACT);
-	json_decref(list);
-	free(names);
-	return text;
-}
-
-static void vms_read(void *arg, struct store_reply *r)
-{
-	struct owner *o = arg;
-	char key[OWNER_KEY_BYTES];
-
-	free(o->new_shards);
-	o->new_shards = r->failed ? NULL : zones_of(&r->vms);
-	if (!o->new_shards) {
-		retry_shards(o);
-		return;
-	}
-	snprintf(key, sizeof(key), "%sshards", o->prefix);
-	store_put(o->store, key, o->new_shards, strlen(o->new_shards), 0,
-		  shards_stored, o);
-}
-
-/* Whoever stored it first, the list in force is the one read next. */
-static void shards_stored(void *arg, struct store_reply *r)
-{
-	struct owner *o = arg;
-
-	if (r->failed)
-		retry_shards(o);
-	else
-		read_shards(o);
-}
-
 /* ---- who holds them ---- */
 
-static void see_holder(struct shard *sh, const struct kv_pair *p, uint64_t now)
+/* A call that left before the key was acquired or released here is old. */
+static void see_holder(struct shard *sh, const struct kv_pair *p, uint64_t now,
+		       uint64_t sent_us)
 {
 	struct owner *o = sh->owner;
 	const char *session = store_session(o->store);
@@ -354,10 +199,16 @@
 		sh->free_since_us = 0;
 	else if (!sh->free_since_us)
 		sh->free_since_us = now;
+	if (sh->acquiring)
+		return;
 	/* An acquisition whose answer was lost is recognised here. */
-	if (held && !sh->acquiring && session[0] &&
-	    !strcmp(p->session, session))
-		snprintf(sh->session, sizeof(sh->session), "%s", session);
+	if (held && session[0] && !strcmp(p->session, session)) {
+		if (sent_us > sh->changed_us)
+			snprintf(sh->session, sizeof(sh->session), "%s",
+				 session);
+	} else if (sent_us > sh->changed_us) {
+		sh->session[0] = '\0';
+	}
 }
 
 static void watched(void *arg, struct store_reply *r)
@@ -386,7 +237,7 @@
 			if (slash && !strcmp(slash + 1, sh->name))
 				found = &r->kv.pairs[j];
 		}
-		see_holder(sh, found, now);
+		see_holder(sh, found, now, r->sent_us);
 	}
 }
 
@@ -416,6 +267,7 @@
 	sh->not_before_us = clock_now_us() + wait_us;
 	if (!sh->session[0])
 		return;
+	sh->changed_us = clock_now_us();
 	sh->session[0] = '\0';
 	owner_key(sh, key);
 	store_release(sh->owner->store, key, NULL, NULL);
@@ -429,9 +281,12 @@
 	sh->acquiring = false;
 	sh->not_before_us =
 		clock_now_us() + RETRY_US / 2 + rng_below(&o->rng, RETRY_US);
-	if (!r->failed && r->applied)
+	/* The session can have changed since the call left. */
+	if (!r->failed && r->applied) {
 		snprintf(sh->session, sizeof(sh->session), "%s",
-			 store_session(o->store));
+			 sh->acquire_session);
+		sh->changed_us = clock_now_us();
+	}
 	/* Reads the holders again, in case the answer was lost. */
 	if (r->failed)
 		o->watch_index = 0;
@@ -472,6 +327,8 @@
 	    atomic_load(&o->draining))
 		return;
 	sh->acquiring = true;
+	snprintf(sh->acquire_session, sizeof(sh->acquire_session), "%s",
+		 store_session(o->store));
 	owner_key(sh, key);
 	store_acquire(o->store, key, o->id, strlen(o->id), acquired, sh);
 }
@@ -491,26 +348,66 @@
 	owner_log_event(sh, certain ? OPLOG_LEASE_GAINED : OPLOG_LEASE_LOST);
 }
 
+static bool zone_has_entry(const struct owner *o, const char *zone, uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++)
+		if (o->list[i].live && !o->list[i].draining &&
+		    !strcmp(o->list[i].availability_zone, zone))
+			return true;
+	return false;
+}
+
+/*
+ * Hands a shard of another zone over once that zone has an entry VM again. When
+ * nobody there takes it, the next attempt waits twice as long.
+ */
+static void tend_home(struct shard *sh, uint64_t now, uint32_t members)
+{
+	struct owner *o = sh->owner;
+
+	if (!strcmp(sh->name, o->availability_zone))
+		return;
+	if (!zone_has_entry(o, sh->name, members)) {
+		sh->home_since_us = 0;
+		return;
+	}
+	if (!sh->home_since_us)
+		sh->home_since_us = now;
+	if (!sh->home_wait_us ||
+	    (sh->holder[0] && strcmp(sh->holder, o->id) != 0))
+		sh->home_wait_us = HOME_WAIT_LEASES * o->lease_us;
+	if (!oplog_is_owner(sh->log) ||
+	    now - sh->home_since_us < sh->home_wait_us)
+		return;
+	log_event(LOG_INFO, "shard-handed-over", "shard=%s", sh->name);
+	sh->home_since_us = now;
+	if (sh->home_wait_us < HOME_WAIT_MAX_US)
+		sh->home_wait_us *= 2;
+	owner_log_event(sh, OPLOG_HAND_OVER);
+}
+
 /*
- * Once a second: new zones, and the appends spread over the process's share of
- * the write budget.
+ * Once a second: new zones, shards that belong elsewhere, and the appends
+ * spread over the process's share of the write budget.
  */
 static void look_around(struct owner *o, uint64_t now)
 {
-	uint32_t n, live = 0, held = shards_held(o);
+	uint32_t n, held = shards_held(o);
 	double rate;
 
 	if (now < o->next_look_us)
 		return;
 	o->next_look_us = now + LOOK_INTERVAL_US;
 	n = members_list(o->members, o->list, MEMBERS_MAX);
-	for (uint32_t i = 0; i < n; i++)
-		live += o->list[i].live;
-	add_new_zones(o);
-	rate = o->write_budget * APPEND_SHARE / (live ? live : 1);
-	for (uint32_t i = 0; i < o->shard_count; i++)
-		oplog_set_interval(o->shards[i].log,
-				   (uint64_t)(1e6 * (held ? held : 1) / rate));
+	owner_shards_new_zones(o);
+	rate = store_write_share(o->store) * APPEND_SHARE / (held ? held : 1);
+	for (uint32_t i = 0; i < o->shard_count; i++) {
+		struct shard *sh = &o->shards[i];
+
+		tend_home(sh, now, n);
+		oplog_set_interval(sh->log, (uint64_t)(1e6 / rate));
+		owner_shard_show(sh);
+	}
 }
 
 static void owner_tick(void *arg)
@@ -522,8 +419,7 @@
 		log_event(LOG_WARNING, "paused", "for_us=%llu",
 			  (unsigned long long)(now - o->last_tick_us));
 	o->last_tick_us = now;
-	if (!o->shard_count && !o->reading_shards && now >= o->next_shards_us)
-		read_shards(o);
+	owner_shards_tick(o, now);
 	watch(o, now);
 	look_around(o, now);
 	for (uint32_t i = 0; i < o->shard_count; i++) {
