--- a/src/flow-admit.c
+++ b/src/flow-admit.c
@@ -18,7 +18,10 @@
 #define INTERVAL_WEIGHT_SHIFT 6
 /* Covers what the estimate of the wait misses; see docs/notes/admission.md. */
 #define WAIT_MARGIN 1.25
-/* One place in so many is kept for kinds below their share. */
+/*
+ * One place in so many is kept for kinds below their share. A quarter was too
+ * little for requests of 1 s: their slots come free in bursts.
+ */
 #define KEPT_PART 2
 #define QUANTILE_MIN_SAMPLES 20
 
