Format two files

Cause: a comment and a test line exceeded the column limit. Change: clang-format. Measurement: make lint exits with 0; before, with 1. Conclusion: none further.

--- a/src/svc-seats.c
+++ b/src/svc-seats.c
@@ -446,7 +446,8 @@
 	else
 		seats_progress_applied(&m->progress, name, revision);
 	message_reader_free(&r);
-	/* The reader marks the value at once when this was the last confirmation. */
+	/* The reader marks the value at once when this was the last
+	 * confirmation. */
 	if (!m->seats.confirmed && members_is_reader(m) &&
 	    seats_progress_done(&m->progress, &m->seats, UINT64_MAX,
 				clock_now_us()))
--- a/tests/itest-control.c
+++ b/tests/itest-control.c
@@ -182,7 +182,8 @@
 	int64_t capacity;
 
 	CU_ASSERT_TRUE(wait_for(0, n, "seat", "held", n, DEPARTED_MS));
-	/* A split that is not confirmed yet gives a capacity that still grows. */
+	/* A split that is not confirmed yet gives a capacity that still grows.
+	 */
 	CU_ASSERT_EQUAL(cluster_wait_ready(&cluster, CONFIRMED_MS), 0);
 	capacity = cluster_status(&cluster, 1, "flow", "capacity");
 	CU_ASSERT(capacity > 0);
