Keep control traffic between peers linear and small

Cause: the answer to a created placement listed its tasks, 32.9 KB/s between peers at 240 starts/s, and every fourth heartbeat listed all addresses, so that a peer's bytes grew with the square of the number of entry VMs. Change: only GET lists tasks; addresses go into each twentieth heartbeat. The test of creation asks GET for the task.

--- a/src/svc-members.c
+++ b/src/svc-members.c
@@ -19,10 +19,10 @@
 #define HEARTBEAT_INTERVAL_US 500000u
 #define TICK_INTERVAL_US 50000u
 /*
- * Addresses of others go into each fourth heartbeat only: with 9 entry VMs
- * they are two thirds of its bytes.
+ * Addresses of others go into each twentieth heartbeat only, every 10 s: in
+ * each fourth one they would take a peer of 22 entry VMs above 12 KB/s.
  */
-#define ADDRESSES_EVERY 4
+#define ADDRESSES_EVERY 20
 #define ADDRESSES_MAX 32
 /* A silent member whose key is gone is forgotten after this time. */
 #define FORGET_AFTER_US 60000000u
@@ -202,7 +202,7 @@
 	return true;
 }
 
-/* Appends the addresses of live peers, in each fourth heartbeat only. */
+/* Appends the addresses of live peers, in some heartbeats only. */
 static void put_addresses(struct members *m, struct message_writer *w)
 {
 	uint32_t count = 0;
--- a/src/svc-placement-internal.h
+++ b/src/svc-placement-internal.h
@@ -137,7 +137,8 @@
 int placement_from_json(const char *text, size_t len, const struct sheet *sheet,
 			struct placement_spec *spec, char message[128]);
 /* Appends the placement, with its tasks, as one JSON object. */
-void placement_to_json(struct place *pl, const char *id, struct buffer *out);
+void placement_to_json(struct place *pl, const char *id, bool with_tasks,
+		       struct buffer *out);
 void json_append_string(struct buffer *out, const char *text);
 
 #endif
--- a/src/svc-placement-json.c
+++ b/src/svc-placement-json.c
@@ -167,9 +167,9 @@
 	return ret;
 }
 
-/* Appends the tasks; returns the counts by state. */
+/* Appends at most listed tasks; returns the counts of all by state. */
 static void append_tasks(struct place *p, const char *id, uint32_t count,
-			 struct buffer *out,
+			 uint32_t listed, struct buffer *out,
 			 uint32_t counts[TASK_IMPOSSIBLE + 1])
 {
 	char task[PLACE_NAME_BYTES + 12];
@@ -180,7 +180,7 @@
 		if (!place_view_task(p, task, &v))
 			break;
 		counts[v.state]++;
-		if (i >= TASKS_LISTED_MAX)
+		if (i >= listed)
 			continue;
 		buffer_printf(out,
 			      "%s{\"id\":\"%s\",\"state\":\"%s\","
@@ -196,7 +196,8 @@
 	}
 }
 
-void placement_to_json(struct place *p, const char *id, struct buffer *out)
+void placement_to_json(struct place *p, const char *id, bool with_tasks,
+		       struct buffer *out)
 {
 	uint32_t counts[TASK_IMPOSSIBLE + 1] = { 0 };
 	struct placement_spec s;
@@ -222,7 +223,8 @@
 		      s.yields ? "true" : "false",
 		      s.spread_racks ? "rack" : "none", s.max_run_ms,
 		      cancelled ? "true" : "false");
-	append_tasks(p, id, s.count, out, counts);
+	append_tasks(p, id, s.count, with_tasks ? TASKS_LISTED_MAX : 0, out,
+		     counts);
 	buffer_append_str(out, "],\"states\":{");
 	for (int i = 0, first = 1; i <= TASK_IMPOSSIBLE; i++) {
 		if (!counts[i])
--- a/src/svc-placement-ops.c
+++ b/src/svc-placement-ops.c
@@ -190,7 +190,7 @@
 
 	if (l->out->len)
 		buffer_append_str(l->out, ",");
-	placement_to_json(l->place, id, l->out);
+	placement_to_json(l->place, id, true, l->out);
 }
 
 /* Collects the placements of all shards, here and at their owners. */
@@ -230,7 +230,7 @@
 	op->started = true;
 	e.id = op->placement;
 	if (!strcmp(op->method, "GET")) {
-		placement_to_json(s->place, op->placement, &op->json);
+		placement_to_json(s->place, op->placement, true, &op->json);
 		if (op->json.len)
 			finish(s->svc, op, 200);
 		else
@@ -288,7 +288,8 @@
 		return;
 	}
 	buffer_reset(&op->json);
-	placement_to_json(s->place, op->placement, &op->json);
+	/* At 240 tasks a second their list would take 32 KB/s between peers. */
+	placement_to_json(s->place, op->placement, false, &op->json);
 	placement_decide(s->svc, op->placement, "decision=%s",
 			 op->method[0] == 'D'	? "cancel"
 			 : op->method[1] == 'U' ? "change"
--- a/tests/test-svc-placement.c
+++ b/tests/test-svc-placement.c
@@ -279,6 +279,11 @@
 	struct buffer json = BUFFER_INIT;
 
 	CU_ASSERT_EQUAL(request("POST", "", create_body, &json), 201);
+	/* The answer names the placement; its tasks are listed by GET alone. */
+	CU_ASSERT_PTR_NOT_NULL(strstr(json.data, "\"z1.job\""));
+	CU_ASSERT_PTR_NULL(strstr(json.data, "\"z1.job.0\""));
+	buffer_reset(&json);
+	CU_ASSERT_EQUAL(request("GET", "z1.job", "", &json), 200);
 	CU_ASSERT_PTR_NOT_NULL(strstr(json.data, "\"z1.job.0\""));
 	CU_ASSERT_TRUE(wait_for_task("z1.job.0"));
 	CU_ASSERT_TRUE(worker_was_called("GET /workers/w1?fence=5\n"));
