Start a stopped entry VM anew only when its process has ended

Change: the test waits for the end of the process before the start. Conclusion: the fault was in the test; what it checks is unchanged.

--- a/tests/itest-control.c
+++ b/tests/itest-control.c
@@ -189,6 +189,8 @@
 	CU_ASSERT(capacity > 0);
 	cluster_entry_signal(&cluster, 0, SIGTERM);
 	CU_ASSERT_TRUE(wait_for(1, n - 1, "seat", "held", n - 1, READY_MS));
+	/* The ports are free only when the process has ended. */
+	CU_ASSERT_EQUAL(cluster_entry_wait_end(&cluster, 0, READY_MS), 0);
 	CU_ASSERT_EQUAL(cluster_entry_start(&cluster, 0), 0);
 	CU_ASSERT_TRUE(wait_for(0, n, "seat", "held", n, READY_MS));
 	cluster_entry_signal(&cluster, 0, SIGKILL);
