--- a/src/svc-flow.c
+++ b/src/svc-flow.c
@@ -293,6 +293,18 @@
 	return totals.idle_since_us;
 }
 
+bool flow_ready(struct flow_svc *f)
+{
+	struct flow_totals totals;
+	bool has_sheet;
+
+	pthread_mutex_lock(&f->lock);
+	flow_totals(f->core, &totals);
+	has_sheet = f->revision > 0;
+	pthread_mutex_unlock(&f->lock);
+	return has_sheet && totals.capacity > 0;
+}
+
 bool flow_seat_applied(struct flow_svc *f, uint64_t revision)
 {
 	struct flow_totals totals;
--- a/src/svc-flow.h
+++ b/src/svc-flow.h
@@ -86,6 +86,9 @@
  */
 uint64_t flow_idle_since_us(struct flow_svc *f);
 
+/* Whether there are a sheet and a slot of some target. Any thread. */
+bool flow_ready(struct flow_svc *f);
+
 /* Appends what is known of a request's decisions as JSON; -1 if unknown. */
 int flow_explain(struct flow_svc *f, const char *request_id,
 		 struct buffer *json);
--- a/src/svc-front.c
+++ b/src/svc-front.c
@@ -54,6 +54,7 @@
 static void front_stop(struct service *svc);
 static void front_destroy(struct service *svc);
 static int handle_request(struct mg_connection *conn, void *arg);
+static int handle_ready(struct mg_connection *conn, void *arg);
 
 static const struct service_ops front_ops = {
 	.name = "front",
@@ -168,6 +169,8 @@
 		front->port = (uint16_t)bound[0].port;
 	mg_set_request_handler(front->server, "/v1/requests$", handle_request,
 			       front);
+	mg_set_request_handler(front->server, "/v1/ready$", handle_ready,
+			       front);
 	return 0;
 }
 
@@ -528,3 +531,22 @@
 	flow_leave(front->flow);
 	return x.status;
 }
+
+/* Tells a balancer whether requests that come here can be served. */
+static int handle_ready(struct mg_connection *conn, void *arg)
+{
+	struct front *front = arg;
+	bool draining = atomic_load(&front->draining);
+	bool ready = !draining && flow_ready(front->flow);
+	const char *text = ready      ? "ready\n"
+			   : draining ? "draining\n"
+				      : "no slots or sheet\n";
+	int status = ready ? 200 : 503;
+
+	mg_printf(conn,
+		  "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n"
+		  "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+		  status, mg_get_response_code_text(conn, status), strlen(text),
+		  text);
+	return status;
+}
--- a/tests/test-front.c
+++ b/tests/test-front.c
@@ -453,6 +453,31 @@
 	stops[0].start_us = *(uint64_t *)arg;
 }
 
+/* Status of the check that a balancer makes, or -1. */
+static int ready_status(void)
+{
+	struct http_request req = { .method = "GET",
+				    .path = "/v1/ready",
+				    .timeout_us = 10000000,
+				    .max_answer_bytes = 1000 };
+	struct http_answer ans;
+	struct error err;
+	int status;
+
+	if (http_call(client, "127.0.0.1", front_port(kernel), &req, &ans,
+		      &err) < 0)
+		return -1;
+	status = ans.status;
+	http_answer_free(&ans);
+	return status;
+}
+
+/* Guards against a balancer that takes a process with slots for one without. */
+static void test_ready_with_slots(void)
+{
+	CU_ASSERT_EQUAL(ready_status(), 200);
+}
+
 /* Guards against requests at a runner that a planned stop would cut off. */
 static void test_planned_stop_gets_nothing(void)
 {
@@ -470,6 +495,7 @@
 	struct result r;
 
 	kernel_drain(kernel);
+	CU_ASSERT_EQUAL(ready_status(), 503);
 	r = post(IDEMPOTENT, "ok");
 	CU_ASSERT_EQUAL(r.status, 503);
 	CU_ASSERT_STRING_EQUAL(r.outcome, "not-run");
@@ -520,6 +546,7 @@
 int main(void)
 {
 	static const struct unit_test tests[] = {
+		{ "ready with slots", test_ready_with_slots },
 		{ "whole answer is returned", test_whole_answer_is_returned },
 		{ "lost answers are unknown", test_lost_answers_are_unknown },
 		{ "runner's refusal is not run",
