--- a/Makefile
+++ b/Makefile
@@ -108,6 +108,9 @@
 	install -d $(DESTDIR)$(PREFIX)/sbin $(DESTDIR)$(PREFIX)/bin
 	install -m 755 $(BUILD)/waxwingd $(DESTDIR)$(PREFIX)/sbin/
 	install -m 755 $(BUILD)/waxwingctl $(DESTDIR)$(PREFIX)/bin/
+	install -d $(DESTDIR)$(PREFIX)/share/bash-completion/completions
+	install -m 644 contrib/waxwingctl.bash-completion \
+		$(DESTDIR)$(PREFIX)/share/bash-completion/completions/waxwingctl
 	for page in man/*.[0-9]; do \
 		dir=$(DESTDIR)$(PREFIX)/share/man/man$${page##*.}; \
 		install -d $$dir && install -m 644 $$page $$dir/; done
--- a/src/flow-route.c
+++ b/src/flow-route.c
@@ -17,8 +17,8 @@
 #define MEAN_WEIGHT (1.0 / 32)
 /*
  * Pairs that are drawn before a request waits for a better target, and the
- * multiple of the mean latency above which a target counts as slow. Both were
- * chosen by measurement; see docs/notes/routing.md.
+ * multiple of the mean latency above which a target counts as slow; see
+ * docs/notes/routing.md.
  */
 #define DRAWS_MAX 4
 #define SLOW_FACTOR 2.0
