Ask again for the checkpoint of a stop whose answer was lost

Change: the first such read of a stopping task repeats the stop, which a worker answers with the same checkpoint; only the second frees the task.

--- a/src/place-apply.c
+++ b/src/place-apply.c
@@ -316,6 +316,7 @@
 	t->samples = 0;
 	t->counted = false;
 	t->checkpointing = false;
+	t->stop_repeated = false;
 	t->checkpointed = false;
 	worker_add_task(p, w, t);
 	account(p, t, 1);
--- a/src/place-internal.h
+++ b/src/place-internal.h
@@ -85,9 +85,10 @@
 	bool held_back;	  /* its start is durable and will not leave */
 	bool checkpointing;
 	bool checkpointed;
-	uint8_t samples; /* of usage, up to 255 */
-	bool counted;	 /* its size is in the kind's statistics */
-	bool seen;	 /* in the current read of its worker */
+	bool stop_repeated; /* after a read that did not show the task */
+	uint8_t samples;    /* of usage, up to 255 */
+	bool counted;	    /* its size is in the kind's statistics */
+	bool seen;	    /* in the current read of its worker */
 };
 
 /* Value of settled_us while the start is not durable or not answered. */
--- a/src/place-task.c
+++ b/src/place-task.c
@@ -278,6 +278,15 @@
 {
 	if (!t->sent || t->settled_us == NOT_SETTLED || sent_us < t->settled_us)
 		return;
+	/*
+	 * The answer to a stop may be lost, and with it the last checkpoint; a
+	 * worker answers a repeated stop with the same one.
+	 */
+	if (t->state == TASK_STOPPING && !t->stop_repeated) {
+		t->stop_repeated = true;
+		emit_stop(p, t);
+		return;
+	}
 	if (t->state == TASK_RUNNING)
 		t->reason = REASON_MISSING;
 	task_freed(p, t, NULL);
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -234,6 +234,47 @@
 	shard_free(&s);
 }
 
+/*
+ * Guards against a checkpoint that is lost with the answer to a stop: a read
+ * that does not show the task leads to one more stop, not to an older one.
+ */
+static void test_lost_stop_keeps_the_checkpoint(void)
+{
+	struct place_event leave = { .type = PLACE_WORKER,
+				     .id = "w1",
+				     .rack = "rack1",
+				     .leaving = true,
+				     .cpu_milli = 4000,
+				     .memory_mb = 8192 };
+	struct place_event done = { .type = PLACE_STOPPED,
+				    .answer = PLACE_ANSWER_OK,
+				    .checkpoint = "c10" };
+
+	set_up(PLACEMENT_FIRST_FIT);
+	run_one();
+	shard_step(&s, &leave);
+	shard_tick(&s, 100000);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_CHECKPOINT, &a));
+	shard_answer(&s, PLACE_CHECKPOINTED, &a, PLACE_ANSWER_UNKNOWN);
+	shard_tick(&s, 100000);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_STOP, &a));
+	shard_answer(&s, PLACE_STOPPED, &a, PLACE_ANSWER_UNKNOWN);
+	shard_answer(&s, PLACE_READ_END, &a, PLACE_ANSWER_OK);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_STOP, &a));
+	CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_STOPPING);
+	done.id = a.task;
+	done.worker = a.worker;
+	done.attempt = a.attempt;
+	done.at_us = s.now_us;
+	shard_step(&s, &done);
+	CU_ASSERT_EQUAL(shard_state(&s, "z.p.0"), TASK_EVICTED);
+	shard_tick(&s, 100000);
+	shard_commit(&s, 100);
+	CU_ASSERT_TRUE_FATAL(shard_next(&s, PLACE_START, &a));
+	CU_ASSERT_STRING_EQUAL(a.checkpoint, "c10");
+	shard_free(&s);
+}
+
 /* Guards against a job that blocks others, or waits without a reason. */
 static void test_impossible_is_named(void)
 {
@@ -537,6 +578,8 @@
 		{ "cancel stops and ends", test_cancel_stops_and_ends },
 		{ "leaving worker moves its task",
 		  test_leaving_worker_moves_its_task },
+		{ "lost stop keeps the checkpoint",
+		  test_lost_stop_keeps_the_checkpoint },
 		{ "impossible is named", test_impossible_is_named },
 		{ "quarantine and one trial", test_quarantine_and_one_trial },
 		{ "bad tasks keep workers in use",
