--- a/Makefile
+++ b/Makefile
@@ -101,6 +101,7 @@
 		--enable=warning,performance,portability \
 		--suppress=missingIncludeSystem --suppress=unknownMacro \
 		-j 8 -D_GNU_SOURCE -Isrc -Itests src tests
+	scripts/check-docs
 	if ls man/*.[0-9] >/dev/null 2>&1; then \
 		mandoc -Tlint -Wwarning man/*.[0-9]; fi
 
