Build the status of the request path outside its lock

Cause: flow_status() built JSON for every target and kind while it held the mutex that each request takes; the largest sheet has 9,000 kinds. Change: the rows are copied under the lock and turned into JSON after it. Three comments say plainly what they mean. Conclusion: an operator's status call allocates two arrays under the lock and formats nothing there.

--- a/src/place-pair.c
+++ b/src/place-pair.c
@@ -27,7 +27,7 @@
 /* Below this part of its CPU a batch task is not worth keeping throttled. */
 #define PERCENT_MIN 20u
 #define PERCENT_STEP 25u
-/* A start must get this part of its CPU; a long wait makes it content. */
+/* A start must get this part of its CPU; after a long wait less suffices. */
 #define SHARE_MIN 1.0f
 #define SHARE_STEP 0.1f
 #define SHARE_WAIT_US 300000000.0f
--- a/src/svc-flow-explain.c
+++ b/src/svc-flow-explain.c
@@ -111,62 +111,99 @@
 	return 0;
 }
 
-/* Targets as a JSON array. Lock held. */
-static json_t *targets_json(const struct flow_svc *f)
+/* What flow_status() shows, copied so that no JSON is built under the lock. */
+struct status {
+	struct flow_totals totals;
+	uint64_t revision;
+	struct target_row {
+		char id[64];
+		struct flow_target_info info;
+	} * targets;
+	uint32_t target_count;
+	struct flow_kind_info *kinds;
+	uint32_t kind_count;
+};
+
+static void copy_status(struct flow_svc *f, struct status *s)
 {
-	json_t *list = json_array();
-	struct flow_target_info t;
+	struct flow_kind_info k;
 
+	pthread_mutex_lock(&f->lock);
+	flow_totals(f->core, &s->totals);
+	s->revision = f->revision;
+	s->targets = xcalloc(f->table->count, sizeof(*s->targets));
 	for (uint32_t i = 0; i < f->table->count; i++) {
-		if (flow_target_info(f->core, i, &t) < 0)
+		struct target_row *row = &s->targets[s->target_count];
+
+		if (flow_target_info(f->core, i, &row->info) < 0)
 			continue;
+		snprintf(row->id, sizeof(row->id), "%s", f->table->rows[i].id);
+		s->target_count++;
+	}
+	while (flow_kind_info(f->core, s->kind_count, &k) == 0)
+		s->kind_count++;
+	s->kinds = xcalloc(s->kind_count, sizeof(*s->kinds));
+	for (uint32_t i = 0; i < s->kind_count; i++)
+		flow_kind_info(f->core, i, &s->kinds[i]);
+	pthread_mutex_unlock(&f->lock);
+}
+
+static json_t *targets_json(const struct status *s)
+{
+	json_t *list = json_array();
+
+	for (uint32_t i = 0; i < s->target_count; i++) {
+		const struct flow_target_info *t = &s->targets[i].info;
+
 		json_array_append_new(
 			list,
 			json_pack("{s:s, s:i, s:i, s:i, s:i, s:I, s:s, s:b, "
 				  "s:b}",
-				  "id", f->table->rows[i].id, "own_slots",
-				  (int)t.own_slots, "own_connections",
-				  (int)t.own_connections, "outstanding",
-				  (int)t.outstanding, "abandoned",
-				  (int)t.abandoned, "latency_us",
-				  (json_int_t)t.latency_us, "breaker",
-				  breaker_names[t.breaker], "draining",
-				  t.draining, "leaving", t.leaving));
+				  "id", s->targets[i].id, "own_slots",
+				  (int)t->own_slots, "own_connections",
+				  (int)t->own_connections, "outstanding",
+				  (int)t->outstanding, "abandoned",
+				  (int)t->abandoned, "latency_us",
+				  (json_int_t)t->latency_us, "breaker",
+				  breaker_names[t->breaker], "draining",
+				  t->draining, "leaving", t->leaving));
 	}
 	return list;
 }
 
-/* Kinds of the sheet as a JSON array. Lock held. */
-static json_t *kinds_json(const struct flow_svc *f)
+static json_t *kinds_json(const struct status *s)
 {
 	json_t *list = json_array();
-	struct flow_kind_info k;
 
-	for (uint32_t i = 0; flow_kind_info(f->core, i, &k) == 0; i++)
+	for (uint32_t i = 0; i < s->kind_count; i++) {
+		const struct flow_kind_info *k = &s->kinds[i];
+
 		json_array_append_new(
 			list,
 			json_pack("{s:s, s:s, s:i, s:i, s:I, s:I}", "user",
-				  k.user, "kind", k.name, "queued",
-				  (int)k.queued, "running", (int)k.running,
-				  "p95_us", (json_int_t)k.p95_us, "service_us",
-				  (json_int_t)k.service_us));
+				  k->user, "kind", k->name, "queued",
+				  (int)k->queued, "running", (int)k->running,
+				  "p95_us", (json_int_t)k->p95_us, "service_us",
+				  (json_int_t)k->service_us));
+	}
 	return list;
 }
 
 void flow_status(struct flow_svc *f, struct buffer *json)
 {
-	struct flow_totals t;
-	json_t *root;
-
-	pthread_mutex_lock(&f->lock);
-	flow_totals(f->core, &t);
-	root = json_pack("{s:I, s:i, s:i, s:i, s:I, s:I, s:I, s:o, s:o}",
-			 "revision", (json_int_t)f->revision, "capacity",
-			 (int)t.capacity, "queued", (int)t.queued, "running",
-			 (int)t.running, "first_sends",
-			 (json_int_t)t.first_sends, "retries",
-			 (json_int_t)t.retries, "hedges", (json_int_t)t.hedges,
-			 "kinds", kinds_json(f), "targets", targets_json(f));
-	pthread_mutex_unlock(&f->lock);
-	append_json(json, root);
+	struct status s = { 0 };
+	const struct flow_totals *t = &s.totals;
+
+	copy_status(f, &s);
+	append_json(json,
+		    json_pack("{s:I, s:i, s:i, s:i, s:I, s:I, s:I, s:o, s:o}",
+			      "revision", (json_int_t)s.revision, "capacity",
+			      (int)t->capacity, "queued", (int)t->queued,
+			      "running", (int)t->running, "first_sends",
+			      (json_int_t)t->first_sends, "retries",
+			      (json_int_t)t->retries, "hedges",
+			      (json_int_t)t->hedges, "kinds", kinds_json(&s),
+			      "targets", targets_json(&s)));
+	free(s.targets);
+	free(s.kinds);
 }
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -481,7 +481,7 @@
 	run_for(300000, PLACE_START);
 }
 
-/* Guards against an eviction where a throttle would do, and haste. */
+/* Guards against an eviction, or a second action, where a throttle would do. */
 static void test_throttle_comes_first(void)
 {
 	struct place_task_view v;
