--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 SANITIZE ?=
 WARNINGS = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wwrite-strings -Wformat=2
-CPPFLAGS += -D_GNU_SOURCE -Isrc -Itests
+CPPFLAGS += -D_GNU_SOURCE -Isrc -Iplatform -Itests
 CFLAGS += -std=gnu11 -O2 -g -fno-omit-frame-pointer -pthread $(WARNINGS)
-LDLIBS = -lcivetweb -lzmq -lmsgpackc -ljansson -linih -lcsv -largtable2 \
+LDLIBS = -levent -lcivetweb -lzmq -lmsgpackc -ljansson -linih -lcsv -largtable2 \
 	-lurcu -lxxhash -lb64 -lm -ldl -lpthread
 ifneq ($(SANITIZE),)
 CFLAGS += -fsanitize=$(SANITIZE) -fno-sanitize-recover=all
@@ -17,7 +17,8 @@
 
 # Programs have their main() in these files; all else goes into one library.
 MAINS = src/waxwingd.c src/waxwingctl.c
-LIB_SRC = $(filter-out $(MAINS) $(wildcard src/cmd-*.c),$(wildcard src/*.c))
+LIB_SRC = $(filter-out $(MAINS) $(wildcard src/cmd-*.c),\
+	$(wildcard src/*.c platform/*.c))
 CTL_SRC = src/waxwingctl.c $(wildcard src/cmd-*.c)
 # Stand-ins and tools of the tests; helpers that several of them share.
 TOOL_SRC = $(wildcard tests/fake-*.c tests/fault-*.c tests/load-*.c \
@@ -35,7 +36,7 @@
 TOOLS = $(call bin,$(TOOL_SRC))
 TESTS = $(call bin,$(TEST_SRC))
 ITESTS = $(call bin,$(ITEST_SRC))
-ALL_SRC = $(wildcard src/*.[ch] tests/*.[ch])
+ALL_SRC = $(wildcard src/*.[ch] platform/*.[ch] tests/*.[ch])
 
 all: $(PROGRAMS) $(TOOLS)
 
@@ -60,10 +61,10 @@
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(TOOLS): $(BUILD)/%: $(BUILD)/tests/%.o $(SUPPORT) $(LIB)
-	$(CC) $(LDFLAGS) -o $@ $^ -levent $(LDLIBS)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
 $(TESTS) $(ITESTS): $(BUILD)/%: $(BUILD)/tests/%.o $(SUPPORT) $(LIB)
-	$(CC) $(LDFLAGS) -o $@ $^ -lcunit -levent $(LDLIBS)
+	$(CC) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
 
 deps:
 	scripts/install-deps
@@ -100,7 +101,7 @@
 	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
 		--enable=warning,performance,portability \
 		--suppress=missingIncludeSystem --suppress=unknownMacro \
-		-j 8 -D_GNU_SOURCE -Isrc -Itests src tests
+		-j 8 -D_GNU_SOURCE -Isrc -Iplatform -Itests src platform tests
 	scripts/check-docs
 	if ls man/*.[0-9] >/dev/null 2>&1; then \
 		mandoc -Tlint -Wwarning man/*.[0-9]; fi
--- /dev/null
+++ b/src/event-http.c
@@ -0,0 +1,229 @@
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+#include "event-http.h"
+
+#define ANSWER_MAX_BYTES (8 * 1024 * 1024)
+/* Half of the shortest timeout of a call, so that a dead peer shows first. */
+#define USER_TIMEOUT_MS 2000
+
+struct http_conn {
+	struct event_base *base;
+	struct evhttp_connection *evcon;
+	char host[48];
+	char host_port[64];
+	uint16_t port;
+	uint32_t opened;
+	bool connected;
+	bool in_callback;
+	bool freed; /* by the callback; the connection goes afterwards */
+	struct evhttp_request *req;
+	http_answer_fn *fn;
+	void *arg;
+	struct event *fail; /* reports a call that could not be queued */
+};
+
+static void open_connection(struct http_conn *c);
+static void close_connection(struct http_conn *c);
+static void on_answer(struct evhttp_request *req, void *arg);
+static void on_close(struct evhttp_connection *evcon, void *arg);
+static void on_fail(evutil_socket_t fd, short what, void *arg);
+static void finish(struct http_conn *c, const struct http_answer *a);
+
+struct http_conn *http_conn_create(struct event_base *base, const char *host,
+				   uint16_t port)
+{
+	struct http_conn *c = xcalloc(1, sizeof(*c));
+
+	c->base = base;
+	c->port = port;
+	snprintf(c->host, sizeof(c->host), "%s", host);
+	snprintf(c->host_port, sizeof(c->host_port), "%s:%u", host, port);
+	c->fail = event_new(base, -1, 0, on_fail, c);
+	return c;
+}
+
+static void open_connection(struct http_conn *c)
+{
+	c->evcon = evhttp_connection_base_new(c->base, NULL, c->host, c->port);
+	evhttp_connection_set_max_body_size(c->evcon, ANSWER_MAX_BYTES);
+	evhttp_connection_set_closecb(c->evcon, on_close, c);
+	c->connected = false;
+}
+
+static void close_connection(struct http_conn *c)
+{
+	struct evhttp_connection *evcon = c->evcon;
+
+	c->evcon = NULL;
+	c->connected = false;
+	if (!evcon)
+		return;
+	evhttp_connection_set_closecb(evcon, NULL, NULL);
+	evhttp_connection_free(evcon);
+}
+
+static void on_close(struct evhttp_connection *evcon, void *arg)
+{
+	struct http_conn *c = arg;
+
+	(void)evcon;
+	c->connected = false;
+}
+
+/* Reports the outcome; frees the connection when the callback asked for it. */
+static void finish(struct http_conn *c, const struct http_answer *a)
+{
+	http_answer_fn *fn = c->fn;
+
+	c->req = NULL;
+	c->fn = NULL;
+	c->in_callback = true;
+	if (fn)
+		fn(c->arg, a);
+	c->in_callback = false;
+	if (c->freed && !c->req)
+		event_active(c->fail, EV_TIMEOUT, 0);
+}
+
+static void on_answer(struct evhttp_request *req, void *arg)
+{
+	struct http_conn *c = arg;
+	struct http_answer a = { .outcome = HTTP_LOST };
+	struct evbuffer *in;
+	const char *retry;
+	char *body = NULL;
+
+	if (!req || !evhttp_request_get_response_code(req)) {
+		/* libevent passes the request back when it could not connect */
+		if (req)
+			a.outcome = HTTP_NOT_SENT;
+		c->connected = false;
+		finish(c, &a);
+		return;
+	}
+	a.outcome = HTTP_ANSWERED;
+	a.status = evhttp_request_get_response_code(req);
+	in = evhttp_request_get_input_buffer(req);
+	a.len = evbuffer_get_length(in);
+	body = xcalloc(1, a.len + 1);
+	evbuffer_copyout(in, body, a.len);
+	a.body = body;
+	retry = evhttp_find_header(evhttp_request_get_input_headers(req),
+				   "Retry-After");
+	if (retry)
+		a.retry_after_s = (uint32_t)strtoul(retry, NULL, 10);
+	finish(c, &a);
+	free(body);
+}
+
+/* Runs outside of libevent's own callbacks, where freeing is allowed. */
+static void on_fail(evutil_socket_t fd, short what, void *arg)
+{
+	struct http_conn *c = arg;
+	struct http_answer a = { .outcome = HTTP_NOT_SENT };
+
+	(void)fd;
+	(void)what;
+	if (c->freed) {
+		close_connection(c);
+		event_free(c->fail);
+		free(c);
+		return;
+	}
+	if (c->fn)
+		finish(c, &a);
+}
+
+static void set_socket_options(struct http_conn *c)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(c->evcon);
+	evutil_socket_t fd = bufferevent_getfd(bev);
+	unsigned int ms = USER_TIMEOUT_MS;
+	int one = 1;
+
+	if (fd < 0)
+		return;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
+static enum evhttp_cmd_type command(const char *method)
+{
+	if (!strcmp(method, "POST"))
+		return EVHTTP_REQ_POST;
+	if (!strcmp(method, "DELETE"))
+		return EVHTTP_REQ_DELETE;
+	return EVHTTP_REQ_GET;
+}
+
+void http_conn_call(struct http_conn *c, const char *method, const char *uri,
+		    const struct http_header *headers, const char *body,
+		    size_t len, uint32_t timeout_ms, http_answer_fn *fn,
+		    void *arg)
+{
+	struct timeval tv = { .tv_sec = timeout_ms / 1000,
+			      .tv_usec = (timeout_ms % 1000) * 1000 };
+	struct evkeyvalq *out;
+
+	c->fn = fn;
+	c->arg = arg;
+	if (!c->evcon)
+		open_connection(c);
+	if (!c->connected)
+		c->opened++;
+	evhttp_connection_set_timeout_tv(c->evcon, &tv);
+	c->req = evhttp_request_new(on_answer, c);
+	out = evhttp_request_get_output_headers(c->req);
+	evhttp_add_header(out, "Host", c->host_port);
+	if (body)
+		evhttp_add_header(out, "Content-Type", "application/json");
+	for (; headers && headers->name; headers++)
+		evhttp_add_header(out, headers->name, headers->value);
+	if (body)
+		evbuffer_add(evhttp_request_get_output_buffer(c->req), body,
+			     len);
+	if (evhttp_make_request(c->evcon, c->req, command(method), uri) < 0) {
+		c->req = NULL;
+		event_active(c->fail, EV_TIMEOUT, 0);
+		return;
+	}
+	c->connected = true;
+	set_socket_options(c);
+}
+
+bool http_conn_busy(const struct http_conn *c)
+{
+	return c->fn != NULL;
+}
+
+uint32_t http_conn_opened(const struct http_conn *c)
+{
+	return c->opened;
+}
+
+void http_conn_cancel(struct http_conn *c)
+{
+	c->fn = NULL;
+	c->req = NULL;
+	if (!c->in_callback)
+		close_connection(c);
+}
+
+void http_conn_free(struct http_conn *c)
+{
+	if (!c)
+		return;
+	c->fn = NULL;
+	c->freed = true;
+	event_active(c->fail, EV_TIMEOUT, 0);
+}
--- /dev/null
+++ b/src/job-owner-internal.h
@@ -0,0 +1,122 @@
+#ifndef JOB_OWNER_INTERNAL_H
+#define JOB_OWNER_INTERNAL_H
+
+#include "counter.h"
+#include "job-node.h"
+
+/*
+ * NAME
+ *	job-owner-internal - ownership and the stored state of the owner
+ *
+ * DESCRIPTION
+ *	job-owner.c decides who owns the jobs; job-owner-store.c loads what is
+ *	stored and writes what changes. Every transaction of an owner expects
+ *	the revision of its ownership and of its last transaction, so that one
+ *	that is carried out late, or by a former owner, has no effect.
+ */
+
+/*
+ * Ownership passes on this long after the owner's last renewal: short enough
+ * that the leases at workers (6 s) outlast a takeover.
+ */
+#define LEASE_TTL_MS 2500u
+/* Three renewals fit into the lease. */
+#define LEASE_KEEP_US 800000u
+#define LEASE_RETRY_US 200000u
+/* The store's clock and this one may drift apart while a lease runs. */
+#define LEASE_MARGIN_US 200000u
+/*
+ * Leases at workers are renewed this long beyond the owner's own: a short
+ * outage of the store ends no task. A successor waits for it.
+ */
+#define RENEW_AFTER_MS 500u
+/* Spreads the candidates, so that mostly one of them writes. */
+#define ELECTION_SPREAD_US 120000u
+#define ELECTION_PAUSE_US 300000u
+/* A watch of who owns the jobs is renewed this often. */
+#define OWNER_WATCH_MS 2500u
+/* Those of jobs and workers end by themselves when nothing changes. */
+#define IN_WATCH_MS 2500u
+#define WORKER_WATCH_MS 2000u
+/* Changes within this time are handled and stored together. */
+#define KICK_US 2000u
+#define TICK_US 100000u
+/* Pause between a refused transaction and its repetition. */
+#define COMMIT_RETRY_US 150000u
+/* Expected keys and the sequence take three of a transaction's entries. */
+#define COMMIT_RECORDS_MAX (KV_TXN_ENTRIES_MAX - 4)
+
+enum owner_state {
+	OWNER_FOLLOWER,
+	OWNER_CLAIMING,
+	OWNER_LOADING,
+	OWNER_ACTING,
+};
+
+/* A transaction that is repeated unchanged until its outcome is known. */
+struct commit {
+	struct kv_set sets[KV_TXN_ENTRIES_MAX];
+	char keys[KV_TXN_ENTRIES_MAX][KV_KEY_BYTES];
+	char *removes[KV_TXN_ENTRIES_MAX];
+	size_t set_count;
+	size_t remove_count;
+	char seq[48];
+	bool records; /* contains a collection of the core */
+};
+
+struct job_owner {
+	struct job_node *node;
+	enum owner_state state;
+	struct kv_follow *follow;
+	struct event *kick;
+	struct event *timer;
+	bool kicked;
+	bool resigned; /* a planned stop; never owner again */
+	bool deposed;  /* to be carried out at the next tick */
+	/* the owner that the store names */
+	bool known;
+	bool known_swept;
+	struct settings_address address;
+	uint64_t known_revision;
+	uint64_t gone_us;
+	uint64_t delay_us;
+	uint64_t next_try_us;
+	/* while it is this process */
+	uint64_t epoch;
+	uint64_t revision;
+	uint64_t seq_revision;
+	uint64_t counter; /* transactions of this epoch */
+	uint64_t lease;
+	bool keeping;
+	uint64_t keep_sent_us;
+	uint64_t kept_us; /* when the last renewal that succeeded was sent */
+	uint64_t next_keep_us;
+	struct sched *sched;
+	struct job_workers *workers;
+	struct kv_follow *in_follow;
+	struct kv_follow *worker_follow;
+	bool in_synced;
+	bool run_synced;
+	bool workers_synced;
+	char after[KV_KEY_BYTES]; /* last progress record loaded */
+	char **cancels;		  /* seen before the jobs were loaded */
+	size_t cancel_count;
+	struct commit *commit;
+	bool committing; /* the transaction is on its way */
+	uint64_t next_commit_us;
+	char **forgotten; /* ids whose records are to be removed */
+	size_t forgotten_count;
+	uint32_t load; /* counts loads; answers to an earlier one are ignored */
+	struct counter *elections;
+	struct counter *commits;
+};
+
+/* ---- job-owner-store.c ---- */
+void job_owner_load(struct job_owner *o);
+void job_owner_unload(struct job_owner *o);
+void job_owner_apply_config(struct job_owner *o);
+/* Places, stores and orders what is due. */
+void job_owner_act(struct job_owner *o, uint64_t now);
+void ignore_reply(void *arg, const struct kv_reply *r);
+
+#endif
--- /dev/null
+++ b/src/job-peer.c
@@ -0,0 +1,238 @@
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+#include "clock.h"
+#include "event-http.h"
+#include "job-node.h"
+#include "log.h"
+
+/* Connections to the owner; each carries one question at a time. */
+#define CONNECTIONS_MAX 6
+#define MESSAGE_MAX_BYTES (512 * 1024)
+/* A peer's question is answered within the time that peers wait. */
+#define SERVE_US 450000u
+
+static const char *const call_paths[] = { "/submit", "/cancel", "/state",
+					  "/waiting" };
+
+struct question {
+	struct job_peer *peer;
+	struct http_conn *conn;
+	bool busy;
+	intake_fn *fn;
+	void *arg;
+};
+
+struct job_peer {
+	struct job_node *node;
+	struct evhttp *server;
+	struct settings_address address; /* of the connections */
+	struct question questions[CONNECTIONS_MAX];
+};
+
+/* ---- questions to the owner ---- */
+
+static void on_answer(void *arg, const struct http_answer *h)
+{
+	struct question *q = arg;
+	struct intake_answer a = { .outcome = INTAKE_REFUSED, .why = "owner" };
+	json_t *o;
+
+	q->busy = false;
+	if (h->outcome == HTTP_LOST) {
+		a.outcome = INTAKE_UNKNOWN;
+	} else if (h->outcome == HTTP_ANSWERED && h->status == 200 &&
+		   (o = json_loadb(h->body, h->len, 0, NULL))) {
+		a.outcome = (enum intake_outcome)json_integer_value(
+			json_object_get(o, "outcome"));
+		a.state = (enum sched_job_state)json_integer_value(
+			json_object_get(o, "state"));
+		a.waiting = (uint32_t)json_integer_value(
+			json_object_get(o, "waiting"));
+		json_decref(o);
+	}
+	q->fn(q->arg, &a);
+}
+
+static struct question *free_question(struct job_peer *p)
+{
+	for (int i = 0; i < CONNECTIONS_MAX; i++)
+		if (!p->questions[i].busy)
+			return &p->questions[i];
+	return NULL;
+}
+
+static void close_questions(struct job_peer *p)
+{
+	for (int i = 0; i < CONNECTIONS_MAX; i++) {
+		struct question *q = &p->questions[i];
+
+		if (q->busy || !q->conn)
+			continue;
+		http_conn_free(q->conn);
+		q->conn = NULL;
+	}
+}
+
+bool job_peer_ask(struct job_peer *p, enum peer_call call, const char *id,
+		  const char *queue, const void *data, size_t len,
+		  uint32_t timeout_ms, intake_fn *fn, void *arg)
+{
+	struct settings_address address;
+	struct question *q;
+	char uri[256];
+
+	if (!job_owner_address(p->node->owner, &address) ||
+	    job_owner_sched(p->node->owner))
+		return false;
+	if (memcmp(&address, &p->address, sizeof(address))) {
+		close_questions(p);
+		p->address = address;
+	}
+	q = free_question(p);
+	if (!q)
+		return false;
+	if (!q->conn)
+		q->conn = http_conn_create(p->node->base, address.host,
+					   address.port);
+	q->busy = true;
+	q->fn = fn;
+	q->arg = arg;
+	snprintf(uri, sizeof(uri), "%s?id=%s&queue=%s", call_paths[call], id,
+		 queue);
+	http_conn_call(q->conn, "POST", uri, NULL, data ? data : "", len,
+		       timeout_ms, on_answer, q);
+	return true;
+}
+
+/* ---- questions of peers ---- */
+
+struct served {
+	struct evhttp_request *req;
+};
+
+static void answer(struct evhttp_request *req, int status,
+		   const struct intake_answer *a)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	if (a)
+		evbuffer_add_printf(
+			out, "{\"outcome\":%d,\"state\":%d,\"waiting\":%u}",
+			a->outcome, a->state, a->waiting);
+	evhttp_send_reply(req, status, NULL, out);
+	evbuffer_free(out);
+}
+
+static void on_served(void *arg, const struct intake_answer *a)
+{
+	answer(arg, 200, a);
+}
+
+static void serve_submit(struct job_peer *p, struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t len = evbuffer_get_length(in);
+	struct job_spec spec;
+	struct error err;
+
+	if (job_spec_decode(&spec, evbuffer_pullup(in, -1), len, &err) < 0) {
+		log_event(LOG_WARNING, "peer-malformed", "error=\"%s\"",
+			  err.message);
+		answer(req, 400, NULL);
+		return;
+	}
+	job_intake_submit(p->node->intake, &spec, clock_now_us() + SERVE_US,
+			  true, on_served, req);
+	job_spec_free(&spec);
+}
+
+static void serve_state(struct job_peer *p, struct evhttp_request *req,
+			const char *id, const char *queue)
+{
+	struct sched *s = job_owner_sched(p->node->owner);
+	struct intake_answer a = { .outcome = INTAKE_ABSENT };
+
+	if (!s) {
+		answer(req, 421, NULL);
+		return;
+	}
+	if (sched_job_state(s, id, queue, &a.state))
+		a.outcome = INTAKE_DONE;
+	answer(req, 200, &a);
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	struct job_peer *p = arg;
+	const char *uri = evhttp_request_get_uri(req);
+	const char *query = strchr(uri, '?');
+	struct evkeyvalq keys = { 0 };
+	const char *id, *queue;
+
+	if (!query || evhttp_parse_query_str(query + 1, &keys) < 0) {
+		answer(req, 400, NULL);
+		return;
+	}
+	id = evhttp_find_header(&keys, "id");
+	queue = evhttp_find_header(&keys, "queue");
+	if (!id || !queue) {
+		answer(req, 400, NULL);
+	} else if (!strncmp(uri, "/submit?", 8)) {
+		serve_submit(p, req);
+	} else if (!strncmp(uri, "/cancel?", 8)) {
+		job_intake_cancel(p->node->intake, id, queue,
+				  clock_now_us() + SERVE_US, true, on_served,
+				  req);
+	} else if (!strncmp(uri, "/state?", 7)) {
+		serve_state(p, req, id, queue);
+	} else if (!strncmp(uri, "/waiting?", 9) &&
+		   job_owner_sched(p->node->owner)) {
+		struct intake_answer a = { .outcome = INTAKE_DONE };
+
+		a.waiting =
+			sched_waiting(job_owner_sched(p->node->owner), queue);
+		answer(req, 200, &a);
+	} else {
+		answer(req, 421, NULL);
+	}
+	evhttp_clear_headers(&keys);
+}
+
+struct job_peer *job_peer_create(struct job_node *n, struct error *err)
+{
+	const struct settings_address *a = &n->settings->jobs.peers;
+	struct job_peer *p = xcalloc(1, sizeof(*p));
+
+	p->node = n;
+	for (int i = 0; i < CONNECTIONS_MAX; i++)
+		p->questions[i].peer = p;
+	p->server = evhttp_new(n->base);
+	evhttp_set_max_body_size(p->server, MESSAGE_MAX_BYTES);
+	evhttp_set_gencb(p->server, on_request, p);
+	if (evhttp_bind_socket(p->server, a->host, a->port) < 0) {
+		error_set(err, ERROR_LAYER_PEERS, 1, "cannot listen on %s:%u",
+			  a->host, a->port);
+		evhttp_free(p->server);
+		free(p);
+		return NULL;
+	}
+	return p;
+}
+
+void job_peer_destroy(struct job_peer *p)
+{
+	if (!p)
+		return;
+	for (int i = 0; i < CONNECTIONS_MAX; i++)
+		http_conn_free(p->questions[i].conn);
+	evhttp_free(p->server);
+	free(p);
+}
--- /dev/null
+++ b/src/job-sched.h
@@ -0,0 +1,232 @@
+#ifndef JOB_SCHED_H
+#define JOB_SCHED_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "buffer.h"
+#include "job-spec.h"
+
+/*
+ * NAME
+ *	sched - decision core: jobs of steps of tasks on leased workers
+ *
+ * DESCRIPTION
+ *	One instance decides for all jobs and workers of its owner. It contains
+ *	no sockets, threads or clocks: a driver reports what happened and
+ *	executes the orders that the core hands to ops->order().
+ *
+ *	A task's placement (worker and run number) is part of the job's
+ *	progress record, and its start is ordered only after that record is
+ *	stored. So a successor knows every place where a task may run. An end
+ *	is acknowledged to its worker only after the record that holds it is
+ *	stored.
+ *
+ *	A task that may run on a worker which does not answer is started
+ *	elsewhere only after every lease granted there has run out.
+ *
+ * UNITS
+ *	now_us: CLOCK_BOOTTIME in microseconds. Names in _wall_ms: time of day
+ *	in milliseconds. Workers and tasks are handles into tables.
+ */
+
+#define SCHED_NONE UINT32_MAX
+#define SCHED_LABELS_MAX 4
+#define SCHED_CHECKPOINT_BYTES 64
+#define SCHED_TASK_NAME_BYTES 64
+
+struct sched_queue {
+	char name[JOB_NAME_BYTES];
+	char service[JOB_NAME_BYTES]; /* whose workers run the tasks */
+	uint32_t priority;	      /* 0 first */
+	uint32_t attempts_max;
+	double stretch; /* allowed multiple of the longest chain */
+	uint32_t target_latency_ms;
+};
+
+struct sched_policy {
+	const struct sched_queue *queues;
+	size_t queue_count;
+};
+
+struct sched_settings {
+	uint32_t lease_max_ms;	   /* longest lease that a worker grants */
+	uint32_t status_keep_s;	   /* how long ended jobs are shown */
+	uint32_t takeover_wait_ms; /* within it a predecessor's lease ends */
+	uint32_t gang_wait_ms;
+};
+
+struct sched_worker_info {
+	const char *id;
+	const char *service;
+	const char *zone;
+	char labels[SCHED_LABELS_MAX][JOB_NAME_BYTES]; /* kind, then rack */
+	struct room capacity;
+	bool draining;
+	uint64_t born_wall_ms; /* start of this life of the worker */
+};
+
+struct sched_run {
+	const char *task;
+	uint32_t run;
+	const char *checkpoint;
+	uint32_t percent;
+	uint32_t figure; /* tail latency in ms, or processor use */
+};
+
+enum sched_end {
+	SCHED_END_DONE,
+	SCHED_END_FAILED,
+	SCHED_END_STOPPED,
+	SCHED_END_LAPSED,
+	SCHED_END_BROKEN, /* another member of its gang ended */
+	SCHED_END_ALONE,  /* the gang did not come together */
+};
+
+struct sched_ended {
+	uint64_t number;
+	const char *task;
+	uint32_t run;
+	enum sched_end how;
+	const char *checkpoint;
+};
+
+/* What a worker says of itself; asked_us is when it was asked. */
+struct sched_report {
+	uint64_t asked_us;
+	uint64_t born_wall_ms; /* 0: not told */
+	const struct sched_run *running;
+	size_t running_count;
+	const struct sched_ended *ended;
+	size_t ended_count;
+	bool ended_cut; /* more ends follow in the next report */
+};
+
+enum sched_order_type { SCHED_START, SCHED_STOP, SCHED_PACE };
+
+struct sched_order {
+	enum sched_order_type type;
+	uint32_t worker;
+	char task[SCHED_TASK_NAME_BYTES];
+	uint32_t run;
+	const char *text;	/* SCHED_START: the job's specification */
+	const char *checkpoint; /* SCHED_START; "" for none */
+	uint32_t percent;	/* SCHED_PACE */
+};
+
+enum sched_result {
+	SCHED_DONE,
+	SCHED_NO_ROOM,
+	SCHED_OLD_RUN,
+	SCHED_LATE,	 /* the lease offered was over at its arrival */
+	SCHED_UNHEALTHY, /* refused; nothing was done */
+	SCHED_INVALID,
+	SCHED_UNREACHED, /* nothing was sent */
+	SCHED_LOST,	 /* may have been done, or may be done later */
+};
+
+struct sched;
+
+struct sched_ops {
+	/* Queues an order; strings are valid during the call. */
+	void (*order)(void *arg, const struct sched_order *o);
+	/* The job's stored records may be removed. */
+	void (*forget)(void *arg, const char *id);
+};
+
+enum sched_job_state {
+	SCHED_JOB_QUEUED,
+	SCHED_JOB_RUNNING,
+	SCHED_JOB_COMPLETED,
+	SCHED_JOB_FAILED,
+	SCHED_JOB_CANCELLED,
+};
+
+struct sched *sched_create(const struct sched_ops *ops, void *arg,
+			   const struct sched_settings *settings,
+			   uint64_t now_us);
+void sched_destroy(struct sched *s);
+
+/* Takes copies. Jobs of queues that are gone keep their last policy. */
+void sched_set_policy(struct sched *s, const struct sched_policy *p);
+
+/* Takes over spec's contents. Returns false when the id is known already. */
+bool sched_submit(struct sched *s, struct job_spec *spec, uint64_t now_us);
+
+/*
+ * Loads a progress record after the job itself was submitted and before the
+ * first sched_tick(). Returns 0, or -1 with err set.
+ */
+int sched_restore(struct sched *s, const char *id, const void *data, size_t len,
+		  struct error *err);
+
+bool sched_knows_job(const struct sched *s, const char *id);
+void sched_cancel(struct sched *s, const char *id, uint64_t now_us,
+		  uint64_t wall_ms);
+
+/* Adds or updates a worker; returns its handle. */
+uint32_t sched_worker(struct sched *s, const struct sched_worker_info *info);
+/* The platform no longer lists the worker. */
+void sched_worker_unlisted(struct sched *s, uint32_t worker, uint64_t now_us);
+uint32_t sched_find_worker(const struct sched *s, const char *id);
+
+void sched_report(struct sched *s, uint32_t worker,
+		  const struct sched_report *r, uint64_t now_us,
+		  uint64_t wall_ms);
+/* The worker did not answer; nothing new is placed there until it reports. */
+void sched_worker_silent(struct sched *s, uint32_t worker, uint64_t now_us);
+/* The worker's life is over: nothing runs there. */
+void sched_worker_dead(struct sched *s, uint32_t worker, uint64_t now_us);
+/* A lease, or an order that carries one, is about to be sent. */
+void sched_leased(struct sched *s, uint32_t worker, uint64_t now_us);
+void sched_order_result(struct sched *s, const struct sched_order *o,
+			enum sched_result result, uint64_t now_us);
+/* Whether an order is still wanted; asked right before it is sent. */
+bool sched_order_wanted(struct sched *s, const struct sched_order *o);
+
+/* Highest end number of the worker whose consequences are stored. */
+uint64_t sched_acknowledged(const struct sched *s, uint32_t worker);
+/* Whether frequent reports are needed to protect services from batch work. */
+bool sched_worker_shared(const struct sched *s, uint32_t worker);
+
+/* Places what can be placed, and ends what has run out. */
+void sched_tick(struct sched *s, uint64_t now_us, uint64_t wall_ms);
+
+/*
+ * Calls fn with up to max changed progress records. One collection may be open
+ * at a time; it ends with sched_stored(). Returns the number of records.
+ */
+size_t sched_collect(struct sched *s, size_t max,
+		     void (*fn)(void *arg, const char *id, const void *data,
+				size_t len),
+		     void *arg);
+/* stored: the collection is durable; else it is collected again. */
+void sched_stored(struct sched *s, bool stored, uint64_t now_us);
+bool sched_has_changes(const struct sched *s);
+
+/* Returns false when no such job is known in that queue. */
+bool sched_job_state(const struct sched *s, const char *id, const char *queue,
+		     enum sched_job_state *state);
+/* Jobs of a queue of which no task has started. */
+uint32_t sched_waiting(const struct sched *s, const char *queue);
+
+struct sched_stats {
+	uint32_t jobs_open;
+	uint32_t tasks_waiting;
+	uint32_t tasks_running;
+	uint32_t workers;
+	uint64_t starts;
+	uint64_t ends_done;
+	uint64_t ends_failed;
+	uint64_t tasks_lost;
+	uint64_t paced;
+};
+
+void sched_stats(const struct sched *s, struct sched_stats *out);
+
+/* Reads a stored progress record's state without an instance; -1: malformed. */
+int sched_record_state(const void *data, size_t len,
+		       enum sched_job_state *state);
+
+#endif
--- /dev/null
+++ b/src/job-spec.c
@@ -0,0 +1,311 @@
+#include <ctype.h>
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "job-spec.h"
+
+/* Elements of the stored arrays of a job and of a step. */
+#define JOB_ELEMENTS 9
+#define STEP_ELEMENTS 13
+
+enum step_flag {
+	STEP_CHECKPOINTS = 1,
+	STEP_GANG = 2,
+	STEP_SAME_RACK = 4,
+	STEP_SPECULATIVE = 8,
+	STEP_LASTS = 16,
+	STEP_FILLS = 32,
+};
+
+static int invalid(struct error *err, const char *why)
+{
+	return error_set(err, ERROR_LAYER_CORE, JOB_SPEC_INVALID, "%s", why);
+}
+
+bool job_id_valid(const char *id)
+{
+	size_t n = 0;
+
+	for (; id[n]; n++)
+		if (n == JOB_ID_CHARS || !isxdigit((unsigned char)id[n]))
+			return false;
+	return n == JOB_ID_CHARS;
+}
+
+static int check_step(const struct job_spec *s, uint32_t i, struct error *err)
+{
+	const struct job_step *step = &s->steps[i];
+
+	if (!step->count || step->count > JOB_TASKS_MAX)
+		return invalid(err, "a step's count is out of range");
+	if (step->after >> i)
+		return invalid(err, "a step waits for itself or a later one");
+	if (step->lasts && s->repetitions)
+		return invalid(err, "a scheduled job cannot last");
+	return 0;
+}
+
+int job_spec_check(const struct job_spec *s, struct error *err)
+{
+	uint64_t tasks = 0;
+
+	if (!job_id_valid(s->id))
+		return invalid(err, "the id is not 16 hexadecimal digits");
+	if (strlen(s->text) > JOB_TEXT_MAX_BYTES)
+		return invalid(err, "the specification is too long");
+	if (!s->step_count || s->step_count > JOB_STEPS_MAX)
+		return invalid(err, "the number of steps is out of range");
+	if (s->repetitions > JOB_REPETITIONS_MAX)
+		return invalid(err, "too many repetitions");
+	if (s->repetitions > 1 && !s->interval_ms)
+		return invalid(err, "repetitions without an interval");
+	for (uint32_t i = 0; i < s->step_count; i++) {
+		if (check_step(s, i, err) < 0)
+			return -1;
+		tasks += s->steps[i].count;
+	}
+	if (tasks > JOB_TASKS_MAX)
+		return invalid(err, "too many tasks");
+	return 0;
+}
+
+uint32_t job_spec_tasks(const struct job_spec *s)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->step_count; i++)
+		n += s->steps[i].count;
+	return n;
+}
+
+bool job_spec_lasts(const struct job_spec *s)
+{
+	for (uint32_t i = 0; i < s->step_count; i++)
+		if (s->steps[i].lasts)
+			return true;
+	return false;
+}
+
+uint32_t job_spec_chain_ms(const struct job_spec *s)
+{
+	uint32_t ends[JOB_STEPS_MAX] = { 0 };
+	uint32_t longest = 0;
+
+	for (uint32_t i = 0; i < s->step_count; i++) {
+		uint32_t begin = 0;
+
+		for (uint32_t j = 0; j < i; j++)
+			if (s->steps[i].after >> j & 1 && ends[j] > begin)
+				begin = ends[j];
+		ends[i] = begin + s->steps[i].estimate_ms;
+		if (ends[i] > longest)
+			longest = ends[i];
+	}
+	return longest;
+}
+
+static int write_buffer(void *arg, const char *data, size_t len)
+{
+	buffer_append(arg, data, len);
+	return 0;
+}
+
+static void pack_text(msgpack_packer *pk, const char *text)
+{
+	size_t len = strlen(text);
+
+	msgpack_pack_str(pk, len);
+	msgpack_pack_str_body(pk, text, len);
+}
+
+static uint64_t step_flags(const struct job_step *step)
+{
+	return (step->checkpoints ? STEP_CHECKPOINTS : 0) |
+	       (step->gang ? STEP_GANG : 0) |
+	       (step->same_rack ? STEP_SAME_RACK : 0) |
+	       (step->speculative ? STEP_SPECULATIVE : 0) |
+	       (step->lasts ? STEP_LASTS : 0) | (step->fills ? STEP_FILLS : 0);
+}
+
+static void pack_step(msgpack_packer *pk, const struct job_step *step)
+{
+	msgpack_pack_array(pk, STEP_ELEMENTS);
+	msgpack_pack_uint32(pk, step->count);
+	msgpack_pack_uint32(pk, step->need.cpu_milli);
+	msgpack_pack_uint32(pk, step->need.memory_mb);
+	msgpack_pack_uint32(pk, step->need.accelerators);
+	msgpack_pack_uint32(pk, step->estimate_ms);
+	msgpack_pack_uint32(pk, step->target_ms);
+	msgpack_pack_uint32(pk, step->may_miss);
+	msgpack_pack_uint32(pk, step->per_worker_max);
+	msgpack_pack_uint64(pk, step->after);
+	msgpack_pack_uint64(pk, step_flags(step));
+	pack_text(pk, step->label);
+	pack_text(pk, step->rack);
+	pack_text(pk, step->image);
+}
+
+void job_spec_encode(const struct job_spec *s, struct buffer *out)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, write_buffer);
+	msgpack_pack_array(&pk, JOB_ELEMENTS);
+	msgpack_pack_uint32(&pk, JOB_SPEC_FORMAT);
+	pack_text(&pk, s->id);
+	pack_text(&pk, s->queue);
+	msgpack_pack_uint64(&pk, s->accepted_wall_ms);
+	pack_text(&pk, s->text);
+	msgpack_pack_uint32(&pk, s->repetitions);
+	msgpack_pack_uint64(&pk, s->first_wall_ms);
+	msgpack_pack_uint64(&pk, s->interval_ms);
+	msgpack_pack_array(&pk, s->step_count);
+	for (uint32_t i = 0; i < s->step_count; i++)
+		pack_step(&pk, &s->steps[i]);
+}
+
+/* Reads elements of an array one after the other; a fault sticks. */
+struct reader {
+	const msgpack_object *next;
+	uint32_t left;
+	bool failed;
+};
+
+static const msgpack_object *take(struct reader *r, msgpack_object_type type)
+{
+	if (r->failed || !r->left || r->next->type != type) {
+		r->failed = true;
+		return NULL;
+	}
+	r->left--;
+	return r->next++;
+}
+
+static uint64_t take_u64(struct reader *r)
+{
+	const msgpack_object *o = take(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	return o ? o->via.u64 : 0;
+}
+
+static uint32_t take_u32(struct reader *r)
+{
+	uint64_t n = take_u64(r);
+
+	if (n > UINT32_MAX)
+		r->failed = true;
+	return (uint32_t)n;
+}
+
+static void take_name(struct reader *r, char *out, size_t size)
+{
+	const msgpack_object *o = take(r, MSGPACK_OBJECT_STR);
+
+	if (!o || o->via.str.size >= size) {
+		r->failed = true;
+		return;
+	}
+	memcpy(out, o->via.str.ptr, o->via.str.size);
+	out[o->via.str.size] = '\0';
+}
+
+static char *take_text(struct reader *r)
+{
+	const msgpack_object *o = take(r, MSGPACK_OBJECT_STR);
+	char *text = xcalloc(1, o ? o->via.str.size + 1 : 1);
+
+	if (o)
+		memcpy(text, o->via.str.ptr, o->via.str.size);
+	return text;
+}
+
+static struct reader read_array(const msgpack_object *o)
+{
+	struct reader r = { .failed = true };
+
+	if (o && o->type == MSGPACK_OBJECT_ARRAY) {
+		r.next = o->via.array.ptr;
+		r.left = o->via.array.size;
+		r.failed = false;
+	}
+	return r;
+}
+
+static bool read_step(const msgpack_object *o, struct job_step *step)
+{
+	struct reader r = read_array(o);
+	uint64_t flags;
+
+	step->count = take_u32(&r);
+	step->need.cpu_milli = take_u32(&r);
+	step->need.memory_mb = take_u32(&r);
+	step->need.accelerators = take_u32(&r);
+	step->estimate_ms = take_u32(&r);
+	step->target_ms = take_u32(&r);
+	step->may_miss = take_u32(&r);
+	step->per_worker_max = take_u32(&r);
+	step->after = take_u64(&r);
+	flags = take_u64(&r);
+	take_name(&r, step->label, sizeof(step->label));
+	take_name(&r, step->rack, sizeof(step->rack));
+	take_name(&r, step->image, sizeof(step->image));
+	step->checkpoints = flags & STEP_CHECKPOINTS;
+	step->gang = flags & STEP_GANG;
+	step->same_rack = flags & STEP_SAME_RACK;
+	step->speculative = flags & STEP_SPECULATIVE;
+	step->lasts = flags & STEP_LASTS;
+	step->fills = flags & STEP_FILLS;
+	return !r.failed;
+}
+
+static int read_job(struct job_spec *s, const msgpack_object *o,
+		    struct error *err)
+{
+	struct reader r = read_array(o);
+	const msgpack_object *steps;
+
+	if (take_u32(&r) != JOB_SPEC_FORMAT)
+		return invalid(err, "a stored job has another format");
+	take_name(&r, s->id, sizeof(s->id));
+	take_name(&r, s->queue, sizeof(s->queue));
+	s->accepted_wall_ms = take_u64(&r);
+	s->text = take_text(&r);
+	s->repetitions = take_u32(&r);
+	s->first_wall_ms = take_u64(&r);
+	s->interval_ms = take_u64(&r);
+	steps = take(&r, MSGPACK_OBJECT_ARRAY);
+	if (r.failed || steps->via.array.size > JOB_STEPS_MAX)
+		return invalid(err, "a stored job is malformed");
+	s->step_count = steps->via.array.size;
+	s->steps = xcalloc(s->step_count + 1, sizeof(*s->steps));
+	for (uint32_t i = 0; i < s->step_count; i++)
+		if (!read_step(&steps->via.array.ptr[i], &s->steps[i]))
+			return invalid(err, "a stored step is malformed");
+	return job_spec_check(s, err);
+}
+
+int job_spec_decode(struct job_spec *s, const void *data, size_t len,
+		    struct error *err)
+{
+	msgpack_unpacked u;
+	int ret = -1;
+
+	memset(s, 0, sizeof(*s));
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, data, len, NULL) != MSGPACK_UNPACK_SUCCESS)
+		invalid(err, "a stored job is truncated");
+	else
+		ret = read_job(s, &u.data, err);
+	msgpack_unpacked_destroy(&u);
+	if (ret < 0)
+		job_spec_free(s);
+	return ret;
+}
+
+void job_spec_free(struct job_spec *s)
+{
+	free(s->text);
+	free(s->steps);
+	memset(s, 0, sizeof(*s));
+}
--- /dev/null
+++ b/src/kv.h
@@ -0,0 +1,112 @@
+#ifndef KV_H
+#define KV_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	kv - the platform's key-value store, called from an event loop
+ *
+ * DESCRIPTION
+ *	Every call answers once through its callback. A transaction takes
+ *	effect as a whole when each expected revision holds. A lease removes
+ *	the keys that name it when it ends.
+ *
+ * ERRORS
+ *	KV_CONFLICT	an expected revision does not hold; the items of the
+ *			answer are the present ones
+ *	KV_ABSENT	no such key or lease
+ *	KV_COMPACTED	the history after that revision is gone
+ *	KV_NOT_DONE	the store refused or could not be reached
+ *	KV_UNKNOWN	the call may have taken effect, or may do so later
+ *
+ * UNITS
+ *	Times in milliseconds.
+ */
+
+#define KV_TXN_ENTRIES_MAX 32
+#define KV_KEY_BYTES 200
+
+enum kv_outcome {
+	KV_DONE,
+	KV_CONFLICT,
+	KV_ABSENT,
+	KV_COMPACTED,
+	KV_NOT_DONE,
+	KV_UNKNOWN,
+};
+
+struct kv_item {
+	const char *key;
+	const char *value; /* len bytes and a NUL */
+	size_t len;
+	uint64_t revision; /* of its last change; 0: absent */
+	uint64_t lease;
+	bool deleted;
+};
+
+struct kv_reply {
+	enum kv_outcome outcome;
+	const struct kv_item *items;
+	size_t count;
+	bool more;	   /* of a range: another page follows */
+	uint64_t revision; /* of the store, or of the transaction */
+	uint64_t lease;
+	uint32_t ttl_ms;
+};
+
+typedef void kv_reply_fn(void *arg, const struct kv_reply *r);
+
+struct kv_expect {
+	const char *key;
+	uint64_t revision; /* 0: the key does not exist */
+};
+
+struct kv_set {
+	const char *key;
+	const void *value;
+	size_t len;
+	uint64_t lease; /* 0: none */
+};
+
+struct kv_txn {
+	const struct kv_expect *expect;
+	size_t expect_count;
+	const struct kv_set *sets;
+	size_t set_count;
+	const char *const *removes;
+	size_t remove_count;
+};
+
+struct kv;
+struct kv_watch;
+
+struct kv_ops {
+	void (*get)(struct kv *kv, const char *key, kv_reply_fn *fn, void *arg);
+	/* One page of the keys with that prefix after a key ("" for the
+	 * first). stale may return values that are seconds old. */
+	void (*range)(struct kv *kv, const char *prefix, const char *after,
+		      bool stale, kv_reply_fn *fn, void *arg);
+	void (*txn)(struct kv *kv, const struct kv_txn *t, kv_reply_fn *fn,
+		    void *arg);
+	void (*lease)(struct kv *kv, uint32_t ttl_ms, kv_reply_fn *fn,
+		      void *arg);
+	void (*keep)(struct kv *kv, uint64_t lease, kv_reply_fn *fn, void *arg);
+	void (*lease_end)(struct kv *kv, uint64_t lease, kv_reply_fn *fn,
+			  void *arg);
+	/* A connection of its own; one poll at a time. */
+	struct kv_watch *(*watch)(struct kv *kv, const char *prefix);
+	/* Waits for changes after a revision, at most wait_ms. */
+	void (*poll)(struct kv_watch *w, uint64_t after, uint32_t wait_ms,
+		     kv_reply_fn *fn, void *arg);
+	void (*unwatch)(struct kv_watch *w);
+	void (*destroy)(struct kv *kv);
+};
+
+struct kv {
+	const struct kv_ops *ops;
+};
+
+#endif
--- a/src/log.c
+++ b/src/log.c
@@ -59,6 +59,6 @@
 	if (n > (int)sizeof(line) - 2)
 		n = (int)sizeof(line) - 2;
 	line[n++] = '\n';
-	if (write(STDERR_FILENO, line, (size_t)n) < 0)
+	if (write(STDOUT_FILENO, line, (size_t)n) < 0)
 		return;
 }
--- a/src/log.h
+++ b/src/log.h
@@ -3,7 +3,7 @@
 
 /*
  * NAME
- *	log - one line an event, key=value, on standard error
+ *	log - one line an event, key=value, on standard output
  *
  * DESCRIPTION
  *	log_event() writes "ts=... level=... node=... event=NAME ..." in one
--- /dev/null
+++ b/src/sched-internal.h
@@ -0,0 +1,189 @@
+#ifndef SCHED_INTERNAL_H
+#define SCHED_INTERNAL_H
+
+#include "job-sched.h"
+
+/*
+ * NAME
+ *	sched-internal - tables shared by the files of the core
+ *
+ * DESCRIPTION
+ *	sched.c: life of jobs; sched-task.c: life of tasks; sched-worker.c:
+ *	reports and leases; sched-place.c: choice of workers; sched-pace.c:
+ *	services beside batch work; sched-record.c: the stored form.
+ *
+ *	Jobs, workers and tasks live in growing tables and refer to each other
+ *	by index. Tasks of one occurrence are contiguous.
+ */
+
+#define JOB_BUCKETS 4096u /* power of two */
+
+enum task_state {
+	TASK_BLOCKED,  /* its step waits for earlier ones */
+	TASK_WAITING,  /* for a worker */
+	TASK_PLACED,   /* its worker is chosen, not yet stored */
+	TASK_STORING,  /* the record with its worker is being stored */
+	TASK_STARTING, /* the order is queued or sent */
+	TASK_RUNNING,
+	TASK_STOPPING, /* has to end where it is */
+	TASK_DOUBT,    /* may run on a worker that has not reported yet */
+	TASK_DONE,
+	TASK_DROPPED, /* its job has ended */
+};
+
+struct task {
+	uint32_t job;
+	uint32_t occurrence; /* number within the job */
+	uint16_t step;
+	uint16_t failures;
+	uint32_t index;	     /* within the step */
+	uint32_t run;	     /* of the last start; 0: none */
+	uint32_t failed_run; /* of a gang: its last run that failed */
+	uint32_t worker;
+	uint32_t next_on_worker;
+	uint32_t prev_on_worker;
+	uint64_t since_us; /* of the state */
+	uint64_t retry_us; /* not placed before that */
+	uint8_t state;
+	uint8_t pace; /* percent in force or ordered */
+	uint8_t percent;
+	bool answered; /* the start, or the stop, was confirmed */
+	uint32_t figure;
+	char checkpoint[SCHED_CHECKPOINT_BYTES];
+};
+
+/* Tasks of an occurrence that is over. */
+struct task_block {
+	uint32_t first;
+	uint32_t count;
+};
+
+struct occurrence {
+	uint32_t number;
+	uint32_t first_task;
+	uint32_t left[JOB_STEPS_MAX]; /* tasks of each step not done */
+	uint64_t due_wall_ms;
+	bool used;
+};
+
+struct job {
+	struct job_spec spec;
+	struct sched_queue queue; /* policy in force for it */
+	struct occurrence *occurrences;
+	uint32_t occurrence_count;
+	uint32_t next_occurrence; /* number of the next one to begin */
+	uint32_t next_in_bucket;
+	enum sched_job_state state;
+	uint64_t ended_wall_ms;
+	uint64_t deadline_wall_ms; /* of its objective */
+	bool used;
+	bool started; /* a task has started once */
+	bool dirty;
+	bool collected;
+	bool cancel_early; /* cancelled before it was submitted */
+};
+
+struct worker {
+	char id[JOB_NAME_BYTES];
+	char service[JOB_NAME_BYTES];
+	char zone[JOB_NAME_BYTES];
+	char labels[SCHED_LABELS_MAX][JOB_NAME_BYTES];
+	struct room capacity;
+	struct room used;	/* by tasks that count against capacity */
+	uint32_t serving_milli; /* part of used that serves */
+	uint32_t filling_milli; /* of tasks that fill */
+	uint32_t first_task;
+	uint64_t born_wall_ms;
+	uint64_t seen;		 /* highest end processed */
+	uint64_t seen_collected; /* in the collection that is open */
+	uint64_t seen_stored;
+	uint64_t lease_end_us; /* nothing runs there later without renewal */
+	uint64_t quarantine_us;
+	uint64_t full_us; /* refused for want of room until then */
+	uint64_t calm_us; /* no service over its target since */
+	uint64_t over_us; /* a service over its target since; 0: none */
+	uint64_t paced_us;
+	uint32_t failures; /* in a row, of different jobs */
+	uint32_t failed_job;
+	uint8_t pace; /* percent for tasks that fill */
+	bool listed;
+	bool draining;
+	bool reported; /* and has answered since */
+	bool trial;    /* out of quarantine: one task at a time */
+};
+
+struct sched {
+	const struct sched_ops *ops;
+	void *arg;
+	struct sched_settings settings;
+	struct sched_queue *queues;
+	size_t queue_count;
+	struct job *jobs;
+	uint32_t job_count;
+	uint32_t job_capacity;
+	uint32_t job_free; /* chained by next_in_bucket */
+	uint32_t buckets[JOB_BUCKETS];
+	struct task *tasks;
+	uint32_t task_count;
+	uint32_t task_capacity;
+	struct task_block *free_blocks;
+	uint32_t free_block_count;
+	struct worker *workers;
+	uint32_t worker_count;
+	uint64_t created_us;
+	uint64_t now_us;
+	uint64_t wall_ms;
+	bool collecting;
+	bool place; /* something changed that may allow a placement */
+	uint64_t place_us;
+	struct sched_stats stats;
+};
+
+/* ---- sched.c ---- */
+struct job *sched_job_find(const struct sched *s, const char *id);
+uint32_t sched_job_index(const struct sched *s, const struct job *j);
+void sched_mark(struct sched *s, struct job *j);
+void sched_end_job(struct sched *s, struct job *j, enum sched_job_state state);
+const struct job_step *sched_step_of(const struct sched *s,
+				     const struct task *t);
+struct occurrence *sched_occurrence(struct job *j, uint32_t number);
+struct occurrence *sched_begin_occurrence(struct sched *s, struct job *j,
+					  uint32_t number);
+/* Makes the tasks of steps ready whose earlier steps are done. */
+void sched_unblock(struct sched *s, struct job *j, struct occurrence *o);
+void sched_finish_occurrence(struct sched *s, struct job *j,
+			     struct occurrence *o);
+
+/* ---- sched-task.c ---- */
+void sched_task_place(struct sched *s, struct task *t, uint32_t worker);
+/* The task no longer occupies its worker. */
+void sched_task_release(struct sched *s, struct task *t);
+/* Back to the queue, not to be placed for some time. */
+void sched_task_requeue(struct sched *s, struct task *t, uint32_t pause_ms);
+void sched_task_start(struct sched *s, struct task *t);
+void sched_task_stop(struct sched *s, struct task *t);
+void sched_task_ended(struct sched *s, struct task *t, enum sched_end how,
+		      const char *checkpoint);
+void sched_task_name(const struct sched *s, const struct task *t,
+		     char out[SCHED_TASK_NAME_BYTES]);
+/* Returns the task, or NULL when its job or occurrence is unknown. */
+struct task *sched_task_find(struct sched *s, const char *name);
+bool sched_task_on_worker(const struct task *t);
+uint32_t sched_task_index(const struct sched *s, const struct task *t);
+
+/* ---- sched-worker.c ---- */
+void sched_workers_tick(struct sched *s);
+void sched_worker_ended(struct sched *s, struct worker *w, const struct task *t,
+			enum sched_end how);
+
+/* ---- sched-place.c ---- */
+void sched_place(struct sched *s);
+
+/* ---- sched-pace.c ---- */
+void sched_pace(struct sched *s, uint32_t worker);
+
+/* ---- sched-record.c ---- */
+void sched_record_encode(const struct sched *s, const struct job *j,
+			 struct buffer *out);
+
+#endif
--- /dev/null
+++ b/src/sched-place.c
@@ -0,0 +1,265 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "sched-internal.h"
+
+/* Part of its declared processors that a service is expected to use. */
+#define SERVING_USE_PERCENT 55u
+/* How long a step waits for the rack of its data, in parts of its estimate. */
+#define RACK_WAIT_PERCENT 50u
+
+struct candidate {
+	uint32_t job;
+	uint64_t key;
+};
+
+static int by_key(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+
+	if (x->key != y->key)
+		return x->key < y->key ? -1 : 1;
+	return x->job < y->job ? -1 : x->job > y->job;
+}
+
+static bool has_label(const struct worker *w, const char *label)
+{
+	if (!*label)
+		return true;
+	for (int i = 0; i < SCHED_LABELS_MAX; i++)
+		if (!strcmp(w->labels[i], label))
+			return true;
+	return false;
+}
+
+static uint32_t tasks_of_step(const struct sched *s, const struct worker *w,
+			      const struct task *like)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker)
+		n += s->tasks[i].job == like->job &&
+		     s->tasks[i].occurrence == like->occurrence &&
+		     s->tasks[i].step == like->step;
+	return n;
+}
+
+static bool usable(const struct sched *s, const struct worker *w,
+		   const struct job *j, const struct job_step *step)
+{
+	if (!w->listed || !w->reported || w->draining ||
+	    strcmp(w->service, j->queue.service) ||
+	    s->now_us < w->quarantine_us || s->now_us < w->full_us)
+		return false;
+	if (w->trial && w->first_task != SCHED_NONE)
+		return false;
+	return has_label(w, step->label);
+}
+
+/* Processors that are left for tasks that fill, in thousandths. */
+static int64_t filling_room(const struct worker *w)
+{
+	int64_t others = (int64_t)w->used.cpu_milli - w->serving_milli;
+
+	return (int64_t)w->capacity.cpu_milli - others -
+	       (int64_t)w->serving_milli * SERVING_USE_PERCENT / 100 -
+	       w->filling_milli;
+}
+
+static bool fits(const struct worker *w, const struct job_step *step)
+{
+	if (w->used.memory_mb + step->need.memory_mb > w->capacity.memory_mb ||
+	    w->used.accelerators + step->need.accelerators >
+		    w->capacity.accelerators)
+		return false;
+	if (step->fills)
+		return w->pace == 100 && !w->over_us &&
+		       filling_room(w) >= (int64_t)step->need.cpu_milli;
+	return w->used.cpu_milli + step->need.cpu_milli <=
+	       w->capacity.cpu_milli;
+}
+
+/* Higher is better: the share of its processors that stays free. */
+static int64_t score(const struct worker *w, const struct job_step *step)
+{
+	int64_t left = step->fills ? filling_room(w)
+				   : (int64_t)w->capacity.cpu_milli -
+					     w->used.cpu_milli -
+					     w->filling_milli / 2;
+
+	return (left - step->need.cpu_milli) * 1000 /
+	       (w->capacity.cpu_milli + 1);
+}
+
+/* rack: NULL for any. */
+static uint32_t best_worker(const struct sched *s, const struct job *j,
+			    const struct task *t, const char *rack)
+{
+	const struct job_step *step = &j->spec.steps[t->step];
+	uint32_t best = SCHED_NONE;
+	int64_t best_score = 0;
+
+	for (uint32_t i = 0; i < s->worker_count; i++) {
+		const struct worker *w = &s->workers[i];
+		int64_t value;
+
+		if (!usable(s, w, j, step) || !fits(w, step) ||
+		    (rack && !has_label(w, rack)))
+			continue;
+		value = score(w, step);
+		if (best != SCHED_NONE && value <= best_score)
+			continue;
+		if (step->per_worker_max &&
+		    tasks_of_step(s, w, t) >= step->per_worker_max)
+			continue;
+		best = i;
+		best_score = value;
+	}
+	return best;
+}
+
+static uint32_t choose_worker(const struct sched *s, const struct job *j,
+			      const struct task *t)
+{
+	const struct job_step *step = &j->spec.steps[t->step];
+	uint32_t best;
+
+	if (!*step->rack)
+		return best_worker(s, j, t, NULL);
+	best = best_worker(s, j, t, step->rack);
+	if (best != SCHED_NONE ||
+	    s->now_us <
+		    t->since_us + step->estimate_ms * 10ull * RACK_WAIT_PERCENT)
+		return best;
+	return best_worker(s, j, t, NULL);
+}
+
+/* Places all members or none; returns whether it placed them. */
+static bool try_gang(struct sched *s, struct job *j, struct task *first,
+		     const char *rack)
+{
+	const struct job_step *step = &j->spec.steps[first->step];
+	uint32_t placed = 0, run = 0;
+
+	for (uint32_t i = 0; i < step->count; i++)
+		if (first[i].run > run)
+			run = first[i].run;
+	for (; placed < step->count; placed++) {
+		uint32_t w = best_worker(s, j, &first[placed], rack);
+
+		if (w == SCHED_NONE)
+			break;
+		first[placed].run = run;
+		sched_task_place(s, &first[placed], w);
+	}
+	if (placed == step->count)
+		return true;
+	while (placed--) {
+		sched_task_release(s, &first[placed]);
+		first[placed].state = TASK_WAITING;
+		first[placed].run = run;
+	}
+	return false;
+}
+
+static void place_gang(struct sched *s, struct job *j, struct task *first)
+{
+	const struct job_step *step = &j->spec.steps[first->step];
+	char checkpoint[SCHED_CHECKPOINT_BYTES] = "";
+
+	for (uint32_t i = 0; i < step->count; i++) {
+		if (first[i].state != TASK_WAITING ||
+		    s->now_us < first[i].retry_us)
+			return;
+		/* The longest run's value serves all members. */
+		if (strcmp(first[i].checkpoint, checkpoint) > 0)
+			memcpy(checkpoint, first[i].checkpoint,
+			       sizeof(checkpoint));
+	}
+	for (uint32_t i = 0; i < step->count; i++)
+		memcpy(first[i].checkpoint, checkpoint, sizeof(checkpoint));
+	if (*step->rack && try_gang(s, j, first, step->rack))
+		return;
+	if (step->same_rack)
+		for (uint32_t i = 0; i < s->worker_count; i++) {
+			const char *rack = s->workers[i].labels[1];
+
+			if (*rack && try_gang(s, j, first, rack))
+				return;
+		}
+	if (s->now_us >= first->since_us + step->estimate_ms * 10ull *
+						   RACK_WAIT_PERCENT ||
+	    (!step->same_rack && !*step->rack))
+		try_gang(s, j, first, NULL);
+}
+
+static void place_step(struct sched *s, struct job *j, struct task *first)
+{
+	const struct job_step *step = &j->spec.steps[first->step];
+
+	if (step->gang) {
+		place_gang(s, j, first);
+		return;
+	}
+	for (uint32_t i = 0; i < step->count; i++) {
+		uint32_t w;
+
+		if (first[i].state != TASK_WAITING ||
+		    s->now_us < first[i].retry_us)
+			continue;
+		w = choose_worker(s, j, &first[i]);
+		if (w == SCHED_NONE)
+			return;
+		sched_task_place(s, &first[i], w);
+	}
+}
+
+static void place_job(struct sched *s, struct job *j)
+{
+	for (uint32_t i = 0; i < j->occurrence_count; i++) {
+		uint32_t n = j->occurrences[i].first_task;
+
+		if (!j->occurrences[i].used)
+			continue;
+		for (uint32_t k = 0; k < j->spec.step_count; k++) {
+			place_step(s, j, &s->tasks[n]);
+			n += j->spec.steps[k].count;
+		}
+	}
+}
+
+static bool has_waiting(const struct sched *s, const struct job *j)
+{
+	uint32_t count = job_spec_tasks(&j->spec);
+
+	for (uint32_t i = 0; i < j->occurrence_count; i++)
+		for (uint32_t k = 0; j->occurrences[i].used && k < count; k++)
+			if (s->tasks[j->occurrences[i].first_task + k].state ==
+			    TASK_WAITING)
+				return true;
+	return false;
+}
+
+void sched_place(struct sched *s)
+{
+	struct candidate *list = xcalloc(s->job_count + 1, sizeof(*list));
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->job_count; i++) {
+		const struct job *j = &s->jobs[i];
+
+		if (!j->used || j->state >= SCHED_JOB_COMPLETED ||
+		    !has_waiting(s, j))
+			continue;
+		list[n].job = i;
+		list[n].key = (uint64_t)j->queue.priority << 56 |
+			      (j->deadline_wall_ms & ((1ull << 56) - 1));
+		n++;
+	}
+	qsort(list, n, sizeof(*list), by_key);
+	for (uint32_t i = 0; i < n; i++)
+		place_job(s, &s->jobs[list[i].job]);
+	free(list);
+}
--- /dev/null
+++ b/src/sched-record.c
@@ -0,0 +1,243 @@
+#include <msgpack.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "sched-internal.h"
+
+/*
+ * [format, state, ended_wall_ms, started, next occurrence,
+ *  [[number, [task, ...]], ...]]
+ * A task is nil when nothing is known of it, true when it is done, else
+ * [run, failures, worker id or nil, checkpoint].
+ */
+#define RECORD_FORMAT 1
+#define RECORD_ELEMENTS 6
+#define TASK_ELEMENTS 4
+#define RECORD_INVALID 2
+
+static int write_buffer(void *arg, const char *data, size_t len)
+{
+	buffer_append(arg, data, len);
+	return 0;
+}
+
+static void pack_text(msgpack_packer *pk, const char *text)
+{
+	size_t len = strlen(text);
+
+	msgpack_pack_str(pk, len);
+	msgpack_pack_str_body(pk, text, len);
+}
+
+static void pack_task(msgpack_packer *pk, const struct sched *s,
+		      const struct task *t)
+{
+	if (t->state == TASK_DONE) {
+		msgpack_pack_true(pk);
+		return;
+	}
+	if (!t->run) {
+		msgpack_pack_nil(pk);
+		return;
+	}
+	msgpack_pack_array(pk, TASK_ELEMENTS);
+	msgpack_pack_uint32(pk, t->run);
+	msgpack_pack_uint32(pk, t->failures);
+	if (t->worker == SCHED_NONE)
+		msgpack_pack_nil(pk);
+	else
+		pack_text(pk, s->workers[t->worker].id);
+	pack_text(pk, t->checkpoint);
+}
+
+void sched_record_encode(const struct sched *s, const struct job *j,
+			 struct buffer *out)
+{
+	uint32_t tasks = job_spec_tasks(&j->spec);
+	uint32_t open = 0;
+	msgpack_packer pk;
+
+	for (uint32_t i = 0; i < j->occurrence_count; i++)
+		open += j->occurrences[i].used;
+	msgpack_packer_init(&pk, out, write_buffer);
+	msgpack_pack_array(&pk, RECORD_ELEMENTS);
+	msgpack_pack_uint32(&pk, RECORD_FORMAT);
+	msgpack_pack_uint32(&pk, j->state);
+	msgpack_pack_uint64(&pk, j->ended_wall_ms);
+	msgpack_pack_uint32(&pk, j->started);
+	msgpack_pack_uint32(&pk, j->next_occurrence);
+	msgpack_pack_array(&pk, open);
+	for (uint32_t i = 0; i < j->occurrence_count; i++) {
+		const struct occurrence *o = &j->occurrences[i];
+
+		if (!o->used)
+			continue;
+		msgpack_pack_array(&pk, 2);
+		msgpack_pack_uint32(&pk, o->number);
+		msgpack_pack_array(&pk, tasks);
+		for (uint32_t k = 0; k < tasks; k++)
+			pack_task(&pk, s, &s->tasks[o->first_task + k]);
+	}
+}
+
+static bool is_uint(const msgpack_object *o)
+{
+	return o->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+}
+
+static bool copy_text(const msgpack_object *o, char *out, size_t size)
+{
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size)
+		return false;
+	memcpy(out, o->via.str.ptr, o->via.str.size);
+	out[o->via.str.size] = '\0';
+	return true;
+}
+
+static bool restore_worker(struct sched *s, struct task *t,
+			   const msgpack_object *o)
+{
+	char id[JOB_NAME_BYTES];
+	uint32_t worker, run = t->run;
+
+	if (o->type == MSGPACK_OBJECT_NIL)
+		return true;
+	if (!copy_text(o, id, sizeof(id)))
+		return false;
+	worker = sched_find_worker(s, id);
+	if (worker == SCHED_NONE) {
+		struct sched_worker_info info = { .id = id,
+						  .service = "",
+						  .zone = "" };
+
+		worker = sched_worker(s, &info);
+		s->workers[worker].listed = false;
+	}
+	sched_task_place(s, t, worker);
+	t->run = run;
+	t->state = TASK_DOUBT;
+	return true;
+}
+
+static bool restore_task(struct sched *s, struct job *j, struct occurrence *o,
+			 struct task *t, const msgpack_object *obj)
+{
+	const msgpack_object *e;
+
+	if (obj->type == MSGPACK_OBJECT_NIL)
+		return true;
+	if (obj->type == MSGPACK_OBJECT_BOOLEAN) {
+		t->state = TASK_DONE;
+		o->left[t->step]--;
+		return true;
+	}
+	if (obj->type != MSGPACK_OBJECT_ARRAY ||
+	    obj->via.array.size != TASK_ELEMENTS)
+		return false;
+	e = obj->via.array.ptr;
+	if (!is_uint(&e[0]) || !is_uint(&e[1]) ||
+	    !copy_text(&e[3], t->checkpoint, sizeof(t->checkpoint)))
+		return false;
+	t->run = (uint32_t)e[0].via.u64;
+	t->failures = (uint16_t)e[1].via.u64;
+	if (j->state >= SCHED_JOB_COMPLETED)
+		t->state = TASK_DROPPED;
+	return restore_worker(s, t, &e[2]);
+}
+
+static bool restore_occurrence(struct sched *s, struct job *j,
+			       const msgpack_object *obj)
+{
+	uint32_t tasks = job_spec_tasks(&j->spec);
+	const msgpack_object *e = obj->via.array.ptr;
+	struct occurrence *o;
+	uint32_t number;
+
+	if (obj->type != MSGPACK_OBJECT_ARRAY || obj->via.array.size != 2 ||
+	    !is_uint(&e[0]) || e[1].type != MSGPACK_OBJECT_ARRAY ||
+	    e[1].via.array.size != tasks)
+		return false;
+	number = (uint32_t)e[0].via.u64;
+	sched_begin_occurrence(s, j, number);
+	for (uint32_t i = 0; i < tasks; i++) {
+		o = sched_occurrence(j, number);
+		if (!restore_task(s, j, o, &s->tasks[o->first_task + i],
+				  &e[1].via.array.ptr[i]))
+			return false;
+	}
+	o = sched_occurrence(j, number);
+	if (j->state < SCHED_JOB_COMPLETED)
+		sched_unblock(s, j, o);
+	return true;
+}
+
+static bool valid_head(const msgpack_object *o)
+{
+	const msgpack_object *e = o->via.array.ptr;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY ||
+	    o->via.array.size != RECORD_ELEMENTS)
+		return false;
+	for (int i = 0; i < 5; i++)
+		if (!is_uint(&e[i]))
+			return false;
+	return e[0].via.u64 == RECORD_FORMAT &&
+	       e[1].via.u64 <= SCHED_JOB_CANCELLED &&
+	       e[5].type == MSGPACK_OBJECT_ARRAY;
+}
+
+static bool restore(struct sched *s, struct job *j, const msgpack_object *o)
+{
+	const msgpack_object *e = o->via.array.ptr;
+
+	if (!valid_head(o))
+		return false;
+	j->state = (enum sched_job_state)e[1].via.u64;
+	j->ended_wall_ms = e[2].via.u64;
+	j->started = e[3].via.u64 != 0;
+	j->next_occurrence = (uint32_t)e[4].via.u64;
+	if (j->state >= SCHED_JOB_COMPLETED)
+		s->stats.jobs_open--;
+	for (uint32_t i = 0; i < e[5].via.array.size; i++)
+		if (!restore_occurrence(s, j, &e[5].via.array.ptr[i]))
+			return false;
+	return true;
+}
+
+int sched_restore(struct sched *s, const char *id, const void *data, size_t len,
+		  struct error *err)
+{
+	struct job *j = sched_job_find(s, id);
+	msgpack_unpacked u;
+	int ret = 0;
+
+	if (!j)
+		return error_set(err, ERROR_LAYER_CORE, RECORD_INVALID,
+				 "progress of an unknown job %s", id);
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, data, len, NULL) !=
+		    MSGPACK_UNPACK_SUCCESS ||
+	    !restore(s, j, &u.data))
+		ret = error_set(err, ERROR_LAYER_CORE, RECORD_INVALID,
+				"malformed progress of job %s", id);
+	msgpack_unpacked_destroy(&u);
+	j->dirty = false;
+	return ret;
+}
+
+int sched_record_state(const void *data, size_t len,
+		       enum sched_job_state *state)
+{
+	msgpack_unpacked u;
+	int ret = -1;
+
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, data, len, NULL) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    valid_head(&u.data)) {
+		*state = (enum sched_job_state)u.data.via.array.ptr[1].via.u64;
+		ret = 0;
+	}
+	msgpack_unpacked_destroy(&u);
+	return ret;
+}
--- /dev/null
+++ b/src/sched-task.c
@@ -0,0 +1,331 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "sched-internal.h"
+
+/* A task that failed is tried again after a pause, elsewhere if possible. */
+#define FAILED_PAUSE_MS 50u
+
+static const char *const end_names[] = { "done",   "failed", "stopped",
+					 "lapsed", "broken", "alone" };
+
+uint32_t sched_task_index(const struct sched *s, const struct task *t)
+{
+	return (uint32_t)(t - s->tasks);
+}
+
+bool sched_task_on_worker(const struct task *t)
+{
+	return t->worker != SCHED_NONE;
+}
+
+static void set_state(struct sched *s, struct task *t, enum task_state state)
+{
+	t->state = (uint8_t)state;
+	t->since_us = s->now_us;
+}
+
+void sched_task_name(const struct sched *s, const struct task *t,
+		     char out[SCHED_TASK_NAME_BYTES])
+{
+	snprintf(out, SCHED_TASK_NAME_BYTES, "%s.%u.%u.%u",
+		 s->jobs[t->job].spec.id, t->occurrence, t->step, t->index);
+}
+
+struct task *sched_task_find(struct sched *s, const char *name)
+{
+	char id[JOB_ID_BYTES];
+	unsigned number, step, index;
+	struct occurrence *o;
+	struct job *j;
+	uint32_t n;
+
+	if (sscanf(name, "%16[0-9a-fA-F].%u.%u.%u", id, &number, &step,
+		   &index) != 4)
+		return NULL;
+	j = sched_job_find(s, id);
+	if (!j || step >= j->spec.step_count ||
+	    index >= j->spec.steps[step].count)
+		return NULL;
+	o = sched_occurrence(j, number);
+	if (!o)
+		return NULL;
+	n = o->first_task + index;
+	for (uint32_t i = 0; i < step; i++)
+		n += j->spec.steps[i].count;
+	return &s->tasks[n];
+}
+
+/* Adds or takes away (sign -1) what a task uses of its worker. */
+static void account(struct sched *s, const struct task *t, int sign)
+{
+	struct worker *w = &s->workers[t->worker];
+	const struct job_step *step = sched_step_of(s, t);
+	int cpu = sign * (int)step->need.cpu_milli;
+
+	w->used.memory_mb += (uint32_t)(sign * (int)step->need.memory_mb);
+	w->used.accelerators += (uint32_t)(sign * (int)step->need.accelerators);
+	if (step->fills) {
+		w->filling_milli += (uint32_t)cpu;
+		return;
+	}
+	w->used.cpu_milli += (uint32_t)cpu;
+	if (step->lasts)
+		w->serving_milli += (uint32_t)cpu;
+}
+
+void sched_task_place(struct sched *s, struct task *t, uint32_t worker)
+{
+	struct worker *w = &s->workers[worker];
+	uint32_t index = sched_task_index(s, t);
+
+	t->worker = worker;
+	t->run++;
+	t->answered = false;
+	t->pace = 100;
+	t->percent = 0;
+	t->prev_on_worker = SCHED_NONE;
+	t->next_on_worker = w->first_task;
+	if (w->first_task != SCHED_NONE)
+		s->tasks[w->first_task].prev_on_worker = index;
+	w->first_task = index;
+	account(s, t, 1);
+	set_state(s, t, TASK_PLACED);
+	sched_mark(s, &s->jobs[t->job]);
+}
+
+void sched_task_release(struct sched *s, struct task *t)
+{
+	if (t->worker == SCHED_NONE)
+		return;
+	account(s, t, -1);
+	if (t->prev_on_worker != SCHED_NONE)
+		s->tasks[t->prev_on_worker].next_on_worker = t->next_on_worker;
+	else
+		s->workers[t->worker].first_task = t->next_on_worker;
+	if (t->next_on_worker != SCHED_NONE)
+		s->tasks[t->next_on_worker].prev_on_worker = t->prev_on_worker;
+	t->worker = SCHED_NONE;
+	t->next_on_worker = SCHED_NONE;
+	t->prev_on_worker = SCHED_NONE;
+	s->place = true;
+}
+
+void sched_task_requeue(struct sched *s, struct task *t, uint32_t pause_ms)
+{
+	struct job *j = &s->jobs[t->job];
+
+	sched_task_release(s, t);
+	set_state(s, t,
+		  j->state < SCHED_JOB_COMPLETED ? TASK_WAITING : TASK_DROPPED);
+	t->retry_us = s->now_us + pause_ms * 1000u;
+	sched_mark(s, j);
+	s->place = true;
+}
+
+static void order(struct sched *s, struct task *t, enum sched_order_type type)
+{
+	struct sched_order o = { .type = type,
+				 .worker = t->worker,
+				 .run = t->run,
+				 .percent = t->pace,
+				 .text = s->jobs[t->job].spec.text,
+				 .checkpoint = t->checkpoint };
+
+	sched_task_name(s, t, o.task);
+	s->ops->order(s->arg, &o);
+}
+
+void sched_task_start(struct sched *s, struct task *t)
+{
+	set_state(s, t, TASK_STARTING);
+	s->stats.starts++;
+	order(s, t, SCHED_START);
+}
+
+void sched_task_stop(struct sched *s, struct task *t)
+{
+	set_state(s, t, TASK_STOPPING);
+	t->answered = false;
+	order(s, t, SCHED_STOP);
+}
+
+/* A gang has one end: the other members' tasks are done, too. */
+static void gang_done(struct sched *s, struct job *j, struct occurrence *o,
+		      const struct task *first)
+{
+	uint32_t n = job_spec_tasks(&j->spec);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct task *t = &s->tasks[o->first_task + i];
+
+		if (t->step != first->step || t->state == TASK_DONE)
+			continue;
+		sched_task_release(s, t);
+		set_state(s, t, TASK_DONE);
+		o->left[t->step]--;
+	}
+}
+
+/* Failures of a gang count once for each run, at its first member. */
+static uint32_t count_failure(struct sched *s, struct job *j,
+			      const struct job_step *step, struct task *t)
+{
+	struct occurrence *o = sched_occurrence(j, t->occurrence);
+	uint32_t n = job_spec_tasks(&j->spec);
+
+	if (!step->gang)
+		return ++t->failures;
+	if (t->failed_run == t->run)
+		return t->failures;
+	for (uint32_t i = 0; i < n; i++) {
+		struct task *m = &s->tasks[o->first_task + i];
+
+		if (m->step != t->step)
+			continue;
+		m->failed_run = t->run;
+		m->failures++;
+	}
+	return t->failures;
+}
+
+static void task_done(struct sched *s, struct task *t)
+{
+	struct job *j = &s->jobs[t->job];
+	struct occurrence *o = sched_occurrence(j, t->occurrence);
+	const struct job_step *step = sched_step_of(s, t);
+
+	s->stats.ends_done++;
+	sched_task_release(s, t);
+	sched_mark(s, j);
+	if (step->lasts && j->state < SCHED_JOB_COMPLETED) {
+		sched_task_requeue(s, t, 0);
+		return;
+	}
+	set_state(s, t, TASK_DONE);
+	o->left[t->step]--;
+	if (step->gang)
+		gang_done(s, j, o, t);
+	if (j->state >= SCHED_JOB_COMPLETED)
+		return;
+	if (!o->left[t->step])
+		sched_unblock(s, j, o);
+	sched_finish_occurrence(s, j, o);
+}
+
+void sched_task_ended(struct sched *s, struct task *t, enum sched_end how,
+		      const char *checkpoint)
+{
+	struct job *j = &s->jobs[t->job];
+	const struct job_step *step = sched_step_of(s, t);
+	struct worker *w =
+		t->worker == SCHED_NONE ? NULL : &s->workers[t->worker];
+
+	log_event(LOG_DEBUG, "task-ended",
+		  "job=%s step=%u index=%u run=%u worker=%s how=%s", j->spec.id,
+		  t->step, t->index, t->run, w ? w->id : "-", end_names[how]);
+	if (*checkpoint)
+		snprintf(t->checkpoint, sizeof(t->checkpoint), "%s",
+			 checkpoint);
+	if (w)
+		sched_worker_ended(s, w, t, how);
+	if (how == SCHED_END_DONE) {
+		task_done(s, t);
+		return;
+	}
+	if (how == SCHED_END_FAILED) {
+		s->stats.ends_failed++;
+		if (count_failure(s, j, step, t) >= j->queue.attempts_max &&
+		    !step->lasts) {
+			sched_task_requeue(s, t, 0);
+			sched_end_job(s, j, SCHED_JOB_FAILED);
+			return;
+		}
+		sched_task_requeue(s, t, step->lasts ? 0 : FAILED_PAUSE_MS);
+		return;
+	}
+	sched_task_requeue(s, t, 0);
+}
+
+static void start_result(struct sched *s, struct task *t,
+			 enum sched_result result)
+{
+	struct worker *w = &s->workers[t->worker];
+
+	switch (result) {
+	case SCHED_DONE:
+		if (t->state == TASK_STARTING)
+			set_state(s, t, TASK_RUNNING);
+		t->answered = true;
+		s->jobs[t->job].started = true;
+		if (s->jobs[t->job].state == SCHED_JOB_QUEUED)
+			s->jobs[t->job].state = SCHED_JOB_RUNNING;
+		break;
+	case SCHED_NO_ROOM:
+		w->full_us = s->now_us + 200000u;
+		sched_task_requeue(s, t, 0);
+		break;
+	case SCHED_LATE:
+		sched_task_requeue(s, t, 0);
+		break;
+	case SCHED_UNHEALTHY:
+		w->quarantine_us = s->now_us + 1000000u;
+		sched_task_requeue(s, t, 0);
+		break;
+	case SCHED_INVALID:
+		sched_task_requeue(s, t, 2000);
+		break;
+	case SCHED_OLD_RUN:
+		/* It ran there and has ended; the next report says how. */
+		t->answered = true;
+		set_state(s, t, TASK_RUNNING);
+		break;
+	case SCHED_UNREACHED:
+	case SCHED_LOST:
+		/* The same start again: a worker runs it at most once. */
+		if (t->state == TASK_STARTING)
+			order(s, t, SCHED_START);
+		break;
+	}
+}
+
+void sched_order_result(struct sched *s, const struct sched_order *o,
+			enum sched_result result, uint64_t now_us)
+{
+	struct task *t = sched_task_find(s, o->task);
+
+	s->now_us = now_us;
+	if (!t || t->run != o->run || t->worker != o->worker)
+		return;
+	if (o->type == SCHED_START &&
+	    (t->state == TASK_STARTING ||
+	     (t->state == TASK_STOPPING && result == SCHED_DONE))) {
+		if (t->state == TASK_STARTING)
+			start_result(s, t, result);
+		else
+			t->answered = true;
+	} else if (o->type == SCHED_STOP && t->state == TASK_STOPPING) {
+		/* Once confirmed, the next report tells that it is gone. */
+		t->since_us = now_us;
+		t->answered = result != SCHED_LOST && result != SCHED_UNREACHED;
+		if (!t->answered)
+			order(s, t, SCHED_STOP);
+	} else if (o->type == SCHED_PACE && t->state == TASK_RUNNING &&
+		   (result == SCHED_LOST || result == SCHED_UNREACHED)) {
+		order(s, t, SCHED_PACE);
+	}
+}
+
+bool sched_order_wanted(struct sched *s, const struct sched_order *o)
+{
+	const struct task *t = sched_task_find(s, o->task);
+
+	if (o->type == SCHED_STOP)
+		return true;
+	if (!t || t->run != o->run || t->worker != o->worker)
+		return false;
+	return o->type == SCHED_START ? t->state == TASK_STARTING
+				      : t->state == TASK_RUNNING;
+}
--- /dev/null
+++ b/src/sched-worker.c
@@ -0,0 +1,328 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "log.h"
+#include "sched-internal.h"
+
+/* A worker's clock may run 2% slow, and answers take time on their way. */
+#define LEASE_SLACK_PERCENT 2u
+#define LEASE_SLACK_US 300000u
+/* Failures in a row, of different jobs, after which a worker is left alone. */
+#define QUARANTINE_FAILURES 3u
+#define QUARANTINE_US 4000000u
+
+static uint64_t lease_us(const struct sched *s)
+{
+	return s->settings.lease_max_ms * 10ull * (100u + LEASE_SLACK_PERCENT) +
+	       LEASE_SLACK_US;
+}
+
+uint32_t sched_find_worker(const struct sched *s, const char *id)
+{
+	for (uint32_t i = 0; i < s->worker_count; i++)
+		if (!strcmp(s->workers[i].id, id))
+			return i;
+	return SCHED_NONE;
+}
+
+static uint32_t add_worker(struct sched *s, const char *id)
+{
+	uint32_t i = sched_find_worker(s, id);
+	struct worker *w;
+
+	if (i != SCHED_NONE)
+		return i;
+	s->workers = xrealloc(s->workers,
+			      (s->worker_count + 1) * sizeof(*s->workers));
+	w = &s->workers[s->worker_count];
+	memset(w, 0, sizeof(*w));
+	snprintf(w->id, sizeof(w->id), "%s", id);
+	w->first_task = SCHED_NONE;
+	w->failed_job = SCHED_NONE;
+	w->pace = 100;
+	/* A predecessor may have granted a lease just before its own ended. */
+	w->lease_end_us = s->created_us + lease_us(s) +
+			  s->settings.takeover_wait_ms * 1000ull;
+	return s->worker_count++;
+}
+
+/* Takes a worker's tasks away because they cannot run there any more. */
+static void lose_tasks(struct sched *s, struct worker *w, const char *why)
+{
+	uint32_t n = 0;
+
+	while (w->first_task != SCHED_NONE) {
+		struct task *t = &s->tasks[w->first_task];
+
+		sched_task_requeue(s, t, 0);
+		n++;
+	}
+	s->stats.tasks_lost += n;
+	if (n)
+		log_event(LOG_INFO, "worker-tasks-lost",
+			  "worker=%s tasks=%u why=%s", w->id, n, why);
+}
+
+/* Another life of the worker: it runs nothing and counts from the start. */
+static void begin_life(struct sched *s, struct worker *w, uint64_t born)
+{
+	if (w->born_wall_ms)
+		lose_tasks(s, w, "restarted");
+	w->born_wall_ms = born;
+	w->seen = 0;
+	w->seen_collected = 0;
+	w->seen_stored = 0;
+	w->failures = 0;
+	w->quarantine_us = 0;
+	w->trial = false;
+}
+
+/* Tasks with progress to save, or that last, leave a worker that drains. */
+static void evacuate(struct sched *s, struct worker *w)
+{
+	uint32_t i = w->first_task;
+
+	while (i != SCHED_NONE) {
+		struct task *t = &s->tasks[i];
+		const struct job_step *step = sched_step_of(s, t);
+
+		i = t->next_on_worker;
+		if (t->state == TASK_RUNNING &&
+		    (step->lasts || step->checkpoints))
+			sched_task_stop(s, t);
+		else if (t->state == TASK_PLACED)
+			sched_task_requeue(s, t, 0);
+	}
+}
+
+uint32_t sched_worker(struct sched *s, const struct sched_worker_info *info)
+{
+	uint32_t i = add_worker(s, info->id);
+	struct worker *w = &s->workers[i];
+
+	snprintf(w->service, sizeof(w->service), "%s", info->service);
+	snprintf(w->zone, sizeof(w->zone), "%s", info->zone);
+	memcpy(w->labels, info->labels, sizeof(w->labels));
+	w->capacity = info->capacity;
+	if (!w->listed)
+		log_event(LOG_INFO, "worker-listed",
+			  "worker=%s service=%s zone=%s cpu=%u memory_mb=%u",
+			  w->id, w->service, w->zone, w->capacity.cpu_milli,
+			  w->capacity.memory_mb);
+	w->listed = true;
+	if (info->draining && !w->draining) {
+		log_event(LOG_INFO, "worker-draining", "worker=%s", w->id);
+		w->draining = true;
+		evacuate(s, w);
+	}
+	w->draining = info->draining;
+	if (info->born_wall_ms && info->born_wall_ms > w->born_wall_ms)
+		begin_life(s, w, info->born_wall_ms);
+	s->place = true;
+	return i;
+}
+
+void sched_worker_unlisted(struct sched *s, uint32_t worker, uint64_t now_us)
+{
+	struct worker *w = &s->workers[worker];
+
+	s->now_us = now_us;
+	if (!w->listed)
+		return;
+	log_event(LOG_INFO, "worker-unlisted", "worker=%s draining=%d", w->id,
+		  w->draining);
+	w->listed = false;
+}
+
+void sched_worker_silent(struct sched *s, uint32_t worker, uint64_t now_us)
+{
+	s->now_us = now_us;
+	if (s->workers[worker].reported)
+		log_event(LOG_INFO, "worker-silent", "worker=%s listed=%d",
+			  s->workers[worker].id, s->workers[worker].listed);
+	s->workers[worker].reported = false;
+}
+
+void sched_worker_dead(struct sched *s, uint32_t worker, uint64_t now_us)
+{
+	sched_worker_silent(s, worker, now_us);
+	lose_tasks(s, &s->workers[worker], "dead");
+}
+
+void sched_leased(struct sched *s, uint32_t worker, uint64_t now_us)
+{
+	uint64_t end = now_us + lease_us(s);
+
+	if (end > s->workers[worker].lease_end_us)
+		s->workers[worker].lease_end_us = end;
+}
+
+uint64_t sched_acknowledged(const struct sched *s, uint32_t worker)
+{
+	return s->workers[worker].seen_stored;
+}
+
+bool sched_worker_shared(const struct sched *s, uint32_t worker)
+{
+	const struct worker *w = &s->workers[worker];
+
+	return w->serving_milli && w->filling_milli;
+}
+
+void sched_worker_ended(struct sched *s, struct worker *w, const struct task *t,
+			enum sched_end how)
+{
+	if (how == SCHED_END_DONE) {
+		w->failures = 0;
+		w->failed_job = SCHED_NONE;
+		w->trial = false;
+		return;
+	}
+	if (how != SCHED_END_FAILED || w->failed_job == t->job)
+		return;
+	w->failed_job = t->job;
+	if (++w->failures < QUARANTINE_FAILURES)
+		return;
+	w->quarantine_us = s->now_us + QUARANTINE_US;
+	w->trial = true;
+	log_event(LOG_INFO, "worker-quarantined", "worker=%s failures=%u",
+		  w->id, w->failures);
+}
+
+/* A run that is not known, or no longer wanted, is stopped. */
+static void stop_stray(struct sched *s, uint32_t worker,
+		       const struct sched_run *run)
+{
+	struct sched_order o = { .type = SCHED_STOP,
+				 .worker = worker,
+				 .run = run->run,
+				 .text = "",
+				 .checkpoint = "" };
+
+	snprintf(o.task, sizeof(o.task), "%s", run->task);
+	log_event(LOG_WARNING, "task-stray", "task=%s run=%u worker=%s",
+		  run->task, run->run, s->workers[worker].id);
+	s->ops->order(s->arg, &o);
+}
+
+static void take_running(struct sched *s, uint32_t worker,
+			 const struct sched_run *run)
+{
+	struct task *t = sched_task_find(s, run->task);
+
+	if (!t || t->worker != worker || t->run != run->run) {
+		stop_stray(s, worker, run);
+		return;
+	}
+	if (*run->checkpoint)
+		snprintf(t->checkpoint, sizeof(t->checkpoint), "%s",
+			 run->checkpoint);
+	t->percent = (uint8_t)run->percent;
+	t->figure = run->figure;
+	s->jobs[t->job].started = true;
+	if (s->jobs[t->job].state == SCHED_JOB_QUEUED)
+		s->jobs[t->job].state = SCHED_JOB_RUNNING;
+	if (t->state == TASK_DOUBT || t->state == TASK_STARTING) {
+		t->state = TASK_RUNNING;
+		t->since_us = s->now_us;
+		t->answered = true;
+	}
+	if (s->jobs[t->job].state >= SCHED_JOB_COMPLETED &&
+	    t->state == TASK_RUNNING)
+		sched_task_stop(s, t);
+}
+
+/* Marks the tasks that the report names, to find those that it does not. */
+static bool named(const struct sched_report *r, const char *name, uint32_t run)
+{
+	for (size_t i = 0; i < r->running_count; i++)
+		if (r->running[i].run == run &&
+		    !strcmp(r->running[i].task, name))
+			return true;
+	return false;
+}
+
+static void find_vanished(struct sched *s, struct worker *w,
+			  const struct sched_report *r)
+{
+	uint32_t i = w->first_task;
+	char name[SCHED_TASK_NAME_BYTES];
+
+	while (i != SCHED_NONE) {
+		struct task *t = &s->tasks[i];
+		bool known =
+			t->answered && r->asked_us > t->since_us &&
+			(t->state == TASK_RUNNING || t->state == TASK_STOPPING);
+
+		i = t->next_on_worker;
+		if (!known && t->state != TASK_DOUBT)
+			continue;
+		sched_task_name(s, t, name);
+		if (named(r, name, t->run))
+			continue;
+		log_event(LOG_INFO, "task-absent",
+			  "task=%s run=%u worker=%s state=%u", name, t->run,
+			  w->id, t->state);
+		sched_task_requeue(s, t, 0);
+	}
+}
+
+static void take_ended(struct sched *s, uint32_t worker,
+		       const struct sched_ended *e)
+{
+	struct task *t = sched_task_find(s, e->task);
+
+	if (!t || t->run != e->run || t->worker != worker) {
+		log_event(LOG_DEBUG, "task-end-unknown", "task=%s run=%u",
+			  e->task, e->run);
+		return;
+	}
+	sched_task_ended(s, t, e->how, e->checkpoint);
+}
+
+void sched_report(struct sched *s, uint32_t worker,
+		  const struct sched_report *r, uint64_t now_us,
+		  uint64_t wall_ms)
+{
+	struct worker *w = &s->workers[worker];
+
+	s->now_us = now_us;
+	s->wall_ms = wall_ms;
+	if (r->born_wall_ms && r->born_wall_ms != w->born_wall_ms)
+		begin_life(s, w, r->born_wall_ms);
+	for (size_t i = 0; i < r->ended_count; i++) {
+		if (r->ended[i].number <= w->seen)
+			continue;
+		w->seen = r->ended[i].number;
+		take_ended(s, worker, &r->ended[i]);
+	}
+	for (size_t i = 0; i < r->running_count; i++)
+		take_running(s, worker, &r->running[i]);
+	if (!r->ended_cut)
+		find_vanished(s, w, r);
+	if (!w->reported) {
+		w->reported = true;
+		log_event(LOG_INFO, "worker-reports",
+			  "worker=%s running=%zu ended=%zu", w->id,
+			  r->running_count, r->ended_count);
+		s->place = true;
+	}
+	if (!s->collecting && !sched_has_changes(s))
+		w->seen_stored = w->seen;
+	sched_pace(s, worker);
+}
+
+void sched_workers_tick(struct sched *s)
+{
+	for (uint32_t i = 0; i < s->worker_count; i++) {
+		struct worker *w = &s->workers[i];
+
+		if (w->reported || w->first_task == SCHED_NONE)
+			continue;
+		/* It leaves only when nothing runs there any more. */
+		if (w->draining && !w->listed)
+			lose_tasks(s, w, "left");
+		else if (s->now_us > w->lease_end_us)
+			lose_tasks(s, w, "lease-over");
+	}
+}
--- /dev/null
+++ b/src/sched.c
@@ -0,0 +1,589 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "sched-internal.h"
+
+/* Between two rounds of placement, so that ends are handled in batches. */
+#define PLACE_INTERVAL_US 5000u
+/* Without any change placement runs that often, for what waits on time. */
+#define PLACE_IDLE_US 250000u
+
+static uint32_t bucket_of(const char *id)
+{
+	return (uint32_t)strtoull(id, NULL, 16) * 2654435761u >> 20;
+}
+
+struct sched *sched_create(const struct sched_ops *ops, void *arg,
+			   const struct sched_settings *settings,
+			   uint64_t now_us)
+{
+	struct sched *s = xcalloc(1, sizeof(*s));
+
+	s->ops = ops;
+	s->arg = arg;
+	s->settings = *settings;
+	s->created_us = now_us;
+	s->now_us = now_us;
+	s->job_free = SCHED_NONE;
+	for (uint32_t i = 0; i < JOB_BUCKETS; i++)
+		s->buckets[i] = SCHED_NONE;
+	return s;
+}
+
+static void free_job(struct job *j)
+{
+	job_spec_free(&j->spec);
+	free(j->occurrences);
+	memset(j, 0, sizeof(*j));
+}
+
+void sched_destroy(struct sched *s)
+{
+	if (!s)
+		return;
+	for (uint32_t i = 0; i < s->job_count; i++)
+		free_job(&s->jobs[i]);
+	free(s->jobs);
+	free(s->tasks);
+	free(s->free_blocks);
+	free(s->workers);
+	free(s->queues);
+	free(s);
+}
+
+static const struct sched_queue *find_queue(const struct sched *s,
+					    const char *name)
+{
+	for (size_t i = 0; i < s->queue_count; i++)
+		if (!strcmp(s->queues[i].name, name))
+			return &s->queues[i];
+	return NULL;
+}
+
+static void apply_queue(const struct sched *s, struct job *j)
+{
+	const struct sched_queue *q = find_queue(s, j->spec.queue);
+
+	if (!q)
+		return;
+	j->queue = *q;
+	j->deadline_wall_ms =
+		j->spec.accepted_wall_ms + q->target_latency_ms +
+		(uint64_t)(q->stretch * job_spec_chain_ms(&j->spec));
+}
+
+void sched_set_policy(struct sched *s, const struct sched_policy *p)
+{
+	free(s->queues);
+	s->queues = xcalloc(p->queue_count + 1, sizeof(*s->queues));
+	memcpy(s->queues, p->queues, p->queue_count * sizeof(*s->queues));
+	s->queue_count = p->queue_count;
+	for (uint32_t i = 0; i < s->job_count; i++)
+		if (s->jobs[i].used)
+			apply_queue(s, &s->jobs[i]);
+	s->place = true;
+}
+
+struct job *sched_job_find(const struct sched *s, const char *id)
+{
+	uint32_t i = s->buckets[bucket_of(id)];
+
+	for (; i != SCHED_NONE; i = s->jobs[i].next_in_bucket)
+		if (!strcmp(s->jobs[i].spec.id, id))
+			return &s->jobs[i];
+	return NULL;
+}
+
+uint32_t sched_job_index(const struct sched *s, const struct job *j)
+{
+	return (uint32_t)(j - s->jobs);
+}
+
+void sched_mark(struct sched *s, struct job *j)
+{
+	(void)s;
+	j->dirty = true;
+}
+
+static struct job *add_job(struct sched *s)
+{
+	struct job *j;
+
+	if (s->job_free != SCHED_NONE) {
+		j = &s->jobs[s->job_free];
+		s->job_free = j->next_in_bucket;
+	} else {
+		if (s->job_count == s->job_capacity) {
+			s->job_capacity = s->job_capacity * 2 + 64;
+			s->jobs = xrealloc(s->jobs,
+					   s->job_capacity * sizeof(*s->jobs));
+		}
+		j = &s->jobs[s->job_count++];
+	}
+	memset(j, 0, sizeof(*j));
+	j->used = true;
+	return j;
+}
+
+bool sched_submit(struct sched *s, struct job_spec *spec, uint64_t now_us)
+{
+	struct job *j;
+	uint32_t bucket;
+
+	s->now_us = now_us;
+	if (sched_job_find(s, spec->id)) {
+		job_spec_free(spec);
+		return false;
+	}
+	bucket = bucket_of(spec->id);
+	j = add_job(s);
+	j->spec = *spec;
+	memset(spec, 0, sizeof(*spec));
+	j->next_in_bucket = s->buckets[bucket];
+	s->buckets[bucket] = sched_job_index(s, j);
+	j->queue.stretch = 1;
+	j->queue.attempts_max = 1;
+	apply_queue(s, j);
+	s->stats.jobs_open++;
+	s->place = true;
+	return true;
+}
+
+const struct job_step *sched_step_of(const struct sched *s,
+				     const struct task *t)
+{
+	return &s->jobs[t->job].spec.steps[t->step];
+}
+
+struct occurrence *sched_occurrence(struct job *j, uint32_t number)
+{
+	for (uint32_t i = 0; i < j->occurrence_count; i++)
+		if (j->occurrences[i].used &&
+		    j->occurrences[i].number == number)
+			return &j->occurrences[i];
+	return NULL;
+}
+
+/* Takes tasks from a block that is free, first fit. */
+static bool reuse_tasks(struct sched *s, uint32_t count, uint32_t *first)
+{
+	for (uint32_t i = 0; i < s->free_block_count; i++) {
+		struct task_block *b = &s->free_blocks[i];
+
+		if (b->count < count)
+			continue;
+		*first = b->first;
+		b->first += count;
+		b->count -= count;
+		if (!b->count)
+			*b = s->free_blocks[--s->free_block_count];
+		return true;
+	}
+	return false;
+}
+
+static uint32_t add_tasks(struct sched *s, uint32_t count)
+{
+	uint32_t first = s->task_count;
+
+	if (reuse_tasks(s, count, &first)) {
+		memset(&s->tasks[first], 0, count * sizeof(*s->tasks));
+		return first;
+	}
+	if (first + count > s->task_capacity) {
+		s->task_capacity = (first + count) * 2;
+		s->tasks = xrealloc(s->tasks,
+				    s->task_capacity * sizeof(*s->tasks));
+	}
+	s->task_count += count;
+	memset(&s->tasks[first], 0, count * sizeof(*s->tasks));
+	return first;
+}
+
+static struct occurrence *add_occurrence(struct job *j)
+{
+	for (uint32_t i = 0; i < j->occurrence_count; i++)
+		if (!j->occurrences[i].used)
+			return &j->occurrences[i];
+	j->occurrences =
+		xrealloc(j->occurrences,
+			 (j->occurrence_count + 1) * sizeof(*j->occurrences));
+	return &j->occurrences[j->occurrence_count++];
+}
+
+struct occurrence *sched_begin_occurrence(struct sched *s, struct job *j,
+					  uint32_t number)
+{
+	struct occurrence *o = add_occurrence(j);
+	uint32_t n;
+
+	memset(o, 0, sizeof(*o));
+	o->used = true;
+	o->number = number;
+	o->due_wall_ms =
+		j->spec.repetitions
+			? j->spec.first_wall_ms + number * j->spec.interval_ms
+			: j->spec.accepted_wall_ms;
+	o->first_task = add_tasks(s, job_spec_tasks(&j->spec));
+	n = o->first_task;
+	for (uint32_t step = 0; step < j->spec.step_count; step++) {
+		o->left[step] = j->spec.steps[step].count;
+		for (uint32_t i = 0; i < j->spec.steps[step].count; i++) {
+			struct task *t = &s->tasks[n++];
+
+			t->job = sched_job_index(s, j);
+			t->occurrence = number;
+			t->step = (uint16_t)step;
+			t->index = i;
+			t->worker = SCHED_NONE;
+			t->next_on_worker = SCHED_NONE;
+			t->prev_on_worker = SCHED_NONE;
+			t->pace = 100;
+		}
+	}
+	if (number >= j->next_occurrence)
+		j->next_occurrence = number + 1;
+	return o;
+}
+
+void sched_unblock(struct sched *s, struct job *j, struct occurrence *o)
+{
+	uint64_t done = 0;
+	uint32_t n = o->first_task;
+
+	for (uint32_t i = 0; i < j->spec.step_count; i++)
+		if (!o->left[i])
+			done |= 1ull << i;
+	for (uint32_t i = 0; i < j->spec.step_count; i++) {
+		const struct job_step *step = &j->spec.steps[i];
+		bool ready = !(step->after & ~done);
+
+		for (uint32_t k = 0; k < step->count; k++, n++)
+			if (ready && s->tasks[n].state == TASK_BLOCKED)
+				s->tasks[n].state = TASK_WAITING;
+	}
+	s->place = true;
+}
+
+static void free_tasks(struct sched *s, const struct job *j,
+		       struct occurrence *o)
+{
+	struct task_block *b;
+
+	o->used = false;
+	s->free_blocks = xrealloc(s->free_blocks,
+				  (s->free_block_count + 1) * sizeof(*b));
+	b = &s->free_blocks[s->free_block_count++];
+	b->first = o->first_task;
+	b->count = job_spec_tasks(&j->spec);
+}
+
+static bool job_complete(const struct job *j)
+{
+	uint32_t all = j->spec.repetitions ? j->spec.repetitions : 1;
+
+	if (j->next_occurrence < all)
+		return false;
+	for (uint32_t i = 0; i < j->occurrence_count; i++)
+		if (j->occurrences[i].used)
+			return false;
+	return true;
+}
+
+void sched_finish_occurrence(struct sched *s, struct job *j,
+			     struct occurrence *o)
+{
+	for (uint32_t i = 0; i < j->spec.step_count; i++)
+		if (o->left[i])
+			return;
+	free_tasks(s, j, o);
+	if (job_complete(j))
+		sched_end_job(s, j, SCHED_JOB_COMPLETED);
+}
+
+/* Stops what runs; what has not begun is dropped. */
+static void drop_tasks(struct sched *s, struct job *j,
+		       const struct occurrence *o)
+{
+	uint32_t n = job_spec_tasks(&j->spec);
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct task *t = &s->tasks[o->first_task + i];
+
+		if (t->state == TASK_RUNNING || t->state == TASK_STARTING ||
+		    t->state == TASK_DOUBT) {
+			sched_task_stop(s, t);
+		} else if (t->state == TASK_PLACED ||
+			   t->state == TASK_STORING) {
+			sched_task_release(s, t);
+			t->state = TASK_DROPPED;
+		} else if (t->state < TASK_RUNNING) {
+			t->state = TASK_DROPPED;
+		}
+	}
+}
+
+void sched_end_job(struct sched *s, struct job *j, enum sched_job_state state)
+{
+	static const char *const names[] = { "queued", "running", "completed",
+					     "failed", "cancelled" };
+
+	if (j->state >= SCHED_JOB_COMPLETED)
+		return;
+	j->state = state;
+	j->ended_wall_ms = s->wall_ms;
+	s->stats.jobs_open--;
+	log_event(LOG_INFO, "job-ended",
+		  "job=%s queue=%s state=%s after_ms=%lld deadline_in_ms=%lld",
+		  j->spec.id, j->spec.queue, names[state],
+		  (long long)(s->wall_ms - j->spec.accepted_wall_ms),
+		  (long long)(j->deadline_wall_ms - s->wall_ms));
+	if (state != SCHED_JOB_COMPLETED)
+		for (uint32_t i = 0; i < j->occurrence_count; i++)
+			if (j->occurrences[i].used)
+				drop_tasks(s, j, &j->occurrences[i]);
+	sched_mark(s, j);
+}
+
+void sched_cancel(struct sched *s, const char *id, uint64_t now_us,
+		  uint64_t wall_ms)
+{
+	struct job *j = sched_job_find(s, id);
+
+	s->now_us = now_us;
+	s->wall_ms = wall_ms;
+	if (j)
+		sched_end_job(s, j, SCHED_JOB_CANCELLED);
+}
+
+/* Begins the occurrences that are due. */
+static void begin_due(struct sched *s, struct job *j)
+{
+	uint32_t all = j->spec.repetitions ? j->spec.repetitions : 1;
+
+	while (j->next_occurrence < all) {
+		uint64_t due = j->spec.repetitions
+				       ? j->spec.first_wall_ms +
+						 j->next_occurrence *
+							 j->spec.interval_ms
+				       : 0;
+
+		if (due > s->wall_ms)
+			return;
+		sched_unblock(s, j,
+			      sched_begin_occurrence(s, j, j->next_occurrence));
+	}
+}
+
+static bool has_live_task(const struct sched *s, const struct job *j)
+{
+	uint32_t n = job_spec_tasks(&j->spec);
+
+	for (uint32_t i = 0; i < j->occurrence_count; i++) {
+		const struct occurrence *o = &j->occurrences[i];
+
+		for (uint32_t k = 0; o->used && k < n; k++)
+			if (sched_task_on_worker(&s->tasks[o->first_task + k]))
+				return true;
+	}
+	return false;
+}
+
+static void forget_job(struct sched *s, struct job *j)
+{
+	uint32_t index = sched_job_index(s, j);
+	uint32_t *link = &s->buckets[bucket_of(j->spec.id)];
+
+	while (*link != index)
+		link = &s->jobs[*link].next_in_bucket;
+	*link = j->next_in_bucket;
+	s->ops->forget(s->arg, j->spec.id);
+	for (uint32_t i = 0; i < j->occurrence_count; i++)
+		if (j->occurrences[i].used)
+			free_tasks(s, j, &j->occurrences[i]);
+	free_job(j);
+	j->next_in_bucket = s->job_free;
+	s->job_free = index;
+}
+
+void sched_tick(struct sched *s, uint64_t now_us, uint64_t wall_ms)
+{
+	s->now_us = now_us;
+	s->wall_ms = wall_ms;
+	sched_workers_tick(s);
+	for (uint32_t i = 0; i < s->job_count; i++) {
+		struct job *j = &s->jobs[i];
+
+		if (!j->used)
+			continue;
+		if (j->state < SCHED_JOB_COMPLETED)
+			begin_due(s, j);
+		else if (!j->dirty && !j->collected &&
+			 wall_ms > j->ended_wall_ms +
+					   s->settings.status_keep_s * 1000u &&
+			 !has_live_task(s, j))
+			forget_job(s, j);
+	}
+	if ((s->place && now_us >= s->place_us + PLACE_INTERVAL_US) ||
+	    now_us >= s->place_us + PLACE_IDLE_US) {
+		s->place = false;
+		s->place_us = now_us;
+		sched_place(s);
+	}
+}
+
+size_t sched_collect(struct sched *s, size_t max,
+		     void (*fn)(void *arg, const char *id, const void *data,
+				size_t len),
+		     void *arg)
+{
+	struct buffer b = BUFFER_INIT;
+	size_t n = 0;
+	bool all = true;
+
+	for (uint32_t i = 0; i < s->job_count; i++) {
+		struct job *j = &s->jobs[i];
+
+		if (!j->used || !j->dirty)
+			continue;
+		if (n == max) {
+			all = false;
+			break;
+		}
+		for (uint32_t k = 0; k < j->occurrence_count; k++) {
+			struct occurrence *o = &j->occurrences[k];
+			uint32_t count = job_spec_tasks(&j->spec);
+
+			for (uint32_t m = 0; o->used && m < count; m++)
+				if (s->tasks[o->first_task + m].state ==
+				    TASK_PLACED)
+					s->tasks[o->first_task + m].state =
+						TASK_STORING;
+		}
+		buffer_reset(&b);
+		sched_record_encode(s, j, &b);
+		fn(arg, j->spec.id, b.data, b.len);
+		j->dirty = false;
+		j->collected = true;
+		n++;
+	}
+	buffer_free(&b);
+	if (all)
+		for (uint32_t i = 0; i < s->worker_count; i++)
+			s->workers[i].seen_collected = s->workers[i].seen;
+	s->collecting = n > 0;
+	if (!n)
+		for (uint32_t i = 0; i < s->worker_count; i++)
+			s->workers[i].seen_stored = s->workers[i].seen;
+	return n;
+}
+
+static void start_stored(struct sched *s, struct job *j, bool stored)
+{
+	uint32_t count = job_spec_tasks(&j->spec);
+
+	for (uint32_t k = 0; k < j->occurrence_count; k++) {
+		const struct occurrence *o = &j->occurrences[k];
+
+		for (uint32_t m = 0; o->used && m < count; m++) {
+			struct task *t = &s->tasks[o->first_task + m];
+
+			if (t->state != TASK_STORING)
+				continue;
+			if (stored)
+				sched_task_start(s, t);
+			else
+				t->state = TASK_PLACED;
+		}
+	}
+}
+
+void sched_stored(struct sched *s, bool stored, uint64_t now_us)
+{
+	s->now_us = now_us;
+	for (uint32_t i = 0; i < s->job_count; i++) {
+		struct job *j = &s->jobs[i];
+
+		if (!j->used || !j->collected)
+			continue;
+		j->collected = false;
+		start_stored(s, j, stored);
+		if (!stored)
+			j->dirty = true;
+	}
+	s->collecting = false;
+	if (!stored)
+		return;
+	for (uint32_t i = 0; i < s->worker_count; i++)
+		if (s->workers[i].seen_collected > s->workers[i].seen_stored)
+			s->workers[i].seen_stored =
+				s->workers[i].seen_collected;
+}
+
+bool sched_has_changes(const struct sched *s)
+{
+	for (uint32_t i = 0; i < s->job_count; i++)
+		if (s->jobs[i].used && s->jobs[i].dirty)
+			return true;
+	return false;
+}
+
+bool sched_knows_job(const struct sched *s, const char *id)
+{
+	return sched_job_find(s, id) != NULL;
+}
+
+bool sched_job_state(const struct sched *s, const char *id, const char *queue,
+		     enum sched_job_state *state)
+{
+	const struct job *j = sched_job_find(s, id);
+
+	if (!j || strcmp(j->spec.queue, queue))
+		return false;
+	*state = j->state;
+	/* An end is shown once it is stored, so that it never reverts. */
+	if (j->state >= SCHED_JOB_COMPLETED && (j->dirty || j->collected))
+		*state = SCHED_JOB_RUNNING;
+	return true;
+}
+
+uint32_t sched_waiting(const struct sched *s, const char *queue)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->job_count; i++) {
+		const struct job *j = &s->jobs[i];
+
+		if (j->used && !j->started && j->state < SCHED_JOB_COMPLETED &&
+		    !strcmp(j->spec.queue, queue))
+			n++;
+	}
+	return n;
+}
+
+void sched_stats(const struct sched *s, struct sched_stats *out)
+{
+	*out = s->stats;
+	out->workers = 0;
+	out->tasks_waiting = 0;
+	out->tasks_running = 0;
+	for (uint32_t i = 0; i < s->worker_count; i++)
+		out->workers += s->workers[i].listed;
+	for (uint32_t i = 0; i < s->job_count; i++) {
+		const struct job *j = &s->jobs[i];
+		uint32_t count = job_spec_tasks(&j->spec);
+
+		for (uint32_t k = 0; k < j->occurrence_count; k++)
+			for (uint32_t m = 0;
+			     j->occurrences[k].used && m < count; m++) {
+				uint8_t state =
+					s->tasks[j->occurrences[k].first_task +
+						 m]
+						.state;
+
+				out->tasks_waiting += state == TASK_WAITING;
+				out->tasks_running += state == TASK_RUNNING;
+			}
+	}
+}
--- a/src/settings-private.h
+++ b/src/settings-private.h
@@ -31,6 +31,10 @@
 	VALUE_CHOICE,  /* enum of names */
 };
 
+#define REQUIRED_CONSUL (1u << DIALECT_CONSUL)
+#define REQUIRED_KV (1u << DIALECT_KV)
+#define REQUIRED_ALWAYS (REQUIRED_CONSUL | REQUIRED_KV)
+
 /* One key; min and max are in the unit of the struct. */
 struct settings_entry {
 	const char *section;
@@ -39,7 +43,7 @@
 	size_t offset;
 	uint64_t min;
 	uint64_t max;
-	bool required;
+	unsigned required; /* bits of the dialects that need it */
 	const char *const *choices;
 };
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -12,6 +12,7 @@
 
 #define FILE_MAX_BYTES (1024u * 1024u)
 
+static const char *const dialect_names[] = { "consul", "kv", NULL };
 static const char *const discovery_names[] = { "all", "seeds", NULL };
 static const char *const routing_names[] = { "least-latency", "random", NULL };
 static const char *const admission_names[] = { "fair", "fifo", NULL };
@@ -22,7 +23,7 @@
 
 static const char *const section_names[] = { "node",  "front",	  "operator",
 					     "peers", "platform", "policy",
-					     "log" };
+					     "jobs",  "log" };
 #define SECTIONS (sizeof(section_names) / sizeof(section_names[0]))
 
 #define AT(field) offsetof(struct settings, field)
@@ -35,52 +36,66 @@
  * the lease of a task (10 s), which it extends.
  */
 static const struct settings_entry entries[] = {
-	{ "node", "id", VALUE_NAME, AT(node.id), 0, 0, true, NULL },
+	{ "node", "id", VALUE_NAME, AT(node.id), 0, 0, REQUIRED_ALWAYS, NULL },
 	{ "node", "availability_zone", VALUE_NAME, AT(node.availability_zone),
-	  0, 0, true, NULL },
-	{ "node", "deployment", VALUE_NAME, AT(node.deployment), 0, 0, true,
-	  NULL },
-	{ "front", "listen", VALUE_ADDRESS, AT(front.listen), 0, 0, true,
-	  NULL },
-	{ "front", "threads", VALUE_COUNT, AT(front.threads), 2, 4096, false,
+	  0, 0, REQUIRED_ALWAYS, NULL },
+	{ "node", "deployment", VALUE_NAME, AT(node.deployment), 0, 0,
+	  REQUIRED_ALWAYS, NULL },
+	{ "front", "listen", VALUE_ADDRESS, AT(front.listen), 0, 0,
+	  REQUIRED_ALWAYS, NULL },
+	{ "front", "threads", VALUE_COUNT, AT(front.threads), 2, 4096, 0,
 	  NULL },
 	{ "front", "body_limit", VALUE_BYTES, AT(front.body_limit_bytes), 1,
-	  64u << 20, false, NULL },
+	  64u << 20, 0, NULL },
 	{ "front", "queue_limit", VALUE_COUNT, AT(front.queue_limit), 1, 4096,
-	  false, NULL },
-	{ "operator", "listen", VALUE_ADDRESS, AT(operator.listen), 0, 0, true,
-	  NULL },
-	{ "operator", "token", VALUE_TOKEN, AT(operator.token), 0, 0, true,
-	  NULL },
-	{ "peers", "listen", VALUE_ADDRESS, AT(peers.listen), 0, 0, true,
-	  NULL },
-	{ "peers", "seeds", VALUE_SEEDS, AT(peers.seeds), 0, 0, false, NULL },
-	{ "peers", "discovery", VALUE_CHOICE, AT(peers.discovery), 0, 0, false,
+	  0, NULL },
+	{ "operator", "listen", VALUE_ADDRESS, AT(operator.listen), 0, 0,
+	  REQUIRED_CONSUL, NULL },
+	{ "operator", "token", VALUE_TOKEN, AT(operator.token), 0, 0,
+	  REQUIRED_CONSUL, NULL },
+	{ "peers", "listen", VALUE_ADDRESS, AT(peers.listen), 0, 0,
+	  REQUIRED_CONSUL, NULL },
+	{ "peers", "seeds", VALUE_SEEDS, AT(peers.seeds), 0, 0, 0, NULL },
+	{ "peers", "discovery", VALUE_CHOICE, AT(peers.discovery), 0, 0, 0,
 	  discovery_names },
 	{ "peers", "curve_public", VALUE_KEY, AT(peers.curve_public), 0, 0,
-	  true, NULL },
+	  REQUIRED_CONSUL, NULL },
 	{ "peers", "curve_secret", VALUE_KEY, AT(peers.curve_secret), 0, 0,
-	  true, NULL },
+	  REQUIRED_CONSUL, NULL },
 	{ "platform", "address", VALUE_ADDRESS, AT(platform.address), 0, 0,
-	  true, NULL },
+	  REQUIRED_ALWAYS, NULL },
+	{ "platform", "dialect", VALUE_CHOICE, AT(platform.dialect), 0, 0, 0,
+	  dialect_names },
 	{ "platform", "lease", VALUE_TIME, AT(platform.lease_us), SECOND_US,
-	  MINUTE_US, false, NULL },
+	  MINUTE_US, 0, NULL },
 	{ "platform", "write_budget", VALUE_COUNT, AT(platform.write_budget), 1,
-	  1000000, false, NULL },
+	  1000000, 0, NULL },
 	{ "platform", "read_budget", VALUE_COUNT, AT(platform.read_budget), 1,
-	  1000000, false, NULL },
-	{ "policy", "routing", VALUE_CHOICE, AT(policy.routing), 0, 0, false,
+	  1000000, 0, NULL },
+	{ "policy", "routing", VALUE_CHOICE, AT(policy.routing), 0, 0, 0,
 	  routing_names },
-	{ "policy", "admission", VALUE_CHOICE, AT(policy.admission), 0, 0,
-	  false, admission_names },
-	{ "policy", "placement", VALUE_CHOICE, AT(policy.placement), 0, 0,
-	  false, placement_names },
+	{ "policy", "admission", VALUE_CHOICE, AT(policy.admission), 0, 0, 0,
+	  admission_names },
+	{ "policy", "placement", VALUE_CHOICE, AT(policy.placement), 0, 0, 0,
+	  placement_names },
 	{ "policy", "retry_budget", VALUE_PERCENT,
-	  AT(policy.retry_budget_percent), 0, 100, false, NULL },
+	  AT(policy.retry_budget_percent), 0, 100, 0, NULL },
 	{ "policy", "outage_horizon", VALUE_TIME, AT(policy.outage_horizon_us),
-	  10u * SECOND_US, 1440ull * MINUTE_US, false, NULL },
-	{ "log", "level", VALUE_CHOICE, AT(log_level), 0, 0, false,
-	  level_names },
+	  10u * SECOND_US, 1440ull * MINUTE_US, 0, NULL },
+	{ "jobs", "readiness", VALUE_ADDRESS, AT(jobs.readiness), 0, 0,
+	  REQUIRED_KV, NULL },
+	{ "jobs", "peers", VALUE_ADDRESS, AT(jobs.peers), 0, 0, REQUIRED_KV,
+	  NULL },
+	{ "jobs", "metrics", VALUE_ADDRESS, AT(jobs.metrics), 0, 0, 0, NULL },
+	{ "jobs", "lease_max", VALUE_TIME, AT(jobs.lease_max_us), SECOND_US,
+	  MINUTE_US, 0, NULL },
+	{ "jobs", "status_keep", VALUE_TIME, AT(jobs.status_keep_us), SECOND_US,
+	  1440ull * MINUTE_US, 0, NULL },
+	{ "jobs", "gang_wait", VALUE_TIME, AT(jobs.gang_wait_us), 100000u,
+	  MINUTE_US, 0, NULL },
+	{ "jobs", "stop_grace", VALUE_TIME, AT(jobs.stop_grace_us), SECOND_US,
+	  MINUTE_US, 0, NULL },
+	{ "log", "level", VALUE_CHOICE, AT(log_level), 0, 0, 0, level_names },
 };
 #define ENTRIES (sizeof(entries) / sizeof(entries[0]))
 
@@ -252,7 +267,8 @@
 		int section = find_section(e->section, strlen(e->section));
 		int line = p->section_lines[section];
 
-		if (!e->required || p->entry_lines[i])
+		if (!(e->required & 1u << p->s->platform.dialect) ||
+		    p->entry_lines[i])
 			continue;
 		settings_fault(p,
 			       line	 ? line
@@ -307,6 +323,8 @@
 	int key = p->entry_lines[find_entry("peers", "curve_secret")];
 	char public_key[CURVE_KEY_CHARS + 1];
 
+	if (p->s->platform.dialect == DIALECT_KV)
+		return;
 	check_addresses(p);
 	/* A queued request holds a thread of the HTTP server. */
 	if (p->s->front.queue_limit > p->s->front.threads)
@@ -358,6 +376,10 @@
 	s->platform.read_budget = 1500;
 	s->policy.retry_budget_percent = 10;
 	s->policy.outage_horizon_us = 15u * MINUTE_US;
+	s->jobs.lease_max_us = 6u * SECOND_US;
+	s->jobs.status_keep_us = 2u * MINUTE_US;
+	s->jobs.gang_wait_us = 3u * SECOND_US;
+	s->jobs.stop_grace_us = 5u * SECOND_US;
 	s->log_level = LOG_INFO;
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -39,6 +39,9 @@
 	PLACEMENT_THRESHOLD,
 };
 
+/* What the platform speaks, and with it which services the daemon runs. */
+enum settings_dialect { DIALECT_CONSUL, DIALECT_KV };
+
 /* Whether peers are also learnt from heartbeats and the store. */
 enum settings_discovery { DISCOVERY_ALL, DISCOVERY_SEEDS };
 
@@ -67,6 +70,7 @@
 		char curve_secret[41]; /* Z85 */
 	} peers;
 	struct {
+		enum settings_dialect dialect;
 		struct settings_address address;
 		uint64_t lease_us;
 		uint32_t write_budget; /* whole deployment */
@@ -79,6 +83,16 @@
 		uint32_t retry_budget_percent;
 		uint64_t outage_horizon_us;
 	} policy;
+	/* Only with the dialect kv. */
+	struct {
+		struct settings_address readiness; /* the balancer asks it */
+		struct settings_address peers;	   /* for other entry VMs */
+		struct settings_address metrics;   /* port 0: not served */
+		uint64_t lease_max_us;	 /* longest that a worker grants */
+		uint64_t status_keep_us; /* ended jobs are shown */
+		uint64_t gang_wait_us;	 /* a gang's members wait for others */
+		uint64_t stop_grace_us;	 /* a stop takes at most */
+	} jobs;
 	enum log_level log_level;
 };
 
--- a/src/waxwingd.c
+++ b/src/waxwingd.c
@@ -9,6 +9,7 @@
 #include <zmq.h>
 
 #include "clock.h"
+#include "jobd.h"
 #include "kernel.h"
 #include "log.h"
 #include "settings.h"
@@ -248,6 +249,8 @@
 		return EXIT_FAILED;
 	log_set_node(s.node.id);
 	log_set_level(s.log_level);
+	if (s.platform.dialect == DIALECT_KV)
+		return jobd_run(&s, path);
 	warn_readable(path);
 	block_signals(&set);
 	mg_init_library(0);
