Learn which batch images disturb which services

Ruled out: too few processors (workers idled with halted tasks), a wrong base load.

pair-model estimates the slope of each pair; a batch task goes where no service expects to pass its target, a culprit is moved rather than paced, and services of one image go together.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -2,6 +2,7 @@
 #define SCHED_INTERNAL_H
 
 #include "job-sched.h"
+#include "pair-model.h"
 
 /*
  * NAME
@@ -99,13 +100,13 @@
 	uint64_t seen_stored;
 	uint64_t lease_end_us; /* nothing runs there later without renewal */
 	uint64_t quarantine_us;
-	uint64_t full_us; /* refused for want of room until then */
-	uint64_t calm_us; /* no service over its target since */
-	uint64_t over_us; /* a service over its target since; 0: none */
-	uint64_t paced_us;
-	uint32_t failures; /* in a row, of different jobs */
+	uint64_t full_us;     /* refused for want of room until then */
+	uint64_t over_us;     /* a service over its target since; 0: none */
+	uint64_t acted_us;    /* a batch task was halted or moved */
+	uint64_t observed_us; /* the pairs of images were learnt from it */
+	uint64_t changed_us;  /* the pace of a batch task */
+	uint32_t failures;    /* in a row, of different jobs */
 	uint32_t failed_job;
-	uint8_t pace; /* percent for tasks that fill */
 	bool listed;
 	bool draining;
 	bool reported; /* and has answered since */
@@ -137,6 +138,7 @@
 	bool place; /* something changed that may allow a placement */
 	uint64_t place_us;
 	struct sched_stats stats;
+	struct pair_model pairs;
 };
 
 /* ---- sched.c ---- */
@@ -180,7 +182,14 @@
 void sched_place(struct sched *s);
 
 /* ---- sched-pace.c ---- */
+/* Acts on a report so that batch work does not keep a service over target. */
 void sched_pace(struct sched *s, uint32_t worker);
+/*
+ * Slowdown that the most sensitive service of a worker can still bear when a
+ * batch task of the step is added; negative: too much.
+ */
+float sched_pace_headroom(struct sched *s, const struct worker *w,
+			  const struct job_step *step);
 
 /* ---- sched-record.c ---- */
 void sched_record_encode(const struct sched *s, const struct job *j,
--- a/src/sched-pace.c
+++ b/src/sched-pace.c
@@ -1,85 +1,299 @@
 #include "log.h"
 #include "sched-internal.h"
 
-/* A tail above this part of its target slows what fills beside it. */
-#define OVER_PERCENT 95u
-/* Below this part of every target, what fills may speed up again. */
-#define CALM_PERCENT 65u
-/* The figures are of the last half second, so a step waits for its effect. */
-#define PACE_INTERVAL_US 600000u
-#define PACE_UP 15u
-/* The second step down stops what fills: within half of the allowed time. */
-#define PACE_FIRST_DOWN 35u
-
-/* Highest tail of the worker's services, in percent of the target. */
-static uint32_t worst_tail(const struct sched *s, const struct worker *w)
+/*
+ * Load pattern: services that are given most of a worker's processors use half
+ * of them, and batch tasks fill the rest. Most pairs of images do not disturb
+ * each other; some multiply the service's tail latency. A service that stays
+ * above its target because of batch work has to be relieved within seconds,
+ * while batch work beside insensitive services should run at full speed.
+ */
+
+/* Reports tell of the last half second: a step waits for its effect. */
+#define ACT_INTERVAL_US 700000u
+#define OBSERVE_INTERVAL_US 500000u
+/* After that long above the target, all batch work on the worker halts. */
+#define HALT_AFTER_US 1600000u
+/* Below this part of its target a service is out of danger. */
+#define CALM_PERCENT 80u
+/* Expected tails are kept below this part of the target ... */
+#define LIMIT 0.9f
+/* ... for a service whose load is that much above its mean. */
+#define LOAD_MARGIN 1.3f
+/* A task that is expected to get less than that is moved instead of paced. */
+#define PACE_MIN 30u
+/* More than that of its work is not thrown away to move it. */
+#define MOVE_PERCENT_MAX 60u
+#define LOADS_MAX 64
+
+static bool is_service(const struct job_step *step)
+{
+	return step->lasts && step->target_ms;
+}
+
+static uint32_t image_of(struct sched *s, const struct job_step *step)
 {
-	uint32_t worst = 0;
+	return pair_model_image(&s->pairs, step->image);
+}
 
+/* Loads of the batch tasks at work, as they are measured or declared. */
+static size_t batch_loads(struct sched *s, const struct worker *w,
+			  struct pair_load loads[LOADS_MAX], bool measured)
+{
+	size_t n = 0;
+
+	for (uint32_t i = w->first_task; i != SCHED_NONE && n < LOADS_MAX;
+	     i = s->tasks[i].next_on_worker) {
+		const struct task *t = &s->tasks[i];
+		const struct job_step *step = sched_step_of(s, t);
+		uint32_t cpu = measured ? t->figure
+					: step->need.cpu_milli * t->pace / 100;
+
+		if (!step->fills || !cpu ||
+		    (measured && t->state != TASK_RUNNING))
+			continue;
+		loads[n].image = image_of(s, step);
+		loads[n].part = (float)cpu / (float)(w->capacity.cpu_milli + 1);
+		n++;
+	}
+	return n;
+}
+
+/* Whether the worker's tasks have been the same for the time of a report. */
+static bool settled(const struct sched *s, const struct worker *w)
+{
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker) {
+		const struct task *t = &s->tasks[i];
+
+		if (sched_step_of(s, t)->fills &&
+		    s->now_us < t->since_us + OBSERVE_INTERVAL_US)
+			return false;
+	}
+	return s->now_us >= w->changed_us + OBSERVE_INTERVAL_US;
+}
+
+static void observe(struct sched *s, struct worker *w)
+{
+	struct pair_load loads[LOADS_MAX];
+	size_t n;
+
+	if (s->now_us < w->observed_us + OBSERVE_INTERVAL_US || !settled(s, w))
+		return;
+	w->observed_us = s->now_us;
+	n = batch_loads(s, w, loads, true);
 	for (uint32_t i = w->first_task; i != SCHED_NONE;
 	     i = s->tasks[i].next_on_worker) {
 		const struct task *t = &s->tasks[i];
 		const struct job_step *step = sched_step_of(s, t);
-		uint32_t percent;
 
-		if (!step->lasts || !step->target_ms ||
-		    t->state != TASK_RUNNING)
+		if (is_service(step) && t->state == TASK_RUNNING && t->figure &&
+		    s->now_us >= t->since_us + OBSERVE_INTERVAL_US)
+			pair_model_observe(&s->pairs, image_of(s, step),
+					   (float)t->figure,
+					   (float)step->target_ms, loads, n);
+	}
+}
+
+/* Room for slowdown of a service before its limit, without any batch work. */
+static float tolerance(struct sched *s, const struct job_step *step)
+{
+	float alone = pair_model_alone(&s->pairs, image_of(s, step),
+				       (float)step->target_ms);
+
+	return LIMIT * (float)step->target_ms / (alone * LOAD_MARGIN + 0.1f) -
+	       1;
+}
+
+float sched_pace_headroom(struct sched *s, const struct worker *w,
+			  const struct job_step *step)
+{
+	struct pair_load loads[LOADS_MAX];
+	struct pair_load new = {
+		.image = image_of(s, step),
+		.part = (float)step->need.cpu_milli /
+			(float)(w->capacity.cpu_milli + 1),
+	};
+	float least = 1;
+	size_t n = batch_loads(s, w, loads, false);
+
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker) {
+		const struct job_step *other = sched_step_of(s, &s->tasks[i]);
+		float left, service;
+
+		if (!is_service(other))
 			continue;
-		percent = (uint32_t)(t->figure * 100ull / step->target_ms);
-		if (percent > worst)
-			worst = percent;
+		service = tolerance(s, other);
+		left = service -
+		       pair_model_slowdown(&s->pairs, image_of(s, other), &new);
+		for (size_t k = 0; k < n; k++)
+			left -= pair_model_slowdown(
+				&s->pairs, image_of(s, other), &loads[k]);
+		if (left < least)
+			least = left;
+	}
+	return least;
+}
+
+static void set_pace(struct sched *s, struct task *t, uint32_t percent)
+{
+	struct sched_order o = { .type = SCHED_PACE,
+				 .worker = t->worker,
+				 .run = t->run,
+				 .percent = percent,
+				 .text = "",
+				 .checkpoint = "" };
+
+	if (t->pace == percent)
+		return;
+	t->pace = (uint8_t)percent;
+	s->workers[t->worker].changed_us = s->now_us;
+	s->stats.paced++;
+	sched_task_name(s, t, o.task);
+	s->ops->order(s->arg, &o);
+}
+
+/* The batch task that is expected to slow the service most. */
+static struct task *culprit(struct sched *s, const struct worker *w,
+			    const struct job_step *service, float *slowdown)
+{
+	struct task *worst = NULL;
+
+	*slowdown = -1;
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker) {
+		struct task *t = &s->tasks[i];
+		const struct job_step *step = sched_step_of(s, t);
+		struct pair_load load = { .image = image_of(s, step) };
+		float value;
+
+		if (!step->fills || t->state != TASK_RUNNING || !t->pace)
+			continue;
+		load.part = (float)step->need.cpu_milli * (float)t->pace /
+			    100.0f / (float)(w->capacity.cpu_milli + 1);
+		value = pair_model_slowdown(&s->pairs, image_of(s, service),
+					    &load);
+		if (value > *slowdown) {
+			*slowdown = value;
+			worst = t;
+		}
 	}
 	return worst;
 }
 
-static void apply_pace(struct sched *s, uint32_t worker)
+/* Moves a task that disturbs, or stops its work where it has to stay. */
+static void relieve(struct sched *s, struct task *t, float slowdown)
 {
-	struct worker *w = &s->workers[worker];
+	const struct job_step *step = sched_step_of(s, t);
+
+	log_event(LOG_INFO, "batch-relieved",
+		  "job=%s step=%u index=%u worker=%s image=%s progress=%u "
+		  "slowdown_percent=%d",
+		  s->jobs[t->job].spec.id, t->step, t->index,
+		  s->workers[t->worker].id, step->image, t->percent,
+		  (int)(slowdown * 100));
+	s->workers[t->worker].changed_us = s->now_us;
+	if (step->checkpoints || t->percent <= MOVE_PERCENT_MAX)
+		sched_task_stop(s, t);
+	else
+		set_pace(s, t, 0);
+}
+
+/* The service that is furthest above its target, in percent. */
+static const struct job_step *
+worst_service(const struct sched *s, const struct worker *w, uint32_t *percent)
+{
+	const struct job_step *worst = NULL;
+
+	*percent = 0;
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker) {
+		const struct task *t = &s->tasks[i];
+		const struct job_step *step = sched_step_of(s, t);
+		uint32_t value;
+
+		if (!is_service(step) || t->state != TASK_RUNNING)
+			continue;
+		value = (uint32_t)(t->figure * 100ull / step->target_ms);
+		if (value <= *percent)
+			continue;
+		*percent = value;
+		worst = step;
+	}
+	return worst;
+}
+
+static void halt(struct sched *s, struct worker *w)
+{
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker)
+		if (sched_step_of(s, &s->tasks[i])->fills &&
+		    s->tasks[i].state == TASK_RUNNING)
+			set_pace(s, &s->tasks[i], 0);
+}
 
+/* Lets one halted task at a time go on, or moves it where it may not. */
+static void resume(struct sched *s, struct worker *w)
+{
 	for (uint32_t i = w->first_task; i != SCHED_NONE;
 	     i = s->tasks[i].next_on_worker) {
 		struct task *t = &s->tasks[i];
-		struct sched_order o = { .type = SCHED_PACE,
-					 .worker = worker,
-					 .run = t->run,
-					 .percent = w->pace,
-					 .text = "",
-					 .checkpoint = "" };
-
-		if (!sched_step_of(s, t)->fills || t->state != TASK_RUNNING ||
-		    t->pace == w->pace)
+		const struct job_step *step = sched_step_of(s, t);
+		float part = (float)step->need.cpu_milli /
+			     (float)(w->capacity.cpu_milli + 1);
+		float room, slope;
+
+		if (!step->fills || t->state != TASK_RUNNING || t->pace == 100)
+			continue;
+		/* The headroom counts the task at its pace, and once more. */
+		room = sched_pace_headroom(s, w, step);
+		slope = part * 8;
+		if (room >= 0)
+			set_pace(s, t, 100);
+		else if (step->checkpoints || t->percent <= MOVE_PERCENT_MAX)
+			relieve(s, t, -room);
+		else if (room > -slope)
+			set_pace(s, t, PACE_MIN);
+		else
 			continue;
-		t->pace = w->pace;
-		s->stats.paced++;
-		sched_task_name(s, t, o.task);
-		s->ops->order(s->arg, &o);
+		return;
 	}
 }
 
 void sched_pace(struct sched *s, uint32_t worker)
 {
 	struct worker *w = &s->workers[worker];
-	uint32_t tail = worst_tail(s, w);
-
-	if (tail <= CALM_PERCENT)
-		w->over_us = 0;
-	if (s->now_us >= w->paced_us + PACE_INTERVAL_US) {
-		uint8_t before = w->pace;
-
-		if (tail > OVER_PERCENT && w->filling_milli) {
-			w->over_us = s->now_us;
-			w->pace =
-				w->pace > PACE_FIRST_DOWN ? PACE_FIRST_DOWN : 0;
-		} else if (tail <= CALM_PERCENT && w->pace < 100) {
-			w->pace = w->pace + PACE_UP > 100 ? 100
-							  : w->pace + PACE_UP;
-		}
-		if (w->pace != before) {
-			w->paced_us = s->now_us;
-			log_event(LOG_DEBUG, "worker-paced",
-				  "worker=%s percent=%u tail_percent=%u", w->id,
-				  w->pace, tail);
+	const struct job_step *service;
+	struct task *t;
+	float slowdown;
+	uint32_t tail;
+
+	if (!w->serving_milli)
+		return;
+	observe(s, w);
+	service = worst_service(s, w, &tail);
+	if (tail <= 100) {
+		if (tail < CALM_PERCENT)
+			w->over_us = 0;
+		if (tail < CALM_PERCENT &&
+		    s->now_us >= w->acted_us + ACT_INTERVAL_US) {
+			w->acted_us = s->now_us;
+			resume(s, w);
 		}
+		return;
+	}
+	if (!w->over_us)
+		w->over_us = s->now_us;
+	if (s->now_us >= w->over_us + HALT_AFTER_US) {
+		halt(s, w);
+		return;
 	}
-	apply_pace(s, worker);
+	if (s->now_us < w->acted_us + ACT_INTERVAL_US)
+		return;
+	t = culprit(s, w, service, &slowdown);
+	if (!t)
+		return;
+	w->acted_us = s->now_us;
+	relieve(s, t, slowdown);
 }
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -9,6 +9,10 @@
 /* How long a step waits for the rack of its data, in parts of its estimate. */
 #define RACK_WAIT_PERCENT 50u
 
+/* Preference for a worker that serves the same image only, or none. */
+#define SAME_IMAGE 600
+#define NO_IMAGE 400
+
 struct candidate {
 	uint32_t job;
 	uint64_t key;
@@ -75,26 +79,53 @@
 		    w->capacity.accelerators)
 		return false;
 	if (step->fills)
-		return w->pace == 100 && !w->over_us &&
+		return !w->over_us &&
 		       filling_room(w) >= (int64_t)step->need.cpu_milli;
 	return w->used.cpu_milli + step->need.cpu_milli <=
 	       w->capacity.cpu_milli;
 }
 
-/* Higher is better: the share of its processors that stays free. */
-static int64_t score(const struct worker *w, const struct job_step *step)
+/* Whether the worker serves, and whether only tasks of that image. */
+static void services_on(const struct sched *s, const struct worker *w,
+			const char *image, bool *any, bool *same)
 {
+	*any = false;
+	*same = true;
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker) {
+		const struct job_step *step = sched_step_of(s, &s->tasks[i]);
+
+		if (!step->lasts)
+			continue;
+		*any = true;
+		*same = *same && !strcmp(step->image, image);
+	}
+}
+
+/*
+ * Higher is better: the share of its processors that stays free, in thousands.
+ * Services of one image go together, so that few workers are sensitive to any
+ * one batch image.
+ */
+static int64_t score(const struct sched *s, const struct worker *w,
+		     const struct job_step *step)
+{
+	bool any, same;
 	int64_t left = step->fills ? filling_room(w)
 				   : (int64_t)w->capacity.cpu_milli -
 					     w->used.cpu_milli -
 					     w->filling_milli / 2;
 
-	return (left - step->need.cpu_milli) * 1000 /
+	left = (left - step->need.cpu_milli) * 1000 /
 	       (w->capacity.cpu_milli + 1);
+	if (!step->lasts)
+		return left;
+	services_on(s, w, step->image, &any, &same);
+	return left + (any ? same ? SAME_IMAGE : 0 : NO_IMAGE);
 }
 
 /* rack: NULL for any. */
-static uint32_t best_worker(const struct sched *s, const struct job *j,
+static uint32_t best_worker(struct sched *s, const struct job *j,
 			    const struct task *t, const char *rack)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
@@ -108,19 +139,21 @@
 		if (!usable(s, w, j, step) || !fits(w, step) ||
 		    (rack && !has_label(w, rack)))
 			continue;
-		value = score(w, step);
+		value = score(s, w, step);
 		if (best != SCHED_NONE && value <= best_score)
 			continue;
 		if (step->per_worker_max &&
 		    tasks_of_step(s, w, t) >= step->per_worker_max)
 			continue;
+		if (step->fills && sched_pace_headroom(s, w, step) < 0)
+			continue;
 		best = i;
 		best_score = value;
 	}
 	return best;
 }
 
-static uint32_t choose_worker(const struct sched *s, const struct job *j,
+static uint32_t choose_worker(struct sched *s, const struct job *j,
 			      const struct task *t)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -10,6 +10,8 @@
 /* Failures in a row, of different jobs, after which a worker is left alone. */
 #define QUARANTINE_FAILURES 3u
 #define QUARANTINE_US 4000000u
+/* A stop takes a fifth of that; one that had no effect is ordered again. */
+#define STOP_REPEAT_US 1000000u
 
 static uint64_t lease_us(const struct sched *s)
 {
@@ -39,7 +41,6 @@
 	snprintf(w->id, sizeof(w->id), "%s", id);
 	w->first_task = SCHED_NONE;
 	w->failed_job = SCHED_NONE;
-	w->pace = 100;
 	/* A predecessor may have granted a lease just before its own ended. */
 	w->lease_end_us = s->created_us + lease_us(s) +
 			  s->settings.takeover_wait_ms * 1000ull;
@@ -227,8 +228,10 @@
 		t->since_us = s->now_us;
 		t->answered = true;
 	}
-	if (s->jobs[t->job].state >= SCHED_JOB_COMPLETED &&
-	    t->state == TASK_RUNNING)
+	if ((s->jobs[t->job].state >= SCHED_JOB_COMPLETED &&
+	     t->state == TASK_RUNNING) ||
+	    (t->state == TASK_STOPPING &&
+	     s->now_us > t->since_us + STOP_REPEAT_US))
 		sched_task_stop(s, t);
 }
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -26,6 +26,7 @@
 	s->created_us = now_us;
 	s->now_us = now_us;
 	s->job_free = SCHED_NONE;
+	pair_model_init(&s->pairs);
 	for (uint32_t i = 0; i < JOB_BUCKETS; i++)
 		s->buckets[i] = SCHED_NONE;
 	return s;
@@ -311,8 +312,8 @@
 	for (uint32_t i = 0; i < n; i++) {
 		struct task *t = &s->tasks[o->first_task + i];
 
-		if (t->state == TASK_RUNNING || t->state == TASK_STARTING ||
-		    t->state == TASK_DOUBT) {
+		/* One in doubt is stopped when its worker reports it. */
+		if (t->state == TASK_RUNNING || t->state == TASK_STARTING) {
 			sched_task_stop(s, t);
 		} else if (t->state == TASK_PLACED ||
 			   t->state == TASK_STORING) {
