Test the jobs' core in a model; keep a task away from where it failed

The model found that a task that failed on a worker was placed there again, because a worker that fails fast is the emptiest (30 jobs of two tasks beside one failing worker of four: 29 completed, now 30), and that a worker's tasks were held back by a predecessor's lease (9.4 s) after it had reported to this owner (now 6.4 s).

--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -41,6 +41,8 @@
 /* Changes within this time are handled and stored together. */
 #define KICK_US 2000u
 #define TICK_US 100000u
+/* The owner logs what it holds this often. */
+#define STATUS_INTERVAL_US 5000000u
 /* Pause between a refused transaction and its repetition. */
 #define COMMIT_RETRY_US 150000u
 /* Expected keys and the sequence take three of a transaction's entries. */
@@ -91,6 +93,7 @@
 	uint64_t keep_sent_us;
 	uint64_t kept_us; /* when the last renewal that succeeded was sent */
 	uint64_t next_keep_us;
+	uint64_t next_status_us;
 	struct sched *sched;
 	struct job_workers *workers;
 	struct kv_follow *in_follow;
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -450,8 +450,29 @@
 	o->node->kv->ops->txn(o->node->kv, &t, on_committed, call);
 }
 
+static void log_status(struct job_owner *o, uint64_t now)
+{
+	struct sched_stats st;
+
+	if (now < o->next_status_us)
+		return;
+	o->next_status_us = now + STATUS_INTERVAL_US;
+	sched_stats(o->sched, &st);
+	log_event(LOG_INFO, "owner-status",
+		  "epoch=%llu jobs_open=%u tasks_waiting=%u tasks_running=%u "
+		  "workers=%u reporting=%u starts=%llu done=%llu failed=%llu "
+		  "lost=%llu",
+		  (unsigned long long)o->epoch, st.jobs_open, st.tasks_waiting,
+		  st.tasks_running, st.workers, st.workers_reporting,
+		  (unsigned long long)st.starts,
+		  (unsigned long long)st.ends_done,
+		  (unsigned long long)st.ends_failed,
+		  (unsigned long long)st.tasks_lost);
+}
+
 void job_owner_act(struct job_owner *o, uint64_t now)
 {
+	log_status(o, now);
 	sched_tick(o->sched, now, wall_ms());
 	if (!o->commit && !o->resigned &&
 	    (sched_has_changes(o->sched) || o->forgotten_count))
--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -216,6 +216,7 @@
 	uint32_t tasks_waiting;
 	uint32_t tasks_running;
 	uint32_t workers;
+	uint32_t workers_reporting;
 	uint64_t starts;
 	uint64_t ends_done;
 	uint64_t ends_failed;
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -41,6 +41,7 @@
 	uint32_t run;	     /* of the last start; 0: none */
 	uint32_t failed_run; /* of a gang: its last run that failed */
 	uint32_t worker;
+	uint32_t avoid; /* worker on which it failed last */
 	uint32_t next_on_worker;
 	uint32_t prev_on_worker;
 	uint64_t since_us; /* of the state */
@@ -174,6 +175,8 @@
 uint32_t sched_task_index(const struct sched *s, const struct task *t);
 
 /* ---- sched-worker.c ---- */
+/* Adds a worker that only a stored record names. */
+uint32_t sched_worker_add(struct sched *s, const char *id);
 void sched_workers_tick(struct sched *s);
 void sched_worker_ended(struct sched *s, struct worker *w, const struct task *t,
 			enum sched_end how);
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -12,6 +12,8 @@
 /* Preference for a worker that serves the same image only, or none. */
 #define SAME_IMAGE 600
 #define NO_IMAGE 400
+/* More than all other preferences together. */
+#define FAILED_HERE 100000
 
 struct candidate {
 	uint32_t job;
@@ -124,7 +126,7 @@
 	return left + (any ? same ? SAME_IMAGE : 0 : NO_IMAGE);
 }
 
-/* rack: NULL for any. */
+/* rack: NULL for any. A task goes back to where it failed only in need. */
 static uint32_t best_worker(struct sched *s, const struct job *j,
 			    const struct task *t, const char *rack)
 {
@@ -140,6 +142,8 @@
 		    (rack && !has_label(w, rack)))
 			continue;
 		value = score(s, w, step);
+		if (i == t->avoid)
+			value -= FAILED_HERE;
 		if (best != SCHED_NONE && value <= best_score)
 			continue;
 		if (step->per_worker_max &&
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -104,15 +104,7 @@
 		return true;
 	if (!copy_text(o, id, sizeof(id)))
 		return false;
-	worker = sched_find_worker(s, id);
-	if (worker == SCHED_NONE) {
-		struct sched_worker_info info = { .id = id,
-						  .service = "",
-						  .zone = "" };
-
-		worker = sched_worker(s, &info);
-		s->workers[worker].listed = false;
-	}
+	worker = sched_worker_add(s, id);
 	sched_task_place(s, t, worker);
 	t->run = run;
 	t->state = TASK_DOUBT;
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -237,6 +237,7 @@
 	}
 	if (how == SCHED_END_FAILED) {
 		s->stats.ends_failed++;
+		t->avoid = t->worker;
 		if (count_failure(s, j, step, t) >= j->queue.attempts_max &&
 		    !step->lasts) {
 			sched_task_requeue(s, t, 0);
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -27,7 +27,7 @@
 	return SCHED_NONE;
 }
 
-static uint32_t add_worker(struct sched *s, const char *id)
+uint32_t sched_worker_add(struct sched *s, const char *id)
 {
 	uint32_t i = sched_find_worker(s, id);
 	struct worker *w;
@@ -98,7 +98,7 @@
 
 uint32_t sched_worker(struct sched *s, const struct sched_worker_info *info)
 {
-	uint32_t i = add_worker(s, info->id);
+	uint32_t i = sched_worker_add(s, info->id);
 	struct worker *w = &s->workers[i];
 
 	snprintf(w->service, sizeof(w->service), "%s", info->service);
@@ -305,6 +305,9 @@
 		find_vanished(s, w, r);
 	if (!w->reported) {
 		w->reported = true;
+		/* A predecessor's token is refused there from now on. */
+		if (w->lease_end_us > now_us + lease_us(s))
+			w->lease_end_us = now_us + lease_us(s);
 		log_event(LOG_INFO, "worker-reports",
 			  "worker=%s running=%zu ended=%zu", w->id,
 			  r->running_count, r->ended_count);
--- a/src/sched.c
+++ b/src/sched.c
@@ -238,6 +238,7 @@
 			t->step = (uint16_t)step;
 			t->index = i;
 			t->worker = SCHED_NONE;
+			t->avoid = SCHED_NONE;
 			t->next_on_worker = SCHED_NONE;
 			t->prev_on_worker = SCHED_NONE;
 			t->pace = 100;
@@ -569,8 +570,11 @@
 	out->workers = 0;
 	out->tasks_waiting = 0;
 	out->tasks_running = 0;
-	for (uint32_t i = 0; i < s->worker_count; i++)
+	out->workers_reporting = 0;
+	for (uint32_t i = 0; i < s->worker_count; i++) {
 		out->workers += s->workers[i].listed;
+		out->workers_reporting += s->workers[i].reported;
+	}
 	for (uint32_t i = 0; i < s->job_count; i++) {
 		const struct job *j = &s->jobs[i];
 		uint32_t count = job_spec_tasks(&j->spec);
--- /dev/null
+++ b/tests/support-sched.c
@@ -0,0 +1,473 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+#include "support-sched.h"
+
+#define LEASE_MAX_MS 6000
+#define HARM_MS 4000
+#define REPORT_MS 500
+#define BASE_TAIL_MS 20
+
+static void on_order(void *arg, const struct sched_order *o);
+static void on_forget(void *arg, const char *id);
+
+static const struct sched_ops ops = { .order = on_order, .forget = on_forget };
+
+static struct model_worker *worker_of(struct model *m, uint32_t handle)
+{
+	for (uint32_t i = 0; i < m->worker_count; i++)
+		if (m->workers[i].handle == handle)
+			return &m->workers[i];
+	return NULL;
+}
+
+static struct model_run *find_run(struct model_worker *w, const char *task)
+{
+	for (uint32_t i = 0; i < w->run_count; i++)
+		if (!strcmp(w->runs[i].task, task))
+			return &w->runs[i];
+	return NULL;
+}
+
+static void end_run(struct model *m, struct model_worker *w,
+		    struct model_run *r, enum sched_end how)
+{
+	struct sched_ended *e = &w->ended[w->ended_count];
+
+	(void)m;
+	snprintf(w->ended_names[w->ended_count], SCHED_TASK_NAME_BYTES, "%s",
+		 r->task);
+	e->number = ++w->ends;
+	e->task = w->ended_names[w->ended_count];
+	e->run = r->run;
+	e->how = how;
+	e->checkpoint = how == SCHED_END_STOPPED ? "saved" : "";
+	w->ended_count++;
+	*r = w->runs[--w->run_count];
+	w->changed = true;
+}
+
+static struct model_job *job_of(struct model *m, const char *task,
+				uint32_t *step)
+{
+	unsigned k, s, i;
+	char id[JOB_ID_BYTES];
+
+	if (sscanf(task, "%16[0-9a-f].%u.%u.%u", id, &k, &s, &i) != 4)
+		return NULL;
+	*step = s;
+	for (uint32_t n = 0; n < m->job_count; n++)
+		if (!strcmp(m->jobs[n].spec.id, id))
+			return &m->jobs[n];
+	return NULL;
+}
+
+static bool was_done(const struct model *m, const char *task)
+{
+	for (uint32_t i = 0; i < m->worker_count; i++) {
+		const struct model_worker *w = &m->workers[i];
+
+		for (uint32_t k = 0; k < w->ended_count; k++)
+			if (w->ended[k].how == SCHED_END_DONE &&
+			    !strcmp(w->ended[k].task, task))
+				return true;
+	}
+	return false;
+}
+
+static void check_start(struct model *m, struct model_worker *w,
+			const struct sched_order *o,
+			const struct job_step *step)
+{
+	uint32_t cpu = 0, memory = 0;
+
+	for (uint32_t i = 0; i < m->worker_count; i++)
+		if (find_run(&m->workers[i], o->task))
+			m->faults.twice++;
+	if (was_done(m, o->task) && !step->lasts)
+		m->faults.after_end++;
+	for (uint32_t i = 0; i < w->run_count; i++) {
+		memory += w->runs[i].memory_mb;
+		if (!w->runs[i].fills)
+			cpu += w->runs[i].cpu_milli;
+	}
+	if (memory + step->need.memory_mb > w->capacity.memory_mb ||
+	    (!step->fills &&
+	     cpu + step->need.cpu_milli > w->capacity.cpu_milli))
+		m->faults.overfull++;
+}
+
+static void start(struct model *m, struct model_worker *w,
+		  const struct sched_order *o)
+{
+	uint32_t number;
+	struct model_job *j = job_of(m, o->task, &number);
+	const struct job_step *step = &j->spec.steps[number];
+	struct model_run *r;
+
+	m->starts++;
+	if (m->store_down)
+		m->faults.unstored++;
+	check_start(m, w, o, step);
+	r = &w->runs[w->run_count++];
+	memset(r, 0, sizeof(*r));
+	snprintf(r->task, sizeof(r->task), "%s", o->task);
+	r->run = o->run;
+	r->left_ms = step->lasts ? -1 : j->work_ms[number];
+	r->cpu_milli = step->need.cpu_milli;
+	r->memory_mb = step->need.memory_mb;
+	r->pace = 100;
+	r->fills = step->fills;
+	r->lasts = step->lasts;
+	r->target_ms = step->target_ms;
+	snprintf(r->image, sizeof(r->image), "%s", step->image);
+	w->changed = true;
+	sched_order_result(m->s, o, SCHED_DONE, m->now_us);
+}
+
+static void on_order(void *arg, const struct sched_order *o)
+{
+	struct model *m = arg;
+	struct model_worker *w = worker_of(m, o->worker);
+	struct model_run *r;
+
+	if (!w || w->silent)
+		return; /* the answer never comes */
+	r = find_run(w, o->task);
+	sched_leased(m->s, o->worker, m->now_us);
+	if (o->type == SCHED_START) {
+		start(m, w, o);
+		return;
+	}
+	if (o->type == SCHED_STOP) {
+		m->stops++;
+		if (r && r->run == o->run)
+			end_run(m, w, r, SCHED_END_STOPPED);
+	} else {
+		m->paces++;
+		if (r && r->run == o->run)
+			r->pace = o->percent;
+	}
+	sched_order_result(m->s, o, SCHED_DONE, m->now_us);
+}
+
+static void on_forget(void *arg, const char *id)
+{
+	(void)arg;
+	(void)id;
+}
+
+struct model *job_model_create(uint32_t workers, uint32_t cpu_milli,
+			       uint32_t memory_mb)
+{
+	struct model *m = xcalloc(1, sizeof(*m));
+
+	m->jobs = xcalloc(MODEL_JOBS_MAX, sizeof(*m->jobs));
+	m->rng.state = 20261204;
+	m->now_us = 1000000;
+	m->wall_ms = 1700000000000;
+	m->settings.lease_max_ms = LEASE_MAX_MS;
+	m->settings.status_keep_s = 120;
+	m->settings.takeover_wait_ms = 3000;
+	m->settings.gang_wait_ms = 3000;
+	m->s = sched_create(&ops, m, &m->settings, m->now_us);
+	job_model_policy(m);
+	for (uint32_t i = 0; i < workers; i++) {
+		struct model_worker *w = &m->workers[m->worker_count++];
+
+		snprintf(w->id, sizeof(w->id), "w%u", i);
+		w->capacity.cpu_milli = cpu_milli;
+		w->capacity.memory_mb = memory_mb;
+		w->born_wall_ms = 1000;
+		w->speed = 1;
+	}
+	return m;
+}
+
+static void free_job(struct model_job *j)
+{
+	job_spec_free(&j->spec);
+}
+
+void job_model_free(struct model *m)
+{
+	sched_destroy(m->s);
+	for (uint32_t i = 0; i < m->job_count; i++)
+		free_job(&m->jobs[i]);
+	for (uint32_t i = 0; i < m->record_count; i++)
+		free(m->records[i].data);
+	free(m->jobs);
+	free(m);
+}
+
+void job_model_policy(struct model *m)
+{
+	static const struct sched_queue queues[] = {
+		{ "urgent", "svc", 0, 4, 1.5, 300 },
+		{ "batch", "svc", 2, 3, 2.0, 1000 },
+	};
+	struct sched_policy p = { queues, 2 };
+
+	sched_set_policy(m->s, &p);
+}
+
+struct model_job *job_model_job(struct model *m, const char *queue,
+				uint32_t steps, uint32_t count,
+				uint32_t cpu_milli, uint32_t memory_mb,
+				double work_ms)
+{
+	struct model_job *j = &m->jobs[m->job_count++];
+
+	snprintf(j->spec.id, sizeof(j->spec.id), "%016x", m->job_count);
+	snprintf(j->spec.queue, sizeof(j->spec.queue), "%s", queue);
+	j->spec.text = xstrdup("text");
+	j->spec.step_count = steps;
+	j->spec.steps = xcalloc(steps, sizeof(*j->spec.steps));
+	for (uint32_t i = 0; i < steps; i++) {
+		struct job_step *step = &j->spec.steps[i];
+
+		step->count = count;
+		step->need.cpu_milli = cpu_milli;
+		step->need.memory_mb = memory_mb;
+		step->estimate_ms = (uint32_t)work_ms;
+		step->after = i ? 1ull << (i - 1) : 0;
+		j->work_ms[i] = work_ms;
+	}
+	return j;
+}
+
+static void copy_spec(const struct job_spec *from, struct job_spec *to)
+{
+	struct buffer b = BUFFER_INIT;
+	struct error err;
+
+	job_spec_encode(from, &b);
+	if (job_spec_decode(to, b.data, b.len, &err) < 0)
+		abort();
+	buffer_free(&b);
+}
+
+void job_model_submit(struct model *m, struct model_job *j)
+{
+	struct job_spec spec;
+
+	j->spec.accepted_wall_ms = m->wall_ms;
+	j->handed_in_ms = m->wall_ms;
+	copy_spec(&j->spec, &spec);
+	sched_submit(m->s, &spec, m->now_us);
+}
+
+static void on_record(void *arg, const char *id, const void *data, size_t len)
+{
+	struct model *m = arg;
+	uint32_t i = 0;
+
+	while (i < m->record_count && strcmp(m->records[i].id, id))
+		i++;
+	if (i == m->record_count) {
+		m->record_count++;
+		snprintf(m->records[i].id, JOB_ID_BYTES, "%s", id);
+	}
+	free(m->records[i].data);
+	m->records[i].data = xcalloc(1, len + 1);
+	memcpy(m->records[i].data, data, len);
+	m->records[i].len = len;
+}
+
+/* Tail of a service beside what fills the worker. */
+static double tail_of(const struct model *m, const struct model_worker *w,
+		      const struct model_run *service)
+{
+	double slowdown = 0;
+
+	for (uint32_t i = 0; i < w->run_count; i++) {
+		const struct model_run *r = &w->runs[i];
+
+		if (r->fills && m->slope)
+			slowdown += m->slope(service->image, r->image) *
+				    r->cpu_milli * r->pace / 100.0 /
+				    w->capacity.cpu_milli;
+	}
+	return BASE_TAIL_MS * (1 + slowdown);
+}
+
+void job_model_report(struct model *m, struct model_worker *w)
+{
+	struct sched_run runs[MODEL_RUNS_MAX];
+	struct sched_report r = { .asked_us = m->now_us - 1000,
+				  .born_wall_ms = w->born_wall_ms,
+				  .running = runs,
+				  .running_count = w->run_count,
+				  .ended = w->ended,
+				  .ended_count = w->ended_count };
+
+	for (uint32_t i = 0; i < w->run_count; i++) {
+		const struct model_run *run = &w->runs[i];
+		double all = run->left_ms + run->done_ms;
+
+		runs[i].task = run->task;
+		runs[i].run = run->run;
+		runs[i].checkpoint = "";
+		runs[i].percent =
+			run->lasts ? 100
+				   : (uint32_t)(run->done_ms * 100 / (all + 1));
+		runs[i].figure = run->lasts ? (uint32_t)tail_of(m, w, run)
+					    : run->cpu_milli * run->pace / 100;
+	}
+	w->lease_end_us = m->now_us + LEASE_MAX_MS * 1000ull;
+	sched_leased(m->s, w->handle, m->now_us);
+	sched_report(m->s, w->handle, &r, m->now_us, m->wall_ms);
+	w->reported_us = m->now_us;
+	w->changed = false;
+}
+
+static void list_workers(struct model *m)
+{
+	for (uint32_t i = 0; i < m->worker_count; i++) {
+		struct model_worker *w = &m->workers[i];
+		struct sched_worker_info info = {
+			.id = w->id,
+			.service = "svc",
+			.zone = "zone",
+			.capacity = w->capacity,
+			.born_wall_ms = w->born_wall_ms,
+		};
+
+		strcpy(info.labels[0], "a");
+		snprintf(info.labels[1], JOB_NAME_BYTES, "r%u", i / 8);
+		w->handle = sched_worker(m->s, &info);
+	}
+}
+
+/* Work of one step of time; batch work shares what services leave. */
+static void work(struct model *m, struct model_worker *w)
+{
+	double fills = 0, room = w->capacity.cpu_milli;
+
+	for (uint32_t i = 0; i < w->run_count; i++) {
+		if (w->runs[i].fills)
+			fills += w->runs[i].cpu_milli * w->runs[i].pace / 100.0;
+		else
+			room -= w->runs[i].cpu_milli *
+				(w->runs[i].lasts ? 0.45 : 1);
+	}
+	for (uint32_t i = w->run_count; i-- > 0;) {
+		struct model_run *r = &w->runs[i];
+		double ms = MODEL_STEP_MS * w->speed;
+
+		if (r->lasts || w->hanging)
+			continue;
+		if (r->fills)
+			ms *= r->pace / 100.0 *
+			      (fills > room ? room / fills : 1);
+		r->left_ms -= ms;
+		r->done_ms += ms;
+		if (w->failing && r->done_ms > 20)
+			end_run(m, w, r, SCHED_END_FAILED);
+		else if (r->left_ms <= 0)
+			end_run(m, w, r, SCHED_END_DONE);
+	}
+}
+
+static void check_harm(struct model *m, struct model_worker *w)
+{
+	bool over = false;
+
+	for (uint32_t i = 0; i < w->run_count; i++)
+		over = over ||
+		       (w->runs[i].lasts && w->runs[i].target_ms &&
+			tail_of(m, w, &w->runs[i]) > w->runs[i].target_ms);
+	if (!over) {
+		w->over_since_us = 0;
+	} else if (!w->over_since_us) {
+		w->over_since_us = m->now_us;
+	} else if (m->now_us > w->over_since_us + HARM_MS * 1000ull) {
+		m->faults.harm++;
+		w->over_since_us = m->now_us;
+	}
+}
+
+static void note_completions(struct model *m)
+{
+	enum sched_job_state state;
+
+	for (uint32_t i = 0; i < m->job_count; i++) {
+		struct model_job *j = &m->jobs[i];
+
+		if (!j->handed_in_ms || j->completed_ms)
+			continue;
+		if (sched_job_state(m->s, j->spec.id, j->spec.queue, &state) &&
+		    state == SCHED_JOB_COMPLETED)
+			j->completed_ms = m->wall_ms;
+	}
+}
+
+static void step(struct model *m)
+{
+	m->now_us += MODEL_STEP_MS * 1000;
+	m->wall_ms += MODEL_STEP_MS;
+	list_workers(m);
+	for (uint32_t i = 0; i < m->worker_count; i++) {
+		struct model_worker *w = &m->workers[i];
+
+		work(m, w);
+		check_harm(m, w);
+		if (m->now_us > w->lease_end_us)
+			while (w->run_count)
+				end_run(m, w, &w->runs[0], SCHED_END_LAPSED);
+		if (w->silent)
+			sched_worker_silent(m->s, w->handle, m->now_us);
+		else if (w->changed ||
+			 m->now_us >= w->reported_us + REPORT_MS * 1000)
+			job_model_report(m, w);
+	}
+	sched_tick(m->s, m->now_us, m->wall_ms);
+	if (!m->store_down && sched_collect(m->s, MODEL_JOBS_MAX, on_record, m))
+		sched_stored(m->s, true, m->now_us);
+	note_completions(m);
+}
+
+void job_model_run(struct model *m, uint32_t ms)
+{
+	for (uint32_t t = 0; t < ms; t += MODEL_STEP_MS)
+		step(m);
+}
+
+void job_model_take_over(struct model *m)
+{
+	struct job_spec spec;
+	struct error err;
+
+	sched_destroy(m->s);
+	m->s = sched_create(&ops, m, &m->settings, m->now_us);
+	job_model_policy(m);
+	for (uint32_t i = 0; i < m->job_count; i++) {
+		if (!m->jobs[i].handed_in_ms)
+			continue;
+		copy_spec(&m->jobs[i].spec, &spec);
+		sched_submit(m->s, &spec, m->now_us);
+	}
+	for (uint32_t i = 0; i < m->record_count; i++)
+		if (sched_restore(m->s, m->records[i].id, m->records[i].data,
+				  m->records[i].len, &err) < 0)
+			abort();
+}
+
+enum sched_job_state job_model_state(struct model *m, const struct model_job *j)
+{
+	enum sched_job_state state = SCHED_JOB_QUEUED;
+
+	sched_job_state(m->s, j->spec.id, j->spec.queue, &state);
+	return state;
+}
+
+uint32_t job_model_running(const struct model *m)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < m->worker_count; i++)
+		n += m->workers[i].run_count;
+	return n;
+}
--- /dev/null
+++ b/tests/test-sched.c
@@ -0,0 +1,348 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "support-sched.h"
+#include "support-unit.h"
+
+#define CORES(n) ((n)*1000u)
+#define GB(n) ((n)*1000u)
+
+static void expect_no_faults(const struct model *m)
+{
+	CU_ASSERT_EQUAL(m->faults.twice, 0);
+	CU_ASSERT_EQUAL(m->faults.order, 0);
+	CU_ASSERT_EQUAL(m->faults.overfull, 0);
+	CU_ASSERT_EQUAL(m->faults.unstored, 0);
+	CU_ASSERT_EQUAL(m->faults.after_end, 0);
+	CU_ASSERT_EQUAL(m->faults.harm, 0);
+}
+
+/* Guards against steps that start before their predecessors are done. */
+static void test_steps_follow_each_other(void)
+{
+	struct model *m = job_model_create(4, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_job(m, "urgent", 3, 6, CORES(2), GB(2), 500);
+
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 300);
+	CU_ASSERT_EQUAL(job_model_running(m), 6);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_RUNNING);
+	job_model_run(m, 1700);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	CU_ASSERT_EQUAL(m->starts, 18);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against a second run of what a predecessor started. */
+static void test_successor_adopts(void)
+{
+	struct model *m = job_model_create(4, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_job(m, "urgent", 2, 10, CORES(2), GB(2), 3000);
+
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 1000);
+	CU_ASSERT_EQUAL(job_model_running(m), 10);
+	job_model_take_over(m);
+	job_model_run(m, 6500);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	CU_ASSERT_EQUAL(m->starts, 20);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against two runs while a worker that is cut off works on. */
+static void test_silent_worker_keeps_its_tasks_until_the_lease_ends(void)
+{
+	struct model *m = job_model_create(2, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_job(m, "urgent", 1, 8, CORES(2), GB(2), 20000);
+	uint32_t before;
+
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 500);
+	before = m->starts;
+	m->workers[0].silent = true;
+	job_model_run(m, 5800);
+	CU_ASSERT_EQUAL(m->starts, before);
+	job_model_run(m, 1000);
+	CU_ASSERT_EQUAL(m->starts, before + 4);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* As above, when the owner was replaced and never heard the worker. */
+static void test_successor_waits_for_a_silent_worker(void)
+{
+	struct model *m = job_model_create(2, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_job(m, "urgent", 1, 8, CORES(2), GB(2), 30000);
+	uint32_t before;
+
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 500);
+	before = m->starts;
+	m->workers[0].silent = true;
+	job_model_take_over(m);
+	job_model_run(m, 9000);
+	CU_ASSERT_EQUAL(m->starts, before);
+	job_model_run(m, 1500);
+	CU_ASSERT_EQUAL(m->starts, before + 4);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/*
+ * A job that is cancelled while a successor loads must be stopped where it
+ * runs: the stop was ordered before the worker was known, and got lost.
+ */
+static void test_cancelled_while_loading(void)
+{
+	struct model *m = job_model_create(2, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_job(m, "urgent", 1, 4, CORES(2), GB(2), 60000);
+
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 500);
+	CU_ASSERT_EQUAL(job_model_running(m), 4);
+	job_model_take_over(m);
+	sched_cancel(m->s, j->spec.id, m->now_us, m->wall_ms);
+	job_model_run(m, 1000);
+	CU_ASSERT_EQUAL(job_model_running(m), 0);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_CANCELLED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against starts that a successor could not know of. */
+static void test_nothing_starts_without_the_store(void)
+{
+	struct model *m = job_model_create(2, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_job(m, "urgent", 2, 4, CORES(2), GB(2), 500);
+
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 300);
+	m->store_down = true;
+	job_model_run(m, 3000);
+	CU_ASSERT_EQUAL(m->starts, 4);
+	m->store_down = false;
+	job_model_run(m, 1000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against a worker that attracts work by failing it fast. */
+static void test_failing_worker_is_quarantined(void)
+{
+	struct model *m = job_model_create(4, CORES(16), GB(64));
+	uint32_t completed = 0;
+
+	m->workers[0].failing = true;
+	job_model_run(m, 100);
+	for (int i = 0; i < 30; i++) {
+		job_model_submit(m, job_model_job(m, "urgent", 1, 2, CORES(1),
+						  GB(1), 200));
+		job_model_run(m, 100);
+	}
+	job_model_run(m, 2000);
+	for (uint32_t i = 0; i < m->job_count; i++)
+		completed += m->jobs[i].completed_ms != 0;
+	CU_ASSERT_EQUAL(completed, 30);
+	CU_ASSERT(m->starts < 60 + 16);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against jobs that are tried for ever, or given up early. */
+static void test_attempts_are_limited(void)
+{
+	struct model *m = job_model_create(1, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_job(m, "batch", 1, 1, CORES(1), GB(1), 200);
+
+	m->workers[0].failing = true;
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 2000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_FAILED);
+	CU_ASSERT_EQUAL(m->starts, 3);
+	job_model_free(m);
+}
+
+/* Guards against a gang that is started in parts. */
+static void test_gang_starts_whole(void)
+{
+	struct model *m = job_model_create(2, CORES(8), GB(64));
+	struct model_job *filler =
+		job_model_job(m, "urgent", 1, 4, CORES(2), GB(1), 1000);
+	struct model_job *j =
+		job_model_job(m, "urgent", 1, 6, CORES(2), GB(1), 500);
+
+	j->spec.steps[0].gang = true;
+	job_model_run(m, 100);
+	job_model_submit(m, filler);
+	job_model_run(m, 200);
+	job_model_submit(m, j);
+	job_model_run(m, 500);
+	CU_ASSERT_EQUAL(m->starts, 4);
+	job_model_run(m, 1500);
+	CU_ASSERT_EQUAL(m->starts, 10);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	job_model_free(m);
+}
+
+/* Guards against tasks that last and stay away after they ended. */
+static void test_lasting_tasks_come_back(void)
+{
+	struct model *m = job_model_create(2, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_job(m, "urgent", 1, 4, CORES(2), GB(2), 60000);
+
+	j->spec.steps[0].lasts = true;
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 500);
+	m->workers[0].born_wall_ms += 5000;
+	m->workers[0].run_count = 0;
+	m->workers[0].ended_count = 0;
+	m->workers[0].ends = 0;
+	job_model_run(m, 500);
+	CU_ASSERT_EQUAL(job_model_running(m), 4);
+	CU_ASSERT_EQUAL(m->starts, 6);
+	sched_cancel(m->s, j->spec.id, m->now_us, m->wall_ms);
+	job_model_run(m, 500);
+	CU_ASSERT_EQUAL(job_model_running(m), 0);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against occurrences that start early, or are left out. */
+static void test_occurrences_start_when_due(void)
+{
+	struct model *m = job_model_create(2, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_job(m, "urgent", 1, 2, CORES(2), GB(2), 300);
+
+	j->spec.repetitions = 3;
+	j->spec.first_wall_ms = m->wall_ms + 2000;
+	j->spec.interval_ms = 1000;
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 1800);
+	CU_ASSERT_EQUAL(m->starts, 0);
+	job_model_run(m, 400);
+	CU_ASSERT_EQUAL(m->starts, 2);
+	job_model_take_over(m);
+	job_model_run(m, 3000);
+	CU_ASSERT_EQUAL(m->starts, 6);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+static double disturbing_pair(const char *service, const char *batch)
+{
+	return !strcmp(service, "forms") && !strcmp(batch, "heavy") ? 60 : 0;
+}
+
+/*
+ * Batch work that multiplies a service's tail goes elsewhere within seconds,
+ * and batch work that does not disturb runs beside it.
+ */
+static void test_disturbing_batch_work_is_kept_away(void)
+{
+	struct model *m = job_model_create(8, CORES(32), GB(128));
+	static const char *const images[] = { "heavy", "light" };
+	uint32_t completed = 0;
+
+	m->slope = disturbing_pair;
+	job_model_run(m, 100);
+	for (int i = 0; i < 6; i++) {
+		struct model_job *j = job_model_job(m, "urgent", 1, 4, CORES(6),
+						    GB(12), 60000);
+
+		j->spec.steps[0].lasts = true;
+		j->spec.steps[0].target_ms = 50;
+		strcpy(j->spec.steps[0].image, i % 2 ? "forms" : "letters");
+		job_model_submit(m, j);
+	}
+	job_model_run(m, 1000);
+	for (int i = 0; i < 60; i++) {
+		struct model_job *j =
+			job_model_job(m, "batch", 1, 8, CORES(3), GB(5), 1500);
+
+		j->spec.steps[0].fills = true;
+		j->spec.steps[0].checkpoints = true;
+		strcpy(j->spec.steps[0].image, images[i % 2]);
+		job_model_submit(m, j);
+		job_model_run(m, 500);
+	}
+	job_model_run(m, 6000);
+	for (uint32_t i = 0; i < m->job_count; i++)
+		completed += m->jobs[i].completed_ms != 0;
+	CU_ASSERT(completed >= 58);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against overfull workers and starvation of the urgent queue. */
+static void test_burst_of_batch_work(void)
+{
+	struct model *m = job_model_create(8, CORES(16), GB(64));
+	uint32_t late = 0;
+
+	job_model_run(m, 100);
+	for (int i = 0; i < 200; i++)
+		job_model_submit(m, job_model_job(m, "batch", 1, 8, CORES(2),
+						  GB(4), 2000));
+	for (int i = 0; i < 20; i++) {
+		job_model_submit(m, job_model_job(m, "urgent", 1, 4, CORES(2),
+						  GB(4), 500));
+		job_model_run(m, 500);
+	}
+	job_model_run(m, 3000);
+	for (uint32_t i = 200; i < m->job_count; i++)
+		late += !m->jobs[i].completed_ms ||
+			m->jobs[i].completed_ms >
+				m->jobs[i].handed_in_ms + 3000;
+	CU_ASSERT_EQUAL(late, 0);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "steps follow each other", test_steps_follow_each_other },
+		{ "successor adopts", test_successor_adopts },
+		{ "silent worker keeps its tasks until the lease ends",
+		  test_silent_worker_keeps_its_tasks_until_the_lease_ends },
+		{ "successor waits for a silent worker",
+		  test_successor_waits_for_a_silent_worker },
+		{ "cancelled while loading", test_cancelled_while_loading },
+		{ "nothing starts without the store",
+		  test_nothing_starts_without_the_store },
+		{ "failing worker is quarantined",
+		  test_failing_worker_is_quarantined },
+		{ "attempts are limited", test_attempts_are_limited },
+		{ "gang starts whole", test_gang_starts_whole },
+		{ "lasting tasks come back", test_lasting_tasks_come_back },
+		{ "occurrences start when due",
+		  test_occurrences_start_when_due },
+		{ "disturbing batch work is kept away",
+		  test_disturbing_batch_work_is_kept_away },
+		{ "burst of batch work", test_burst_of_batch_work },
+	};
+
+	return RUN_SUITE("sched", tests);
+}
