Place starved batch work only beside idle processors; look sooner

A job with nothing running for 1.5 s now begins where services bear it best, if more than half of the processors are idle.

The pace of an adopted task is not known and is ordered anew; a refused pace order counts as unknown. A worker with a service near its target is looked at every 400 ms.

--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -187,8 +187,8 @@
 
 /* Highest end number of the worker whose consequences are stored. */
 uint64_t sched_acknowledged(const struct sched *s, uint32_t worker);
-/* Whether frequent reports are needed to protect services from batch work. */
-bool sched_worker_shared(const struct sched *s, uint32_t worker);
+/* How long a report may wait for an end; shorter where services need care. */
+uint32_t sched_look_wait_ms(const struct sched *s, uint32_t worker);
 
 /* Places what can be placed, and ends what has run out. */
 void sched_tick(struct sched *s, uint64_t now_us, uint64_t wall_ms);
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -8,11 +8,6 @@
 #include "job-node.h"
 #include "log.h"
 
-/* How long a worker keeps a look waiting for an end; it bounds the leases'
- * age to a third of their length. */
-#define LOOK_WAIT_MS 2000u
-/* Beside batch work, services are looked at often enough to protect them. */
-#define LOOK_SHARED_MS 1000u
 /* Between two looks at one worker, so that ends are taken in batches. */
 #define LOOK_INTERVAL_US 20000u
 /* A look is repeated without its ends being stored after that time. */
@@ -270,9 +265,7 @@
 	}
 	if (!l->verify) {
 		q.seen_upto = sched_acknowledged(w->sched, l->worker);
-		q.wait_ms = sched_worker_shared(w->sched, l->worker)
-				    ? LOOK_SHARED_MS
-				    : LOOK_WAIT_MS;
+		q.wait_ms = sched_look_wait_ms(w->sched, l->worker);
 	}
 	l->asked_us = now;
 	l->looking = true;
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -19,6 +19,9 @@
 
 #define JOB_BUCKETS 4096u /* power of two */
 
+/* Of a task that a predecessor started, or whose order was refused. */
+#define PACE_UNKNOWN 101
+
 enum task_state {
 	TASK_BLOCKED,  /* its step waits for earlier ones */
 	TASK_WAITING,  /* for a worker */
@@ -47,7 +50,7 @@
 	uint64_t since_us; /* of the state */
 	uint64_t retry_us; /* not placed before that */
 	uint8_t state;
-	uint8_t pace; /* percent in force or ordered */
+	uint8_t pace; /* percent in force or ordered, or PACE_UNKNOWN */
 	uint8_t percent;
 	bool answered; /* the start, or the stop, was confirmed */
 	uint32_t figure;
@@ -101,12 +104,13 @@
 	uint64_t seen_stored;
 	uint64_t lease_end_us; /* nothing runs there later without renewal */
 	uint64_t quarantine_us;
-	uint64_t full_us;     /* refused for want of room until then */
-	uint64_t over_us;     /* a service over its target since; 0: none */
-	uint64_t acted_us;    /* a batch task was halted or moved */
-	uint64_t observed_us; /* the pairs of images were learnt from it */
-	uint64_t changed_us;  /* the pace of a batch task */
-	uint32_t failures;    /* in a row, of different jobs */
+	uint64_t full_us;      /* refused for want of room until then */
+	uint64_t over_us;      /* a service over its target since; 0: none */
+	uint64_t acted_us;     /* a batch task was halted or moved */
+	uint64_t observed_us;  /* the pairs of images were learnt from it */
+	uint64_t changed_us;   /* the pace of a batch task */
+	uint32_t tail_percent; /* of the worst service, in its last report */
+	uint32_t failures;     /* in a row, of different jobs */
 	uint32_t failed_job;
 	bool listed;
 	bool draining;
--- a/src/sched-pace.c
+++ b/src/sched-pace.c
@@ -13,7 +13,9 @@
 #define ACT_INTERVAL_US 700000u
 #define OBSERVE_INTERVAL_US 500000u
 /* After that long above the target, all batch work on the worker halts. */
-#define HALT_AFTER_US 1600000u
+#define HALT_AFTER_US 1400000u
+/* Reports are rough: from this part of its target on a service is relieved. */
+#define OVER_PERCENT 100u
 /* Below this part of its target a service is out of danger. */
 #define CALM_PERCENT 80u
 /* Expected tails are kept below this part of the target ... */
@@ -25,12 +27,22 @@
 /* More than that of its work is not thrown away to move it. */
 #define MOVE_PERCENT_MAX 60u
 #define LOADS_MAX 64
+/* How long a worker may keep a report back while nothing ends there. */
+#define LOOK_WAIT_MS 2000u
+#define LOOK_SHARED_MS 1000u
+#define LOOK_OVER_MS 400u
 
 static bool is_service(const struct job_step *step)
 {
 	return step->lasts && step->target_ms;
 }
 
+/* A task whose pace is not known may work at full speed. */
+static uint32_t pace_of(const struct task *t)
+{
+	return t->pace == PACE_UNKNOWN ? 100 : t->pace;
+}
+
 static uint32_t image_of(struct sched *s, const struct job_step *step)
 {
 	return pair_model_image(&s->pairs, step->image);
@@ -46,8 +58,9 @@
 	     i = s->tasks[i].next_on_worker) {
 		const struct task *t = &s->tasks[i];
 		const struct job_step *step = sched_step_of(s, t);
-		uint32_t cpu = measured ? t->figure
-					: step->need.cpu_milli * t->pace / 100;
+		uint32_t cpu =
+			measured ? t->figure
+				 : step->need.cpu_milli * pace_of(t) / 100;
 
 		if (!step->fills || !cpu ||
 		    (measured && t->state != TASK_RUNNING))
@@ -170,7 +183,7 @@
 
 		if (!step->fills || t->state != TASK_RUNNING || !t->pace)
 			continue;
-		load.part = (float)step->need.cpu_milli * (float)t->pace /
+		load.part = (float)step->need.cpu_milli * (float)pace_of(t) /
 			    100.0f / (float)(w->capacity.cpu_milli + 1);
 		value = pair_model_slowdown(&s->pairs, image_of(s, service),
 					    &load);
@@ -246,6 +259,10 @@
 
 		if (!step->fills || t->state != TASK_RUNNING || t->pace == 100)
 			continue;
+		if (t->pace == PACE_UNKNOWN) {
+			set_pace(s, t, 100);
+			continue;
+		}
 		/* The headroom counts the task at its pace, and once more. */
 		room = sched_pace_headroom(s, w, step);
 		slope = part * 8;
@@ -261,6 +278,15 @@
 	}
 }
 
+uint32_t sched_look_wait_ms(const struct sched *s, uint32_t worker)
+{
+	const struct worker *w = &s->workers[worker];
+
+	if (!w->serving_milli || !w->filling_milli)
+		return LOOK_WAIT_MS;
+	return w->tail_percent > CALM_PERCENT ? LOOK_OVER_MS : LOOK_SHARED_MS;
+}
+
 void sched_pace(struct sched *s, uint32_t worker)
 {
 	struct worker *w = &s->workers[worker];
@@ -273,7 +299,8 @@
 		return;
 	observe(s, w);
 	service = worst_service(s, w, &tail);
-	if (tail <= 100) {
+	w->tail_percent = tail;
+	if (tail <= OVER_PERCENT) {
 		if (tail < CALM_PERCENT)
 			w->over_us = 0;
 		if (tail < CALM_PERCENT &&
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -15,6 +15,9 @@
 /* More than all other preferences together. */
 #define FAILED_HERE 100000
 
+/* A job with nothing running for that long begins beside any service. */
+#define STARVED_US 1500000u
+
 struct candidate {
 	uint32_t job;
 	uint64_t key;
@@ -157,14 +160,79 @@
 	return best;
 }
 
+/*
+ * The worker whose services bear a batch task best, for a job that has nothing
+ * running because every worker is expected to be disturbed.
+ */
+static uint32_t least_disturbed(struct sched *s, const struct job *j,
+				const struct task *t)
+{
+	const struct job_step *step = &j->spec.steps[t->step];
+	uint32_t best = SCHED_NONE;
+	float most = 0;
+
+	for (uint32_t i = 0; i < s->worker_count; i++) {
+		const struct worker *w = &s->workers[i];
+		float headroom;
+
+		if (!usable(s, w, j, step) || w->over_us ||
+		    w->used.memory_mb + step->need.memory_mb >
+			    w->capacity.memory_mb ||
+		    (step->per_worker_max &&
+		     tasks_of_step(s, w, t) >= step->per_worker_max))
+			continue;
+		headroom = sched_pace_headroom(s, w, step);
+		if (best != SCHED_NONE && headroom <= most)
+			continue;
+		best = i;
+		most = headroom;
+	}
+	return best;
+}
+
+/* Whether more than half of the processors of a service's workers are idle. */
+static bool mostly_idle(const struct sched *s, const char *service)
+{
+	uint64_t busy = 0, all = 0;
+
+	for (uint32_t i = 0; i < s->worker_count; i++) {
+		const struct worker *w = &s->workers[i];
+
+		if (!w->listed || strcmp(w->service, service))
+			continue;
+		all += w->capacity.cpu_milli;
+		busy += w->used.cpu_milli + w->filling_milli -
+			w->serving_milli * (100 - SERVING_USE_PERCENT) / 100;
+	}
+	return busy < all / 2;
+}
+
+static bool nothing_runs(const struct sched *s, const struct job *j)
+{
+	uint32_t count = job_spec_tasks(&j->spec);
+
+	for (uint32_t i = 0; i < j->occurrence_count; i++)
+		for (uint32_t k = 0; j->occurrences[i].used && k < count; k++)
+			if (s->tasks[j->occurrences[i].first_task + k].worker !=
+			    SCHED_NONE)
+				return false;
+	return true;
+}
+
 static uint32_t choose_worker(struct sched *s, const struct job *j,
 			      const struct task *t)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	uint32_t best;
 
-	if (!*step->rack)
-		return best_worker(s, j, t, NULL);
+	if (!*step->rack) {
+		best = best_worker(s, j, t, NULL);
+		if (best == SCHED_NONE && step->fills &&
+		    s->now_us > t->since_us + STARVED_US &&
+		    mostly_idle(s, j->queue.service) && nothing_runs(s, j))
+			best = least_disturbed(s, j, t);
+		return best;
+	}
 	best = best_worker(s, j, t, step->rack);
 	if (best != SCHED_NONE ||
 	    s->now_us <
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -313,9 +313,8 @@
 		t->answered = result != SCHED_LOST && result != SCHED_UNREACHED;
 		if (!t->answered)
 			order(s, t, SCHED_STOP);
-	} else if (o->type == SCHED_PACE && t->state == TASK_RUNNING &&
-		   (result == SCHED_LOST || result == SCHED_UNREACHED)) {
-		order(s, t, SCHED_PACE);
+	} else if (o->type == SCHED_PACE && result != SCHED_DONE) {
+		t->pace = PACE_UNKNOWN;
 	}
 }
 
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -163,13 +163,6 @@
 	return s->workers[worker].seen_stored;
 }
 
-bool sched_worker_shared(const struct sched *s, uint32_t worker)
-{
-	const struct worker *w = &s->workers[worker];
-
-	return w->serving_milli && w->filling_milli;
-}
-
 void sched_worker_ended(struct sched *s, struct worker *w, const struct task *t,
 			enum sched_end how)
 {
@@ -223,6 +216,8 @@
 	s->jobs[t->job].started = true;
 	if (s->jobs[t->job].state == SCHED_JOB_QUEUED)
 		s->jobs[t->job].state = SCHED_JOB_RUNNING;
+	if (t->state == TASK_DOUBT)
+		t->pace = PACE_UNKNOWN;
 	if (t->state == TASK_DOUBT || t->state == TASK_STARTING) {
 		t->state = TASK_RUNNING;
 		t->since_us = s->now_us;
