Order work by whether it can still meet its objective; cache what services bear

A round now skips needs that it could not meet before, and keeps each worker's headroom by service image. Jobs are ordered by whether they can meet their objective, then three times it, then the rest.

--- a/src/job-spec.h
+++ b/src/job-spec.h
@@ -52,6 +52,7 @@
 	char label[JOB_NAME_BYTES]; /* that the worker must have */
 	char rack[JOB_NAME_BYTES];  /* where the data lies */
 	char image[JOB_NAME_BYTES]; /* tasks of one image behave alike */
+	uint32_t image_handle;	    /* set by the decision core; not stored */
 	uint64_t after;		    /* bit N: step N has to be done first */
 	bool checkpoints;
 	bool gang;	/* all tasks run at once, or none makes progress */
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -88,6 +88,13 @@
 	bool cancel_early; /* cancelled before it was submitted */
 };
 
+/* Slowdown that services of an image can still bear on a worker. */
+#define SERVICE_IMAGES_MAX 8
+struct service_room {
+	uint32_t image;
+	float left;
+};
+
 struct worker {
 	char id[JOB_NAME_BYTES];
 	char service[JOB_NAME_BYTES];
@@ -97,6 +104,9 @@
 	struct room used;	/* by tasks that count against capacity */
 	uint32_t serving_milli; /* part of used that serves */
 	uint32_t filling_milli; /* of tasks that fill */
+	struct service_room rooms[SERVICE_IMAGES_MAX];
+	uint32_t room_count;
+	bool rooms_known; /* else they are found when asked for */
 	uint32_t first_task;
 	uint64_t born_wall_ms;
 	uint64_t seen;		 /* highest end processed */
@@ -118,6 +128,13 @@
 	bool trial;    /* out of quarantine: one task at a time */
 };
 
+#define UNMET_MAX 32
+struct unmet {
+	const char *service;
+	uint32_t image; /* of batch work; SCHED_NONE for the rest */
+	struct room need;
+};
+
 struct sched {
 	const struct sched_ops *ops;
 	void *arg;
@@ -144,6 +161,9 @@
 	uint64_t place_us;
 	struct sched_stats stats;
 	struct pair_model pairs;
+	/* Needs that no worker could meet in this round of placement. */
+	struct unmet unmet[UNMET_MAX];
+	uint32_t unmet_count;
 };
 
 /* ---- sched.c ---- */
@@ -195,7 +215,7 @@
  * Slowdown that the most sensitive service of a worker can still bear when a
  * batch task of the step is added; negative: too much.
  */
-float sched_pace_headroom(struct sched *s, const struct worker *w,
+float sched_pace_headroom(struct sched *s, struct worker *w,
 			  const struct job_step *step);
 
 /* ---- sched-record.c ---- */
--- a/src/sched-pace.c
+++ b/src/sched-pace.c
@@ -43,11 +43,6 @@
 	return t->pace == PACE_UNKNOWN ? 100 : t->pace;
 }
 
-static uint32_t image_of(struct sched *s, const struct job_step *step)
-{
-	return pair_model_image(&s->pairs, step->image);
-}
-
 /* Loads of the batch tasks at work, as they are measured or declared. */
 static size_t batch_loads(struct sched *s, const struct worker *w,
 			  struct pair_load loads[LOADS_MAX], bool measured)
@@ -65,7 +60,7 @@
 		if (!step->fills || !cpu ||
 		    (measured && t->state != TASK_RUNNING))
 			continue;
-		loads[n].image = image_of(s, step);
+		loads[n].image = step->image_handle;
 		loads[n].part = (float)cpu / (float)(w->capacity.cpu_milli + 1);
 		n++;
 	}
@@ -102,7 +97,7 @@
 
 		if (is_service(step) && t->state == TASK_RUNNING && t->figure &&
 		    s->now_us >= t->since_us + OBSERVE_INTERVAL_US)
-			pair_model_observe(&s->pairs, image_of(s, step),
+			pair_model_observe(&s->pairs, step->image_handle,
 					   (float)t->figure,
 					   (float)step->target_ms, loads, n);
 	}
@@ -111,38 +106,63 @@
 /* Room for slowdown of a service before its limit, without any batch work. */
 static float tolerance(struct sched *s, const struct job_step *step)
 {
-	float alone = pair_model_alone(&s->pairs, image_of(s, step),
+	float alone = pair_model_alone(&s->pairs, step->image_handle,
 				       (float)step->target_ms);
 
 	return LIMIT * (float)step->target_ms / (alone * LOAD_MARGIN + 0.1f) -
 	       1;
 }
 
-float sched_pace_headroom(struct sched *s, const struct worker *w,
-			  const struct job_step *step)
+/* Finds what slowdown each service image of a worker can still bear. */
+static void find_rooms(struct sched *s, struct worker *w)
 {
 	struct pair_load loads[LOADS_MAX];
-	struct pair_load new = {
-		.image = image_of(s, step),
-		.part = (float)step->need.cpu_milli /
-			(float)(w->capacity.cpu_milli + 1),
-	};
-	float least = 1;
 	size_t n = batch_loads(s, w, loads, false);
 
+	w->room_count = 0;
+	w->rooms_known = true;
 	for (uint32_t i = w->first_task; i != SCHED_NONE;
 	     i = s->tasks[i].next_on_worker) {
-		const struct job_step *other = sched_step_of(s, &s->tasks[i]);
-		float left, service;
+		const struct job_step *step = sched_step_of(s, &s->tasks[i]);
+		float left;
+		uint32_t k = 0;
 
-		if (!is_service(other))
+		if (!is_service(step))
 			continue;
-		service = tolerance(s, other);
-		left = service -
-		       pair_model_slowdown(&s->pairs, image_of(s, other), &new);
-		for (size_t k = 0; k < n; k++)
+		left = tolerance(s, step);
+		for (size_t m = 0; m < n; m++)
 			left -= pair_model_slowdown(
-				&s->pairs, image_of(s, other), &loads[k]);
+				&s->pairs, step->image_handle, &loads[m]);
+		while (k < w->room_count &&
+		       w->rooms[k].image != step->image_handle)
+			k++;
+		if (k == SERVICE_IMAGES_MAX)
+			k--;
+		else if (k == w->room_count)
+			w->rooms[w->room_count++].left = left;
+		w->rooms[k].image = step->image_handle;
+		if (left < w->rooms[k].left)
+			w->rooms[k].left = left;
+	}
+}
+
+float sched_pace_headroom(struct sched *s, struct worker *w,
+			  const struct job_step *step)
+{
+	struct pair_load load = {
+		.image = step->image_handle,
+		.part = (float)step->need.cpu_milli /
+			(float)(w->capacity.cpu_milli + 1),
+	};
+	float least = 1;
+
+	if (!w->rooms_known)
+		find_rooms(s, w);
+	for (uint32_t i = 0; i < w->room_count; i++) {
+		float left = w->rooms[i].left -
+			     pair_model_slowdown(&s->pairs, w->rooms[i].image,
+						 &load);
+
 		if (left < least)
 			least = left;
 	}
@@ -162,6 +182,7 @@
 		return;
 	t->pace = (uint8_t)percent;
 	s->workers[t->worker].changed_us = s->now_us;
+	s->workers[t->worker].rooms_known = false;
 	s->stats.paced++;
 	sched_task_name(s, t, o.task);
 	s->ops->order(s->arg, &o);
@@ -178,14 +199,14 @@
 	     i = s->tasks[i].next_on_worker) {
 		struct task *t = &s->tasks[i];
 		const struct job_step *step = sched_step_of(s, t);
-		struct pair_load load = { .image = image_of(s, step) };
+		struct pair_load load = { .image = step->image_handle };
 		float value;
 
 		if (!step->fills || t->state != TASK_RUNNING || !t->pace)
 			continue;
 		load.part = (float)step->need.cpu_milli * (float)pace_of(t) /
 			    100.0f / (float)(w->capacity.cpu_milli + 1);
-		value = pair_model_slowdown(&s->pairs, image_of(s, service),
+		value = pair_model_slowdown(&s->pairs, service->image_handle,
 					    &load);
 		if (value > *slowdown) {
 			*slowdown = value;
@@ -298,6 +319,7 @@
 	if (!w->serving_milli)
 		return;
 	observe(s, w);
+	w->rooms_known = false;
 	service = worst_service(s, w, &tail);
 	w->tail_percent = tail;
 	if (tail <= OVER_PERCENT) {
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -18,6 +18,9 @@
 /* A job with nothing running for that long begins beside any service. */
 #define STARVED_US 1500000u
 
+/* A job that takes up to that many times its objective is of some use. */
+#define LATE_FACTOR 3u
+
 struct candidate {
 	uint32_t job;
 	uint64_t key;
@@ -138,7 +141,7 @@
 	int64_t best_score = 0;
 
 	for (uint32_t i = 0; i < s->worker_count; i++) {
-		const struct worker *w = &s->workers[i];
+		struct worker *w = &s->workers[i];
 		int64_t value;
 
 		if (!usable(s, w, j, step) || !fits(w, step) ||
@@ -172,7 +175,7 @@
 	float most = 0;
 
 	for (uint32_t i = 0; i < s->worker_count; i++) {
-		const struct worker *w = &s->workers[i];
+		struct worker *w = &s->workers[i];
 		float headroom;
 
 		if (!usable(s, w, j, step) || w->over_us ||
@@ -219,26 +222,75 @@
 	return true;
 }
 
+static uint32_t unmet_image(const struct job_step *step)
+{
+	return step->fills ? step->image_handle : SCHED_NONE;
+}
+
+/* Whether a need that is no larger was not met in this round. */
+static bool known_unmet(const struct sched *s, const struct job *j,
+			const struct job_step *step)
+{
+	for (uint32_t i = 0; i < s->unmet_count; i++) {
+		const struct unmet *u = &s->unmet[i];
+
+		if (u->image == unmet_image(step) &&
+		    u->need.cpu_milli <= step->need.cpu_milli &&
+		    u->need.memory_mb <= step->need.memory_mb &&
+		    u->need.accelerators <= step->need.accelerators &&
+		    !strcmp(u->service, j->queue.service))
+			return true;
+	}
+	return false;
+}
+
+/* Only a step that any worker may run tells something about others. */
+static void note_unmet(struct sched *s, const struct job *j,
+		       const struct job_step *step)
+{
+	struct unmet *u = &s->unmet[s->unmet_count];
+
+	if (*step->label || *step->rack || step->per_worker_max ||
+	    s->unmet_count == UNMET_MAX)
+		return;
+	s->unmet_count++;
+	u->service = j->queue.service;
+	u->image = unmet_image(step);
+	u->need = step->need;
+}
+
+static uint32_t choose_anywhere(struct sched *s, const struct job *j,
+				const struct task *t)
+{
+	const struct job_step *step = &j->spec.steps[t->step];
+	uint32_t best = SCHED_NONE;
+
+	if (!known_unmet(s, j, step)) {
+		best = best_worker(s, j, t, NULL);
+		if (best == SCHED_NONE)
+			note_unmet(s, j, step);
+	}
+	if (best == SCHED_NONE && step->fills &&
+	    s->now_us > t->since_us + STARVED_US &&
+	    mostly_idle(s, j->queue.service) && nothing_runs(s, j))
+		best = least_disturbed(s, j, t);
+	return best;
+}
+
 static uint32_t choose_worker(struct sched *s, const struct job *j,
 			      const struct task *t)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	uint32_t best;
 
-	if (!*step->rack) {
-		best = best_worker(s, j, t, NULL);
-		if (best == SCHED_NONE && step->fills &&
-		    s->now_us > t->since_us + STARVED_US &&
-		    mostly_idle(s, j->queue.service) && nothing_runs(s, j))
-			best = least_disturbed(s, j, t);
-		return best;
-	}
+	if (!*step->rack)
+		return choose_anywhere(s, j, t);
 	best = best_worker(s, j, t, step->rack);
 	if (best != SCHED_NONE ||
 	    s->now_us <
 		    t->since_us + step->estimate_ms * 10ull * RACK_WAIT_PERCENT)
 		return best;
-	return best_worker(s, j, t, NULL);
+	return choose_anywhere(s, j, t);
 }
 
 /* Places all members or none; returns whether it placed them. */
@@ -347,11 +399,58 @@
 	return false;
 }
 
+/* Estimated length of what is left of a job's longest chain. */
+static uint32_t chain_left_ms(const struct job *j)
+{
+	const struct occurrence *o = NULL;
+	uint32_t ends[JOB_STEPS_MAX] = { 0 };
+	uint32_t longest = 0;
+
+	for (uint32_t i = 0; i < j->occurrence_count && !o; i++)
+		if (j->occurrences[i].used)
+			o = &j->occurrences[i];
+	for (uint32_t i = 0; o && i < j->spec.step_count; i++) {
+		uint32_t begin = 0;
+
+		if (!o->left[i])
+			continue;
+		for (uint32_t k = 0; k < i; k++)
+			if (j->spec.steps[i].after >> k & 1 && ends[k] > begin)
+				begin = ends[k];
+		ends[i] = begin + j->spec.steps[i].estimate_ms;
+		if (ends[i] > longest)
+			longest = ends[i];
+	}
+	return longest;
+}
+
+/*
+ * Load pattern: a burst brings more work than fits. What can still meet its
+ * objective goes first, then what is late but still of use, then the rest; in
+ * each of them by deadline.
+ */
+static uint64_t order_key(const struct sched *s, const struct job *j)
+{
+	uint64_t end = s->wall_ms + chain_left_ms(j);
+	uint64_t class = 0;
+
+	if (!job_spec_lasts(&j->spec) && end > j->deadline_wall_ms)
+		class = end > j->spec.accepted_wall_ms +
+						LATE_FACTOR *
+							(j->deadline_wall_ms -
+							 j->spec.accepted_wall_ms)
+				? 2
+				: 1;
+	return (uint64_t)j->queue.priority << 60 | class << 56 |
+	       (j->deadline_wall_ms & ((1ull << 56) - 1));
+}
+
 void sched_place(struct sched *s)
 {
 	struct candidate *list = xcalloc(s->job_count + 1, sizeof(*list));
 	uint32_t n = 0;
 
+	s->unmet_count = 0;
 	for (uint32_t i = 0; i < s->job_count; i++) {
 		const struct job *j = &s->jobs[i];
 
@@ -359,9 +458,7 @@
 		    !has_waiting(s, j))
 			continue;
 		list[n].job = i;
-		list[n].key = (uint64_t)j->queue.priority << 56 |
-			      (j->deadline_wall_ms & ((1ull << 56) - 1));
-		n++;
+		list[n++].key = order_key(s, j);
 	}
 	qsort(list, n, sizeof(*list), by_key);
 	for (uint32_t i = 0; i < n; i++)
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -65,6 +65,7 @@
 	const struct job_step *step = sched_step_of(s, t);
 	int cpu = sign * (int)step->need.cpu_milli;
 
+	w->rooms_known = false;
 	w->used.memory_mb += (uint32_t)(sign * (int)step->need.memory_mb);
 	w->used.accelerators += (uint32_t)(sign * (int)step->need.accelerators);
 	if (step->fills) {
--- a/src/sched.c
+++ b/src/sched.c
@@ -146,6 +146,9 @@
 	j->queue.stretch = 1;
 	j->queue.attempts_max = 1;
 	apply_queue(s, j);
+	for (uint32_t i = 0; i < j->spec.step_count; i++)
+		j->spec.steps[i].image_handle =
+			pair_model_image(&s->pairs, j->spec.steps[i].image);
 	s->stats.jobs_open++;
 	s->place = true;
 	return true;
