Pack services by image; batch work beside services that bear it

Ruled out: memory, processors (half idle).

Services are packed by image, siblings apart; batch work goes beside services that bear it and leaves the other workers to images that disturb.

--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -9,9 +9,12 @@
 /* How long a step waits for the rack of its data, in parts of its estimate. */
 #define RACK_WAIT_PERCENT 50u
 
-/* Preference for a worker that serves the same image only, or none. */
-#define SAME_IMAGE 600
-#define NO_IMAGE 400
+/* Preferences in thousandths, see score(). */
+#define SAME_IMAGE 4000
+#define NO_IMAGE 2000
+#define BESIDE_SERVICES 400
+/* Against each task of its own step, so that a lost worker takes few. */
+#define SAME_STEP 300
 /* More than all other preferences together. */
 #define FAILED_HERE 100000
 
@@ -111,25 +114,32 @@
 }
 
 /*
- * Higher is better: the share of its processors that stays free, in thousands.
- * Services of one image go together, so that few workers are sensitive to any
- * one batch image.
+ * Higher is better, in thousandths of the worker's processors.
+ *
+ * Services of one image are packed together: few workers are then sensitive to
+ * a given batch image, and others serve nothing and bear all of them. Batch
+ * work goes beside services that bear it, which leaves the workers without
+ * services to images that disturb. Other work goes where most is free.
  */
 static int64_t score(const struct sched *s, const struct worker *w,
-		     const struct job_step *step)
+		     const struct job_step *step, const struct task *t)
 {
+	int64_t all = w->capacity.cpu_milli + 1;
+	int64_t need = step->need.cpu_milli;
 	bool any, same;
-	int64_t left = step->fills ? filling_room(w)
-				   : (int64_t)w->capacity.cpu_milli -
-					     w->used.cpu_milli -
-					     w->filling_milli / 2;
-
-	left = (left - step->need.cpu_milli) * 1000 /
-	       (w->capacity.cpu_milli + 1);
-	if (!step->lasts)
-		return left;
-	services_on(s, w, step->image, &any, &same);
-	return left + (any ? same ? SAME_IMAGE : 0 : NO_IMAGE);
+
+	if (step->lasts) {
+		services_on(s, w, step->image, &any, &same);
+		return (w->used.cpu_milli + need) * 1000 / all +
+		       (any ? same ? SAME_IMAGE : 0 : NO_IMAGE) -
+		       SAME_STEP * (int64_t)tasks_of_step(s, w, t);
+	}
+	if (step->fills)
+		return (filling_room(w) - need) * 1000 / all +
+		       (w->serving_milli ? BESIDE_SERVICES : 0);
+	return ((int64_t)w->capacity.cpu_milli - w->used.cpu_milli -
+		w->filling_milli / 2 - need) *
+	       1000 / all;
 }
 
 /* rack: NULL for any. A task goes back to where it failed only in need. */
@@ -147,7 +157,7 @@
 		if (!usable(s, w, j, step) || !fits(w, step) ||
 		    (rack && !has_label(w, rack)))
 			continue;
-		value = score(s, w, step);
+		value = score(s, w, step, t);
 		if (i == t->avoid)
 			value -= FAILED_HERE;
 		if (best != SCHED_NONE && value <= best_score)
