Repeat an order whose answer was lost at once; own the jobs near the store

The owner's transactions cross to the store; candidates now wait eight times the store's answer time, so that one in its zone wins.

--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -31,7 +31,10 @@
  */
 #define RENEW_AFTER_MS 500u
 /* Spreads the candidates, so that mostly one of them writes. */
-#define ELECTION_SPREAD_US 120000u
+#define ELECTION_SPREAD_US 30000u
+/* A zone further from the store waits some 100 ms longer. */
+#define ELECTION_DELAY_FACTOR 8u
+#define ELECTION_DELAY_MAX_US 300000u
 #define ELECTION_PAUSE_US 300000u
 /* A watch of who owns the jobs is renewed this often. */
 #define OWNER_WATCH_MS 2500u
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -261,13 +261,22 @@
 		job_owner_apply_config(o);
 }
 
+/* Each transaction crosses to the store, so the nearest should own. */
+static uint64_t election_delay(const struct job_owner *o)
+{
+	uint64_t delay = kv_follow_delay_us(o->follow) * ELECTION_DELAY_FACTOR;
+
+	return o->delay_us +
+	       (delay > ELECTION_DELAY_MAX_US ? ELECTION_DELAY_MAX_US : delay);
+}
+
 static void tick(struct job_owner *o)
 {
 	uint64_t now = clock_now_us();
 
 	if (o->state == OWNER_FOLLOWER && !o->resigned && !o->known &&
 	    kv_follow_synced(o->follow) && now >= o->next_try_us &&
-	    now >= o->gone_us + o->delay_us && o->node->config)
+	    now >= o->gone_us + election_delay(o) && o->node->config)
 		begin_election(o);
 	if (o->state >= OWNER_LOADING && !o->keeping && now >= o->next_keep_us)
 		keep_lease(o);
--- a/src/job-platform.h
+++ b/src/job-platform.h
@@ -72,17 +72,23 @@
 
 typedef void worker_answer_fn(void *arg, const struct worker_answer *a);
 
+/*
+ * Orders on their way to one worker: an order whose answer is lost holds up
+ * only its own lane.
+ */
+#define WORKER_ORDERS_MAX 2
+
 struct worker_client;
 
 struct worker_ops {
 	struct worker_client *(*open)(struct event_base *base, const char *id,
 				      const struct settings_address *address);
-	/* One look and one order at a time each. */
+	/* One look at a time, and one order on each lane. */
 	void (*look)(struct worker_client *c, const struct worker_look *l,
 		     worker_answer_fn *fn, void *arg);
-	void (*order)(struct worker_client *c, const struct sched_order *o,
-		      uint64_t token, uint64_t lease_until_ms,
-		      worker_answer_fn *fn, void *arg);
+	void (*order)(struct worker_client *c, int lane,
+		      const struct sched_order *o, uint64_t token,
+		      uint64_t lease_until_ms, worker_answer_fn *fn, void *arg);
 	void (*close)(struct worker_client *c);
 };
 
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -25,7 +25,7 @@
 	struct settings_address address;
 	struct link_order *first;
 	struct link_order **last;
-	struct link_order *sent;
+	struct link_order *sent[WORKER_ORDERS_MAX];
 	uint64_t clock_ms; /* of the worker, at clock_us here; 0: unknown */
 	uint64_t clock_us;
 	uint64_t asked_us;
@@ -44,6 +44,8 @@
 struct link_order {
 	struct link_order *next;
 	struct sched_order order;
+	struct link *link;
+	int lane;
 	char *text;
 	char *checkpoint;
 };
@@ -58,7 +60,7 @@
 	struct counter *lost;
 };
 
-static void send_order(struct link *l);
+static void send_orders(struct link *l);
 
 struct job_workers *job_workers_create(struct job_node *n, struct sched *s)
 {
@@ -84,8 +86,9 @@
 	struct link_order *o;
 
 	l->all->node->platform->worker->close(l->client);
-	if (l->sent)
-		free_order(l->sent);
+	for (int i = 0; i < WORKER_ORDERS_MAX; i++)
+		if (l->sent[i])
+			free_order(l->sent[i]);
 	while ((o = l->first)) {
 		l->first = o->next;
 		free_order(o);
@@ -249,8 +252,7 @@
 	r.asked_us = l->asked_us;
 	sched_report(w->sched, l->worker, &r, now, clock_wall_us() / 1000);
 	job_owner_kick(w->node->owner);
-	if (l->first && !l->sent)
-		send_order(l);
+	send_orders(l);
 }
 
 static void look(struct link *l, uint64_t now)
@@ -277,25 +279,29 @@
 
 static void on_order(void *arg, const struct worker_answer *a)
 {
-	struct link *l = arg;
+	struct link_order *o = arg;
+	struct link *l = o->link;
 	struct job_workers *w = l->all;
-	struct link_order *o = l->sent;
 	enum sched_result result = a->result;
 
-	l->sent = NULL;
-	if (!take_answer(l, a)) {
-		result = a->outcome == WORKER_UNREACHED ? SCHED_UNREACHED
-							: SCHED_LOST;
-		log_event(LOG_DEBUG, "order-lost",
+	l->sent[o->lane] = NULL;
+	if (a->outcome == WORKER_LOST) {
+		/* Repeated on a new connection; looks tell if it is alive. */
+		counter_add(w->lost, 1);
+		result = SCHED_LOST;
+	} else if (!take_answer(l, a)) {
+		result = SCHED_UNREACHED;
+	}
+	if (a->outcome != WORKER_ANSWERED)
+		log_event(LOG_INFO, "order-lost",
 			  "task=%s run=%u type=%d worker=%s outcome=%d",
 			  o->order.task, o->order.run, o->order.type, l->id,
 			  a->outcome);
-	}
 	if (a->outcome != WORKER_FENCED)
 		sched_order_result(w->sched, &o->order, result, clock_now_us());
 	free_order(o);
 	job_owner_kick(w->node->owner);
-	send_order(l);
+	send_orders(l);
 }
 
 /* A start waits until it is sure that this process owns the jobs. */
@@ -310,16 +316,35 @@
 				      : job_owner_may_renew(owner, now);
 }
 
-static void send_order(struct link *l)
+static int free_lane(const struct link *l)
+{
+	for (int i = 0; i < WORKER_ORDERS_MAX; i++)
+		if (!l->sent[i])
+			return i;
+	return -1;
+}
+
+/* Orders of one task keep their sequence. */
+static bool task_is_busy(const struct link *l, const struct sched_order *o)
+{
+	for (int i = 0; i < WORKER_ORDERS_MAX; i++)
+		if (l->sent[i] && !strcmp(l->sent[i]->order.task, o->task))
+			return true;
+	return false;
+}
+
+static void send_orders(struct link *l)
 {
 	struct job_workers *w = l->all;
 	uint64_t now = clock_now_us();
 	struct link_order *o;
+	int lane;
 
-	while (!l->sent && (o = l->first)) {
+	while ((o = l->first) && (lane = free_lane(l)) >= 0) {
 		bool wanted = sched_order_wanted(w->sched, &o->order);
 
-		if (wanted && !may_send(l, &o->order, now))
+		if (wanted && (!may_send(l, &o->order, now) ||
+			       task_is_busy(l, &o->order)))
 			return;
 		l->first = o->next;
 		if (!l->first)
@@ -328,13 +353,15 @@
 			free_order(o);
 			continue;
 		}
-		l->sent = o;
+		l->sent[lane] = o;
+		o->lane = lane;
 		if (o->order.type == SCHED_START)
 			sched_leased(w->sched, l->worker, now);
 		counter_add(w->orders, 1);
 		w->node->platform->worker->order(
-			l->client, &o->order, job_owner_token(w->node->owner),
-			lease_until(l, now), on_order, l);
+			l->client, lane, &o->order,
+			job_owner_token(w->node->owner), lease_until(l, now),
+			on_order, o);
 	}
 }
 
@@ -350,13 +377,14 @@
 	}
 	o = xcalloc(1, sizeof(*o));
 	o->order = *order;
+	o->link = l;
 	o->text = xstrdup(order->text);
 	o->checkpoint = xstrdup(order->checkpoint);
 	o->order.text = o->text;
 	o->order.checkpoint = o->checkpoint;
 	*l->last = o;
 	l->last = &o->next;
-	send_order(l);
+	send_orders(l);
 }
 
 static bool look_due(const struct link *l, uint64_t now)
@@ -380,7 +408,6 @@
 			continue;
 		if (look_due(l, now))
 			look(l, now);
-		if (l->first && !l->sent)
-			send_order(l);
+		send_orders(l);
 	}
 }
--- a/src/kv-follow.c
+++ b/src/kv-follow.c
@@ -25,6 +25,7 @@
 	uint64_t range_revision; /* of the first page */
 	uint64_t asked_us;
 	uint64_t fresh_us;
+	uint64_t delay_us;
 	uint64_t pause_us;
 	struct rng rng;
 	bool synced;
@@ -79,6 +80,7 @@
 
 static void take_page(struct kv_follow *f, const struct kv_reply *r)
 {
+	f->delay_us = clock_now_us() - f->asked_us;
 	if (r->outcome != KV_DONE) {
 		f->reading = false; /* pages are read from the first again */
 		retry_later(f);
@@ -204,6 +206,11 @@
 	return f->fresh_us != 0;
 }
 
+uint64_t kv_follow_delay_us(const struct kv_follow *f)
+{
+	return f->delay_us;
+}
+
 uint64_t kv_follow_fresh_us(const struct kv_follow *f)
 {
 	return f->fresh_us;
--- a/src/kv-follow.h
+++ b/src/kv-follow.h
@@ -38,6 +38,9 @@
 /* Whether the prefix was read once. */
 bool kv_follow_synced(const struct kv_follow *f);
 
+/* How long the store took for the last page read; 0: none yet. */
+uint64_t kv_follow_delay_us(const struct kv_follow *f);
+
 /* When the answer was asked for that last confirmed what is known; 0: never. */
 uint64_t kv_follow_fresh_us(const struct kv_follow *f);
 
--- a/src/sched-pace.c
+++ b/src/sched-pace.c
@@ -21,7 +21,7 @@
 /* Expected tails are kept below this part of the target ... */
 #define LIMIT 0.9f
 /* ... for a service whose load is that much above its mean. */
-#define LOAD_MARGIN 1.3f
+#define LOAD_MARGIN 1.15f
 /* A task that is expected to get less than that is moved instead of paced. */
 #define PACE_MIN 30u
 /* More than that of its work is not thrown away to move it. */
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -5,7 +5,7 @@
 #include "sched-internal.h"
 
 /* Part of its declared processors that a service is expected to use. */
-#define SERVING_USE_PERCENT 55u
+#define SERVING_USE_PERCENT 45u
 /* How long a step waits for the rack of its data, in parts of its estimate. */
 #define RACK_WAIT_PERCENT 50u
 
