--- /dev/null
+++ b/src/job-metrics.c
@@ -0,0 +1,75 @@
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <stdlib.h>
+
+#include "buffer.h"
+#include "counter.h"
+#include "job-node.h"
+#include "latency.h"
+
+struct job_metrics {
+	struct job_node *node;
+	struct evhttp *server;
+};
+
+static void set_gauges(struct job_node *n)
+{
+	struct sched *s = job_owner_sched(n->owner);
+	struct sched_stats st = { 0 };
+
+	if (s)
+		sched_stats(s, &st);
+	counter_set(counter_get(GAUGE, "waxwing_job_owner", NULL), s != NULL);
+	counter_set(counter_get(GAUGE, "waxwing_jobs_open", NULL),
+		    st.jobs_open);
+	counter_set(counter_get(GAUGE, "waxwing_tasks_waiting", NULL),
+		    st.tasks_waiting);
+	counter_set(counter_get(GAUGE, "waxwing_tasks_running", NULL),
+		    st.tasks_running);
+	counter_set(counter_get(GAUGE, "waxwing_workers_reporting", NULL),
+		    st.workers_reporting);
+	counter_set(counter_get(GAUGE, "waxwing_job_config_version", NULL),
+		    n->config ? (long long)n->config->version : 0);
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	struct job_metrics *m = arg;
+	struct evbuffer *out = evbuffer_new();
+	struct buffer b = BUFFER_INIT;
+
+	set_gauges(m->node);
+	counter_expose(&b);
+	latency_expose(&b);
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "Content-Type", "text/plain; version=0.0.4");
+	evbuffer_add(out, b.data, b.len);
+	evhttp_send_reply(req, 200, NULL, out);
+	evbuffer_free(out);
+	buffer_free(&b);
+}
+
+struct job_metrics *job_metrics_create(struct job_node *n, struct error *err)
+{
+	const struct settings_address *a = &n->settings->jobs.metrics;
+	struct job_metrics *m = xcalloc(1, sizeof(*m));
+
+	m->node = n;
+	m->server = evhttp_new(n->base);
+	evhttp_set_allowed_methods(m->server, EVHTTP_REQ_GET);
+	evhttp_set_gencb(m->server, on_request, m);
+	if (!a->port || !evhttp_bind_socket(m->server, a->host, a->port))
+		return m;
+	error_set(err, ERROR_LAYER_CORE, 1, "cannot listen on %s:%u", a->host,
+		  a->port);
+	job_metrics_destroy(m);
+	return NULL;
+}
+
+void job_metrics_destroy(struct job_metrics *m)
+{
+	if (!m)
+		return;
+	evhttp_free(m->server);
+	free(m);
+}
--- a/src/job-node.c
+++ b/src/job-node.c
@@ -5,6 +5,33 @@
 /* Two rounds of the configuration's watch and its timeout. */
 #define STORE_FRESH_US 4500000u
 
+int job_node_start(struct job_node *n, struct error *err)
+{
+	n->rng.state = clock_now_us() ^ clock_wall_us();
+	for (const char *c = n->settings->node.id; *c; c++)
+		n->rng.state = n->rng.state * 31 + (unsigned char)*c;
+	n->kv = n->platform->open_store(n->base,
+					&n->settings->platform.address);
+	n->owner = job_owner_create(n);
+	n->intake = job_intake_create(n);
+	job_config_start(n);
+	n->peer = job_peer_create(n, err);
+	if (!n->peer)
+		return -1;
+	n->metrics = job_metrics_create(n, err);
+	return n->metrics ? 0 : -1;
+}
+
+void job_node_stop(struct job_node *n)
+{
+	job_metrics_destroy(n->metrics);
+	job_peer_destroy(n->peer);
+	job_config_stop(n);
+	job_owner_destroy(n->owner);
+	job_intake_destroy(n->intake);
+	n->kv->ops->destroy(n->kv);
+}
+
 bool job_node_ready(const struct job_node *n)
 {
 	uint64_t fresh;
--- a/src/job-node.h
+++ b/src/job-node.h
@@ -30,6 +30,7 @@
 struct event_base;
 struct job_front;
 struct job_intake;
+struct job_metrics;
 struct job_owner;
 struct job_peer;
 struct kv_follow;
@@ -45,6 +46,7 @@
 	struct job_owner *owner;
 	struct job_peer *peer;
 	struct job_intake *intake;
+	struct job_metrics *metrics;
 	bool draining;
 };
 
@@ -131,7 +133,18 @@
 		  const char *queue, const void *data, size_t len,
 		  uint32_t timeout_ms, intake_fn *fn, void *arg);
 
+/* ---- job-metrics.c ---- */
+struct job_metrics *job_metrics_create(struct job_node *n, struct error *err);
+void job_metrics_destroy(struct job_metrics *m);
+
 /* ---- job-node.c ---- */
+/*
+ * Starts all modules; settings, platform and base are set by the caller.
+ * Returns 0, or -1 with err set.
+ */
+int job_node_start(struct job_node *n, struct error *err);
+/* Closes what listens and ends the connections to the store and workers. */
+void job_node_stop(struct job_node *n);
 /* Whether requests can be served here. */
 bool job_node_ready(const struct job_node *n);
 
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -6,6 +6,7 @@
 #include "clock.h"
 #include "counter.h"
 #include "job-node.h"
+#include "latency.h"
 #include "log.h"
 
 /* Between two looks at one worker, so that ends are taken in batches. */
@@ -46,6 +47,7 @@
 	struct sched_order order;
 	struct link *link;
 	int lane;
+	uint64_t sent_us;
 	char *text;
 	char *checkpoint;
 };
@@ -285,6 +287,7 @@
 	enum sched_result result = a->result;
 
 	l->sent[o->lane] = NULL;
+	latency_add(LATENCY_ORDER, clock_now_us() - o->sent_us);
 	if (a->outcome == WORKER_LOST) {
 		/* Repeated on a new connection; looks tell if it is alive. */
 		counter_add(w->lost, 1);
@@ -355,6 +358,7 @@
 		}
 		l->sent[lane] = o;
 		o->lane = lane;
+		o->sent_us = now;
 		if (o->order.type == SCHED_START)
 			sched_leased(w->sched, l->worker, now);
 		counter_add(w->orders, 1);
--- /dev/null
+++ b/src/latency.c
@@ -0,0 +1,37 @@
+#include "histogram.h"
+#include "latency.h"
+
+static const char *const names[LATENCY_COUNT] = {
+	[LATENCY_SUBMIT] = "waxwing_submit_seconds",
+	[LATENCY_STATE] = "waxwing_state_seconds",
+	[LATENCY_STORE] = "waxwing_store_call_seconds",
+	[LATENCY_ORDER] = "waxwing_order_seconds",
+	[LATENCY_FIRST_RUN] = "waxwing_first_run_seconds",
+	[LATENCY_JOB] = "waxwing_job_seconds",
+};
+
+static const double quantiles[] = { 0.5, 0.9, 0.99, 1 };
+
+static struct histogram histograms[LATENCY_COUNT];
+
+void latency_add(enum latency_of of, uint64_t us)
+{
+	histogram_add(&histograms[of], us);
+}
+
+void latency_expose(struct buffer *b)
+{
+	for (int i = 0; i < LATENCY_COUNT; i++) {
+		const struct histogram *h = &histograms[i];
+
+		buffer_printf(b, "# TYPE %s summary\n", names[i]);
+		for (int q = 0; q < 4; q++)
+			buffer_printf(
+				b, "%s{quantile=\"%g\"} %.6f\n", names[i],
+				quantiles[q],
+				(double)histogram_quantile(h, quantiles[q]) /
+					1e6);
+		buffer_printf(b, "%s_count %llu\n", names[i],
+			      (unsigned long long)h->total);
+	}
+}
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -169,6 +169,8 @@
 /* ---- sched.c ---- */
 struct job *sched_job_find(const struct sched *s, const char *id);
 uint32_t sched_job_index(const struct sched *s, const struct job *j);
+/* Time since the job was accepted. */
+uint64_t sched_age_us(const struct sched *s, const struct job *j);
 void sched_mark(struct sched *s, struct job *j);
 void sched_end_job(struct sched *s, struct job *j, enum sched_job_state state);
 const struct job_step *sched_step_of(const struct sched *s,
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "latency.h"
 #include "log.h"
 #include "sched-internal.h"
 
@@ -261,6 +262,10 @@
 		if (t->state == TASK_STARTING)
 			set_state(s, t, TASK_RUNNING);
 		t->answered = true;
+		if (!s->jobs[t->job].started &&
+		    !s->jobs[t->job].spec.repetitions)
+			latency_add(LATENCY_FIRST_RUN,
+				    sched_age_us(s, &s->jobs[t->job]));
 		s->jobs[t->job].started = true;
 		if (s->jobs[t->job].state == SCHED_JOB_QUEUED)
 			s->jobs[t->job].state = SCHED_JOB_RUNNING;
--- a/src/sched.c
+++ b/src/sched.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "latency.h"
 #include "log.h"
 #include "sched-internal.h"
 
@@ -101,6 +102,14 @@
 	return (uint32_t)(j - s->jobs);
 }
 
+uint64_t sched_age_us(const struct sched *s, const struct job *j)
+{
+	/* Another VM's clock may be ahead. */
+	return s->wall_ms > j->spec.accepted_wall_ms
+		       ? (s->wall_ms - j->spec.accepted_wall_ms) * 1000
+		       : 0;
+}
+
 void sched_mark(struct sched *s, struct job *j)
 {
 	(void)s;
@@ -344,6 +353,8 @@
 		  j->spec.id, j->spec.queue, names[state],
 		  (long long)(s->wall_ms - j->spec.accepted_wall_ms),
 		  (long long)(j->deadline_wall_ms - s->wall_ms));
+	if (state == SCHED_JOB_COMPLETED && !j->spec.repetitions)
+		latency_add(LATENCY_JOB, sched_age_us(s, j));
 	if (state != SCHED_JOB_COMPLETED)
 		for (uint32_t i = 0; i < j->occurrence_count; i++)
 			if (j->occurrences[i].used)
