Test the wire and two entry VMs against a stand-in of the users' platform

The stand-in (store and workers over HTTP, on the test's event loop) loses answers, refuses, forgets its history and revokes keys; it counts tasks that run twice.

--- /dev/null
+++ b/tests/support-jobs-private.h
@@ -0,0 +1,101 @@
+#ifndef SUPPORT_JOBS_PRIVATE_H
+#define SUPPORT_JOBS_PRIVATE_H
+
+#include <jansson.h>
+
+#include "support-jobs-platform.h"
+
+/*
+ * NAME
+ *	support-jobs-private - the stand-in's store and workers
+ */
+
+#define STORE_KEYS_MAX 512
+#define STORE_LEASES_MAX 64
+#define STORE_WATCHES_MAX 64
+#define SIM_TASKS_MAX 256
+#define SIM_NAME_BYTES 64
+
+struct evhttp;
+struct evhttp_request;
+
+struct store_key {
+	char *key;
+	char *value; /* base64 */
+	uint64_t revision;
+	uint64_t lease;
+	bool deleted;
+};
+
+struct store_lease {
+	uint64_t id; /* 0: none */
+	uint64_t ttl_us;
+	uint64_t end_us;
+};
+
+struct store_watch {
+	struct evhttp_request *req;
+	char prefix[SIM_NAME_BYTES];
+	uint64_t after;
+	uint64_t end_us;
+};
+
+struct sim_task {
+	char name[SIM_NAME_BYTES];
+	uint32_t run;
+	uint64_t end_us;
+};
+
+struct sim_end {
+	uint64_t number;
+	char name[SIM_NAME_BYTES];
+	uint32_t run;
+	const char *how;
+};
+
+struct sim_worker {
+	struct jobs_platform *platform;
+	struct evhttp *server;
+	char id[SIM_NAME_BYTES];
+	uint32_t task_ms;
+	uint64_t token;
+	uint64_t lease_end_ms; /* of its clock */
+	uint64_t ends;
+	struct sim_task tasks[SIM_TASKS_MAX];
+	uint32_t task_count;
+	struct sim_end ended[SIM_TASKS_MAX];
+	uint32_t ended_count;
+	struct evhttp_request *look; /* waits for an end */
+	uint64_t look_end_us;
+	uint64_t look_seen;
+	bool silent;
+};
+
+struct jobs_platform {
+	struct event_base *base;
+	struct event *tick;
+	struct evhttp *server;
+	struct platform_faults faults;
+	struct store_key keys[STORE_KEYS_MAX];
+	uint32_t key_count;
+	struct store_lease leases[STORE_LEASES_MAX];
+	uint64_t lease_count;
+	struct store_watch watches[STORE_WATCHES_MAX];
+	uint32_t watch_count;
+	uint64_t revision;
+	char scratch[65536];
+	struct sim_worker *workers[PLATFORM_WORKERS_MAX];
+	int worker_count;
+	uint32_t starts;
+	uint32_t twice;
+	char done[SIM_TASKS_MAX * 4][SIM_NAME_BYTES];
+	uint32_t done_count;
+};
+
+void jobs_reply(struct evhttp_request *req, int status, json_t *body);
+void jobs_lose(struct evhttp_request *req);
+json_t *jobs_body(struct evhttp_request *req);
+void jobs_workers_tick_sim(struct jobs_platform *p, uint64_t now);
+void jobs_workers_free_sim(struct jobs_platform *p);
+
+#endif
--- /dev/null
+++ b/tests/support-jobs-store.c
@@ -0,0 +1,470 @@
+#include <b64/cdecode.h>
+#include <b64/cencode.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+#include "clock.h"
+#include "support-jobs-private.h"
+
+#define TICK_US 10000
+
+static struct store_key *find_key(struct jobs_platform *p, const char *key)
+{
+	for (uint32_t i = 0; i < p->key_count; i++)
+		if (!strcmp(p->keys[i].key, key))
+			return &p->keys[i];
+	return NULL;
+}
+
+static void put(struct jobs_platform *p, const char *key, const char *base64,
+		uint64_t lease)
+{
+	struct store_key *k = find_key(p, key);
+
+	if (!k) {
+		k = &p->keys[p->key_count++];
+		memset(k, 0, sizeof(*k));
+		k->key = xstrdup(key);
+	}
+	free(k->value);
+	k->value = xstrdup(base64);
+	k->deleted = false;
+	k->lease = lease;
+	k->revision = p->revision;
+}
+
+static void delete_key(struct jobs_platform *p, struct store_key *k)
+{
+	if (k->deleted)
+		return;
+	k->deleted = true;
+	k->revision = ++p->revision;
+}
+
+static char *encode(const char *text)
+{
+	base64_encodestate state;
+	size_t len = strlen(text);
+	char *out = xcalloc(1, len * 2 + 8);
+	int n, m = 0;
+
+	base64_init_encodestate(&state);
+	n = base64_encode_block(text, (int)len, out, &state);
+	n += base64_encode_blockend(out + n, &state);
+	for (int i = 0; i < n; i++)
+		if (out[i] != '\n')
+			out[m++] = out[i];
+	out[m] = '\0';
+	return out;
+}
+
+void jobs_platform_put(struct jobs_platform *p, const char *key,
+		       const char *value)
+{
+	char *base64 = encode(value);
+
+	p->revision++;
+	put(p, key, base64, 0);
+	free(base64);
+}
+
+const char *jobs_platform_get(struct jobs_platform *p, const char *key)
+{
+	struct store_key *k = find_key(p, key);
+	base64_decodestate state;
+
+	if (!k || k->deleted)
+		return NULL;
+	base64_init_decodestate(&state);
+	p->scratch[base64_decode_block(k->value, (int)strlen(k->value),
+				       p->scratch, &state)] = '\0';
+	return p->scratch;
+}
+
+void jobs_platform_delete(struct jobs_platform *p, const char *key)
+{
+	struct store_key *k = find_key(p, key);
+
+	if (k)
+		delete_key(p, k);
+}
+
+uint64_t jobs_platform_revision(const struct jobs_platform *p)
+{
+	return p->revision;
+}
+
+uint32_t jobs_platform_count(const struct jobs_platform *p, const char *prefix)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < p->key_count; i++)
+		n += !p->keys[i].deleted &&
+		     !strncmp(p->keys[i].key, prefix, strlen(prefix));
+	return n;
+}
+
+struct platform_faults *jobs_platform_faults(struct jobs_platform *p)
+{
+	return &p->faults;
+}
+
+/* ---- answers ---- */
+
+void jobs_reply(struct evhttp_request *req, int status, json_t *body)
+{
+	struct evbuffer *out = evbuffer_new();
+	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+
+	if (text)
+		evbuffer_add(out, text, strlen(text));
+	evhttp_send_reply(req, status, NULL, out);
+	evbuffer_free(out);
+	free(text);
+	json_decref(body);
+}
+
+/* Keeps the request without an answer; the caller times out. */
+void jobs_lose(struct evhttp_request *req)
+{
+	struct evhttp_connection *c = evhttp_request_get_connection(req);
+
+	evhttp_connection_set_timeout(c, 5);
+}
+
+json_t *jobs_body(struct evhttp_request *req)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	size_t len = evbuffer_get_length(in);
+
+	return json_loadb((const char *)evbuffer_pullup(in, -1), len, 0, NULL);
+}
+
+static json_t *item_of(const struct store_key *k)
+{
+	if (k->deleted)
+		return json_pack("{s:s,s:I,s:b}", "key", k->key, "revision",
+				 (json_int_t)k->revision, "deleted", 1);
+	return json_pack("{s:s,s:s,s:I,s:I}", "key", k->key, "value", k->value,
+			 "revision", (json_int_t)k->revision, "lease",
+			 (json_int_t)k->lease);
+}
+
+/* ---- calls ---- */
+
+static void serve_key(struct jobs_platform *p, struct evhttp_request *req,
+		      struct evkeyvalq *query)
+{
+	struct store_key *k = find_key(p, evhttp_find_header(query, "key"));
+	json_t *item;
+
+	if (!k || k->deleted) {
+		jobs_reply(req, 404, NULL);
+		return;
+	}
+	item = item_of(k);
+	json_object_set_new(item, "current-rev",
+			    json_integer((json_int_t)p->revision));
+	jobs_reply(req, 200, item);
+}
+
+static int by_key(const void *a, const void *b)
+{
+	const struct store_key *const *x = a, *const *y = b;
+
+	return strcmp((*x)->key, (*y)->key);
+}
+
+/* Pages of three keys, so that paging is exercised. */
+static void serve_range(struct jobs_platform *p, struct evhttp_request *req,
+			struct evkeyvalq *query)
+{
+	const char *prefix = evhttp_find_header(query, "prefix");
+	const char *after = evhttp_find_header(query, "after");
+	struct store_key *sorted[STORE_KEYS_MAX];
+	json_t *items = json_array();
+	bool more = false;
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < p->key_count; i++)
+		sorted[n++] = &p->keys[i];
+	qsort(sorted, n, sizeof(sorted[0]), by_key);
+	for (uint32_t i = 0; i < n; i++) {
+		if (sorted[i]->deleted ||
+		    strncmp(sorted[i]->key, prefix, strlen(prefix)) ||
+		    (after && strcmp(sorted[i]->key, after) <= 0))
+			continue;
+		if (json_array_size(items) == 3) {
+			more = true;
+			break;
+		}
+		json_array_append_new(items, item_of(sorted[i]));
+	}
+	jobs_reply(req, 200,
+		   json_pack("{s:o,s:b,s:I}", "items", items, "has-more", more,
+			     "current-rev", (json_int_t)p->revision));
+}
+
+static json_t *events_after(struct jobs_platform *p, const char *prefix,
+			    uint64_t after)
+{
+	json_t *events = json_array();
+
+	for (uint32_t i = 0; i < p->key_count; i++)
+		if (p->keys[i].revision > after &&
+		    !strncmp(p->keys[i].key, prefix, strlen(prefix)))
+			json_array_append_new(events, item_of(&p->keys[i]));
+	return events;
+}
+
+static bool answer_watch(struct jobs_platform *p, struct store_watch *w,
+			 bool over)
+{
+	json_t *events = events_after(p, w->prefix, w->after);
+
+	if (!json_array_size(events) && !over) {
+		json_decref(events);
+		return false;
+	}
+	jobs_reply(w->req, 200,
+		   json_pack("{s:o,s:I}", "events", events, "current-rev",
+			     (json_int_t)p->revision));
+	return true;
+}
+
+static void on_watch_close(struct evhttp_connection *c, void *arg)
+{
+	struct jobs_platform *p = arg;
+
+	for (uint32_t i = 0; i < p->watch_count; i++)
+		if (evhttp_request_get_connection(p->watches[i].req) == c)
+			p->watches[i] = p->watches[--p->watch_count];
+}
+
+static void serve_watch(struct jobs_platform *p, struct evhttp_request *req,
+			struct evkeyvalq *query)
+{
+	struct store_watch *w = &p->watches[p->watch_count];
+
+	if (p->faults.forget) {
+		p->faults.forget = false;
+		jobs_reply(req, 410, NULL);
+		return;
+	}
+	w->req = req;
+	snprintf(w->prefix, sizeof(w->prefix), "%s",
+		 evhttp_find_header(query, "prefix"));
+	w->after = strtoull(evhttp_find_header(query, "after"), NULL, 10);
+	w->end_us =
+		clock_now_us() +
+		strtoull(evhttp_find_header(query, "wait-ms"), NULL, 10) * 1000;
+	if (answer_watch(p, w, false))
+		return;
+	p->watch_count++;
+	evhttp_connection_set_closecb(evhttp_request_get_connection(req),
+				      on_watch_close, p);
+}
+
+static bool holds(struct jobs_platform *p, const json_t *expect, json_t *items)
+{
+	bool all = true;
+
+	for (size_t i = 0; i < json_array_size(expect); i++) {
+		const json_t *row = json_array_get(expect, i);
+		const char *name =
+			json_string_value(json_object_get(row, "key"));
+		struct store_key *k = find_key(p, name);
+		json_int_t revision =
+			json_integer_value(json_object_get(row, "revision"));
+		json_int_t present =
+			k && !k->deleted ? (json_int_t)k->revision : 0;
+
+		all = all && present == revision;
+		json_array_append_new(items,
+				      present ? item_of(k)
+					      : json_pack("{s:s,s:i}", "key",
+							  name, "revision", 0));
+	}
+	return all;
+}
+
+static void serve_txn(struct jobs_platform *p, struct evhttp_request *req)
+{
+	json_t *body = jobs_body(req);
+	json_t *items = json_array();
+	json_t *sets = json_object_get(body, "set-keys");
+	json_t *removes = json_object_get(body, "remove");
+	const json_t *row;
+	size_t i;
+
+	if (!holds(p, json_object_get(body, "expect"), items)) {
+		jobs_reply(req, 412, json_pack("{s:o}", "items", items));
+		json_decref(body);
+		return;
+	}
+	json_decref(items);
+	p->revision++; /* one for all keys of the transaction */
+	json_array_foreach(sets, i, row)
+	{
+		put(p, json_string_value(json_object_get(row, "key")),
+		    json_string_value(json_object_get(row, "value")),
+		    (uint64_t)json_integer_value(
+			    json_object_get(row, "lease")));
+	}
+	json_array_foreach(removes, i, row)
+	{
+		jobs_platform_delete(p, json_string_value(row));
+	}
+	json_decref(body);
+	if (p->faults.lose_writes) {
+		p->faults.carry_out++;
+		jobs_lose(req);
+		return;
+	}
+	jobs_reply(req, 200,
+		   json_pack("{s:I}", "revision", (json_int_t)p->revision));
+}
+
+static void serve_lease(struct jobs_platform *p, struct evhttp_request *req)
+{
+	json_t *body = jobs_body(req);
+	struct store_lease *l = &p->leases[p->lease_count++ % STORE_LEASES_MAX];
+
+	l->id = 1000 + p->lease_count;
+	l->ttl_us =
+		(uint64_t)json_integer_value(json_object_get(body, "ttl-ms")) *
+		1000;
+	l->end_us = clock_now_us() + l->ttl_us;
+	json_decref(body);
+	jobs_reply(req, 200,
+		   json_pack("{s:I,s:I}", "lease", (json_int_t)l->id, "ttl-ms",
+			     (json_int_t)(l->ttl_us / 1000)));
+}
+
+static struct store_lease *find_lease(struct jobs_platform *p, uint64_t id)
+{
+	for (int i = 0; i < STORE_LEASES_MAX; i++)
+		if (p->leases[i].id == id && id)
+			return &p->leases[i];
+	return NULL;
+}
+
+static void end_lease(struct jobs_platform *p, struct store_lease *l)
+{
+	for (uint32_t i = 0; i < p->key_count; i++)
+		if (p->keys[i].lease == l->id && !p->keys[i].deleted)
+			delete_key(p, &p->keys[i]);
+	l->id = 0;
+}
+
+static void serve_keep(struct jobs_platform *p, struct evhttp_request *req,
+		       const char *path)
+{
+	struct store_lease *l =
+		find_lease(p, strtoull(strrchr(path, '/') + 1, NULL, 10));
+
+	if (!l) {
+		jobs_reply(req, 404, NULL);
+		return;
+	}
+	if (strstr(path, "kv-lease-end"))
+		end_lease(p, l);
+	else
+		l->end_us = clock_now_us() + l->ttl_us;
+	jobs_reply(req, 200, json_pack("{s:i}", "ttl-ms", 2500));
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	struct jobs_platform *p = arg;
+	const char *uri = evhttp_request_get_uri(req);
+	const char *query = strchr(uri, '?');
+	struct evkeyvalq keys = { 0 };
+
+	if (p->faults.silent) {
+		jobs_lose(req);
+		return;
+	}
+	if (p->faults.refuse) {
+		jobs_reply(req, 503, NULL);
+		return;
+	}
+	evhttp_parse_query_str(query ? query + 1 : "", &keys);
+	if (strstr(uri, "/kv-key?"))
+		serve_key(p, req, &keys);
+	else if (strstr(uri, "/kv-range?"))
+		serve_range(p, req, &keys);
+	else if (strstr(uri, "/kv-watch?"))
+		serve_watch(p, req, &keys);
+	else if (strstr(uri, "/kv-txn"))
+		serve_txn(p, req);
+	else if (strstr(uri, "/kv-keep/") || strstr(uri, "/kv-lease-end/"))
+		serve_keep(p, req, uri);
+	else if (strstr(uri, "/kv-lease"))
+		serve_lease(p, req);
+	else
+		jobs_reply(req, 400, NULL);
+	evhttp_clear_headers(&keys);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct jobs_platform *p = arg;
+	uint64_t now = clock_now_us();
+
+	(void)fd;
+	(void)what;
+	for (int i = 0; i < STORE_LEASES_MAX; i++)
+		if (p->leases[i].id && now > p->leases[i].end_us)
+			end_lease(p, &p->leases[i]);
+	for (uint32_t i = p->watch_count; i-- > 0;) {
+		struct store_watch w = p->watches[i];
+
+		if (p->faults.silent)
+			continue;
+		if (answer_watch(p, &w, now > w.end_us))
+			p->watches[i] = p->watches[--p->watch_count];
+	}
+	jobs_workers_tick_sim(p, now);
+}
+
+struct jobs_platform *jobs_platform_create(struct event_base *base,
+					   uint16_t port)
+{
+	static const struct timeval tick = { 0, TICK_US };
+	struct jobs_platform *p = xcalloc(1, sizeof(*p));
+
+	p->base = base;
+	p->revision = 10;
+	p->server = evhttp_new(base);
+	evhttp_set_gencb(p->server, on_request, p);
+	evhttp_set_allowed_methods(p->server, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+						      EVHTTP_REQ_DELETE);
+	if (evhttp_bind_socket(p->server, "127.0.0.1", port) < 0) {
+		fprintf(stderr, "cannot listen on port %u\n", port);
+		abort();
+	}
+	p->tick = event_new(base, -1, EV_PERSIST, on_tick, p);
+	event_add(p->tick, &tick);
+	return p;
+}
+
+void jobs_platform_free(struct jobs_platform *p)
+{
+	p->watch_count = 0;
+	event_free(p->tick);
+	evhttp_free(p->server);
+	jobs_workers_free_sim(p);
+	for (uint32_t i = 0; i < p->key_count; i++) {
+		free(p->keys[i].key);
+		free(p->keys[i].value);
+	}
+	free(p);
+}
--- /dev/null
+++ b/tests/support-jobs-worker.c
@@ -0,0 +1,279 @@
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+#include "clock.h"
+#include "support-jobs-private.h"
+
+static uint64_t clock_ms(void)
+{
+	return clock_now_us() / 1000;
+}
+
+static void end_task(struct sim_worker *w, struct sim_task *t, const char *how)
+{
+	struct sim_end *e = &w->ended[w->ended_count++];
+
+	e->number = ++w->ends;
+	snprintf(e->name, sizeof(e->name), "%s", t->name);
+	e->run = t->run;
+	e->how = how;
+	if (!strcmp(how, "done") && w->platform->done_count < SIM_TASKS_MAX * 4)
+		snprintf(w->platform->done[w->platform->done_count++],
+			 SIM_NAME_BYTES, "%s", t->name);
+	*t = w->tasks[--w->task_count];
+}
+
+static struct sim_task *find_task(struct sim_worker *w, const char *name)
+{
+	for (uint32_t i = 0; i < w->task_count; i++)
+		if (!strcmp(w->tasks[i].name, name))
+			return &w->tasks[i];
+	return NULL;
+}
+
+static void judge_start(struct jobs_platform *p, const char *name)
+{
+	for (int i = 0; i < p->worker_count; i++)
+		p->twice += find_task(p->workers[i], name) != NULL;
+	for (uint32_t i = 0; i < p->done_count; i++)
+		p->twice += !strcmp(p->done[i], name);
+}
+
+static bool fenced(struct sim_worker *w, struct evhttp_request *req,
+		   const json_t *body)
+{
+	uint64_t token = (uint64_t)json_integer_value(
+		json_object_get(body, "fencing-token"));
+
+	if (token < w->token) {
+		jobs_reply(req, 409,
+			   json_pack("{s:I,s:s}", "clock-ms",
+				     (json_int_t)clock_ms(), "reason",
+				     "fence"));
+		return true;
+	}
+	w->token = token;
+	return false;
+}
+
+static void extend_lease(struct sim_worker *w, const json_t *body)
+{
+	uint64_t until =
+		(uint64_t)json_integer_value(json_object_get(body, "until-ms"));
+
+	if (until > clock_ms() + 6000)
+		until = clock_ms() + 6000;
+	if (until > w->lease_end_ms)
+		w->lease_end_ms = until;
+}
+
+static void serve_start(struct sim_worker *w, struct evhttp_request *req,
+			const json_t *body)
+{
+	const char *name = json_string_value(json_object_get(body, "task"));
+	uint32_t run =
+		(uint32_t)json_integer_value(json_object_get(body, "run"));
+	const char *text =
+		json_string_value(json_object_get(body, "specification"));
+	struct sim_task *t = find_task(w, name);
+
+	extend_lease(w, body);
+	if (!t || t->run != run) {
+		judge_start(w->platform, name);
+		w->platform->starts++;
+		t = &w->tasks[w->task_count++];
+		snprintf(t->name, sizeof(t->name), "%s", name);
+		t->run = run;
+		t->end_us = strcmp(text, "lasts")
+				    ? clock_now_us() + w->task_ms * 1000ull
+				    : UINT64_MAX;
+	}
+	if (w->platform->faults.lose_orders) {
+		jobs_lose(req);
+		return;
+	}
+	jobs_reply(req, 200,
+		   json_pack("{s:I}", "clock-ms", (json_int_t)clock_ms()));
+}
+
+static void serve_stop(struct sim_worker *w, struct evhttp_request *req,
+		       const json_t *body)
+{
+	struct sim_task *t =
+		find_task(w, json_string_value(json_object_get(body, "task")));
+
+	if (t && t->run == (uint32_t)json_integer_value(
+				   json_object_get(body, "run")))
+		end_task(w, t, "stopped");
+	jobs_reply(req, 200,
+		   json_pack("{s:I}", "clock-ms", (json_int_t)clock_ms()));
+}
+
+static void answer_look(struct sim_worker *w)
+{
+	json_t *running = json_array(), *ended = json_array();
+
+	for (uint32_t i = 0; i < w->task_count; i++)
+		json_array_append_new(running,
+				      json_pack("[s,i,s,i,i]", w->tasks[i].name,
+						w->tasks[i].run, "", 50, 1000));
+	for (uint32_t i = 0; i < w->ended_count; i++)
+		json_array_append_new(
+			ended,
+			json_pack("[I,s,i,s,s]", (json_int_t)w->ended[i].number,
+				  w->ended[i].name, w->ended[i].run,
+				  w->ended[i].how, ""));
+	jobs_reply(w->look, 200,
+		   json_pack("{s:I,s:I,s:o,s:o}", "clock-ms",
+			     (json_int_t)clock_ms(), "born", (json_int_t)77,
+			     "running", running, "ended", ended));
+	w->look = NULL;
+}
+
+static void on_look_close(struct evhttp_connection *c, void *arg)
+{
+	struct sim_worker *w = arg;
+
+	if (w->look && evhttp_request_get_connection(w->look) == c)
+		w->look = NULL;
+}
+
+static void serve_look(struct sim_worker *w, struct evhttp_request *req,
+		       const json_t *body)
+{
+	uint64_t seen = (uint64_t)json_integer_value(
+		json_object_get(body, "seen-upto"));
+	json_int_t wait = json_integer_value(json_object_get(body, "wait-ms"));
+	uint32_t kept = 0;
+
+	extend_lease(w, body);
+	for (uint32_t i = 0; i < w->ended_count; i++)
+		if (w->ended[i].number > seen)
+			w->ended[kept++] = w->ended[i];
+	w->ended_count = kept;
+	w->look = req;
+	w->look_end_us = clock_now_us() + (uint64_t)wait * 1000;
+	evhttp_connection_set_closecb(evhttp_request_get_connection(req),
+				      on_look_close, w);
+	if (!wait || kept)
+		answer_look(w);
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	struct sim_worker *w = arg;
+	const char *uri = evhttp_request_get_uri(req);
+	json_t *body;
+
+	if (w->silent) {
+		jobs_lose(req);
+		return;
+	}
+	body = jobs_body(req);
+	if (fenced(w, req, body))
+		;
+	else if (strstr(uri, "/run-start"))
+		serve_start(w, req, body);
+	else if (strstr(uri, "/run-stop"))
+		serve_stop(w, req, body);
+	else if (strstr(uri, "/hold"))
+		serve_look(w, req, body);
+	else
+		jobs_reply(
+			req, 200,
+			json_pack("{s:I}", "clock-ms", (json_int_t)clock_ms()));
+	json_decref(body);
+}
+
+void jobs_workers_tick_sim(struct jobs_platform *p, uint64_t now)
+{
+	for (int n = 0; n < p->worker_count; n++) {
+		struct sim_worker *w = p->workers[n];
+
+		for (uint32_t i = w->task_count; i-- > 0;) {
+			if (now / 1000 > w->lease_end_ms)
+				end_task(w, &w->tasks[i], "lapsed");
+			else if (now >= w->tasks[i].end_us)
+				end_task(w, &w->tasks[i], "done");
+		}
+		if (w->look && !w->silent &&
+		    (w->ended_count || now >= w->look_end_us))
+			answer_look(w);
+	}
+}
+
+int jobs_platform_worker(struct jobs_platform *p, uint16_t port,
+			 uint32_t task_ms)
+{
+	struct sim_worker *w = xcalloc(1, sizeof(*w));
+	char key[SIM_NAME_BYTES * 2], value[512];
+
+	w->platform = p;
+	w->task_ms = task_ms;
+	snprintf(w->id, sizeof(w->id), "i-%u", port);
+	w->server = evhttp_new(p->base);
+	evhttp_set_gencb(w->server, on_request, w);
+	if (evhttp_bind_socket(w->server, "127.0.0.1", port) < 0) {
+		fprintf(stderr, "cannot listen on port %u\n", port);
+		abort();
+	}
+	snprintf(key, sizeof(key), "servers/%s", w->id);
+	snprintf(value, sizeof(value),
+		 "{\"service\":\"svc\",\"address\":\"127.0.0.1:%u\","
+		 "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,"
+		 "\"state\":\"ready\",\"cold-remaining-ms\":0,\"born\":77,"
+		 "\"capacity\":{\"cpu\":16000,\"memory-request-mb\":64000,"
+		 "\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"clock-ms\":1,"
+		 "\"sequence\":4}",
+		 port);
+	jobs_platform_put(p, key, value);
+	p->workers[p->worker_count] = w;
+	return p->worker_count++;
+}
+
+void jobs_platform_silence(struct jobs_platform *p, int worker, bool silent)
+{
+	p->workers[worker]->silent = silent;
+}
+
+void jobs_workers_free_sim(struct jobs_platform *p)
+{
+	for (int i = 0; i < p->worker_count; i++) {
+		p->workers[i]->look = NULL;
+		evhttp_free(p->workers[i]->server);
+		free(p->workers[i]);
+	}
+}
+
+uint32_t jobs_platform_running(const struct jobs_platform *p)
+{
+	uint32_t n = 0;
+
+	for (int i = 0; i < p->worker_count; i++)
+		n += p->workers[i]->task_count;
+	return n;
+}
+
+uint32_t jobs_platform_starts(const struct jobs_platform *p)
+{
+	return p->starts;
+}
+
+uint32_t jobs_platform_twice(const struct jobs_platform *p)
+{
+	return p->twice;
+}
+
+uint64_t jobs_platform_token(const struct jobs_platform *p)
+{
+	uint64_t token = 0;
+
+	for (int i = 0; i < p->worker_count; i++)
+		if (p->workers[i]->token > token)
+			token = p->workers[i]->token;
+	return token;
+}
