--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -261,12 +261,20 @@
 		job_owner_apply_config(o);
 }
 
-/* Each transaction crosses to the store, so the nearest should own. */
+/*
+ * The owner works for all, so a VM with more processors should own; each of
+ * its transactions crosses to the store, so of those the nearest.
+ */
 static uint64_t election_delay(const struct job_owner *o)
 {
 	uint64_t delay = kv_follow_delay_us(o->follow) * ELECTION_DELAY_FACTOR;
 
-	return o->delay_us +
+	uint32_t cpu = o->node->settings->node.cpu_milli;
+	uint64_t small = cpu < OWNER_CPU_MILLI
+				 ? (OWNER_CPU_MILLI - cpu) * ELECTION_CPU_US
+				 : 0;
+
+	return o->delay_us + small +
 	       (delay > ELECTION_DELAY_MAX_US ? ELECTION_DELAY_MAX_US : delay);
 }
 
--- a/src/settings-private.h
+++ b/src/settings-private.h
@@ -26,6 +26,7 @@
 	VALUE_KEY,     /* CURVE key in Z85 */
 	VALUE_COUNT,   /* uint32_t */
 	VALUE_PERCENT, /* uint32_t */
+	VALUE_CORES,   /* uint32_t thousandths, such as 0.25 */
 	VALUE_BYTES,   /* size_t */
 	VALUE_TIME,    /* uint64_t microseconds */
 	VALUE_CHOICE,  /* enum of names */
--- a/src/settings-value.c
+++ b/src/settings-value.c
@@ -34,6 +34,8 @@
 static void set_number(struct settings_parser *p,
 		       const struct settings_entry *e, const char *value,
 		       const struct unit *units);
+static void set_cores(struct settings_parser *p, const struct settings_entry *e,
+		      const char *value);
 static void set_text(struct settings_parser *p, const struct settings_entry *e,
 		     const char *value);
 static void set_choice(struct settings_parser *p,
@@ -127,6 +129,24 @@
 }
 
 /* Checks and copies a name, a token or a key. */
+static void set_cores(struct settings_parser *p, const struct settings_entry *e,
+		      const char *value)
+{
+	uint32_t *field = (uint32_t *)((char *)p->s + e->offset);
+	char *end;
+	double cores = strtod(value, &end);
+
+	if (end == value || *end || !(cores >= (double)e->min / 1000) ||
+	    cores > (double)e->max / 1000) {
+		settings_fault(p, p->line,
+			       "%s: \"%s\" is not between %g and %g cores",
+			       e->name, value, (double)e->min / 1000,
+			       (double)e->max / 1000);
+		return;
+	}
+	*field = (uint32_t)(cores * 1000 + 0.5);
+}
+
 static void set_text(struct settings_parser *p, const struct settings_entry *e,
 		     const char *value)
 {
@@ -237,6 +257,9 @@
 	case VALUE_PERCENT:
 		set_number(p, e, value, percent_units);
 		break;
+	case VALUE_CORES:
+		set_cores(p, e, value);
+		break;
 	case VALUE_BYTES:
 		set_number(p, e, value, byte_units);
 		break;
@@ -268,6 +291,7 @@
 		return sizeof(uint64_t);
 	case VALUE_COUNT:
 	case VALUE_PERCENT:
+	case VALUE_CORES:
 	case VALUE_CHOICE:
 		break;
 	}
--- a/src/settings.c
+++ b/src/settings.c
@@ -41,6 +41,8 @@
 	  0, 0, REQUIRED_ALWAYS, NULL },
 	{ "node", "deployment", VALUE_NAME, AT(node.deployment), 0, 0,
 	  REQUIRED_ALWAYS, NULL },
+	{ "node", "cpu", VALUE_CORES, AT(node.cpu_milli), 10, 1024000, 0,
+	  NULL },
 	{ "front", "listen", VALUE_ADDRESS, AT(front.listen), 0, 0,
 	  REQUIRED_ALWAYS, NULL },
 	{ "front", "threads", VALUE_COUNT, AT(front.threads), 2, 4096, 0,
@@ -368,6 +370,7 @@
 void settings_defaults(struct settings *s)
 {
 	memset(s, 0, sizeof(*s));
+	s->node.cpu_milli = 1000;
 	s->front.threads = 256;
 	s->front.body_limit_bytes = 256u * 1024u;
 	s->front.queue_limit = 192;
--- a/src/settings.h
+++ b/src/settings.h
@@ -50,6 +50,7 @@
 		char id[SETTINGS_TEXT_BYTES];
 		char availability_zone[SETTINGS_TEXT_BYTES];
 		char deployment[SETTINGS_TEXT_BYTES];
+		uint32_t cpu_milli; /* processors that the VM may use */
 	} node;
 	struct {
 		struct settings_address listen;
