Place less often while a backlog waits

A round of placement that finds full workers costs the owner processor time and places little; with 300 tasks waiting, rounds come every 25 ms.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -159,6 +159,7 @@
 	bool collecting;
 	bool place; /* something changed that may allow a placement */
 	uint64_t place_us;
+	uint32_t backlog; /* tasks that the last round left waiting */
 	struct sched_stats stats;
 	struct pair_model pairs;
 	/* Needs that no worker could meet in this round of placement. */
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -397,16 +397,16 @@
 	}
 }
 
-static bool has_waiting(const struct sched *s, const struct job *j)
+static uint32_t waiting_tasks(const struct sched *s, const struct job *j)
 {
 	uint32_t count = job_spec_tasks(&j->spec);
+	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < j->occurrence_count; i++)
 		for (uint32_t k = 0; j->occurrences[i].used && k < count; k++)
-			if (s->tasks[j->occurrences[i].first_task + k].state ==
-			    TASK_WAITING)
-				return true;
-	return false;
+			n += s->tasks[j->occurrences[i].first_task + k].state ==
+			     TASK_WAITING;
+	return n;
 }
 
 /* Estimated length of what is left of a job's longest chain. */
@@ -461,12 +461,17 @@
 	uint32_t n = 0;
 
 	s->unmet_count = 0;
+	s->backlog = 0;
 	for (uint32_t i = 0; i < s->job_count; i++) {
 		const struct job *j = &s->jobs[i];
+		uint32_t waiting;
 
-		if (!j->used || j->state >= SCHED_JOB_COMPLETED ||
-		    !has_waiting(s, j))
+		if (!j->used || j->state >= SCHED_JOB_COMPLETED)
+			continue;
+		waiting = waiting_tasks(s, j);
+		if (!waiting)
 			continue;
+		s->backlog += waiting;
 		list[n].job = i;
 		list[n++].key = order_key(s, j);
 	}
--- a/src/sched.c
+++ b/src/sched.c
@@ -7,6 +7,12 @@
 
 /* Between two rounds of placement, so that ends are handled in batches. */
 #define PLACE_INTERVAL_US 5000u
+/*
+ * While that many tasks wait, the workers are full: a round mostly finds that
+ * nothing fits, and fewer rounds lose little.
+ */
+#define PLACE_BACKLOG_TASKS 300u
+#define PLACE_BACKLOG_US 25000u
 /* Without any change placement runs that often, for what waits on time. */
 #define PLACE_IDLE_US 250000u
 
@@ -425,6 +431,8 @@
 
 void sched_tick(struct sched *s, uint64_t now_us, uint64_t wall_ms)
 {
+	uint64_t interval;
+
 	s->now_us = now_us;
 	s->wall_ms = wall_ms;
 	sched_workers_tick(s);
@@ -441,7 +449,9 @@
 			 !has_live_task(s, j))
 			forget_job(s, j);
 	}
-	if ((s->place && now_us >= s->place_us + PLACE_INTERVAL_US) ||
+	interval = s->backlog > PLACE_BACKLOG_TASKS ? PLACE_BACKLOG_US
+						    : PLACE_INTERVAL_US;
+	if ((s->place && now_us >= s->place_us + interval) ||
 	    now_us >= s->place_us + PLACE_IDLE_US) {
 		s->place = false;
 		s->place_us = now_us;
