Refuse hand-ins at once while the store is away; reclaim after a restart

After two failures in a row hand-ins are passed to the owner or refused until a read of the process's own succeeds; a write of unknown outcome is given up after 0.8 s (504). A process replaces an ownership that names its own address: it listens there, so the former one has ended. The lease is 1.8 s, was 2.5 s.

--- a/src/job-intake.c
+++ b/src/job-intake.c
@@ -10,6 +10,17 @@
 
 /* Pause before a call whose answer was lost is repeated. */
 #define RETRY_US 30000u
+/*
+ * A write whose outcome is not known is repeated that long; then the caller is
+ * told so, and may come back through another entry VM.
+ */
+#define UNCERTAIN_US 800000u
+/*
+ * After that many failures in a row the store counts as away: hand-ins are
+ * passed on or refused at once until a read of its own succeeds.
+ */
+#define BREAKER_FAILURES 2u
+#define BREAKER_PROBE_US 250000u
 /* Left for the answer to reach the caller. */
 #define ANSWER_MARGIN_US 60000u
 /* An owner answers from memory; a longer wait is a cut or its end. */
@@ -36,6 +47,7 @@
 	char queue[JOB_NAME_BYTES];
 	struct buffer record; /* of a job to submit */
 	uint64_t deadline_us;
+	uint64_t begun_us;
 	bool forwarded; /* by a peer */
 	bool uncertain; /* a write may have taken effect */
 	bool tried_owner;
@@ -47,21 +59,26 @@
 	struct job_node *node;
 	struct pending *first;
 	uint32_t count;
+	uint32_t failures; /* of the store, in a row */
+	struct event *probe;
 };
 
 static void run(struct pending *p);
 static void read_progress(struct pending *p);
+static void on_probe_timer(evutil_socket_t fd, short what, void *arg);
 
 struct job_intake *job_intake_create(struct job_node *n)
 {
 	struct job_intake *i = xcalloc(1, sizeof(*i));
 
 	i->node = n;
+	i->probe = evtimer_new(n->base, on_probe_timer, i);
 	return i;
 }
 
 void job_intake_destroy(struct job_intake *i)
 {
+	event_free(i->probe);
 	free(i);
 }
 
@@ -119,7 +136,10 @@
 {
 	static const struct timeval pause = { 0, RETRY_US };
 
-	if (clock_now_us() + RETRY_US + ANSWER_MARGIN_US > p->deadline_us)
+	uint64_t next = clock_now_us() + RETRY_US;
+
+	if (next + ANSWER_MARGIN_US > p->deadline_us ||
+	    next > p->begun_us + UNCERTAIN_US)
 		finish_failed(p, why);
 	else
 		evtimer_add(p->retry, &pause);
@@ -164,12 +184,60 @@
 	finish_failed(p, "store");
 }
 
+static bool store_away(const struct job_intake *i)
+{
+	return i->failures >= BREAKER_FAILURES;
+}
+
+static void on_probe(void *arg, const struct kv_reply *r);
+
+static void on_probe_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct job_intake *i = arg;
+
+	(void)fd;
+	(void)what;
+	i->node->kv->ops->get(i->node->kv, JOB_SEQ_KEY, on_probe, i);
+}
+
+/* No caller waits for the answer that tells whether the store is back. */
+static void probe_later(struct job_intake *i)
+{
+	static const struct timeval pause = { 0, BREAKER_PROBE_US };
+
+	evtimer_add(i->probe, &pause);
+}
+
+static void note_outcome(struct job_intake *i, enum kv_outcome outcome)
+{
+	if (outcome != KV_NOT_DONE && outcome != KV_UNKNOWN) {
+		if (store_away(i))
+			log_event(LOG_INFO, "intake-store-back", "failures=%u",
+				  i->failures);
+		i->failures = 0;
+	} else if (++i->failures == BREAKER_FAILURES) {
+		log_event(LOG_WARNING, "intake-store-away", "outcome=%d",
+			  outcome);
+		probe_later(i);
+	}
+}
+
+static void on_probe(void *arg, const struct kv_reply *r)
+{
+	struct job_intake *i = arg;
+
+	note_outcome(i, r->outcome);
+	if (store_away(i))
+		probe_later(i);
+}
+
 /* ---- submit ---- */
 
 static void on_submitted(void *arg, const struct kv_reply *r)
 {
 	struct pending *p = arg;
 
+	note_outcome(p->intake, r->outcome);
 	switch (r->outcome) {
 	case KV_DONE:
 	case KV_CONFLICT: /* it is stored already: one job */
@@ -198,6 +266,10 @@
 			    .sets = &set,
 			    .set_count = 1 };
 
+	if (!p->uncertain && store_away(p->intake)) {
+		forward(p);
+		return;
+	}
 	snprintf(key, sizeof(key), JOB_IN_PREFIX "%s", p->id);
 	p->intake->node->kv->ops->txn(p->intake->node->kv, &t, on_submitted, p);
 }
@@ -374,6 +446,7 @@
 	snprintf(p->id, sizeof(p->id), "%s", id);
 	snprintf(p->queue, sizeof(p->queue), "%s", queue);
 	p->deadline_us = deadline_us;
+	p->begun_us = clock_now_us();
 	p->forwarded = forwarded;
 	p->fn = fn;
 	p->arg = arg;
--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -19,9 +19,9 @@
  * Ownership passes on this long after the owner's last renewal: short enough
  * that the leases at workers (6 s) outlast a takeover.
  */
-#define LEASE_TTL_MS 2500u
+#define LEASE_TTL_MS 1800u
 /* Three renewals fit into the lease. */
-#define LEASE_KEEP_US 800000u
+#define LEASE_KEEP_US 500000u
 #define LEASE_RETRY_US 200000u
 /* The store's clock and this one may drift apart while a lease runs. */
 #define LEASE_MARGIN_US 200000u
@@ -87,6 +87,8 @@
 	bool known_swept;
 	struct settings_address address;
 	uint64_t known_revision;
+	uint64_t replaced; /* ownership that a claim takes from its former self
+			    */
 	uint64_t gone_us;
 	uint64_t delay_us;
 	uint64_t next_try_us;
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -112,7 +112,7 @@
 {
 	struct job_owner *o = arg;
 	char value[96], seq[48];
-	struct kv_expect expect[2] = { { JOB_OWNER_KEY, 0 },
+	struct kv_expect expect[2] = { { JOB_OWNER_KEY, o->replaced },
 				       { JOB_SEQ_KEY, 0 } };
 	struct kv_set sets[2] = { { JOB_OWNER_KEY, value, 0, o->lease },
 				  { JOB_SEQ_KEY, seq, 0, 0 } };
@@ -278,14 +278,35 @@
 	       (delay > ELECTION_DELAY_MAX_US ? ELECTION_DELAY_MAX_US : delay);
 }
 
+/*
+ * Whether the owner that the store names is an earlier process of this VM: as
+ * this one listens on its address, that one has ended.
+ */
+static bool owned_by_former_self(const struct job_owner *o)
+{
+	const struct settings_address *a = &o->node->settings->jobs.peers;
+
+	return o->known && o->address.port == a->port &&
+	       !strcmp(o->address.host, a->host);
+}
+
+static bool may_claim(const struct job_owner *o, uint64_t now)
+{
+	if (o->state != OWNER_FOLLOWER || o->resigned || !o->node->config ||
+	    !kv_follow_synced(o->follow) || now < o->next_try_us)
+		return false;
+	return o->known ? owned_by_former_self(o)
+			: now >= o->gone_us + election_delay(o);
+}
+
 static void tick(struct job_owner *o)
 {
 	uint64_t now = clock_now_us();
 
-	if (o->state == OWNER_FOLLOWER && !o->resigned && !o->known &&
-	    kv_follow_synced(o->follow) && now >= o->next_try_us &&
-	    now >= o->gone_us + election_delay(o) && o->node->config)
+	if (may_claim(o, now)) {
+		o->replaced = o->known ? o->known_revision : 0;
 		begin_election(o);
+	}
 	if (o->state >= OWNER_LOADING && !o->keeping && now >= o->next_keep_us)
 		keep_lease(o);
 	if (o->deposed ||
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -364,6 +364,54 @@
 	tear_down(&f);
 }
 
+/* A process that is started again on the owner's VM owns at once. */
+static void test_restarted_owner_claims_at_once(void)
+{
+	struct fixture f;
+	uint64_t begun;
+	int owner;
+
+	set_up(&f);
+	use_host(&f, 0);
+	owner = owner_of(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	stop_entry(&f, owner);
+	run_loop(&f, 50);
+	begun = clock_now_us();
+	start_entry(&f, owner);
+	for (int i = 0; i < 100 && owner_of(&f) != owner; i++)
+		run_loop(&f, 10);
+	CU_ASSERT_EQUAL(owner_of(&f), owner);
+	CU_ASSERT(clock_now_us() - begun < 800000);
+	CU_ASSERT_EQUAL(request(&f, !owner, "POST", ID_A, JOB), 200);
+	CU_ASSERT(completed(&f, !owner, ID_A, 4000));
+	tear_down(&f);
+}
+
+/*
+ * While the store does not answer, a hand-in waits for nothing once that is
+ * known; one that may have been stored is not called refused.
+ */
+static void test_silent_store_is_not_waited_for(void)
+{
+	struct fixture f;
+	uint64_t begun;
+
+	set_up(&f);
+	use_host(&f, 0);
+	jobs_platform_faults(f.platform)->silent = true;
+	CU_ASSERT_EQUAL(request(&f, 0, "POST", ID_A, JOB), 504);
+	begun = clock_now_us();
+	CU_ASSERT_EQUAL(request(&f, 0, "POST", ID_B, JOB), 503);
+	CU_ASSERT(clock_now_us() - begun < 600000);
+	CU_ASSERT_EQUAL(jobs_platform_count(f.platform, "waxwing/in/"), 0);
+	jobs_platform_faults(f.platform)->silent = false;
+	run_loop(&f, 2500);
+	CU_ASSERT_EQUAL(request(&f, 0, "POST", ID_A, JOB), 200);
+	CU_ASSERT(completed(&f, 0, ID_A, 5000));
+	tear_down(&f);
+}
+
 /* The store removes the owner's key: it steps down, one owner remains. */
 static void test_ownership_is_revoked(void)
 {
@@ -448,6 +496,10 @@
 		{ "history is forgotten", test_history_is_forgotten },
 		{ "lost answers of workers", test_lost_answers_of_workers },
 		{ "takeover", test_takeover },
+		{ "restarted owner claims at once",
+		  test_restarted_owner_claims_at_once },
+		{ "silent store is not waited for",
+		  test_silent_store_is_not_waited_for },
 		{ "ownership is revoked", test_ownership_is_revoked },
 		{ "configuration never goes back",
 		  test_configuration_never_goes_back },
