--- /dev/null
+++ b/src/cmd-job-explain.c
@@ -0,0 +1,157 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cmd.h"
+
+/* Files given at once, one a process. */
+#define FILES_MAX 128
+
+struct line {
+	double at_s;
+	char *text;
+};
+
+struct lines {
+	struct line *lines;
+	size_t count;
+	size_t malformed;
+};
+
+static double time_of(const char *text);
+static void add_line(struct lines *all, const char *text);
+static int read_lines(struct lines *all, const char *path, const char *id);
+static int by_time(const void *a, const void *b);
+static void print_line(const struct line *l, double begin_s);
+
+/* Returns the time of a log line, or -1 when it has none. */
+static double time_of(const char *text)
+{
+	const char *ts = strstr(text, "ts=");
+
+	return ts ? strtod(ts + 3, NULL) : -1;
+}
+
+static void add_line(struct lines *all, const char *text)
+{
+	struct line *l;
+
+	all->lines =
+		xrealloc(all->lines, (all->count + 1) * sizeof(*all->lines));
+	l = &all->lines[all->count++];
+	l->at_s = time_of(text);
+	l->text = xstrdup(text);
+	l->text[strcspn(l->text, "\n")] = '\0';
+}
+
+/* Whether a line concerns the job, one of its tasks or who owns the jobs. */
+static bool concerns(const char *text, const char *id)
+{
+	return strstr(text, id) || strstr(text, "event=owner-elected") ||
+	       strstr(text, "event=owner-acting") ||
+	       strstr(text, "event=owner-stepped-down") ||
+	       strstr(text, "event=intake-store-");
+}
+
+static int read_lines(struct lines *all, const char *path, const char *id)
+{
+	FILE *f = strcmp(path, "-") ? fopen(path, "r") : stdin;
+	char *text = NULL;
+	size_t size = 0;
+
+	if (!f) {
+		perror(path);
+		return CMD_INVALID_FILE;
+	}
+	while (getline(&text, &size, f) > 0) {
+		if (!strstr(text, "event="))
+			continue;
+		if (time_of(text) < 0)
+			all->malformed++;
+		else if (concerns(text, id))
+			add_line(all, text);
+	}
+	free(text);
+	if (f != stdin)
+		fclose(f);
+	return CMD_DONE;
+}
+
+static int by_time(const void *a, const void *b)
+{
+	const struct line *x = a, *y = b;
+
+	return x->at_s < y->at_s ? -1 : x->at_s > y->at_s;
+}
+
+static void print_line(const struct line *l, double begin_s)
+{
+	const char *node = strstr(l->text, "node=");
+	const char *event = strstr(l->text, "event=");
+
+	printf("%+10.3f s  %-20.*s %s\n", l->at_s - begin_s,
+	       node ? (int)strcspn(node + 5, " ") : 1, node ? node + 5 : "-",
+	       event ? event + 6 : l->text);
+}
+
+/* Prints the first line of the job and all that follow until it ended. */
+static int print_story(const struct lines *all, const char *id)
+{
+	size_t first = 0, last = 0;
+	bool found = false;
+
+	for (size_t i = 0; i < all->count; i++) {
+		if (!strstr(all->lines[i].text, id))
+			continue;
+		if (!found)
+			first = i;
+		found = true;
+		last = i;
+	}
+	if (!found) {
+		fprintf(stderr, "no line names job %s\n", id);
+		return CMD_REFUSED;
+	}
+	for (size_t i = first; i <= last; i++)
+		print_line(&all->lines[i], all->lines[first].at_s);
+	if (all->malformed)
+		fprintf(stderr, "%zu lines without a time were left out\n",
+			all->malformed);
+	return CMD_DONE;
+}
+
+int cmd_job_explain(int argc, char **argv)
+{
+	struct cmd_options o;
+	struct lines all = { 0 };
+	int ret;
+
+	cmd_options_init(&o);
+	struct arg_str *id = arg_str1(NULL, NULL, "ID", "job to explain");
+	struct arg_file *files =
+		arg_filen(NULL, NULL, "FILE", 0, FILES_MAX,
+			  "logs of entry VMs; standard input by default");
+	void *table[] = { CMD_OPTIONS_TABLE(&o), id, files, o.end };
+
+	ret = cmd_parse(&o, table, sizeof(table) / sizeof(table[0]),
+			"job explain",
+			"Prints what the logs tell of a job, in order of time.",
+			argc, argv);
+	if (ret >= 0)
+		goto out;
+	ret = CMD_DONE;
+	for (int i = 0; i < files->count && ret == CMD_DONE; i++)
+		ret = read_lines(&all, files->filename[i], id->sval[0]);
+	if (!files->count)
+		ret = read_lines(&all, "-", id->sval[0]);
+	if (ret != CMD_DONE)
+		goto out;
+	qsort(all.lines, all.count, sizeof(*all.lines), by_time);
+	ret = print_story(&all, id->sval[0]);
+out:
+	for (size_t i = 0; i < all.count; i++)
+		free(all.lines[i].text);
+	free(all.lines);
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return ret;
+}
--- a/src/log.c
+++ b/src/log.c
@@ -1,7 +1,10 @@
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "clock.h"
@@ -11,6 +14,7 @@
 					   "error" };
 static char node_name[64] = "-";
 static atomic_int threshold = LOG_INFO;
+static atomic_uint dropped; /* lines that found a full pipe */
 
 void log_set_node(const char *node)
 {
@@ -42,6 +46,7 @@
 {
 	char line[LOG_LINE_BYTES];
 	uint64_t us = clock_wall_us();
+	unsigned lost;
 	int n, m;
 	va_list ap;
 
@@ -59,6 +64,25 @@
 	if (n > (int)sizeof(line) - 2)
 		n = (int)sizeof(line) - 2;
 	line[n++] = '\n';
-	if (write(STDOUT_FILENO, line, (size_t)n) < 0)
+	if (write(STDOUT_FILENO, line, (size_t)n) < 0) {
+		if (errno == EAGAIN)
+			atomic_fetch_add(&dropped, 1);
 		return;
+	}
+	lost = atomic_exchange(&dropped, 0);
+	if (lost)
+		log_event(LOG_WARNING, "log-dropped", "lines=%u", lost);
+}
+
+void log_never_block(void)
+{
+	struct stat st;
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags < 0 || fstat(STDOUT_FILENO, &st) < 0 ||
+	    (!S_ISFIFO(st.st_mode) && !S_ISSOCK(st.st_mode)))
+		return;
+	if (fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) < 0)
+		log_event(LOG_WARNING, "log-may-block", "error=\"%s\"",
+			  strerror(errno));
 }
--- a/src/log.h
+++ b/src/log.h
@@ -24,6 +24,12 @@
 /* Parses "debug", "info", "warning" or "error". Returns 0, or -1. */
 int log_level_parse(const char *text, enum log_level *level);
 
+/*
+ * Lets a line be dropped, and counted, rather than wait for a reader that is
+ * behind. For processes with one event loop.
+ */
+void log_never_block(void);
+
 void log_event(enum log_level level, const char *event, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -52,6 +52,7 @@
 	uint8_t state;
 	uint8_t pace; /* percent in force or ordered, or PACE_UNKNOWN */
 	uint8_t percent;
+	bool told;     /* of a step's first: that it waits was logged */
 	bool answered; /* the start, or the stop, was confirmed */
 	uint32_t figure;
 	char checkpoint[SCHED_CHECKPOINT_BYTES];
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -362,25 +362,56 @@
 		try_gang(s, j, first, NULL);
 }
 
+/* One line for what a round did for a step, with what it was decided on. */
+static void log_step(const struct sched *s, const struct job *j,
+		     const struct task *first, uint32_t placed,
+		     uint32_t waiting, const struct task *last)
+{
+	const struct job_step *step = &j->spec.steps[first->step];
+	const struct worker *w = last ? &s->workers[last->worker] : NULL;
+
+	log_event(LOG_INFO, placed ? "step-placed" : "step-waits",
+		  "job=%s step=%u placed=%u waiting=%u last_worker=%s cpu=%u "
+		  "memory_mb=%u image=%s age_ms=%llu deadline_in_ms=%lld "
+		  "backlog=%u",
+		  j->spec.id, first->step, placed, waiting, w ? w->id : "-",
+		  step->need.cpu_milli, step->need.memory_mb,
+		  *step->image ? step->image : "-",
+		  (unsigned long long)sched_age_us(s, j) / 1000,
+		  (long long)(j->deadline_wall_ms - s->wall_ms), s->backlog);
+}
+
 static void place_step(struct sched *s, struct job *j, struct task *first)
 {
 	const struct job_step *step = &j->spec.steps[first->step];
+	const struct task *last = NULL;
+	uint32_t placed = 0, waiting = 0;
 
 	if (step->gang) {
 		place_gang(s, j, first);
 		return;
 	}
 	for (uint32_t i = 0; i < step->count; i++) {
-		uint32_t w;
+		uint32_t w = SCHED_NONE;
 
 		if (first[i].state != TASK_WAITING ||
 		    s->now_us < first[i].retry_us)
 			continue;
-		w = choose_worker(s, j, &first[i]);
-		if (w == SCHED_NONE)
-			return;
+		if (!waiting)
+			w = choose_worker(s, j, &first[i]);
+		if (w == SCHED_NONE) {
+			waiting++;
+			continue;
+		}
 		sched_task_place(s, &first[i], w);
+		last = &first[i];
+		placed++;
 	}
+	/* A step that waits is told of once, so that a backlog stays quiet. */
+	if (!placed && (!waiting || first->told))
+		return;
+	first->told = !placed;
+	log_step(s, j, first, placed, waiting, last);
 }
 
 static void place_job(struct sched *s, struct job *j)
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -212,8 +212,13 @@
 		gang_done(s, j, o, t);
 	if (j->state >= SCHED_JOB_COMPLETED)
 		return;
-	if (!o->left[t->step])
+	if (!o->left[t->step]) {
+		log_event(LOG_INFO, "step-done",
+			  "job=%s occurrence=%u step=%u age_ms=%llu",
+			  j->spec.id, o->number, t->step,
+			  (unsigned long long)sched_age_us(s, j) / 1000);
 		sched_unblock(s, j, o);
+	}
 	sched_finish_occurrence(s, j, o);
 }
 
@@ -225,9 +230,12 @@
 	struct worker *w =
 		t->worker == SCHED_NONE ? NULL : &s->workers[t->worker];
 
-	log_event(LOG_DEBUG, "task-ended",
-		  "job=%s step=%u index=%u run=%u worker=%s how=%s", j->spec.id,
-		  t->step, t->index, t->run, w ? w->id : "-", end_names[how]);
+	log_event(how == SCHED_END_DONE ? LOG_DEBUG : LOG_INFO, "task-ended",
+		  "job=%s step=%u index=%u run=%u worker=%s how=%s "
+		  "failures=%u progress=%u checkpoint=%s",
+		  j->spec.id, t->step, t->index, t->run, w ? w->id : "-",
+		  end_names[how], t->failures, t->percent,
+		  *checkpoint ? checkpoint : "-");
 	if (*checkpoint)
 		snprintf(t->checkpoint, sizeof(t->checkpoint), "%s",
 			 checkpoint);
--- a/src/waxwingctl.c
+++ b/src/waxwingctl.c
@@ -25,6 +25,8 @@
 	  cmd_placement_change },
 	{ "placement", "cancel", "cancel a placement", cmd_placement_cancel },
 	{ "placement", "list", "list all placements", cmd_placement_list },
+	{ "job", "explain", "print what the logs tell of a job",
+	  cmd_job_explain },
 	{ NULL, "drain", "make an entry VM finish and exit", cmd_drain },
 };
 #define COMMANDS (sizeof(commands) / sizeof(commands[0]))
