--- a/tests/support-jobs-store.c
+++ b/tests/support-jobs-store.c
@@ -188,7 +188,7 @@
 {
 	const char *prefix = evhttp_find_header(query, "prefix");
 	const char *after = evhttp_find_header(query, "after");
-	struct store_key *sorted[STORE_KEYS_MAX];
+	struct store_key *sorted[STORE_KEYS_MAX] = { NULL };
 	json_t *items = json_array();
 	bool more = false;
 	uint32_t n = 0;
