--- a/src/job-intake.c
+++ b/src/job-intake.c
@@ -184,7 +184,7 @@
 	finish_failed(p, "store");
 }
 
-static bool store_away(const struct job_intake *i)
+bool job_intake_store_away(const struct job_intake *i)
 {
 	return i->failures >= BREAKER_FAILURES;
 }
@@ -211,14 +211,14 @@
 static void note_outcome(struct job_intake *i, enum kv_outcome outcome)
 {
 	if (outcome != KV_NOT_DONE && outcome != KV_UNKNOWN) {
-		if (store_away(i))
+		if (job_intake_store_away(i))
 			log_event(LOG_INFO, "intake-store-back", "failures=%u",
 				  i->failures);
 		i->failures = 0;
 	} else if (++i->failures == BREAKER_FAILURES) {
 		log_event(LOG_WARNING, "intake-store-away", "outcome=%d",
 			  outcome);
-		probe_later(i);
+		event_active(i->probe, EV_TIMEOUT, 0);
 	}
 }
 
@@ -227,7 +227,7 @@
 	struct job_intake *i = arg;
 
 	note_outcome(i, r->outcome);
-	if (store_away(i))
+	if (job_intake_store_away(i))
 		probe_later(i);
 }
 
@@ -266,7 +266,7 @@
 			    .sets = &set,
 			    .set_count = 1 };
 
-	if (!p->uncertain && store_away(p->intake)) {
+	if (!p->uncertain && job_intake_store_away(p->intake)) {
 		forward(p);
 		return;
 	}
--- a/src/job-node.c
+++ b/src/job-node.c
@@ -2,8 +2,11 @@
 #include "job-node.h"
 #include "kv-follow.h"
 
-/* Two rounds of the configuration's watch and its timeout. */
-#define STORE_FRESH_US 4500000u
+/*
+ * Without news of the store for that long, others should get the requests. An
+ * outage that callers meet shows sooner, in the intake.
+ */
+#define STORE_FRESH_US 10000000u
 
 int job_node_start(struct job_node *n, struct error *err)
 {
@@ -36,7 +39,7 @@
 {
 	uint64_t fresh;
 
-	if (n->draining || !n->config)
+	if (n->draining || !n->config || job_intake_store_away(n->intake))
 		return false;
 	fresh = kv_follow_fresh_us(n->config_follow);
 	return clock_now_us() < fresh + STORE_FRESH_US;
--- a/src/job-node.h
+++ b/src/job-node.h
@@ -121,6 +121,8 @@
 		      uint64_t deadline_us, intake_fn *fn, void *arg);
 void job_intake_waiting(struct job_intake *i, const char *queue,
 			uint64_t deadline_us, intake_fn *fn, void *arg);
+/* Whether the store failed for this process's last requests. */
+bool job_intake_store_away(const struct job_intake *i);
 /* Requests that have no answer yet. */
 uint32_t job_intake_pending(const struct job_intake *i);
 
