--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -14,6 +14,8 @@
 /* A look is repeated without its ends being stored after that time. */
 #define ACK_WAIT_US 700000u
 #define SILENT_RETRY_US 300000u
+/* Several times the way to a worker of another zone and back. */
+#define ORDER_OVERDUE_US 60000u
 /* A worker that is gone from the list and silent is asked for that long. */
 #define FORGET_US 30000000u
 
@@ -319,11 +321,18 @@
 				      : job_owner_may_renew(owner, now);
 }
 
-static int free_lane(const struct link *l)
+/*
+ * Workers close connections that are idle for seconds, so a further lane is
+ * used only when an order is overdue: each use may cost a new connection.
+ */
+static int free_lane(const struct link *l, uint64_t now)
 {
-	for (int i = 0; i < WORKER_ORDERS_MAX; i++)
+	for (int i = 0; i < WORKER_ORDERS_MAX; i++) {
 		if (!l->sent[i])
 			return i;
+		if (now < l->sent[i]->sent_us + ORDER_OVERDUE_US)
+			return -1;
+	}
 	return -1;
 }
 
@@ -343,7 +352,7 @@
 	struct link_order *o;
 	int lane;
 
-	while ((o = l->first) && (lane = free_lane(l)) >= 0) {
+	while ((o = l->first) && (lane = free_lane(l, now)) >= 0) {
 		bool wanted = sched_order_wanted(w->sched, &o->order);
 
 		if (wanted && (!may_send(l, &o->order, now) ||
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -6,7 +6,7 @@
 #include "log.h"
 #include "sched-internal.h"
 
-/* A task that failed is tried again after a pause, elsewhere if possible. */
+/* A task that failed again is tried after a pause, elsewhere if possible. */
 #define FAILED_PAUSE_MS 50u
 
 static const char *const end_names[] = { "done",   "failed", "stopped",
@@ -254,7 +254,9 @@
 			sched_end_job(s, j, SCHED_JOB_FAILED);
 			return;
 		}
-		sched_task_requeue(s, t, step->lasts ? 0 : FAILED_PAUSE_MS);
+		sched_task_requeue(
+			s, t,
+			step->lasts || t->failures < 2 ? 0 : FAILED_PAUSE_MS);
 		return;
 	}
 	sched_task_requeue(s, t, 0);
