Hand what was learnt about images over to a successor

The estimates are stored every 3 s with a transaction that is due anyway, and lose some certainty at the handover.

--- a/src/job-node.h
+++ b/src/job-node.h
@@ -16,6 +16,7 @@
  *	in/ID/x		its cancellation
  *	run/ID		its progress, written by the owner
  *	owner/lead	who owns the jobs; removed when its lease ends
+ *	pairs		what the owner learnt about images that disturb others
  *	seq		epoch of the owner and number of its last transaction
  */
 
@@ -25,6 +26,7 @@
 #define JOB_OWNER_PREFIX JOB_PREFIX "owner/"
 #define JOB_OWNER_KEY JOB_OWNER_PREFIX "lead"
 #define JOB_SEQ_KEY JOB_PREFIX "seq"
+#define JOB_PAIRS_KEY JOB_PREFIX "pairs"
 #define JOB_CANCEL_SUFFIX "/x"
 
 struct event_base;
--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -48,12 +48,14 @@
 /* Changes within this time are handled and stored together. */
 #define KICK_US 2000u
 #define TICK_US 100000u
+/* What a successor would have to learn anew is stored this often. */
+#define PAIRS_INTERVAL_US 3000000u
 /* The owner logs what it holds this often. */
 #define STATUS_INTERVAL_US 5000000u
 /* Pause between a refused transaction and its repetition. */
 #define COMMIT_RETRY_US 150000u
-/* Expected keys and the sequence take three of a transaction's entries. */
-#define COMMIT_RECORDS_MAX (KV_TXN_ENTRIES_MAX - 4)
+/* Expected keys, the sequence and the pairs take four of its entries. */
+#define COMMIT_RECORDS_MAX (KV_TXN_ENTRIES_MAX - 5)
 
 enum owner_state {
 	OWNER_FOLLOWER,
@@ -103,6 +105,7 @@
 	uint64_t kept_us; /* when the last renewal that succeeded was sent */
 	uint64_t next_keep_us;
 	uint64_t next_status_us;
+	uint64_t next_pairs_us;
 	struct sched *sched;
 	struct job_workers *workers;
 	struct kv_follow *in_follow;
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -247,6 +247,32 @@
 				on_progress, c);
 }
 
+static void on_pairs(void *arg, const struct kv_reply *r)
+{
+	struct load_call *c = arg;
+	struct job_owner *o = c->owner;
+	bool current = c->load == o->load && o->sched;
+
+	free(c);
+	if (!current || r->outcome == KV_ABSENT)
+		return;
+	if (r->outcome != KV_DONE || !r->count ||
+	    sched_pairs_restore(o->sched, r->items[0].value, r->items[0].len) <
+		    0)
+		log_event(LOG_WARNING, "pairs-not-restored", "outcome=%d",
+			  r->outcome);
+}
+
+static void load_pairs(struct job_owner *o)
+{
+	struct load_call *c = xcalloc(1, sizeof(*c));
+
+	c->owner = o;
+	c->load = o->load;
+	o->next_pairs_us = clock_now_us() + PAIRS_INTERVAL_US;
+	o->node->kv->ops->get(o->node->kv, JOB_PAIRS_KEY, on_pairs, c);
+}
+
 void job_owner_load(struct job_owner *o)
 {
 	struct job_node *n = o->node;
@@ -266,6 +292,7 @@
 	o->in_synced = false;
 	o->sched = sched_create(&sched_ops, o, &settings, clock_now_us());
 	job_owner_apply_config(o);
+	load_pairs(o);
 	o->in_follow = kv_follow_create(n->base, n->kv, JOB_IN_PREFIX,
 					IN_WATCH_MS, &in_follow_ops, o);
 }
@@ -350,6 +377,22 @@
 	}
 }
 
+/* Rides on a transaction that is due anyway. */
+static void add_pairs(struct job_owner *o, struct commit *c)
+{
+	struct kv_set *set = &c->sets[c->set_count];
+	struct buffer b = BUFFER_INIT;
+	uint64_t now = clock_now_us();
+
+	if (now < o->next_pairs_us)
+		return;
+	o->next_pairs_us = now + PAIRS_INTERVAL_US;
+	sched_pairs_encode(o->sched, &b);
+	set->key = JOB_PAIRS_KEY;
+	set->value = buffer_detach(&b, &set->len);
+	c->set_count++;
+}
+
 static struct commit *build_commit(struct job_owner *o)
 {
 	struct commit *c = xcalloc(1, sizeof(*c));
@@ -361,6 +404,7 @@
 		free(c);
 		return NULL;
 	}
+	add_pairs(o, c);
 	o->counter++;
 	len = (size_t)snprintf(c->seq, sizeof(c->seq), "%llu %llu",
 			       (unsigned long long)o->epoch,
--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -211,6 +211,11 @@
 /* Jobs of a queue of which no task has started. */
 uint32_t sched_waiting(const struct sched *s, const char *queue);
 
+/* What was learnt about images that disturb each other, for a successor. */
+void sched_pairs_encode(const struct sched *s, struct buffer *out);
+/* Returns -1 when the form is malformed. */
+int sched_pairs_restore(struct sched *s, const void *data, size_t len);
+
 struct sched_stats {
 	uint32_t jobs_open;
 	uint32_t tasks_waiting;
--- a/src/pair-model.c
+++ b/src/pair-model.c
@@ -1,3 +1,5 @@
+#include <msgpack.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -20,6 +22,15 @@
 /* Part of the target that an image not seen yet is expected to need alone. */
 #define ALONE_DEFAULT 0.45f
 #define ALONE_WEIGHT_MAX 200.0f
+/* [format, [name, alone_ms, weight, [[name, mean, variance], ...]], ...] */
+#define PAIR_FORMAT 1
+#define ROW_ELEMENTS 4
+#define CELL_ELEMENTS 3
+/* Pairs that were never observed keep the prior and are not stored. */
+#define LEARNT_VARIANCE 200.0f
+/* What another process learnt some seconds ago is less certain. */
+#define HANDOVER_VARIANCE 4.0f
+#define HANDOVER_WEIGHT 20.0f
 
 void pair_model_init(struct pair_model *m)
 {
@@ -103,3 +114,140 @@
 		*variance *= 1 - gain * loads[i].part;
 	}
 }
+
+static int write_buffer(void *arg, const char *data, size_t len)
+{
+	buffer_append(arg, data, len);
+	return 0;
+}
+
+static void pack_name(msgpack_packer *pk, const char *name)
+{
+	size_t len = strlen(name);
+
+	msgpack_pack_str(pk, len);
+	msgpack_pack_str_body(pk, name, len);
+}
+
+static void pack_row(msgpack_packer *pk, const struct pair_model *m, uint32_t i)
+{
+	size_t n = 0;
+
+	for (uint32_t k = 0; k < m->count; k++)
+		n += m->variance[i][k] < LEARNT_VARIANCE;
+	msgpack_pack_array(pk, ROW_ELEMENTS);
+	pack_name(pk, m->names[i]);
+	msgpack_pack_float(pk, m->alone_ms[i]);
+	msgpack_pack_float(pk, m->alone_weight[i]);
+	msgpack_pack_array(pk, n);
+	for (uint32_t k = 0; k < m->count; k++) {
+		if (m->variance[i][k] >= LEARNT_VARIANCE)
+			continue;
+		msgpack_pack_array(pk, CELL_ELEMENTS);
+		pack_name(pk, m->names[k]);
+		msgpack_pack_float(pk, m->mean[i][k]);
+		msgpack_pack_float(pk, m->variance[i][k]);
+	}
+}
+
+void pair_model_encode(const struct pair_model *m, struct buffer *out)
+{
+	size_t rows = 0;
+	msgpack_packer pk;
+
+	for (uint32_t i = 0; i < m->count; i++)
+		rows += m->alone_weight[i] >= 1;
+	msgpack_packer_init(&pk, out, write_buffer);
+	msgpack_pack_array(&pk, rows + 1);
+	msgpack_pack_uint32(&pk, PAIR_FORMAT);
+	for (uint32_t i = 0; i < m->count; i++)
+		if (m->alone_weight[i] >= 1)
+			pack_row(&pk, m, i);
+}
+
+static bool is_array(const msgpack_object *o, uint32_t size)
+{
+	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size >= size;
+}
+
+static bool read_image(struct pair_model *m, const msgpack_object *o,
+		       uint32_t *image)
+{
+	char name[PAIR_NAME_BYTES];
+
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= sizeof(name))
+		return false;
+	memcpy(name, o->via.str.ptr, o->via.str.size);
+	name[o->via.str.size] = '\0';
+	*image = pair_model_image(m, name);
+	return true;
+}
+
+static bool read_float(const msgpack_object *o, float *out)
+{
+	if (o->type != MSGPACK_OBJECT_FLOAT32 &&
+	    o->type != MSGPACK_OBJECT_FLOAT64)
+		return false;
+	*out = (float)o->via.f64;
+	return *out >= 0 && *out < 1e6f;
+}
+
+static bool read_cell(struct pair_model *m, uint32_t service,
+		      const msgpack_object *o)
+{
+	const msgpack_object *e = o->via.array.ptr;
+	float mean, variance;
+	uint32_t image;
+
+	if (!is_array(o, CELL_ELEMENTS) || !read_image(m, &e[0], &image) ||
+	    !read_float(&e[1], &mean) || !read_float(&e[2], &variance))
+		return false;
+	m->mean[service][image] = mean;
+	m->variance[service][image] = variance + HANDOVER_VARIANCE;
+	return true;
+}
+
+static bool read_row(struct pair_model *m, const msgpack_object *o)
+{
+	const msgpack_object *e = o->via.array.ptr;
+	float alone, weight;
+	uint32_t image;
+
+	if (!is_array(o, ROW_ELEMENTS) || !read_image(m, &e[0], &image) ||
+	    !read_float(&e[1], &alone) || !read_float(&e[2], &weight) ||
+	    !is_array(&e[3], 0))
+		return false;
+	m->alone_ms[image] = alone;
+	m->alone_weight[image] =
+		weight < HANDOVER_WEIGHT ? weight : HANDOVER_WEIGHT;
+	for (uint32_t i = 0; i < e[3].via.array.size; i++)
+		if (!read_cell(m, image, &e[3].via.array.ptr[i]))
+			return false;
+	return true;
+}
+
+static bool read_model(struct pair_model *m, const msgpack_object *o)
+{
+	if (!is_array(o, 1) ||
+	    o->via.array.ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    o->via.array.ptr[0].via.u64 != PAIR_FORMAT)
+		return false;
+	for (uint32_t i = 1; i < o->via.array.size; i++)
+		if (!read_row(m, &o->via.array.ptr[i]))
+			return false;
+	return true;
+}
+
+int pair_model_decode(struct pair_model *m, const void *data, size_t len)
+{
+	msgpack_unpacked u;
+	int ret = -1;
+
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, data, len, NULL) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    read_model(m, &u.data))
+		ret = 0;
+	msgpack_unpacked_destroy(&u);
+	return ret;
+}
--- a/src/pair-model.h
+++ b/src/pair-model.h
@@ -4,6 +4,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "buffer.h"
+
 /*
  * NAME
  *	pair-model - how much batch images slow service images, learnt online
@@ -57,6 +59,15 @@
 float pair_model_slowdown(const struct pair_model *m, uint32_t service,
 			  const struct pair_load *load);
 
+/* Appends what was learnt, in a form that names images. */
+void pair_model_encode(const struct pair_model *m, struct buffer *out);
+
+/*
+ * Adds what another model learnt; estimates lose certainty on the way. Returns
+ * 0, or -1 when the form is malformed.
+ */
+int pair_model_decode(struct pair_model *m, const void *data, size_t len);
+
 /* Expected tail alone; target_ms serves for an image not seen yet. */
 float pair_model_alone(const struct pair_model *m, uint32_t service,
 		       float target_ms);
--- a/src/sched-pace.c
+++ b/src/sched-pace.c
@@ -346,3 +346,13 @@
 	w->acted_us = s->now_us;
 	relieve(s, t, slowdown);
 }
+
+void sched_pairs_encode(const struct sched *s, struct buffer *out)
+{
+	pair_model_encode(&s->pairs, out);
+}
+
+int sched_pairs_restore(struct sched *s, const void *data, size_t len)
+{
+	return pair_model_decode(&s->pairs, data, len);
+}
--- a/tests/test-pair-model.c
+++ b/tests/test-pair-model.c
@@ -50,6 +50,34 @@
 			       ALONE_MS, 2);
 }
 
+/* A successor begins with what was learnt; a cut record is refused. */
+static void test_handover(void)
+{
+	struct pair_model m, n;
+	struct pair_load load = { .part = 0.1f };
+	struct buffer b = BUFFER_INIT;
+	uint32_t service;
+
+	pair_model_init(&m);
+	service = pair_model_image(&m, "forms");
+	teach(&m, service, pair_model_image(&m, "heavy"),
+	      pair_model_image(&m, "light"));
+	pair_model_encode(&m, &b);
+	pair_model_init(&n);
+	pair_model_image(&n, "other"); /* handles differ */
+	CU_ASSERT_EQUAL(pair_model_decode(&n, b.data, b.len), 0);
+	service = pair_model_image(&n, "forms");
+	load.image = pair_model_image(&n, "heavy");
+	CU_ASSERT(pair_model_slowdown(&n, service, &load) > 2);
+	load.image = pair_model_image(&n, "light");
+	CU_ASSERT(pair_model_slowdown(&n, service, &load) < 0.3);
+	for (size_t i = 0; i < b.len; i++) {
+		pair_model_init(&n);
+		CU_ASSERT_EQUAL(pair_model_decode(&n, b.data, i), -1);
+	}
+	buffer_free(&b);
+}
+
 /* One untried task may run beside a service, several may not. */
 static void test_untried_pairs(void)
 {
@@ -88,6 +116,7 @@
 {
 	static const struct unit_test tests[] = {
 		{ "tells causes apart", test_tells_causes_apart },
+		{ "handover", test_handover },
 		{ "untried pairs", test_untried_pairs },
 		{ "many images", test_many_images },
 	};
