--- a/tests/fake-platform.c
+++ b/tests/fake-platform.c
@@ -25,7 +25,7 @@
 	struct arg_str *vms;
 	struct arg_int *list_lag_ms;
 	struct arg_int *report_lag_ms;
-	struct arg_int *seed;
+	struct arg_str *seed;
 	struct arg_str *journal;
 	struct arg_lit *help;
 	struct arg_end *end;
@@ -44,7 +44,7 @@
 
 static int run(const struct arguments *a)
 {
-	uint64_t seed = (uint64_t)a->seed->ival[0];
+	uint64_t seed = strtoull(a->seed->sval[0], NULL, 10);
 	const char *address = a->workers->count ? a->workers->sval[0] : "";
 	struct httpd *store_http = NULL, *workers_http = NULL;
 	struct worker_pool pool;
@@ -99,7 +99,7 @@
 					"publish the list this late"),
 		.report_lag_ms = arg_int0(NULL, "report-lag-ms", "MS",
 					  "publish usage this late"),
-		.seed = arg_int0(NULL, "seed", "N", "seed of the faults"),
+		.seed = arg_str0(NULL, "seed", "N", "seed of the faults"),
 		.journal = arg_str0(NULL, "journal", "FILE", "append events"),
 		.help = arg_lit0("h", "help", "print this text"),
 		.end = arg_end(8),
@@ -109,7 +109,7 @@
 
 	a.list_lag_ms->ival[0] = 0;
 	a.report_lag_ms->ival[0] = 1000;
-	a.seed->ival[0] = 1;
+	a.seed->sval[0] = "1";
 	if (arg_parse(argc, argv, table) || a.help->count) {
 		arg_print_errors(stderr, a.end, "fake-platform");
 		arg_print_glossary(stderr, table, "%-28s %s\n");
--- a/tests/fake-runner.c
+++ b/tests/fake-runner.c
@@ -4,6 +4,7 @@
  */
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <sys/resource.h>
 
 #include <argtable2.h>
@@ -19,7 +20,7 @@
 	struct arg_int *count;
 	struct arg_str *prefix;
 	struct arg_str *control;
-	struct arg_int *seed;
+	struct arg_str *seed;
 	struct arg_str *journal;
 	struct arg_lit *help;
 	struct arg_end *end;
@@ -52,7 +53,7 @@
 	struct event_base *base = wire_event_base();
 	struct event *term = evsignal_new(base, SIGTERM, on_signal, base);
 	struct runner_set *set =
-		runner_set_create(base, (uint64_t)a->seed->ival[0]);
+		runner_set_create(base, strtoull(a->seed->sval[0], NULL, 10));
 	struct wire_control *control = NULL;
 	int rc = 1;
 
@@ -67,7 +68,7 @@
 			      (unsigned)a->count->ival[0],
 			      a->prefix->sval[0]) < 0)
 		goto out;
-	printf("ready seed=%d\n", a->seed->ival[0]);
+	printf("ready seed=%s\n", a->seed->sval[0]);
 	fflush(stdout);
 	event_base_dispatch(base);
 	rc = 0;
@@ -88,7 +89,7 @@
 		.prefix = arg_str0(NULL, "id-prefix", "P",
 				   "ids are P0, P1 and so on"),
 		.control = arg_str0(NULL, "control", "IP:PORT", "control port"),
-		.seed = arg_int0(NULL, "seed", "N", "seed of the faults"),
+		.seed = arg_str0(NULL, "seed", "N", "seed of the faults"),
 		.journal = arg_str0(NULL, "journal", "FILE", "append events"),
 		.help = arg_lit0("h", "help", "print this text"),
 		.end = arg_end(8),
@@ -98,7 +99,7 @@
 
 	a.count->ival[0] = 1;
 	a.prefix->sval[0] = "runner-";
-	a.seed->ival[0] = 1;
+	a.seed->sval[0] = "1";
 	if (arg_parse(argc, argv, table) || a.help->count ||
 	    a.count->ival[0] < 1 || a.count->ival[0] > RUNNERS_MAX) {
 		arg_print_errors(stderr, a.end, "fake-runner");
--- a/tests/fault-proxy.c
+++ b/tests/fault-proxy.c
@@ -22,7 +22,7 @@
 	struct arg_str *link;
 	struct arg_file *links;
 	struct arg_str *control;
-	struct arg_int *seed;
+	struct arg_str *seed;
 	struct arg_str *journal;
 	struct arg_lit *help;
 	struct arg_end *end;
@@ -62,7 +62,8 @@
 static int run(const struct arguments *a)
 {
 	struct event_base *base = wire_event_base();
-	struct proxy *p = proxy_create(base, (uint64_t)a->seed->ival[0]);
+	struct proxy *p =
+		proxy_create(base, strtoull(a->seed->sval[0], NULL, 10));
 	struct event *term = evsignal_new(base, SIGTERM, on_signal, base);
 	struct wire_control *control = NULL;
 	int rc = 1;
@@ -79,7 +80,7 @@
 		if (!control)
 			goto out;
 	}
-	printf("ready seed=%d\n", a->seed->ival[0]);
+	printf("ready seed=%s\n", a->seed->sval[0]);
 	fflush(stdout);
 	event_base_dispatch(base);
 	rc = 0;
@@ -98,7 +99,7 @@
 				 PROXY_LINKS_MAX, "one link"),
 		.links = arg_file0(NULL, "links", "FILE", "a link a line"),
 		.control = arg_str0(NULL, "control", "IP:PORT", "control port"),
-		.seed = arg_int0(NULL, "seed", "N", "seed of the faults"),
+		.seed = arg_str0(NULL, "seed", "N", "seed of the faults"),
 		.journal = arg_str0(NULL, "journal", "FILE", "append events"),
 		.help = arg_lit0("h", "help", "print this text"),
 		.end = arg_end(8),
@@ -106,7 +107,7 @@
 	void *table = &a;
 	int rc = 2;
 
-	a.seed->ival[0] = 1;
+	a.seed->sval[0] = "1";
 	if (arg_parse(argc, argv, table) || a.help->count) {
 		arg_print_errors(stderr, a.end, "fault-proxy");
 		arg_print_glossary(stderr, table, "%-28s %s\n");
--- a/tests/load-gen.c
+++ b/tests/load-gen.c
@@ -20,7 +20,7 @@
 	struct arg_str *mix;
 	struct arg_file *mix_file;
 	struct arg_dbl *seconds;
-	struct arg_int *seed;
+	struct arg_str *seed;
 	struct arg_str *key_prefix;
 	struct arg_str *journal;
 	struct arg_lit *json;
@@ -51,8 +51,8 @@
 
 static int run(const struct arguments *a)
 {
-	struct load *l =
-		load_create((uint64_t)a->seed->ival[0], a->key_prefix->sval[0]);
+	struct load *l = load_create(strtoull(a->seed->sval[0], NULL, 10),
+				     a->key_prefix->sval[0]);
 	int rc = 2;
 
 	if (fill(l, a) < 0)
@@ -75,7 +75,7 @@
 		.mix_file = arg_file0(NULL, "mix-file", "FILE",
 				      "INI file, one section for each kind"),
 		.seconds = arg_dbl0(NULL, "seconds", "S", "send for this long"),
-		.seed = arg_int0(NULL, "seed", "N", "seed of the arrivals"),
+		.seed = arg_str0(NULL, "seed", "N", "seed of the arrivals"),
 		.key_prefix = arg_str0(NULL, "key-prefix", "P",
 				       "prefix of the idempotency keys"),
 		.journal = arg_str0(NULL, "journal", "FILE", "append events"),
@@ -87,7 +87,7 @@
 	int rc = 2;
 
 	a.seconds->dval[0] = 10;
-	a.seed->ival[0] = 1;
+	a.seed->sval[0] = "1";
 	a.key_prefix->sval[0] = "k";
 	if (arg_parse(argc, argv, table) || a.help->count) {
 		arg_print_errors(stderr, a.end, "load-gen");
--- a/tests/support-cluster.c
+++ b/tests/support-cluster.c
@@ -261,7 +261,7 @@
 	snprintf(vms, sizeof(vms), "%s/vms.json", c->folder);
 	snprintf(journal, sizeof(journal), "%s/store.jsonl", c->folder);
 	snprintf(lag, sizeof(lag), "%u", c->o.list_lag_ms);
-	snprintf(seed, sizeof(seed), "%u", (unsigned)c->o.seed);
+	snprintf(seed, sizeof(seed), "%llu", (unsigned long long)c->o.seed);
 	snprintf(c->store.name, sizeof(c->store.name), "store");
 	return start(c, &c->store, argv);
 }
@@ -280,7 +280,8 @@
 	snprintf(journal, sizeof(journal), "%s/workers-%u.jsonl", c->folder,
 		 zone);
 	snprintf(lag, sizeof(lag), "%u", c->o.report_lag_ms);
-	snprintf(seed, sizeof(seed), "%u", (unsigned)c->o.seed + zone);
+	snprintf(seed, sizeof(seed), "%llu",
+		 (unsigned long long)c->o.seed + zone);
 	snprintf(c->workers[zone].name, sizeof(c->workers[zone].name),
 		 "workers-%u", zone);
 	return start(c, &c->workers[zone], argv);
@@ -304,7 +305,8 @@
 	snprintf(prefix, sizeof(prefix), "%s-r", cluster_zone_names[zone]);
 	snprintf(journal, sizeof(journal), "%s/runners-%u.jsonl", c->folder,
 		 zone);
-	snprintf(seed, sizeof(seed), "%u", (unsigned)c->o.seed + 100 + zone);
+	snprintf(seed, sizeof(seed), "%llu",
+		 (unsigned long long)c->o.seed + 100 + zone);
 	snprintf(c->runners[zone].name, sizeof(c->runners[zone].name),
 		 "runners-%u", zone);
 	return start(c, &c->runners[zone], argv);
