--- /dev/null
+++ b/src/base64.c
@@ -0,0 +1,36 @@
+#include <b64/cdecode.h>
+#include <b64/cencode.h>
+#include <stdlib.h>
+
+#include "base64.h"
+
+char *base64_decode(const char *text, size_t text_len, size_t *len)
+{
+	base64_decodestate state;
+	char *out = xcalloc(text_len / 4 + 1, 3);
+
+	base64_init_decodestate(&state);
+	*len = (size_t)base64_decode_block(text, (int)text_len, out, &state);
+	out[*len] = '\0';
+	return out;
+}
+
+void base64_append(struct buffer *out, const void *data, size_t len)
+{
+	base64_encodestate state;
+	char *text = xcalloc(1, len * 2 + 8);
+	int n, begin = 0;
+
+	base64_init_encodestate(&state);
+	n = base64_encode_block(data, (int)len, text, &state);
+	n += base64_encode_blockend(text + n, &state);
+	/* libb64 breaks lines, which JSON text must not contain. */
+	for (int i = 0; i < n; i++) {
+		if (text[i] != '\n')
+			continue;
+		buffer_append(out, text + begin, (size_t)(i - begin));
+		begin = i + 1;
+	}
+	buffer_append(out, text + begin, (size_t)(n - begin));
+	free(text);
+}
--- a/src/job-spec.c
+++ b/src/job-spec.c
@@ -1,9 +1,9 @@
 #include <ctype.h>
-#include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "job-spec.h"
+#include "pack.h"
 
 /* Elements of the stored arrays of a job and of a step. */
 #define JOB_ELEMENTS 9
@@ -105,20 +105,6 @@
 	return longest;
 }
 
-static int write_buffer(void *arg, const char *data, size_t len)
-{
-	buffer_append(arg, data, len);
-	return 0;
-}
-
-static void pack_text(msgpack_packer *pk, const char *text)
-{
-	size_t len = strlen(text);
-
-	msgpack_pack_str(pk, len);
-	msgpack_pack_str_body(pk, text, len);
-}
-
 static uint64_t step_flags(const struct job_step *step)
 {
 	return (step->checkpoints ? STEP_CHECKPOINTS : 0) |
@@ -150,7 +136,7 @@
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, write_buffer);
+	pack_begin(&pk, out);
 	msgpack_pack_array(&pk, JOB_ELEMENTS);
 	msgpack_pack_uint32(&pk, JOB_SPEC_FORMAT);
 	pack_text(&pk, s->id);
@@ -202,12 +188,8 @@
 {
 	const msgpack_object *o = take(r, MSGPACK_OBJECT_STR);
 
-	if (!o || o->via.str.size >= size) {
+	if (!o || !pack_copy_text(o, out, size))
 		r->failed = true;
-		return;
-	}
-	memcpy(out, o->via.str.ptr, o->via.str.size);
-	out[o->via.str.size] = '\0';
 }
 
 static char *take_text(struct reader *r)
@@ -292,8 +274,7 @@
 	int ret = -1;
 
 	memset(s, 0, sizeof(*s));
-	msgpack_unpacked_init(&u);
-	if (msgpack_unpack_next(&u, data, len, NULL) != MSGPACK_UNPACK_SUCCESS)
+	if (!pack_open(&u, data, len))
 		invalid(err, "a stored job is truncated");
 	else
 		ret = read_job(s, &u.data, err);
--- a/src/pair-model.c
+++ b/src/pair-model.c
@@ -1,8 +1,8 @@
-#include <msgpack.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "pack.h"
 #include "pair-model.h"
 
 /*
@@ -115,20 +115,6 @@
 	}
 }
 
-static int write_buffer(void *arg, const char *data, size_t len)
-{
-	buffer_append(arg, data, len);
-	return 0;
-}
-
-static void pack_name(msgpack_packer *pk, const char *name)
-{
-	size_t len = strlen(name);
-
-	msgpack_pack_str(pk, len);
-	msgpack_pack_str_body(pk, name, len);
-}
-
 static void pack_row(msgpack_packer *pk, const struct pair_model *m, uint32_t i)
 {
 	size_t n = 0;
@@ -136,7 +122,7 @@
 	for (uint32_t k = 0; k < m->count; k++)
 		n += m->variance[i][k] < LEARNT_VARIANCE;
 	msgpack_pack_array(pk, ROW_ELEMENTS);
-	pack_name(pk, m->names[i]);
+	pack_text(pk, m->names[i]);
 	msgpack_pack_float(pk, m->alone_ms[i]);
 	msgpack_pack_float(pk, m->alone_weight[i]);
 	msgpack_pack_array(pk, n);
@@ -144,7 +130,7 @@
 		if (m->variance[i][k] >= LEARNT_VARIANCE)
 			continue;
 		msgpack_pack_array(pk, CELL_ELEMENTS);
-		pack_name(pk, m->names[k]);
+		pack_text(pk, m->names[k]);
 		msgpack_pack_float(pk, m->mean[i][k]);
 		msgpack_pack_float(pk, m->variance[i][k]);
 	}
@@ -157,7 +143,7 @@
 
 	for (uint32_t i = 0; i < m->count; i++)
 		rows += m->alone_weight[i] >= 1;
-	msgpack_packer_init(&pk, out, write_buffer);
+	pack_begin(&pk, out);
 	msgpack_pack_array(&pk, rows + 1);
 	msgpack_pack_uint32(&pk, PAIR_FORMAT);
 	for (uint32_t i = 0; i < m->count; i++)
@@ -175,10 +161,8 @@
 {
 	char name[PAIR_NAME_BYTES];
 
-	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= sizeof(name))
+	if (!pack_copy_text(o, name, sizeof(name)))
 		return false;
-	memcpy(name, o->via.str.ptr, o->via.str.size);
-	name[o->via.str.size] = '\0';
 	*image = pair_model_image(m, name);
 	return true;
 }
@@ -243,10 +227,7 @@
 	msgpack_unpacked u;
 	int ret = -1;
 
-	msgpack_unpacked_init(&u);
-	if (msgpack_unpack_next(&u, data, len, NULL) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    read_model(m, &u.data))
+	if (pack_open(&u, data, len) && read_model(m, &u.data))
 		ret = 0;
 	msgpack_unpacked_destroy(&u);
 	return ret;
--- a/src/platform-consul.c
+++ b/src/platform-consul.c
@@ -1,10 +1,10 @@
-#include <b64/cdecode.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base64.h"
 #include "http-client.h"
 #include "platform.h"
 
@@ -164,18 +164,6 @@
 	return text;
 }
 
-/* Decodes base64 text; the result has a NUL after its len bytes. */
-static char *decode_base64(const char *text, size_t text_len, size_t *len)
-{
-	base64_decodestate state;
-	char *out = xcalloc(text_len / 4 + 1, 3);
-
-	base64_init_decodestate(&state);
-	*len = (size_t)base64_decode_block(text, (int)text_len, out, &state);
-	out[*len] = '\0';
-	return out;
-}
-
 /* Fills one pair from its JSON object; -1 when a member is missing. */
 static int parse_pair(json_t *o, struct kv_pair *pair)
 {
@@ -188,7 +176,7 @@
 	    !(json_is_string(value) || json_is_null(value)))
 		return -1;
 	pair->key = xstrdup(key);
-	pair->value = decode_base64(
+	pair->value = base64_decode(
 		json_is_null(value) ? "" : json_string_value(value),
 		json_string_length(value), &pair->value_len);
 	pair->modify_index = (uint64_t)json_integer_value(index);
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -1,7 +1,7 @@
-#include <msgpack.h>
 #include <stdio.h>
 #include <string.h>
 
+#include "pack.h"
 #include "sched-internal.h"
 
 /*
@@ -15,20 +15,6 @@
 #define TASK_ELEMENTS 4
 #define RECORD_INVALID 2
 
-static int write_buffer(void *arg, const char *data, size_t len)
-{
-	buffer_append(arg, data, len);
-	return 0;
-}
-
-static void pack_text(msgpack_packer *pk, const char *text)
-{
-	size_t len = strlen(text);
-
-	msgpack_pack_str(pk, len);
-	msgpack_pack_str_body(pk, text, len);
-}
-
 static void pack_task(msgpack_packer *pk, const struct sched *s,
 		      const struct task *t)
 {
@@ -59,7 +45,7 @@
 
 	for (uint32_t i = 0; i < j->occurrence_count; i++)
 		open += j->occurrences[i].used;
-	msgpack_packer_init(&pk, out, write_buffer);
+	pack_begin(&pk, out);
 	msgpack_pack_array(&pk, RECORD_ELEMENTS);
 	msgpack_pack_uint32(&pk, RECORD_FORMAT);
 	msgpack_pack_uint32(&pk, j->state);
@@ -85,15 +71,6 @@
 	return o->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
 }
 
-static bool copy_text(const msgpack_object *o, char *out, size_t size)
-{
-	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size)
-		return false;
-	memcpy(out, o->via.str.ptr, o->via.str.size);
-	out[o->via.str.size] = '\0';
-	return true;
-}
-
 static bool restore_worker(struct sched *s, struct task *t,
 			   const msgpack_object *o)
 {
@@ -102,7 +79,7 @@
 
 	if (o->type == MSGPACK_OBJECT_NIL)
 		return true;
-	if (!copy_text(o, id, sizeof(id)))
+	if (!pack_copy_text(o, id, sizeof(id)))
 		return false;
 	worker = sched_worker_add(s, id);
 	sched_task_place(s, t, worker);
@@ -128,7 +105,7 @@
 		return false;
 	e = obj->via.array.ptr;
 	if (!is_uint(&e[0]) || !is_uint(&e[1]) ||
-	    !copy_text(&e[3], t->checkpoint, sizeof(t->checkpoint)))
+	    !pack_copy_text(&e[3], t->checkpoint, sizeof(t->checkpoint)))
 		return false;
 	t->run = (uint32_t)e[0].via.u64;
 	t->failures = (uint16_t)e[1].via.u64;
@@ -206,10 +183,7 @@
 	if (!j)
 		return error_set(err, ERROR_LAYER_CORE, RECORD_INVALID,
 				 "progress of an unknown job %s", id);
-	msgpack_unpacked_init(&u);
-	if (msgpack_unpack_next(&u, data, len, NULL) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    !restore(s, j, &u.data))
+	if (!pack_open(&u, data, len) || !restore(s, j, &u.data))
 		ret = error_set(err, ERROR_LAYER_CORE, RECORD_INVALID,
 				"malformed progress of job %s", id);
 	msgpack_unpacked_destroy(&u);
@@ -223,10 +197,7 @@
 	msgpack_unpacked u;
 	int ret = -1;
 
-	msgpack_unpacked_init(&u);
-	if (msgpack_unpack_next(&u, data, len, NULL) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    valid_head(&u.data)) {
+	if (pack_open(&u, data, len) && valid_head(&u.data)) {
 		*state = (enum sched_job_state)u.data.via.array.ptr[1].via.u64;
 		ret = 0;
 	}
