Remove what nothing uses; refuse bodies above the configured size

gang_wait was a setting without effect: a gang is placed as a whole, so that its members never wait for placement. A body above max-body-bytes is refused with 413 and nothing is stored.

--- a/src/event-http.c
+++ b/src/event-http.c
@@ -22,7 +22,6 @@
 	char host[48];
 	char host_port[64];
 	uint16_t port;
-	uint32_t opened;
 	bool connected;
 	bool in_callback;
 	bool freed; /* by the callback; the connection goes afterwards */
@@ -179,8 +178,6 @@
 	c->arg = arg;
 	if (!c->evcon)
 		open_connection(c);
-	if (!c->connected)
-		c->opened++;
 	evhttp_connection_set_timeout_tv(c->evcon, &tv);
 	c->req = evhttp_request_new(on_answer, c);
 	out = evhttp_request_get_output_headers(c->req);
@@ -201,24 +198,6 @@
 	set_socket_options(c);
 }
 
-bool http_conn_busy(const struct http_conn *c)
-{
-	return c->fn != NULL;
-}
-
-uint32_t http_conn_opened(const struct http_conn *c)
-{
-	return c->opened;
-}
-
-void http_conn_cancel(struct http_conn *c)
-{
-	c->fn = NULL;
-	c->req = NULL;
-	if (!c->in_callback)
-		close_connection(c);
-}
-
 void http_conn_free(struct http_conn *c)
 {
 	if (!c)
--- a/src/event-http.h
+++ b/src/event-http.h
@@ -46,10 +46,6 @@
 struct http_conn *http_conn_create(struct event_base *base, const char *host,
 				   uint16_t port);
 void http_conn_free(struct http_conn *c);
-bool http_conn_busy(const struct http_conn *c);
-
-/* Counts connections made; a change means that the peer may be a new one. */
-uint32_t http_conn_opened(const struct http_conn *c);
 
 /* body may be NULL; headers end with a NULL name, or NULL for none. */
 void http_conn_call(struct http_conn *c, const char *method, const char *uri,
@@ -57,7 +53,4 @@
 		    size_t len, uint32_t timeout_ms, http_answer_fn *fn,
 		    void *arg);
 
-/* Ends the call in progress without its callback, and the connection. */
-void http_conn_cancel(struct http_conn *c);
-
 #endif
--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -111,8 +111,6 @@
 	struct kv_follow *in_follow;
 	struct kv_follow *worker_follow;
 	bool in_synced;
-	bool run_synced;
-	bool workers_synced;
 	char after[KV_KEY_BYTES]; /* last progress record loaded */
 	char **cancels;		  /* seen before the jobs were loaded */
 	size_t cancel_count;
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -8,7 +8,10 @@
 #include "kv-follow.h"
 #include "log.h"
 
-/* Ends of an answer to a call of an earlier load are told apart by a ticket. */
+/*
+ * A call to the store of one ownership: an answer that comes after a step down
+ * is ignored.
+ */
 struct load_call {
 	struct job_owner *owner;
 	uint32_t load;
@@ -176,7 +179,6 @@
 {
 	struct job_owner *o = arg;
 
-	o->workers_synced = true;
 	if (o->workers)
 		job_workers_sweep(o->workers, false);
 }
@@ -282,8 +284,6 @@
 		.status_keep_s =
 			(uint32_t)(n->settings->jobs.status_keep_us / 1000000),
 		.takeover_wait_ms = LEASE_TTL_MS + RENEW_AFTER_MS,
-		.gang_wait_ms =
-			(uint32_t)(n->settings->jobs.gang_wait_us / 1000),
 	};
 
 	o->state = OWNER_LOADING;
--- a/src/job-peer.c
+++ b/src/job-peer.c
@@ -114,10 +114,6 @@
 
 /* ---- questions of peers ---- */
 
-struct served {
-	struct evhttp_request *req;
-};
-
 static void answer(struct evhttp_request *req, int status,
 		   const struct intake_answer *a)
 {
--- a/src/job-platform.h
+++ b/src/job-platform.h
@@ -27,7 +27,6 @@
 	struct sched_queue policy;
 	char host[128];
 	char prefix[128]; /* of the path; the job's id follows it */
-	uint32_t timeout_ms;
 };
 
 struct job_config {
--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -54,7 +54,6 @@
 	uint32_t lease_max_ms;	   /* longest lease that a worker grants */
 	uint32_t status_keep_s;	   /* how long ended jobs are shown */
 	uint32_t takeover_wait_ms; /* within it a predecessor's lease ends */
-	uint32_t gang_wait_ms;
 };
 
 struct sched_worker_info {
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -86,7 +86,6 @@
 	bool started; /* a task has started once */
 	bool dirty;
 	bool collected;
-	bool cancel_early; /* cancelled before it was submitted */
 };
 
 /* Slowdown that services of an image can still bear on a worker. */
@@ -200,7 +199,6 @@
 /* Returns the task, or NULL when its job or occurrence is unknown. */
 struct task *sched_task_find(struct sched *s, const char *name);
 bool sched_task_on_worker(const struct task *t);
-uint32_t sched_task_index(const struct sched *s, const struct task *t);
 
 /* ---- sched-worker.c ---- */
 /* Adds a worker that only a stored record names. */
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -12,7 +12,7 @@
 static const char *const end_names[] = { "done",   "failed", "stopped",
 					 "lapsed", "broken", "alone" };
 
-uint32_t sched_task_index(const struct sched *s, const struct task *t)
+static uint32_t task_index(const struct sched *s, const struct task *t)
 {
 	return (uint32_t)(t - s->tasks);
 }
@@ -81,7 +81,7 @@
 void sched_task_place(struct sched *s, struct task *t, uint32_t worker)
 {
 	struct worker *w = &s->workers[worker];
-	uint32_t index = sched_task_index(s, t);
+	uint32_t index = task_index(s, t);
 
 	t->worker = worker;
 	t->run++;
--- a/src/settings.c
+++ b/src/settings.c
@@ -93,8 +93,6 @@
 	  MINUTE_US, 0, NULL },
 	{ "jobs", "status_keep", VALUE_TIME, AT(jobs.status_keep_us), SECOND_US,
 	  1440ull * MINUTE_US, 0, NULL },
-	{ "jobs", "gang_wait", VALUE_TIME, AT(jobs.gang_wait_us), 100000u,
-	  MINUTE_US, 0, NULL },
 	{ "jobs", "stop_grace", VALUE_TIME, AT(jobs.stop_grace_us), SECOND_US,
 	  MINUTE_US, 0, NULL },
 	{ "log", "level", VALUE_CHOICE, AT(log_level), 0, 0, 0, level_names },
@@ -381,7 +379,6 @@
 	s->policy.outage_horizon_us = 15u * MINUTE_US;
 	s->jobs.lease_max_us = 6u * SECOND_US;
 	s->jobs.status_keep_us = 2u * MINUTE_US;
-	s->jobs.gang_wait_us = 3u * SECOND_US;
 	s->jobs.stop_grace_us = 5u * SECOND_US;
 	s->log_level = LOG_INFO;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -91,7 +91,6 @@
 		struct settings_address metrics;   /* port 0: not served */
 		uint64_t lease_max_us;	 /* longest that a worker grants */
 		uint64_t status_keep_us; /* ended jobs are shown */
-		uint64_t gang_wait_us;	 /* a gang's members wait for others */
 		uint64_t stop_grace_us;	 /* a stop takes at most */
 	} jobs;
 	enum log_level log_level;
--- a/tests/support-sched.c
+++ b/tests/support-sched.c
@@ -171,7 +171,6 @@
 	m->settings.lease_max_ms = LEASE_MAX_MS;
 	m->settings.status_keep_s = 120;
 	m->settings.takeover_wait_ms = 3000;
-	m->settings.gang_wait_ms = 3000;
 	m->s = sched_create(&ops, m, &m->settings, m->now_us);
 	job_model_policy(m);
 	for (uint32_t i = 0; i < workers; i++) {
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -203,6 +203,7 @@
 static void test_bad_input(void)
 {
 	struct fixture f;
+	char *body;
 
 	set_up(&f);
 	use_host(&f, 0);
@@ -221,6 +222,10 @@
 			"{\"specification\":\"x\",\"steps\":[{\"count\":"
 			"1000000}]}"),
 		400);
+	body = xcalloc(1, 300001);
+	memset(body, ' ', 300000);
+	CU_ASSERT_EQUAL(request(&f, 0, "POST", ID_A, body), 413);
+	free(body);
 	CU_ASSERT_EQUAL(jobs_platform_count(f.platform, "waxwing/in/"), 0);
 	tear_down(&f);
 }
