Let halted batch work go on when its service is gone

Cause, found by reading the change: a worker without services was left out of pacing altogether, so batch work that had been halted beside a service stayed at 0 when that service was cancelled or lost, and work adopted with an unknown pace was never set free. test-sched 'halted batch work goes on' failed before (the job had not completed 4 s after the service's end) and passes now.

A checkpoint that is too long is left out instead of cut.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -194,6 +194,8 @@
 void sched_task_stop(struct sched *s, struct task *t);
 void sched_task_ended(struct sched *s, struct task *t, enum sched_end how,
 		      const char *checkpoint);
+/* Keeps the newest checkpoint; one that is too long is left out. */
+void sched_task_checkpoint(struct sched *s, struct task *t, const char *value);
 void sched_task_name(const struct sched *s, const struct task *t,
 		     char out[SCHED_TASK_NAME_BYTES]);
 /* Returns the task, or NULL when its job or occurrence is unknown. */
--- a/src/sched-pace.c
+++ b/src/sched-pace.c
@@ -26,6 +26,8 @@
 #define PACE_MIN 30u
 /* More than that of its work is not thrown away to move it. */
 #define MOVE_PERCENT_MAX 60u
+/* A pair below that slope is let work slowly where it cannot be moved. */
+#define BEARABLE_SLOPE 8
 #define LOADS_MAX 64
 /* How long a worker may keep a report back while nothing ends there. */
 #define LOOK_WAIT_MS 2000u
@@ -267,6 +269,16 @@
 			set_pace(s, &s->tasks[i], 0);
 }
 
+/* Without a service nothing holds batch work back. */
+static void release(struct sched *s, struct worker *w)
+{
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker)
+		if (sched_step_of(s, &s->tasks[i])->fills &&
+		    s->tasks[i].state == TASK_RUNNING)
+			set_pace(s, &s->tasks[i], 100);
+}
+
 /* Lets one halted task at a time go on, or moves it where it may not. */
 static void resume(struct sched *s, struct worker *w)
 {
@@ -286,7 +298,7 @@
 		}
 		/* The headroom counts the task at its pace, and once more. */
 		room = sched_pace_headroom(s, w, step);
-		slope = part * 8;
+		slope = part * BEARABLE_SLOPE;
 		if (room >= 0)
 			set_pace(s, t, 100);
 		else if (step->checkpoints || t->percent <= MOVE_PERCENT_MAX)
@@ -316,8 +328,12 @@
 	float slowdown;
 	uint32_t tail;
 
-	if (!w->serving_milli)
+	if (!w->serving_milli) {
+		w->over_us = 0;
+		w->tail_percent = 0;
+		release(s, w);
 		return;
+	}
 	observe(s, w);
 	w->rooms_known = false;
 	service = worst_service(s, w, &tail);
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -4,9 +4,15 @@
 #include "log.h"
 #include "sched-internal.h"
 
-/* Part of its declared processors that a service is expected to use. */
+/*
+ * Part of its declared processors that a service is expected to use: the load
+ * that the deployments' site files state. What it uses beyond slows batch work.
+ */
 #define SERVING_USE_PERCENT 45u
-/* How long a step waits for the rack of its data, in parts of its estimate. */
+/*
+ * How long a step waits for the rack of its data, in percent of its estimate:
+ * on another rack it takes remote-factor times as long.
+ */
 #define RACK_WAIT_PERCENT 50u
 
 /* Preferences in thousandths, see score(). */
@@ -18,10 +24,13 @@
 /* More than all other preferences together. */
 #define FAILED_HERE 100000
 
-/* A job with nothing running for that long begins beside any service. */
+/*
+ * A job with nothing running for that long begins beside any service. The
+ * platform allows 3 s while there is room.
+ */
 #define STARVED_US 1500000u
 
-/* A job that takes up to that many times its objective is of some use. */
+/* A job that takes up to that many times its objective is late, not lost. */
 #define LATE_FACTOR 3u
 
 struct candidate {
@@ -48,6 +57,7 @@
 	return false;
 }
 
+/* Tasks of the same step and occurrence on a worker. */
 static uint32_t tasks_of_step(const struct sched *s, const struct worker *w,
 			      const struct task *like)
 {
@@ -61,6 +71,7 @@
 	return n;
 }
 
+/* Whether a worker may get tasks of the job's step at all. */
 static bool usable(const struct sched *s, const struct worker *w,
 		   const struct job *j, const struct job_step *step)
 {
@@ -83,6 +94,7 @@
 	       w->filling_milli;
 }
 
+/* Whether there is room for one more task. */
 static bool fits(const struct worker *w, const struct job_step *step)
 {
 	if (w->used.memory_mb + step->need.memory_mb > w->capacity.memory_mb ||
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -59,6 +59,21 @@
 	return &s->tasks[n];
 }
 
+void sched_task_checkpoint(struct sched *s, struct task *t, const char *value)
+{
+	if (!*value)
+		return;
+	/* A part of a value would resume from nowhere; the last one is good. */
+	if (strlen(value) >= sizeof(t->checkpoint)) {
+		log_event(LOG_WARNING, "checkpoint-too-long",
+			  "job=%s step=%u index=%u bytes=%zu",
+			  s->jobs[t->job].spec.id, t->step, t->index,
+			  strlen(value));
+		return;
+	}
+	strcpy(t->checkpoint, value);
+}
+
 /* Adds or takes away (sign -1) what a task uses of its worker. */
 static void account(struct sched *s, const struct task *t, int sign)
 {
@@ -236,9 +251,7 @@
 		  j->spec.id, t->step, t->index, t->run, w ? w->id : "-",
 		  end_names[how], t->failures, t->percent,
 		  *checkpoint ? checkpoint : "-");
-	if (*checkpoint)
-		snprintf(t->checkpoint, sizeof(t->checkpoint), "%s",
-			 checkpoint);
+	sched_task_checkpoint(s, t, checkpoint);
 	if (w)
 		sched_worker_ended(s, w, t, how);
 	if (how == SCHED_END_DONE) {
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -208,9 +208,7 @@
 		stop_stray(s, worker, run);
 		return;
 	}
-	if (*run->checkpoint)
-		snprintf(t->checkpoint, sizeof(t->checkpoint), "%s",
-			 run->checkpoint);
+	sched_task_checkpoint(s, t, run->checkpoint);
 	t->percent = (uint8_t)run->percent;
 	t->figure = run->figure;
 	s->jobs[t->job].started = true;
@@ -230,7 +228,7 @@
 		sched_task_stop(s, t);
 }
 
-/* Marks the tasks that the report names, to find those that it does not. */
+/* Whether the report lists the run. */
 static bool named(const struct sched_report *r, const char *name, uint32_t run)
 {
 	for (size_t i = 0; i < r->running_count; i++)
@@ -240,6 +238,7 @@
 	return false;
 }
 
+/* Places again what the worker should run and does not list. */
 static void find_vanished(struct sched *s, struct worker *w,
 			  const struct sched_report *r)
 {
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -298,6 +298,35 @@
 	job_model_free(m);
 }
 
+/* Guards against batch work that stays halted after its service is gone. */
+static void test_halted_batch_work_goes_on(void)
+{
+	struct model *m = job_model_create(1, CORES(32), GB(128));
+	struct model_job *batch =
+		job_model_job(m, "batch", 1, 2, CORES(4), GB(4), 6000);
+	struct model_job *service =
+		job_model_job(m, "urgent", 1, 2, CORES(6), GB(8), 60000);
+
+	m->slope = disturbing_pair;
+	batch->spec.steps[0].fills = true;
+	strcpy(batch->spec.steps[0].image, "heavy");
+	service->spec.steps[0].lasts = true;
+	service->spec.steps[0].target_ms = 50;
+	strcpy(service->spec.steps[0].image, "forms");
+	job_model_run(m, 100);
+	job_model_submit(m, batch);
+	job_model_run(m, 4500);
+	job_model_submit(m, service);
+	job_model_run(m, 4000);
+	CU_ASSERT_EQUAL(m->faults.harm, 0);
+	CU_ASSERT_EQUAL(batch->completed_ms, 0);
+	sched_cancel(m->s, service->spec.id, m->now_us, m->wall_ms);
+	job_model_run(m, 4000);
+	CU_ASSERT_NOT_EQUAL(batch->completed_ms, 0);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
 /* Guards against overfull workers and starvation of the urgent queue. */
 static void test_burst_of_batch_work(void)
 {
@@ -344,6 +373,7 @@
 		  test_occurrences_start_when_due },
 		{ "disturbing batch work is kept away",
 		  test_disturbing_batch_work_is_kept_away },
+		{ "halted batch work goes on", test_halted_batch_work_goes_on },
 		{ "burst of batch work", test_burst_of_batch_work },
 	};
 
