--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "adapter.h"
 #include "clock.h"
@@ -12,11 +13,15 @@
 
 /*
  * Two entry VMs against a stand-in of the users' platform, all on one event
- * loop and loopback. The ports lie below those that the kernel hands out.
+ * loop and loopback. The ports lie below those that the kernel hands out and
+ * differ between processes, so that several may run at once.
  */
-#define STORE_PORT 21100
-#define WORKER_PORT 21110
-#define NODE_PORT 21120
+#define PORTS_BEGIN 20000
+#define PORT_BLOCKS 250
+#define PORT_BLOCK 40
+#define STORE_PORT (port_base())
+#define WORKER_PORT (port_base() + 4)
+#define NODE_PORT (port_base() + 10)
 #define NODE_PORTS 10
 
 #define CONFIG                                                                   \
@@ -47,6 +52,11 @@
 	char body[256];
 };
 
+static uint16_t port_base(void)
+{
+	return (uint16_t)(PORTS_BEGIN + getpid() % PORT_BLOCKS * PORT_BLOCK);
+}
+
 static void on_reply(void *arg, const struct http_answer *a)
 {
 	struct fixture *f = arg;
