--- a/src/kv-follow.c
+++ b/src/kv-follow.c
@@ -12,7 +12,6 @@
 #define RETRY_MAX_US 400000u
 
 struct kv_follow {
-	struct event_base *base;
 	struct kv *kv;
 	struct kv_watch *watch;
 	struct event *retry;
@@ -36,13 +35,13 @@
 	bool troubled;
 };
 
-static void step(struct kv_follow *f);
+static void ask(struct kv_follow *f);
 
 static void on_retry(evutil_socket_t fd, short what, void *arg)
 {
 	(void)fd;
 	(void)what;
-	step(arg);
+	ask(arg);
 }
 
 static void retry_later(struct kv_follow *f)
@@ -97,7 +96,7 @@
 	if (r->more && r->count) {
 		snprintf(f->after, sizeof(f->after), "%s",
 			 r->items[r->count - 1].key);
-		step(f);
+		ask(f);
 		return;
 	}
 	f->reading = false;
@@ -107,7 +106,7 @@
 	if (f->ops->end)
 		f->ops->end(f->arg);
 	if (!f->freed)
-		step(f);
+		ask(f);
 }
 
 static void on_page(void *arg, const struct kv_reply *r)
@@ -143,7 +142,7 @@
 		return;
 	}
 	if (!f->freed)
-		step(f);
+		ask(f);
 }
 
 static void on_events(void *arg, const struct kv_reply *r)
@@ -157,7 +156,8 @@
 		free_now(f);
 }
 
-static void step(struct kv_follow *f)
+/* Asks for the next page, or for changes once all pages are read. */
+static void ask(struct kv_follow *f)
 {
 	f->asked_us = clock_now_us();
 	if (f->synced) {
@@ -176,7 +176,6 @@
 {
 	struct kv_follow *f = xcalloc(1, sizeof(*f));
 
-	f->base = base;
 	f->kv = kv;
 	f->ops = ops;
 	f->arg = arg;
@@ -185,7 +184,7 @@
 	snprintf(f->prefix, sizeof(f->prefix), "%s", prefix);
 	f->watch = kv->ops->watch(kv, prefix);
 	f->retry = evtimer_new(base, on_retry, f);
-	step(f);
+	ask(f);
 	return f;
 }
 
