--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -41,10 +41,13 @@
 /* Those of jobs and workers end by themselves when nothing changes. */
 #define IN_WATCH_MS 2500u
 #define WORKER_WATCH_MS 2000u
-/* An owner of 500 workers and 1,200 starts/s uses up to half a core. */
-#define OWNER_CPU_MILLI 500u
-/* A VM of an eighth of a core waits 375 ms longer than one of a half. */
-#define ELECTION_CPU_US 1000u
+/*
+ * An owner of 500 workers and 1,200 starts/s uses up to 0.3 of a core; VMs with
+ * less than that wait for the others, which start within 0.3 s of each other.
+ */
+#define OWNER_CPU_MILLI 250u
+#define ELECTION_CPU_US \
+	4000u /* for each thousandth of a core that is missing */
 /* Changes within this time are handled and stored together. */
 #define KICK_US 2000u
 #define TICK_US 100000u
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -353,6 +353,7 @@
 	o->node = n;
 	o->elections = counter_get(COUNTER, "waxwing_elections_total", NULL);
 	o->commits = counter_get(COUNTER, "waxwing_job_commits_total", NULL);
+	o->gone_us = clock_now_us();
 	o->delay_us = rng_below(&n->rng, ELECTION_SPREAD_US);
 	o->kick = evtimer_new(n->base, on_kick, o);
 	o->timer = event_new(n->base, -1, EV_PERSIST, on_timer, o);
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -48,6 +48,8 @@
 	struct jobs_platform *platform;
 	struct entry entries[2];
 	struct http_conn *caller[2];
+	uint32_t cpu_milli[2]; /* 0: the default */
+	uint32_t start_gap_ms;
 	int status;
 	char body[256];
 };
@@ -97,6 +99,8 @@
 	struct error err;
 
 	settings_defaults(&e->settings);
+	if (f->cpu_milli[i])
+		e->settings.node.cpu_milli = f->cpu_milli[i];
 	snprintf(e->settings.node.id, sizeof(e->settings.node.id), "entry-%d",
 		 i);
 	strcpy(e->settings.platform.address.host, "127.0.0.1");
@@ -127,9 +131,8 @@
 	job_node_stop(&f->entries[i].node);
 }
 
-static void set_up(struct fixture *f)
+static void start_all(struct fixture *f)
 {
-	memset(f, 0, sizeof(*f));
 	log_set_level(getenv("WAXWING_TEST_LOG") ? LOG_DEBUG : LOG_ERROR);
 	f->base = event_base_new();
 	f->platform = jobs_platform_create(f->base, STORE_PORT);
@@ -141,10 +144,17 @@
 		f->caller[i] = http_conn_create(
 			f->base, "127.0.0.1",
 			(uint16_t)(NODE_PORT + i * NODE_PORTS + 3));
-		run_loop(f, 400);
+		run_loop(f, f->start_gap_ms);
 	}
 }
 
+static void set_up(struct fixture *f)
+{
+	memset(f, 0, sizeof(*f));
+	f->start_gap_ms = 400;
+	start_all(f);
+}
+
 static void tear_down(struct fixture *f)
 {
 	for (int i = 0; i < 2; i++)
@@ -379,6 +389,17 @@
 	tear_down(&f);
 }
 
+/* The first to start must not own when others have more processors. */
+static void test_larger_vm_owns(void)
+{
+	struct fixture f = { .cpu_milli = { 120, 500 }, .start_gap_ms = 200 };
+
+	start_all(&f);
+	run_loop(&f, 1000);
+	CU_ASSERT_EQUAL(owner_of(&f), 1);
+	tear_down(&f);
+}
+
 /* A process that is started again on the owner's VM owns at once. */
 static void test_restarted_owner_claims_at_once(void)
 {
@@ -511,6 +532,7 @@
 		{ "history is forgotten", test_history_is_forgotten },
 		{ "lost answers of workers", test_lost_answers_of_workers },
 		{ "takeover", test_takeover },
+		{ "larger VM owns", test_larger_vm_owns },
 		{ "restarted owner claims at once",
 		  test_restarted_owner_claims_at_once },
 		{ "silent store is not waited for",
