--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -71,6 +71,16 @@
 	return n;
 }
 
+/* Whether a task that can end is there, to show if the worker is sound. */
+static bool is_tried(const struct sched *s, const struct worker *w)
+{
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker)
+		if (!sched_step_of(s, &s->tasks[i])->lasts)
+			return true;
+	return false;
+}
+
 /* Whether a worker may get tasks of the job's step at all. */
 static bool usable(const struct sched *s, const struct worker *w,
 		   const struct job *j, const struct job_step *step)
@@ -79,7 +89,7 @@
 	    strcmp(w->service, j->queue.service) ||
 	    s->now_us < w->quarantine_us || s->now_us < w->full_us)
 		return false;
-	if (w->trial && w->first_task != SCHED_NONE)
+	if (w->trial && !step->lasts && is_tried(s, w))
 		return false;
 	return has_label(w, step->label);
 }
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -163,6 +163,35 @@
 	job_model_free(m);
 }
 
+/*
+ * A worker out of quarantine gets one task to try; what lasts there must not
+ * keep it from that, nor others that last from it.
+ */
+static void test_worker_with_services_leaves_quarantine(void)
+{
+	struct model *m = job_model_create(1, CORES(16), GB(64));
+	struct model_job *service[2];
+
+	for (int i = 0; i < 2; i++) {
+		service[i] = job_model_job(m, "urgent", 1, 1, CORES(2), GB(2),
+					   60000);
+		service[i]->spec.steps[0].lasts = true;
+	}
+	job_model_run(m, 100);
+	job_model_submit(m, service[0]);
+	job_model_run(m, 200);
+	m->workers[0].failing = true;
+	for (int i = 0; i < 4; i++)
+		job_model_submit(m, job_model_job(m, "urgent", 1, 1, CORES(1),
+						  GB(1), 200));
+	job_model_run(m, 1000);
+	m->workers[0].failing = false;
+	job_model_submit(m, service[1]);
+	job_model_run(m, 6000);
+	CU_ASSERT_EQUAL(job_model_state(m, service[1]), SCHED_JOB_RUNNING);
+	job_model_free(m);
+}
+
 /* Guards against jobs that are tried for ever, or given up early. */
 static void test_attempts_are_limited(void)
 {
@@ -366,6 +395,8 @@
 		  test_nothing_starts_without_the_store },
 		{ "failing worker is quarantined",
 		  test_failing_worker_is_quarantined },
+		{ "worker with services leaves quarantine",
+		  test_worker_with_services_leaves_quarantine },
 		{ "attempts are limited", test_attempts_are_limited },
 		{ "gang starts whole", test_gang_starts_whole },
 		{ "lasting tasks come back", test_lasting_tasks_come_back },
