--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -122,6 +122,7 @@
 	uint64_t next_commit_us;
 	char **forgotten; /* ids whose records are to be removed */
 	size_t forgotten_count;
+	struct load_call *calls; /* on their way to the store */
 	uint32_t load; /* counts loads; answers to an earlier one are ignored */
 	struct counter *elections;
 	struct counter *commits;
@@ -130,6 +131,7 @@
 /* ---- job-owner-store.c ---- */
 void job_owner_load(struct job_owner *o);
 void job_owner_unload(struct job_owner *o);
+void job_owner_drop_calls(struct job_owner *o);
 void job_owner_apply_config(struct job_owner *o);
 /* Places, stores and orders what is due. */
 void job_owner_act(struct job_owner *o, uint64_t now);
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -13,12 +13,41 @@
  * is ignored.
  */
 struct load_call {
+	struct load_call *next;
 	struct job_owner *owner;
 	uint32_t load;
 };
 
 static void load_progress(struct job_owner *o);
 
+static struct load_call *begin_call(struct job_owner *o)
+{
+	struct load_call *c = xcalloc(1, sizeof(*c));
+
+	c->owner = o;
+	c->load = o->load;
+	c->next = o->calls;
+	o->calls = c;
+	return c;
+}
+
+static void end_call(struct load_call *c)
+{
+	struct load_call **link = &c->owner->calls;
+
+	while (*link != c)
+		link = &(*link)->next;
+	*link = c->next;
+	free(c);
+}
+
+/* Those that the store will not answer because it is destroyed as well. */
+void job_owner_drop_calls(struct job_owner *o)
+{
+	while (o->calls)
+		end_call(o->calls);
+}
+
 void ignore_reply(void *arg, const struct kv_reply *r)
 {
 	(void)arg;
@@ -217,7 +246,7 @@
 	bool current = c->load == o->load && o->state == OWNER_LOADING;
 	struct error err;
 
-	free(c);
+	end_call(c);
 	if (!current)
 		return;
 	if (r->outcome != KV_DONE) {
@@ -241,10 +270,8 @@
 
 static void load_progress(struct job_owner *o)
 {
-	struct load_call *c = xcalloc(1, sizeof(*c));
+	struct load_call *c = begin_call(o);
 
-	c->owner = o;
-	c->load = o->load;
 	o->node->kv->ops->range(o->node->kv, JOB_RUN_PREFIX, o->after, false,
 				on_progress, c);
 }
@@ -255,7 +282,7 @@
 	struct job_owner *o = c->owner;
 	bool current = c->load == o->load && o->sched;
 
-	free(c);
+	end_call(c);
 	if (!current || r->outcome == KV_ABSENT)
 		return;
 	if (r->outcome != KV_DONE || !r->count ||
@@ -267,10 +294,8 @@
 
 static void load_pairs(struct job_owner *o)
 {
-	struct load_call *c = xcalloc(1, sizeof(*c));
+	struct load_call *c = begin_call(o);
 
-	c->owner = o;
-	c->load = o->load;
 	o->next_pairs_us = clock_now_us() + PAIRS_INTERVAL_US;
 	o->node->kv->ops->get(o->node->kv, JOB_PAIRS_KEY, on_pairs, c);
 }
@@ -452,7 +477,7 @@
 	struct job_owner *o = c->owner;
 	bool current = c->load == o->load && o->commit;
 
-	free(c);
+	end_call(c);
 	if (!current)
 		return;
 	o->committing = false;
@@ -475,7 +500,7 @@
 
 static void send_commit(struct job_owner *o)
 {
-	struct load_call *call = xcalloc(1, sizeof(*call));
+	struct load_call *call = begin_call(o);
 	struct commit *c = o->commit;
 	struct kv_expect expect[2] = { { JOB_OWNER_KEY, o->revision },
 				       { JOB_SEQ_KEY, o->seq_revision } };
@@ -488,8 +513,6 @@
 		.remove_count = c->remove_count,
 	};
 
-	call->owner = o;
-	call->load = o->load;
 	o->committing = true;
 	o->node->kv->ops->txn(o->node->kv, &t, on_committed, call);
 }
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -368,6 +368,7 @@
 	if (!o)
 		return;
 	job_owner_unload(o);
+	job_owner_drop_calls(o);
 	kv_follow_free(o->follow);
 	event_free(o->kick);
 	event_free(o->timer);
