Bound the log, keep its events in one table, check logs

SIGHUP with a bad file logged on the users' platform that it was refused, but not why, and keys that need a restart were not named there.

Ruled out: a ring with a writer thread. The write does not block on a full pipe, and a thread costs memory in each of the processes.

--- a/src/cmd-job-explain.c
+++ b/src/cmd-job-explain.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "cmd.h"
+#include "log-line.h"
 
 /* Files given at once, one a process. */
 #define FILES_MAX 128
@@ -18,30 +19,20 @@
 	size_t malformed;
 };
 
-static double time_of(const char *text);
-static void add_line(struct lines *all, const char *text);
+static void add_line(struct lines *all, double at_s, const char *text);
 static int read_lines(struct lines *all, const char *path, const char *id);
 static int by_time(const void *a, const void *b);
 static void print_line(const struct line *l, double begin_s);
 
-/* Returns the time of a log line, or -1 when it has none. */
-static double time_of(const char *text)
-{
-	const char *ts = strstr(text, "ts=");
-
-	return ts ? strtod(ts + 3, NULL) : -1;
-}
-
-static void add_line(struct lines *all, const char *text)
+static void add_line(struct lines *all, double at_s, const char *text)
 {
 	struct line *l;
 
 	all->lines =
 		xrealloc(all->lines, (all->count + 1) * sizeof(*all->lines));
 	l = &all->lines[all->count++];
-	l->at_s = time_of(text);
+	l->at_s = at_s;
 	l->text = xstrdup(text);
-	l->text[strcspn(l->text, "\n")] = '\0';
 }
 
 /* Whether a line concerns the job, one of its tasks or who owns the jobs. */
@@ -50,7 +41,8 @@
 	return strstr(text, id) || strstr(text, "event=owner-elected") ||
 	       strstr(text, "event=owner-acting") ||
 	       strstr(text, "event=owner-stepped-down") ||
-	       strstr(text, "event=intake-store-");
+	       strstr(text, "event=intake-store-") ||
+	       strstr(text, "event=log-");
 }
 
 static int read_lines(struct lines *all, const char *path, const char *id)
@@ -64,12 +56,17 @@
 		return CMD_INVALID_FILE;
 	}
 	while (getline(&text, &size, f) > 0) {
+		/* A collector may have put its own text before the line. */
+		const char *begin = strstr(text, "ts=");
+		struct log_line l;
+
+		text[strcspn(text, "\n")] = '\0';
 		if (!strstr(text, "event="))
 			continue;
-		if (time_of(text) < 0)
+		if (!begin || log_line_parse(begin, &l) < 0)
 			all->malformed++;
 		else if (concerns(text, id))
-			add_line(all, text);
+			add_line(all, l.at_s, begin);
 	}
 	free(text);
 	if (f != stdin)
@@ -115,7 +112,7 @@
 	for (size_t i = first; i <= last; i++)
 		print_line(&all->lines[i], all->lines[first].at_s);
 	if (all->malformed)
-		fprintf(stderr, "%zu lines without a time were left out\n",
+		fprintf(stderr, "%zu lines that cannot be read were left out\n",
 			all->malformed);
 	return CMD_DONE;
 }
--- a/src/cmd.h
+++ b/src/cmd.h
@@ -96,6 +96,7 @@
 int cmd_placement_cancel(int argc, char **argv);
 int cmd_placement_list(int argc, char **argv);
 int cmd_job_explain(int argc, char **argv);
+int cmd_logs_check(int argc, char **argv);
 int cmd_drain(int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/src/log-events.c
@@ -0,0 +1,155 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log-line.h"
+
+/* Each event that log_event() is called with, in order of names. */
+static const char *const events[] = {
+	"attempt-failed",
+	"batch-relieved",
+	"checkpoint-too-long",
+	"commit-conflict",
+	"config-apply",
+	"config-in-force",
+	"config-none",
+	"config-older",
+	"config-refused",
+	"config-unusable",
+	"drain-begin",
+	"drain-end",
+	"drain-requested",
+	"election-lost",
+	"follow-restored",
+	"follow-resync",
+	"follow-trouble",
+	"http",
+	"intake-store-away",
+	"intake-store-back",
+	"job-cancelled",
+	"job-ended",
+	"job-malformed",
+	"job-received",
+	"log-dropped",
+	"log-limited",
+	"log-may-block",
+	"member-down",
+	"member-forgotten",
+	"member-not-registered",
+	"member-registered",
+	"member-table-full",
+	"member-up",
+	"no-thread",
+	"operator-denied",
+	"order-lost",
+	"order-without-worker",
+	"out-of-memory",
+	"owner-acting",
+	"owner-elected",
+	"owner-fenced",
+	"owner-lease-ended",
+	"owner-replaced",
+	"owner-status",
+	"owner-stepped-down",
+	"pairs-not-restored",
+	"pause-detected",
+	"paused",
+	"peer-connect-failed",
+	"peer-given-up",
+	"peer-malformed",
+	"peer-named",
+	"peer-refused",
+	"peer-table-full",
+	"placement",
+	"placement-owner",
+	"placement-reply-too-large",
+	"planned-stop",
+	"progress-malformed",
+	"progress-refused",
+	"refuse",
+	"request-answered",
+	"request-refused",
+	"route",
+	"seat",
+	"seat-changed",
+	"seat-departed",
+	"seat-revalidated",
+	"seats-full",
+	"seats-unusable",
+	"seats-write",
+	"seq-malformed",
+	"service-started",
+	"session-ended",
+	"settings-fault",
+	"settings-need-restart",
+	"settings-readable",
+	"settings-refused",
+	"settings-reloaded",
+	"shard-handed-over",
+	"shard-load-failed",
+	"shard-lost",
+	"shard-owned",
+	"shard-released",
+	"shards-malformed",
+	"start-failed",
+	"started",
+	"step-done",
+	"step-placed",
+	"step-waits",
+	"stopped",
+	"store-call-failed",
+	"store-key-unknown",
+	"store-malformed",
+	"store-refused",
+	"targets-changed",
+	"task-absent",
+	"task-end-unknown",
+	"task-ended",
+	"task-stray",
+	"thread-failed",
+	"too-many-targets",
+	"worker-draining",
+	"worker-entry-ignored",
+	"worker-listed",
+	"worker-quarantined",
+	"worker-refused",
+	"worker-report-refused",
+	"worker-reports",
+	"worker-silent",
+	"worker-tasks-lost",
+	"worker-unlisted",
+};
+#define EVENTS (sizeof(events) / sizeof(events[0]))
+
+/* A name that need not end with a null byte. */
+struct event_key {
+	const char *name;
+	size_t len;
+};
+
+static int compare_event(const void *key, const void *entry);
+
+static int compare_event(const void *key, const void *entry)
+{
+	const struct event_key *k = key;
+	const char *name = *(const char *const *)entry;
+	int order = strncmp(k->name, name, k->len);
+
+	return order ? order : -(name[k->len] != '\0');
+}
+
+bool log_event_known(const char *name, size_t len)
+{
+	struct event_key key = { name, len };
+
+	return bsearch(&key, events, EVENTS, sizeof(events[0]), compare_event);
+}
+
+size_t log_event_count(void)
+{
+	return EVENTS;
+}
+
+const char *log_event_name(size_t i)
+{
+	return events[i];
+}
--- /dev/null
+++ b/src/log-line.c
@@ -0,0 +1,80 @@
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "log-line.h"
+
+/* Takes "KEY=" off the text and returns the length of the value, or -1. */
+static int take_field(const char **text, const char *key, const char **value)
+{
+	size_t len = strlen(key);
+	size_t n;
+
+	if (strncmp(*text, key, len) || (*text)[len] != '=')
+		return -1;
+	*value = *text + len + 1;
+	n = strcspn(*value, " ");
+	*text = *value + n;
+	*text += **text == ' ';
+	return n ? (int)n : -1;
+}
+
+/* Whether the text is empty or a row of key=value pairs. */
+static bool is_pairs(const char *text)
+{
+	while (*text) {
+		size_t key = 0;
+
+		while (isalnum((unsigned char)text[key]) || text[key] == '_' ||
+		       text[key] == '-')
+			key++;
+		if (!key || text[key] != '=')
+			return false;
+		text += key + 1;
+		if (*text == '"') {
+			text += 1 + strcspn(text + 1, "\"");
+			if (!*text)
+				return false;
+			text++;
+		} else {
+			text += strcspn(text, " ");
+		}
+		if (*text && *text != ' ')
+			return false;
+		text += strspn(text, " ");
+	}
+	return true;
+}
+
+int log_line_parse(const char *text, struct log_line *out)
+{
+	size_t total = strlen(text);
+	char name[16];
+	const char *value;
+	char *end;
+	int n;
+
+	n = take_field(&text, "ts", &value);
+	if (n < 0)
+		return -1;
+	out->at_s = strtod(value, &end);
+	if (end != value + n)
+		return -1;
+	n = take_field(&text, "level", &value);
+	if (n < 0 || n >= (int)sizeof(name))
+		return -1;
+	memcpy(name, value, (size_t)n);
+	name[n] = '\0';
+	if (log_level_parse(name, &out->level) < 0)
+		return -1;
+	n = take_field(&text, "node", &out->node);
+	if (n < 0)
+		return -1;
+	out->node_len = (size_t)n;
+	n = take_field(&text, "event", &out->event);
+	if (n < 0)
+		return -1;
+	out->event_len = (size_t)n;
+	/* A line that was cut ends anywhere. */
+	return total >= LOG_LINE_BYTES - 2 || is_pairs(text) ? 0 : -1;
+}
--- a/src/log.c
+++ b/src/log.c
@@ -1,7 +1,9 @@
 #include <errno.h>
 #include <fcntl.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdatomic.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -14,7 +16,23 @@
 					   "error" };
 static char node_name[64] = "-";
 static atomic_int threshold = LOG_INFO;
-static atomic_uint dropped; /* lines that found a full pipe */
+static atomic_uint line_limit; /* a second; 0: none */
+static atomic_uint dropped;    /* lines that found a full pipe */
+
+/* Lines of the current second. */
+static struct {
+	pthread_mutex_t lock;
+	uint64_t second;
+	unsigned written, left_out;
+} window = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
+static bool admit_line(enum log_level level, uint64_t second,
+		       unsigned *left_out);
+static void write_line(enum log_level level, uint64_t us, const char *event,
+		       const char *fmt, va_list ap);
+static void write_text(enum log_level level, uint64_t us, const char *event,
+		       const char *fmt, ...)
+	__attribute__((format(printf, 4, 5)));
 
 void log_set_node(const char *node)
 {
@@ -42,36 +60,90 @@
 	return -1;
 }
 
-void log_event(enum log_level level, const char *event, const char *fmt, ...)
+void log_set_limit(unsigned lines_per_s)
+{
+	atomic_store(&line_limit, lines_per_s);
+}
+
+/*
+ * Whether the line is within the limit of its second. left_out receives the
+ * lines of earlier seconds that were not and have not been reported.
+ */
+static bool admit_line(enum log_level level, uint64_t second,
+		       unsigned *left_out)
+{
+	unsigned limit = atomic_load(&line_limit);
+	bool admitted;
+
+	*left_out = 0;
+	if (!limit)
+		return true;
+	if (level >= LOG_WARNING)
+		limit *= 2;
+	pthread_mutex_lock(&window.lock);
+	if (second != window.second) {
+		*left_out = window.left_out;
+		window.second = second;
+		window.written = window.left_out = 0;
+	}
+	admitted = window.written < limit;
+	if (admitted)
+		window.written++;
+	else
+		window.left_out++;
+	pthread_mutex_unlock(&window.lock);
+	return admitted;
+}
+
+static void write_line(enum log_level level, uint64_t us, const char *event,
+		       const char *fmt, va_list ap)
 {
 	char line[LOG_LINE_BYTES];
-	uint64_t us = clock_wall_us();
-	unsigned lost;
-	int n, m;
-	va_list ap;
+	int n = snprintf(line, sizeof(line),
+			 "ts=%llu.%06llu level=%s node=%s event=%s ",
+			 (unsigned long long)(us / 1000000u),
+			 (unsigned long long)(us % 1000000u),
+			 level_names[level], node_name, event);
 
-	if ((int)level < atomic_load(&threshold))
-		return;
-	n = snprintf(line, sizeof(line),
-		     "ts=%llu.%06llu level=%s node=%s event=%s ",
-		     (unsigned long long)(us / 1000000u),
-		     (unsigned long long)(us % 1000000u), level_names[level],
-		     node_name, event);
-	va_start(ap, fmt);
-	m = vsnprintf(line + n, sizeof(line) - (size_t)n - 1, fmt, ap);
-	va_end(ap);
-	n += m;
+	n += vsnprintf(line + n, sizeof(line) - (size_t)n - 1, fmt, ap);
 	if (n > (int)sizeof(line) - 2)
 		n = (int)sizeof(line) - 2;
 	line[n++] = '\n';
-	if (write(STDOUT_FILENO, line, (size_t)n) < 0) {
-		if (errno == EAGAIN)
-			atomic_fetch_add(&dropped, 1);
+	if (write(STDOUT_FILENO, line, (size_t)n) < 0 && errno == EAGAIN)
+		atomic_fetch_add(&dropped, 1);
+}
+
+static void write_text(enum log_level level, uint64_t us, const char *event,
+		       const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	write_line(level, us, event, fmt, ap);
+	va_end(ap);
+}
+
+void log_event(enum log_level level, const char *event, const char *fmt, ...)
+{
+	uint64_t us = clock_wall_us();
+	unsigned left_out, lost;
+	bool admitted;
+	va_list ap;
+
+	if ((int)level < atomic_load(&threshold))
 		return;
-	}
+	admitted = admit_line(level, us / 1000000u, &left_out);
 	lost = atomic_exchange(&dropped, 0);
+	if (left_out)
+		write_text(LOG_WARNING, us, "log-limited", "lines=%u",
+			   left_out);
 	if (lost)
-		log_event(LOG_WARNING, "log-dropped", "lines=%u", lost);
+		write_text(LOG_WARNING, us, "log-dropped", "lines=%u", lost);
+	if (!admitted)
+		return;
+	va_start(ap, fmt);
+	write_line(level, us, event, fmt, ap);
+	va_end(ap);
 }
 
 void log_never_block(void)
--- a/src/log.h
+++ b/src/log.h
@@ -9,7 +9,8 @@
  *	log_event() writes "ts=... level=... node=... event=NAME ..." in one
  *	write(2), so that lines of several threads do not mix. The rest of
  *	the line is the formatted text, by convention more key=value pairs.
- *	A line is cut at LOG_LINE_BYTES.
+ *	A line is cut at LOG_LINE_BYTES. Names of events stand in the table
+ *	of log-events.c.
  */
 
 #define LOG_LINE_BYTES 1024
@@ -30,6 +31,13 @@
  */
 void log_never_block(void);
 
+/*
+ * Writes at most so many lines a second, and twice as many when those above
+ * the limit are warnings or errors; 0 for no limit. The number of lines left
+ * out follows in the next second as event log-limited.
+ */
+void log_set_limit(unsigned lines_per_s);
+
 void log_event(enum log_level level, const char *event, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -26,6 +26,9 @@
 					     "jobs",  "log" };
 #define SECTIONS (sizeof(section_names) / sizeof(section_names[0]))
 
+/* Four lines for each of the 240 task starts a second of docs/CAPACITY.md. */
+#define LOG_LINES_PER_S 1000
+
 #define AT(field) offsetof(struct settings, field)
 #define SECOND_US 1000000u
 #define MINUTE_US 60000000u
@@ -96,6 +99,8 @@
 	{ "jobs", "stop_grace", VALUE_TIME, AT(jobs.stop_grace_us), SECOND_US,
 	  MINUTE_US, 0, NULL },
 	{ "log", "level", VALUE_CHOICE, AT(log_level), 0, 0, 0, level_names },
+	{ "log", "lines_per_second", VALUE_COUNT, AT(log_lines_per_s), 10,
+	  1000000, 0, NULL },
 };
 #define ENTRIES (sizeof(entries) / sizeof(entries[0]))
 
@@ -381,6 +386,7 @@
 	s->jobs.status_keep_us = 2u * MINUTE_US;
 	s->jobs.stop_grace_us = 5u * SECOND_US;
 	s->log_level = LOG_INFO;
+	s->log_lines_per_s = LOG_LINES_PER_S;
 }
 
 int settings_check(const char *path, struct settings *s, settings_fault_fn *fn,
--- a/src/settings.h
+++ b/src/settings.h
@@ -94,6 +94,7 @@
 		uint64_t stop_grace_us;	 /* a stop takes at most */
 	} jobs;
 	enum log_level log_level;
+	uint32_t log_lines_per_s;
 };
 
 typedef void settings_fault_fn(void *arg, const char *file, int line,
--- a/src/waxwingctl.c
+++ b/src/waxwingctl.c
@@ -27,6 +27,8 @@
 	{ "placement", "list", "list all placements", cmd_placement_list },
 	{ "job", "explain", "print what the logs tell of a job",
 	  cmd_job_explain },
+	{ "logs", "check", "report lines of logs that cannot be read",
+	  cmd_logs_check },
 	{ NULL, "drain", "make an entry VM finish and exit", cmd_drain },
 };
 #define COMMANDS (sizeof(commands) / sizeof(commands[0]))
--- a/src/waxwingd.c
+++ b/src/waxwingd.c
@@ -12,6 +12,7 @@
 #include "jobd.h"
 #include "kernel.h"
 #include "log.h"
+#include "settings-reload.h"
 #include "settings.h"
 #include "svc-config.h"
 #include "svc-flow.h"
@@ -133,28 +134,14 @@
 	return sig < 0 ? 0 : sig;
 }
 
-/* Keys that SIGHUP puts in force; the others are only read at the start. */
-static const struct {
-	const char *section;
-	const char *key;
-} live_keys[] = {
-	{ "operator", "token" },   { "policy", "routing" },
-	{ "policy", "admission" }, { "policy", "retry_budget" },
-	{ "log", "level" },
+/* Keys that SIGHUP puts in force beside [log]. */
+static const struct settings_key live_keys[] = {
+	{ "operator", "token" },
+	{ "policy", "routing" },
+	{ "policy", "admission" },
+	{ "policy", "retry_budget" },
 };
 
-/* Reports a key that changed in the file and is only read at the start. */
-static void report_key(void *arg, const char *section, const char *key)
-{
-	(void)arg;
-	for (size_t i = 0; i < sizeof(live_keys) / sizeof(live_keys[0]); i++)
-		if (!strcmp(live_keys[i].section, section) &&
-		    !strcmp(live_keys[i].key, key))
-			return;
-	log_event(LOG_WARNING, "settings-need-restart", "section=%s key=%s",
-		  section, key);
-}
-
 struct reload_call {
 	struct settings *running;
 	const struct settings *read;
@@ -171,35 +158,17 @@
 		c->read->policy.retry_budget_percent;
 }
 
-static void log_fault(void *arg, const char *file, int line,
-		      const char *message)
-{
-	char text[ERROR_MESSAGE_BYTES];
-
-	(void)arg;
-	snprintf(text, sizeof(text), "%s", message);
-	for (char *c = text; *c; c++)
-		if (*c == '"')
-			*c = '\'';
-	log_event(LOG_ERROR, "settings-fault", "at=%s:%d message=\"%s\"", file,
-		  line, text);
-}
-
 static void reload(struct kernel *k, const char *path, struct settings *s)
 {
 	struct settings read;
 	struct reload_call c = { .running = s, .read = &read };
 
-	if (settings_check(path, &read, log_fault, NULL)) {
-		log_event(LOG_ERROR, "settings-refused",
-			  "reason=\"the settings in force stay\"");
+	if (settings_reload(path, s, live_keys,
+			    sizeof(live_keys) / sizeof(live_keys[0]),
+			    &read) < 0)
 		return;
-	}
-	settings_compare(s, &read, report_key, NULL);
 	loop_call(loop_find(k), take_policy, &c);
 	operator_set_token(operator_find(k), read.operator.token);
-	log_set_level(read.log_level);
-	log_event(LOG_INFO, "settings-reloaded", "file=%s", path);
 }
 
 /* Waits for requests in progress, then for the seat; a signal ends it. */
@@ -249,6 +218,7 @@
 		return EXIT_FAILED;
 	log_set_node(s.node.id);
 	log_set_level(s.log_level);
+	log_set_limit(s.log_lines_per_s);
 	if (s.platform.dialect == DIALECT_KV)
 		return jobd_run(&s, path);
 	warn_readable(path);
--- /dev/null
+++ b/tests/test-log.c
@@ -0,0 +1,188 @@
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "log-line.h"
+#include "support-unit.h"
+
+#define TEXT_BYTES 65536
+#define LINES_MAX 256
+
+/* Standard output while a test writes log lines. */
+struct capture {
+	int saved;
+	int pipe[2];
+	char text[TEXT_BYTES];
+	char *lines[LINES_MAX];
+	size_t count;
+};
+
+static void capture_begin(struct capture *c)
+{
+	fflush(stdout);
+	c->saved = dup(STDOUT_FILENO);
+	if (pipe(c->pipe) < 0)
+		abort();
+	dup2(c->pipe[1], STDOUT_FILENO);
+	close(c->pipe[1]);
+	fcntl(c->pipe[0], F_SETFL, O_NONBLOCK);
+}
+
+/* Takes what was written so far and cuts it into lines. */
+static void capture_read(struct capture *c)
+{
+	ssize_t n = read(c->pipe[0], c->text, sizeof(c->text) - 1);
+
+	c->text[n > 0 ? n : 0] = '\0';
+	c->count = 0;
+	for (char *l = strtok(c->text, "\n"); l && c->count < LINES_MAX;
+	     l = strtok(NULL, "\n"))
+		c->lines[c->count++] = l;
+}
+
+static void capture_end(struct capture *c)
+{
+	dup2(c->saved, STDOUT_FILENO);
+	close(c->saved);
+	close(c->pipe[0]);
+	log_set_limit(0);
+}
+
+static size_t lines_with(const struct capture *c, const char *text)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < c->count; i++)
+		n += strstr(c->lines[i], text) != NULL;
+	return n;
+}
+
+/* Waits until a new second of the wall clock has just begun. */
+static void wait_for_second(void)
+{
+	clock_sleep_us(1000000 - clock_wall_us() % 1000000 + 1000);
+}
+
+/*
+ * Guards against a burst of decisions that fills the disk of the collector:
+ * lines above the limit are counted, and warnings still pass.
+ */
+static void test_lines_above_the_limit_are_counted(void)
+{
+	static struct capture c;
+
+	capture_begin(&c);
+	log_set_limit(10);
+	wait_for_second();
+	for (int i = 0; i < 50; i++)
+		log_event(LOG_INFO, "step-placed", "n=%d", i);
+	for (int i = 0; i < 50; i++)
+		log_event(LOG_WARNING, "paused", "n=%d", i);
+	capture_read(&c);
+	CU_ASSERT_EQUAL(lines_with(&c, "event=step-placed"), 10);
+	CU_ASSERT_EQUAL(lines_with(&c, "event=paused"), 10);
+	wait_for_second();
+	log_event(LOG_INFO, "step-placed", "n=50");
+	capture_read(&c);
+	CU_ASSERT_EQUAL(lines_with(&c, "event=log-limited lines=80"), 1);
+	CU_ASSERT_EQUAL(lines_with(&c, "event=step-placed"), 1);
+	capture_end(&c);
+}
+
+/* Guards against a scheduler that waits for the reader of its log. */
+static void test_a_full_pipe_drops_lines(void)
+{
+	static struct capture c;
+	uint64_t begin, us;
+	char filler[512];
+
+	memset(filler, 'x', sizeof(filler) - 1);
+	filler[sizeof(filler) - 1] = '\0';
+	capture_begin(&c);
+	log_never_block();
+	begin = clock_now_us();
+	for (int i = 0; i < 1000; i++)
+		log_event(LOG_INFO, "step-placed", "text=%s", filler);
+	us = clock_now_us() - begin;
+	capture_read(&c);
+	CU_ASSERT(us < 1000000);
+	CU_ASSERT(c.count > 0 && c.count < 1000);
+	capture_read(&c);
+	log_event(LOG_INFO, "step-placed", "text=after");
+	capture_read(&c);
+	CU_ASSERT_EQUAL(lines_with(&c, "event=log-dropped"), 1);
+	CU_ASSERT_EQUAL(lines_with(&c, "text=after"), 1);
+	capture_end(&c);
+}
+
+/* Guards against lines that the own tools cannot read. */
+static void test_written_lines_can_be_read(void)
+{
+	static struct capture c;
+	struct log_line l;
+
+	capture_begin(&c);
+	log_set_node("entry-cagla-1");
+	log_event(LOG_WARNING, "store-refused", "call=%d error=\"a b=c\"", 3);
+	log_event(LOG_INFO, "stopped", "%s", "");
+	capture_read(&c);
+	capture_end(&c);
+	CU_ASSERT_EQUAL_FATAL(c.count, 2);
+	CU_ASSERT_EQUAL(log_line_parse(c.lines[0], &l), 0);
+	CU_ASSERT_EQUAL(l.level, LOG_WARNING);
+	CU_ASSERT(l.at_s > 1e9);
+	CU_ASSERT_NSTRING_EQUAL(l.node, "entry-cagla-1", l.node_len);
+	CU_ASSERT_NSTRING_EQUAL(l.event, "store-refused", l.event_len);
+	CU_ASSERT_EQUAL(log_line_parse(c.lines[1], &l), 0);
+}
+
+/* Guards against a check of logs that accepts anything. */
+static void test_other_lines_are_refused(void)
+{
+	static const char *const lines[] = {
+		"",
+		"Segmentation fault",
+		"ts=x level=info node=a event=stopped",
+		"ts=1.5 level=loud node=a event=stopped",
+		"ts=1.5 level=info event=stopped",
+		"ts=1.5 level=info node=a event=",
+		"ts=1.5 level=info node=a event=stopped and more",
+		"ts=1.5 level=info node=a event=stopped text=\"open",
+		"ts=1.5 level=info node=a event=stopped text=\"a\"b",
+	};
+	struct log_line l;
+
+	for (size_t i = 0; i < sizeof(lines) / sizeof(lines[0]); i++)
+		CU_ASSERT_EQUAL(log_line_parse(lines[i], &l), -1);
+}
+
+/* Guards against names that the search of the table misses. */
+static void test_events_are_known_by_name(void)
+{
+	for (size_t i = 0; i < log_event_count(); i++) {
+		const char *name = log_event_name(i);
+
+		CU_ASSERT(log_event_known(name, strlen(name)));
+		CU_ASSERT(!i || strcmp(log_event_name(i - 1), name) < 0);
+	}
+	CU_ASSERT(!log_event_known("job", 3));
+	CU_ASSERT(!log_event_known("job-endedx", 10));
+	CU_ASSERT(log_event_known("job-ended at=1", 9));
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "lines above the limit are counted",
+		  test_lines_above_the_limit_are_counted },
+		{ "a full pipe drops lines", test_a_full_pipe_drops_lines },
+		{ "written lines can be read", test_written_lines_can_be_read },
+		{ "other lines are refused", test_other_lines_are_refused },
+		{ "events are known by name", test_events_are_known_by_name },
+	};
+
+	return RUN_SUITE("log", tests);
+}
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include "rng.h"
+#include "settings-reload.h"
 #include "settings.h"
 #include "support-unit.h"
 
@@ -200,6 +201,31 @@
 	}
 }
 
+/*
+ * Guards against a reload with a fault that changes half of the settings, and
+ * one without that leaves the log as it was.
+ */
+static void test_reload_takes_the_log_or_nothing(void)
+{
+	char path[64], text[2048];
+	struct settings running, read;
+	struct error err;
+
+	snprintf(text, sizeof(text), "%s[log]\nlevel = error\n", good);
+	write_file(path, text, strlen(text));
+	CU_ASSERT_EQUAL(settings_load(path, &running, &err), 0);
+	CU_ASSERT_EQUAL(settings_reload(path, &running, NULL, 0, &read), 0);
+	CU_ASSERT_EQUAL(log_get_level(), LOG_ERROR);
+	unlink(path);
+	snprintf(text, sizeof(text),
+		 "%s[log]\nlevel = debug\nlines_per_second = 9\n", good);
+	write_file(path, text, strlen(text));
+	CU_ASSERT_EQUAL(settings_reload(path, &running, NULL, 0, &read), -1);
+	CU_ASSERT_EQUAL(log_get_level(), LOG_ERROR);
+	unlink(path);
+	log_set_level(LOG_INFO);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -208,6 +234,8 @@
 		{ "bad files", test_bad_files },
 		{ "every fault is reported", test_every_fault_is_reported },
 		{ "random bytes", test_random_bytes },
+		{ "reload takes the log or nothing",
+		  test_reload_takes_the_log_or_nothing },
 	};
 
 	return RUN_SUITE("settings", tests);
