Add a fault soak of jobs, and keep early signals until they are handled

The stand-in's workers now refuse late starts and runs that were stopped or ended, as the platform's do.

Cause: SIGHUP or SIGTERM arrived after main() began and before the handlers were set, so the default action ended it. Ruled out: an exit of its own (waitpid gives the signal) and the moment before main(), which no program can cover and the soak now leaves out (20 ms after the start).

Change: the signals are blocked before the settings are read and let through once handlers are set, in both modes.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, check, demo, bench, soak, capacity, format, lint, install.
+# Targets: all, check, demo, bench, soak, soak-jobs, capacity, format, lint, install.
 CC ?= cc
 PREFIX ?= /usr/local
 DESTDIR ?=
@@ -88,6 +88,12 @@
 	$(MAKE) all
 	$(BUILD)/soak $(SEED) $(DURATION)
 
+# The same for jobs on the users' platform: make soak-jobs DURATION=S SEEDS="N..."
+SEEDS ?= $(SEED)
+soak-jobs: deps
+	$(MAKE) all
+	scripts/soak-jobs $(BUILD) $(DURATION) $(SEEDS)
+
 # Measures the points of docs/CAPACITY.md again and plots them.
 capacity: deps
 	$(MAKE) all
@@ -120,5 +126,5 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all tests unit-tests deps check demo bench soak capacity format lint install clean
+.PHONY: all tests unit-tests deps check demo bench soak soak-jobs capacity format lint install clean
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/src/waxwingd.c
+++ b/src/waxwingd.c
@@ -214,15 +214,16 @@
 	sigset_t set;
 	int sig, ret = EXIT_FAILED;
 
+	/* A signal that comes this early waits until it can be handled. */
+	block_signals(&set);
 	if (settings_check(path, &s, print_fault, NULL))
 		return EXIT_FAILED;
 	log_set_node(s.node.id);
 	log_set_level(s.log_level);
 	log_set_limit(s.log_lines_per_s);
 	if (s.platform.dialect == DIALECT_KV)
-		return jobd_run(&s, path);
+		return jobd_run(&s, path, &set);
 	warn_readable(path);
-	block_signals(&set);
 	mg_init_library(0);
 	k = kernel_create();
 	if (register_services(k, &s, &err) < 0 || kernel_start(k, &err) < 0) {
--- /dev/null
+++ b/tests/soak-jobs.c
@@ -0,0 +1,597 @@
+/*
+ * Randomized run of jobs over real processes: entry VMs behind a fault proxy,
+ * a stand-in of the users' platform, callers and a judge. Draws faults from a
+ * seed, lets them overlap, heals all and judges what callers and workers saw.
+ * usage: soak-jobs [SEED [SECONDS [ENTRIES [WORKERS [CALLERS]]]]]
+ */
+#include <errno.h>
+#include <event2/event.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "log-line.h"
+#include "support-cluster-private.h"
+#include "support-proxy.h"
+#include "support-soak-callers.h"
+
+#define STORE_PORT 0u
+#define ENTRY_PORT 10u
+#define ENTRY_PORTS 8u
+#define WORKER_PORT 200u
+#define WORKER_PORTS 2u
+#define TASK_MS 300
+#define READY_US 3000000u
+#define START_US 20000u /* of a program, until main() */
+#define GAP_MIN_US 200000u
+#define GAP_SPAN_US 900000u
+#define FAULT_MAX_US 5000000u
+#define FAULTS_MAX 6
+/* The users' pages: a stop may take 6 s, jobs are asked for 14 s. */
+#define STOP_MAX_US 6500000u
+#define FINISH_US 14000000u
+
+struct entry {
+	pid_t pid; /* 0: not running */
+	uint64_t started_us;
+	uint64_t stopping_us;
+	bool paused;
+	bool restart; /* starts again when it has ended */
+};
+
+struct soak;
+
+struct fault_kind {
+	const char *name;
+	/* Returns false when the fault does not fit now. */
+	bool (*begin)(struct soak *s, uint32_t target);
+	void (*end)(struct soak *s, uint32_t target); /* may be NULL */
+};
+
+struct fault {
+	const struct fault_kind *kind; /* NULL: free */
+	uint32_t target;
+	uint64_t end_us;
+};
+
+struct soak {
+	struct cluster c; /* folder and programs only */
+	struct rng rng;
+	struct event_base *base;
+	struct jobs_platform *platform;
+	struct proxy *proxy;
+	struct callers *callers;
+	struct entry entries[SOAK_ENTRIES_MAX];
+	uint32_t entry_count, worker_count, caller_count;
+	struct fault faults[FAULTS_MAX];
+	uint32_t versions, drawn, broken;
+};
+
+static bool begin_kill(struct soak *s, uint32_t target);
+static void end_kill(struct soak *s, uint32_t target);
+static bool begin_stop(struct soak *s, uint32_t target);
+static bool begin_pause(struct soak *s, uint32_t target);
+static void end_pause(struct soak *s, uint32_t target);
+static bool begin_reload(struct soak *s, uint32_t target);
+static bool begin_refuse(struct soak *s, uint32_t target);
+static bool begin_silence(struct soak *s, uint32_t target);
+static bool begin_lost_writes(struct soak *s, uint32_t target);
+static bool begin_lost_orders(struct soak *s, uint32_t target);
+static bool begin_forget(struct soak *s, uint32_t target);
+static void end_platform(struct soak *s, uint32_t target);
+static bool begin_config(struct soak *s, uint32_t target);
+static bool begin_store_link(struct soak *s, uint32_t target);
+static void end_store_link(struct soak *s, uint32_t target);
+static bool begin_worker_link(struct soak *s, uint32_t target);
+static void end_worker_link(struct soak *s, uint32_t target);
+static bool begin_caller_link(struct soak *s, uint32_t target);
+static void end_caller_link(struct soak *s, uint32_t target);
+
+static const struct fault_kind kinds[] = {
+	{ "kill", begin_kill, end_kill },
+	{ "stop", begin_stop, NULL },
+	{ "pause", begin_pause, end_pause },
+	{ "reload", begin_reload, NULL },
+	{ "store-refuses", begin_refuse, end_platform },
+	{ "store-silent", begin_silence, end_platform },
+	{ "store-loses-answers", begin_lost_writes, end_platform },
+	{ "workers-lose-answers", begin_lost_orders, end_platform },
+	{ "store-forgets", begin_forget, NULL },
+	{ "config", begin_config, NULL },
+	{ "store-link", begin_store_link, end_store_link },
+	{ "worker-link", begin_worker_link, end_worker_link },
+	{ "caller-link", begin_caller_link, end_caller_link },
+};
+#define KINDS (sizeof(kinds) / sizeof(kinds[0]))
+
+/* What the proxy does to a link. */
+static const char *const link_faults[] = {
+	"{\"cut\":\"both\"}", "{\"cut\":\"up\"}",
+	"{\"cut\":\"down\"}", "{\"delay_ms\":400,\"jitter_ms\":300}",
+	"{\"drop\":0.3}",     "{\"lose_answer\":0.3}",
+	"{\"close\":true}",
+};
+#define LINK_FAULTS (sizeof(link_faults) / sizeof(link_faults[0]))
+
+/* ---- ports ---- */
+
+static uint16_t store_port(const struct soak *s)
+{
+	return (uint16_t)(s->c.port + STORE_PORT);
+}
+
+/* Of an entry VM: its links to the store and from callers, then its own. */
+static uint16_t entry_port(const struct soak *s, uint32_t entry, uint32_t i)
+{
+	return (uint16_t)(s->c.port + ENTRY_PORT + entry * ENTRY_PORTS + i);
+}
+
+static uint16_t worker_port(const struct soak *s, uint32_t worker, uint32_t i)
+{
+	return (uint16_t)(s->c.port + WORKER_PORT + worker * WORKER_PORTS + i);
+}
+
+/* ---- processes ---- */
+
+static void report(struct soak *s, const char *promise, uint32_t entry,
+		   int value)
+{
+	s->broken++;
+	printf("BROKEN %s entry=%u value=%d\n", promise, entry, value);
+	fflush(stdout);
+}
+
+static void write_settings(struct soak *s, uint32_t entry, const char *level)
+{
+	char path[300], renamed[310];
+	FILE *f;
+
+	snprintf(path, sizeof(path), "%s/entry-%u.conf", s->c.folder, entry);
+	snprintf(renamed, sizeof(renamed), "%s.new", path);
+	f = fopen(renamed, "w");
+	if (!f)
+		abort();
+	fprintf(f,
+		"[node]\nid = entry-%u\navailability_zone = zone-%u\n"
+		"deployment = soak\ncpu = 0.25\n[front]\n"
+		"listen = 127.0.0.1:%u\n[platform]\ndialect = kv\n"
+		"address = 127.0.0.1:%u\n[jobs]\nreadiness = 127.0.0.1:%u\n"
+		"peers = 127.0.0.1:%u\nmetrics = 127.0.0.1:%u\n"
+		"lease_max = 6 s\nstatus_keep = 120 s\nstop_grace = 6 s\n"
+		"[log]\nlevel = %s\n",
+		entry, entry % 3, entry_port(s, entry, 2),
+		entry_port(s, entry, 0), entry_port(s, entry, 3),
+		entry_port(s, entry, 4), entry_port(s, entry, 5), level);
+	fclose(f);
+	rename(renamed, path);
+}
+
+static void start_entry(struct soak *s, uint32_t i)
+{
+	struct entry *e = &s->entries[i];
+	char conf[300], output[32];
+	const char *const argv[] = { "waxwingd", "-c", conf, NULL };
+
+	snprintf(conf, sizeof(conf), "%s/entry-%u.conf", s->c.folder, i);
+	snprintf(output, sizeof(output), "entry-%u.log", i);
+	*e = (struct entry){ .pid = cluster_spawn(&s->c, argv, output),
+			     .started_us = clock_now_us() };
+	if (e->pid < 0)
+		abort();
+}
+
+/* Takes note of processes that ended; those that should not have are faults. */
+static void reap(struct soak *s)
+{
+	for (uint32_t i = 0; i < s->entry_count; i++) {
+		struct entry *e = &s->entries[i];
+		int status;
+
+		if (!e->pid)
+			continue;
+		if (e->stopping_us && !e->paused &&
+		    clock_now_us() > e->stopping_us + STOP_MAX_US) {
+			report(s, "a stop ends in time", i, 0);
+			kill(e->pid, SIGKILL);
+			e->stopping_us = 0;
+		}
+		if (waitpid(e->pid, &status, WNOHANG) != e->pid)
+			continue;
+		if (!WIFSIGNALED(status) || WTERMSIG(status) != SIGKILL)
+			if (!e->stopping_us || status)
+				report(s, "no process ends by itself", i,
+				       status);
+		e->pid = 0;
+		if (e->restart)
+			start_entry(s, i);
+	}
+}
+
+/* ---- faults ---- */
+
+/* Before main() runs, no process can handle a signal. */
+static bool takes_signals(const struct entry *e)
+{
+	return e->pid && clock_now_us() > e->started_us + START_US;
+}
+
+static bool is_calm_entry(const struct entry *e)
+{
+	return takes_signals(e) && !e->stopping_us && !e->paused;
+}
+
+static bool begin_kill(struct soak *s, uint32_t target)
+{
+	struct entry *e = &s->entries[target % s->entry_count];
+
+	if (!e->pid)
+		return false;
+	kill(e->pid, SIGKILL);
+	/* A stopped or paused process is killed, too. */
+	*e = (struct entry){ .pid = e->pid };
+	return true;
+}
+
+static void end_kill(struct soak *s, uint32_t target)
+{
+	struct entry *e = &s->entries[target % s->entry_count];
+
+	if (e->pid)
+		e->restart = true;
+	else
+		start_entry(s, target % s->entry_count);
+}
+
+static bool begin_stop(struct soak *s, uint32_t target)
+{
+	struct entry *e = &s->entries[target % s->entry_count];
+
+	if (!is_calm_entry(e))
+		return false;
+	kill(e->pid, SIGTERM);
+	e->stopping_us = clock_now_us();
+	e->restart = true;
+	return true;
+}
+
+static bool begin_pause(struct soak *s, uint32_t target)
+{
+	struct entry *e = &s->entries[target % s->entry_count];
+
+	if (!is_calm_entry(e))
+		return false;
+	kill(e->pid, SIGSTOP);
+	e->paused = true;
+	return true;
+}
+
+static void end_pause(struct soak *s, uint32_t target)
+{
+	struct entry *e = &s->entries[target % s->entry_count];
+
+	if (e->pid && e->paused)
+		kill(e->pid, SIGCONT);
+	e->paused = false;
+}
+
+static bool begin_reload(struct soak *s, uint32_t target)
+{
+	struct entry *e = &s->entries[target % s->entry_count];
+
+	if (!takes_signals(e))
+		return false;
+	write_settings(s, target % s->entry_count,
+		       target & 64 ? "debug" : "info");
+	kill(e->pid, SIGHUP);
+	return true;
+}
+
+static bool begin_refuse(struct soak *s, uint32_t target)
+{
+	(void)target;
+	jobs_platform_faults(s->platform)->refuse = true;
+	return true;
+}
+
+static bool begin_silence(struct soak *s, uint32_t target)
+{
+	(void)target;
+	jobs_platform_faults(s->platform)->silent = true;
+	return true;
+}
+
+static bool begin_lost_writes(struct soak *s, uint32_t target)
+{
+	(void)target;
+	jobs_platform_faults(s->platform)->lose_writes = true;
+	return true;
+}
+
+static bool begin_lost_orders(struct soak *s, uint32_t target)
+{
+	(void)target;
+	jobs_platform_faults(s->platform)->lose_orders = true;
+	return true;
+}
+
+static bool begin_forget(struct soak *s, uint32_t target)
+{
+	(void)target;
+	jobs_platform_faults(s->platform)->forget = true;
+	return true;
+}
+
+static void end_platform(struct soak *s, uint32_t target)
+{
+	struct platform_faults *f = jobs_platform_faults(s->platform);
+
+	(void)target;
+	f->refuse = f->silent = f->lose_writes = f->lose_orders = false;
+}
+
+static bool begin_config(struct soak *s, uint32_t target)
+{
+	char text[700];
+
+	(void)target;
+	s->versions += 1 + rng_below(&s->rng, 3);
+	snprintf(text, sizeof(text),
+		 "{\"version\":%u,\"routes\":[{\"name\":\"forms\","
+		 "\"host\":\"127.0.0.1\",\"prefix\":\"/forms/\","
+		 "\"kind\":\"unsafe\",\"timeout-ms\":%u,"
+		 "\"target-latency-ms\":300,\"priority\":0,"
+		 "\"service\":\"svc\",\"max-attempts\":2,\"stretch\":1.5}],"
+		 "\"services\":[{\"name\":\"svc\",\"enforces-capacity\":true}],"
+		 "\"limits\":{\"max-body-bytes\":262144}}",
+		 s->versions, 3000 + 100 * rng_below(&s->rng, 10));
+	jobs_platform_put(s->platform, "op/config", text);
+	return true;
+}
+
+static void change_link(struct soak *s, const char *kind, uint32_t i,
+			const char *change)
+{
+	char path[64];
+	json_t *body = json_loads(change, 0, NULL);
+
+	snprintf(path, sizeof(path), "/v1/links/%s-%u", kind, i);
+	json_decref(proxy_control(s->proxy, path, body));
+	json_decref(body);
+}
+
+static bool begin_store_link(struct soak *s, uint32_t target)
+{
+	change_link(s, "store", target % s->entry_count,
+		    link_faults[target / 64 % LINK_FAULTS]);
+	return true;
+}
+
+static void end_store_link(struct soak *s, uint32_t target)
+{
+	change_link(s, "store", target % s->entry_count, "{\"reset\":true}");
+}
+
+static bool begin_worker_link(struct soak *s, uint32_t target)
+{
+	change_link(s, "worker", target % s->worker_count,
+		    link_faults[target / 64 % LINK_FAULTS]);
+	return true;
+}
+
+static void end_worker_link(struct soak *s, uint32_t target)
+{
+	change_link(s, "worker", target % s->worker_count, "{\"reset\":true}");
+}
+
+static bool begin_caller_link(struct soak *s, uint32_t target)
+{
+	change_link(s, "caller", target % s->entry_count,
+		    link_faults[target / 64 % LINK_FAULTS]);
+	return true;
+}
+
+static void end_caller_link(struct soak *s, uint32_t target)
+{
+	change_link(s, "caller", target % s->entry_count, "{\"reset\":true}");
+}
+
+static void draw_fault(struct soak *s)
+{
+	const struct fault_kind *k = &kinds[rng_below(&s->rng, KINDS)];
+	uint32_t target = rng_below(&s->rng, 1u << 20);
+	uint64_t for_us = rng_below(&s->rng, FAULT_MAX_US);
+
+	for (uint32_t i = 0; i < FAULTS_MAX; i++) {
+		struct fault *f = &s->faults[i];
+
+		if (f->kind)
+			continue;
+		if (!k->begin(s, target))
+			return;
+		*f = (struct fault){ k, target, clock_now_us() + for_us };
+		s->drawn++;
+		printf("at=%.3f fault=%s target=%u for_ms=%" PRIu64 "\n",
+		       (double)clock_wall_us() / 1e6, k->name, target,
+		       for_us / 1000);
+		return;
+	}
+}
+
+static void end_faults(struct soak *s, bool all)
+{
+	for (uint32_t i = 0; i < FAULTS_MAX; i++) {
+		struct fault *f = &s->faults[i];
+
+		if (!f->kind)
+			continue;
+		callers_disturbed(s->callers);
+		if (!all && clock_now_us() < f->end_us)
+			continue;
+		if (f->kind->end)
+			f->kind->end(s, f->target);
+		f->kind = NULL;
+	}
+}
+
+/* ---- the run ---- */
+
+static void run_loop(struct soak *s, uint64_t us)
+{
+	struct timeval tv = { (time_t)(us / 1000000), us % 1000000 };
+
+	event_base_loopexit(s->base, &tv);
+	event_base_dispatch(s->base);
+	reap(s);
+}
+
+static int add_link(struct soak *s, const char *kind, uint32_t i,
+		    uint16_t listen, uint16_t target)
+{
+	char text[96];
+
+	snprintf(text, sizeof(text), "%s-%u=127.0.0.1:%u=127.0.0.1:%u", kind, i,
+		 listen, target);
+	return proxy_add_link(s->proxy, text);
+}
+
+static int set_up(struct soak *s, uint64_t seed)
+{
+	uint16_t ports[SOAK_ENTRIES_MAX];
+	struct callers_options o = { .ports = ports,
+				     .entries = s->entry_count,
+				     .callers = s->caller_count,
+				     .seed = seed + 1 };
+
+	if (cluster_prepare(&s->c, 0) < 0)
+		return -1;
+	s->base = event_base_new();
+	s->platform = jobs_platform_create(s->base, store_port(s));
+	s->proxy = proxy_create(s->base, seed);
+	begin_config(s, 0);
+	for (uint32_t i = 0; i < s->worker_count; i++) {
+		jobs_platform_worker(s->platform, worker_port(s, i, 0),
+				     worker_port(s, i, 1), TASK_MS);
+		if (add_link(s, "worker", i, worker_port(s, i, 1),
+			     worker_port(s, i, 0)) < 0)
+			return -1;
+	}
+	for (uint32_t i = 0; i < s->entry_count; i++) {
+		ports[i] = entry_port(s, i, 1);
+		if (add_link(s, "store", i, entry_port(s, i, 0),
+			     store_port(s)) < 0 ||
+		    add_link(s, "caller", i, ports[i], entry_port(s, i, 2)) < 0)
+			return -1;
+		write_settings(s, i, "info");
+		start_entry(s, i);
+	}
+	o.base = s->base;
+	o.platform = s->platform;
+	run_loop(s, READY_US);
+	s->callers = callers_create(&o);
+	return 0;
+}
+
+/* All entry VMs get SIGTERM at once and must end well. */
+static void stop_all(struct soak *s)
+{
+	uint64_t end = clock_now_us() + STOP_MAX_US + 1000000u;
+	uint32_t left = 1;
+
+	for (uint32_t i = 0; i < s->entry_count; i++)
+		if (s->entries[i].pid)
+			begin_stop(s, i);
+	for (uint32_t i = 0; i < s->entry_count; i++)
+		s->entries[i].restart = false;
+	while (left && clock_now_us() < end) {
+		run_loop(s, 50000);
+		left = 0;
+		for (uint32_t i = 0; i < s->entry_count; i++)
+			left += s->entries[i].pid != 0;
+	}
+}
+
+/* Each line that the processes wrote must be one that tools can read. */
+static void check_logs(struct soak *s)
+{
+	for (uint32_t i = 0; i < s->entry_count; i++) {
+		char path[300], text[2 * LOG_LINE_BYTES];
+		struct log_line l;
+		FILE *f;
+
+		snprintf(path, sizeof(path), "%s/entry-%u.log", s->c.folder, i);
+		f = fopen(path, "r");
+		while (f && fgets(text, sizeof(text), f)) {
+			text[strcspn(text, "\n")] = '\0';
+			if (log_line_parse(text, &l) == 0 &&
+			    log_event_known(l.event, l.event_len))
+				continue;
+			report(s, "log lines can be read", i, 0);
+			printf("%s\n", text);
+		}
+		if (f)
+			fclose(f);
+	}
+}
+
+static void run(struct soak *s, double seconds)
+{
+	uint64_t end = clock_now_us() + (uint64_t)(seconds * 1e6);
+
+	while (clock_now_us() < end) {
+		draw_fault(s);
+		end_faults(s, false);
+		run_loop(s, GAP_MIN_US + rng_below(&s->rng, GAP_SPAN_US));
+	}
+	end_faults(s, true);
+	callers_finish(s->callers);
+	end = clock_now_us() + FINISH_US;
+	while (callers_open(s->callers) && clock_now_us() < end)
+		run_loop(s, 100000);
+	s->broken += callers_judge(s->callers);
+	if (jobs_platform_twice(s->platform))
+		report(s, "no task runs twice", 0,
+		       (int)jobs_platform_twice(s->platform));
+	stop_all(s);
+	check_logs(s);
+}
+
+static uint32_t argument(int argc, char **argv, int i, uint32_t otherwise,
+			 uint32_t max)
+{
+	unsigned long value = argc > i ? strtoul(argv[i], NULL, 10) : otherwise;
+
+	return value && value <= max ? (uint32_t)value : otherwise;
+}
+
+int main(int argc, char **argv)
+{
+	static struct soak s;
+	uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
+	double seconds = argc > 2 ? strtod(argv[2], NULL) : 15;
+
+	signal(SIGPIPE, SIG_IGN);
+	s.rng.state = seed;
+	s.entry_count = argument(argc, argv, 3, 5, SOAK_ENTRIES_MAX);
+	s.worker_count = argument(argc, argv, 4, 6, PLATFORM_WORKERS_MAX);
+	s.caller_count = argument(argc, argv, 5, 12, 200);
+	printf("seed=%" PRIu64 " seconds=%g\n", seed, seconds);
+	if (set_up(&s, seed) < 0)
+		return 2;
+	run(&s, seconds);
+	callers_print(s.callers);
+	printf("seed=%" PRIu64 " faults=%u starts=%u broken=%u folder=%s\n",
+	       seed, s.drawn, jobs_platform_starts(s.platform), s.broken,
+	       s.c.folder);
+	callers_free(s.callers);
+	for (uint32_t i = 0; i < s.entry_count; i++)
+		if (s.entries[i].pid)
+			kill(s.entries[i].pid, SIGKILL);
+	if (!s.broken)
+		cluster_remove_folder(&s.c);
+	return s.broken != 0;
+}
--- a/tests/support-cluster-private.h
+++ b/tests/support-cluster-private.h
@@ -19,4 +19,12 @@
 				uint32_t entry);
 uint16_t cluster_choose_ports(void);
 
+/*
+ * Chooses ports (base_port 0: free ones) and makes the folder, for programs
+ * that start the processes themselves. Returns 0, or -1 after a message.
+ */
+int cluster_prepare(struct cluster *c, uint16_t base_port);
+/* Keeps the folder when WAXWING_KEEP is set. */
+void cluster_remove_folder(const struct cluster *c);
+
 #endif
--- a/tests/support-cluster.c
+++ b/tests/support-cluster.c
@@ -422,13 +422,11 @@
 	snprintf(c->build, sizeof(c->build), "%s", dirname(self));
 }
 
-int cluster_start(struct cluster *c, const struct cluster_options *o)
+int cluster_prepare(struct cluster *c, uint16_t base_port)
 {
 	const char *tmp = getenv("TMPDIR");
 
-	memset(c, 0, sizeof(*c));
-	c->o = *o;
-	c->port = o->base_port ? o->base_port : cluster_choose_ports();
+	c->port = base_port ? base_port : cluster_choose_ports();
 	find_build(c);
 	snprintf(c->folder, sizeof(c->folder), "%s/waxwing-XXXXXX",
 		 tmp ? tmp : "/tmp");
@@ -436,6 +434,28 @@
 		fprintf(stderr, "no free ports or no temporary folder\n");
 		return -1;
 	}
+	return 0;
+}
+
+void cluster_remove_folder(const struct cluster *c)
+{
+	char command[300];
+
+	if (getenv("WAXWING_KEEP")) {
+		fprintf(stderr, "kept: %s\n", c->folder);
+		return;
+	}
+	snprintf(command, sizeof(command), "rm -rf '%s'", c->folder);
+	if (system(command))
+		fprintf(stderr, "cannot remove %s\n", c->folder);
+}
+
+int cluster_start(struct cluster *c, const struct cluster_options *o)
+{
+	memset(c, 0, sizeof(*c));
+	c->o = *o;
+	if (cluster_prepare(c, o->base_port) < 0)
+		return -1;
 	zmq_curve_keypair(c->curve_public, c->curve_secret);
 	for (uint32_t z = 0; z < o->zones; z++)
 		for (uint32_t e = 0; e < o->entries[z]; e++)
@@ -454,8 +474,6 @@
 
 void cluster_stop(struct cluster *c)
 {
-	char command[300];
-
 	for (uint32_t i = 0; i < c->entry_count; i++)
 		stop_process(&c->entries[i], SIGKILL);
 	for (uint32_t z = 0; z < CLUSTER_ZONES_MAX; z++) {
@@ -464,11 +482,5 @@
 	}
 	stop_process(&c->store, SIGTERM);
 	stop_process(&c->proxy, SIGTERM);
-	if (getenv("WAXWING_KEEP")) {
-		fprintf(stderr, "kept: %s\n", c->folder);
-		return;
-	}
-	snprintf(command, sizeof(command), "rm -rf '%s'", c->folder);
-	if (system(command))
-		fprintf(stderr, "cannot remove %s\n", c->folder);
+	cluster_remove_folder(c);
 }
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -17,7 +17,7 @@
  *	runs of one task at once, and starts of tasks that were done.
  */
 
-#define PLATFORM_WORKERS_MAX 8
+#define PLATFORM_WORKERS_MAX 16
 
 /* Faults of the store, in force until they are set back. */
 struct platform_faults {
@@ -29,12 +29,21 @@
 	uint32_t carry_out; /* lost writes that were carried out */
 };
 
+/* What workers do, told to a test that judges more than the stand-in. */
+struct platform_hooks {
+	void (*started)(void *arg, const char *task);
+	void (*ended)(void *arg, const char *task, const char *how);
+	void *arg;
+};
+
 struct jobs_platform;
 
 struct jobs_platform *jobs_platform_create(struct event_base *base,
 					   uint16_t port);
 void jobs_platform_free(struct jobs_platform *p);
 struct platform_faults *jobs_platform_faults(struct jobs_platform *p);
+void jobs_platform_set_hooks(struct jobs_platform *p,
+			     const struct platform_hooks *hooks);
 
 /* Writes a key as the operator or a worker would. */
 void jobs_platform_put(struct jobs_platform *p, const char *key,
@@ -48,10 +57,11 @@
 
 /*
  * Starts a worker that runs each task for task_ms, or for ever when the job's
- * specification is "lasts"; returns its number.
+ * specification is "lasts"; returns its number. Its entry names the second
+ * port, which differs where a proxy stands before it.
  */
 int jobs_platform_worker(struct jobs_platform *p, uint16_t port,
-			 uint32_t task_ms);
+			 uint16_t reached_port, uint32_t task_ms);
 /* A worker that does not answer; its tasks go on until their leases end. */
 void jobs_platform_silence(struct jobs_platform *p, int worker, bool silent);
 
--- a/tests/support-jobs-private.h
+++ b/tests/support-jobs-private.h
@@ -10,10 +10,12 @@
  *	support-jobs-private - the stand-in's store and workers
  */
 
-#define STORE_KEYS_MAX 512
+#define STORE_KEYS_MAX 8192
 #define STORE_LEASES_MAX 64
-#define STORE_WATCHES_MAX 64
+#define STORE_WATCHES_MAX 256
 #define SIM_TASKS_MAX 256
+#define SIM_DONE_MAX 16384  /* tasks that ended done, whole run */
+#define SIM_BARRED_MAX 4096 /* runs that a worker no longer starts */
 #define SIM_NAME_BYTES 64
 
 struct evhttp;
@@ -53,6 +55,12 @@
 	const char *how;
 };
 
+/* A run that was stopped or ended; no run up to it is started again. */
+struct sim_barred {
+	char name[SIM_NAME_BYTES];
+	uint32_t run;
+};
+
 struct sim_worker {
 	struct jobs_platform *platform;
 	struct evhttp *server;
@@ -65,10 +73,13 @@
 	uint32_t task_count;
 	struct sim_end ended[SIM_TASKS_MAX];
 	uint32_t ended_count;
+	struct sim_barred barred[SIM_BARRED_MAX];
+	uint32_t barred_count;	     /* of all time; the table is a ring */
 	struct evhttp_request *look; /* waits for an end */
 	uint64_t look_end_us;
 	uint64_t look_seen;
 	bool silent;
+	bool leased; /* its lease had not ended at the last tick */
 };
 
 struct jobs_platform {
@@ -76,6 +87,7 @@
 	struct event *tick;
 	struct evhttp *server;
 	struct platform_faults faults;
+	struct platform_hooks hooks;
 	struct store_key keys[STORE_KEYS_MAX];
 	uint32_t key_count;
 	struct store_lease leases[STORE_LEASES_MAX];
@@ -88,7 +100,7 @@
 	int worker_count;
 	uint32_t starts;
 	uint32_t twice;
-	char done[SIM_TASKS_MAX * 4][SIM_NAME_BYTES];
+	char done[SIM_DONE_MAX][SIM_NAME_BYTES];
 	uint32_t done_count;
 };
 
--- a/tests/support-jobs-store.c
+++ b/tests/support-jobs-store.c
@@ -29,6 +29,10 @@
 	struct store_key *k = find_key(p, key);
 
 	if (!k) {
+		if (p->key_count == STORE_KEYS_MAX) {
+			fprintf(stderr, "the stand-in's store is full\n");
+			abort();
+		}
 		k = &p->keys[p->key_count++];
 		memset(k, 0, sizeof(*k));
 		k->key = xstrdup(key);
@@ -116,6 +120,12 @@
 	return &p->faults;
 }
 
+void jobs_platform_set_hooks(struct jobs_platform *p,
+			     const struct platform_hooks *hooks)
+{
+	p->hooks = *hooks;
+}
+
 /* ---- answers ---- */
 
 void jobs_reply(struct evhttp_request *req, int status, json_t *body)
@@ -253,6 +263,10 @@
 {
 	struct store_watch *w = &p->watches[p->watch_count];
 
+	if (p->watch_count == STORE_WATCHES_MAX) {
+		jobs_reply(req, 503, NULL);
+		return;
+	}
 	if (p->faults.forget) {
 		p->faults.forget = false;
 		jobs_reply(req, 410, NULL);
--- a/tests/support-jobs-worker.c
+++ b/tests/support-jobs-worker.c
@@ -13,20 +13,60 @@
 	return clock_now_us() / 1000;
 }
 
+static void bar(struct sim_worker *w, const char *name, uint32_t run)
+{
+	struct sim_barred *b = &w->barred[w->barred_count++ % SIM_BARRED_MAX];
+
+	snprintf(b->name, sizeof(b->name), "%s", name);
+	b->run = run;
+}
+
+static bool is_barred(const struct sim_worker *w, const char *name,
+		      uint32_t run)
+{
+	for (uint32_t i = 0; i < SIM_BARRED_MAX && i < w->barred_count; i++)
+		if (run <= w->barred[i].run && !strcmp(w->barred[i].name, name))
+			return true;
+	return false;
+}
+
 static void end_task(struct sim_worker *w, struct sim_task *t, const char *how)
 {
+	struct jobs_platform *p = w->platform;
 	struct sim_end *e = &w->ended[w->ended_count++];
 
+	if (w->ended_count == SIM_TASKS_MAX || p->done_count == SIM_DONE_MAX) {
+		fprintf(stderr, "the stand-in's tables of ends are full\n");
+		abort();
+	}
 	e->number = ++w->ends;
 	snprintf(e->name, sizeof(e->name), "%s", t->name);
 	e->run = t->run;
 	e->how = how;
-	if (!strcmp(how, "done") && w->platform->done_count < SIM_TASKS_MAX * 4)
-		snprintf(w->platform->done[w->platform->done_count++],
-			 SIM_NAME_BYTES, "%s", t->name);
+	bar(w, t->name, t->run);
+	if (!strcmp(how, "done"))
+		snprintf(p->done[p->done_count++], SIM_NAME_BYTES, "%s",
+			 t->name);
+	if (p->hooks.ended)
+		p->hooks.ended(p->hooks.arg, t->name, how);
 	*t = w->tasks[--w->task_count];
 }
 
+/*
+ * Tasks that ended before the lease did may be run again while nobody has
+ * seen these ends.
+ */
+static void forget_unseen_ends(struct sim_worker *w)
+{
+	struct jobs_platform *p = w->platform;
+
+	for (uint32_t i = 0; i < w->ended_count; i++)
+		for (uint32_t j = p->done_count; j-- > 0;)
+			if (!strcmp(p->done[j], w->ended[i].name))
+				memmove(p->done[j], p->done[--p->done_count],
+					SIM_NAME_BYTES);
+}
+
 static struct sim_task *find_task(struct sim_worker *w, const char *name)
 {
 	for (uint32_t i = 0; i < w->task_count; i++)
@@ -71,6 +111,13 @@
 		w->lease_end_ms = until;
 }
 
+static void refuse_start(struct evhttp_request *req, const char *reason)
+{
+	jobs_reply(req, 409,
+		   json_pack("{s:I,s:s}", "clock-ms", (json_int_t)clock_ms(),
+			     "reason", reason));
+}
+
 static void serve_start(struct sim_worker *w, struct evhttp_request *req,
 			const json_t *body)
 {
@@ -81,7 +128,20 @@
 		json_string_value(json_object_get(body, "specification"));
 	struct sim_task *t = find_task(w, name);
 
+	if ((uint64_t)json_integer_value(json_object_get(body, "until-ms")) <=
+	    clock_ms()) {
+		refuse_start(req, "late");
+		return;
+	}
 	extend_lease(w, body);
+	if (is_barred(w, name, run)) {
+		refuse_start(req, "old");
+		return;
+	}
+	if (w->task_count == SIM_TASKS_MAX) {
+		refuse_start(req, "room");
+		return;
+	}
 	if (!t || t->run != run) {
 		judge_start(w->platform, name);
 		w->platform->starts++;
@@ -91,6 +151,9 @@
 		t->end_us = strcmp(text, "lasts")
 				    ? clock_now_us() + w->task_ms * 1000ull
 				    : UINT64_MAX;
+		if (w->platform->hooks.started)
+			w->platform->hooks.started(w->platform->hooks.arg,
+						   name);
 	}
 	if (w->platform->faults.lose_orders) {
 		jobs_lose(req);
@@ -103,12 +166,15 @@
 static void serve_stop(struct sim_worker *w, struct evhttp_request *req,
 		       const json_t *body)
 {
-	struct sim_task *t =
-		find_task(w, json_string_value(json_object_get(body, "task")));
+	const char *name = json_string_value(json_object_get(body, "task"));
+	uint32_t run =
+		(uint32_t)json_integer_value(json_object_get(body, "run"));
+	struct sim_task *t = find_task(w, name);
 
-	if (t && t->run == (uint32_t)json_integer_value(
-				   json_object_get(body, "run")))
+	if (t && t->run == run)
 		end_task(w, t, "stopped");
+	else
+		bar(w, name, run);
 	jobs_reply(req, 200,
 		   json_pack("{s:I}", "clock-ms", (json_int_t)clock_ms()));
 }
@@ -194,6 +260,9 @@
 	for (int n = 0; n < p->worker_count; n++) {
 		struct sim_worker *w = p->workers[n];
 
+		if (now / 1000 > w->lease_end_ms && w->leased)
+			forget_unseen_ends(w);
+		w->leased = now / 1000 <= w->lease_end_ms;
 		for (uint32_t i = w->task_count; i-- > 0;) {
 			if (now / 1000 > w->lease_end_ms)
 				end_task(w, &w->tasks[i], "lapsed");
@@ -207,7 +276,7 @@
 }
 
 int jobs_platform_worker(struct jobs_platform *p, uint16_t port,
-			 uint32_t task_ms)
+			 uint16_t reached_port, uint32_t task_ms)
 {
 	struct sim_worker *w = xcalloc(1, sizeof(*w));
 	char key[SIM_NAME_BYTES * 2], value[512];
@@ -229,7 +298,7 @@
 		 "\"capacity\":{\"cpu\":16000,\"memory-request-mb\":64000,"
 		 "\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"clock-ms\":1,"
 		 "\"sequence\":4}",
-		 port);
+		 reached_port);
 	jobs_platform_put(p, key, value);
 	p->workers[p->worker_count] = w;
 	return p->worker_count++;
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -137,8 +137,9 @@
 	f->base = event_base_new();
 	f->platform = jobs_platform_create(f->base, STORE_PORT);
 	jobs_platform_put(f->platform, "op/config", CONFIG);
-	jobs_platform_worker(f->platform, WORKER_PORT, 100);
-	jobs_platform_worker(f->platform, WORKER_PORT + 1, 100);
+	jobs_platform_worker(f->platform, WORKER_PORT, WORKER_PORT, 100);
+	jobs_platform_worker(f->platform, WORKER_PORT + 1, WORKER_PORT + 1,
+			     100);
 	for (int i = 0; i < 2; i++) {
 		start_entry(f, i);
 		f->caller[i] = http_conn_create(
