Gather changes of workers for 200 ms

Change: after changes of workers the next poll is sent 200 ms later.

Ruled out: fewer transactions by a pause between commits.

--- a/src/job-config.c
+++ b/src/job-config.c
@@ -50,7 +50,7 @@
 {
 	n->config_follow =
 		kv_follow_create(n->base, n->kv, n->platform->config_prefix,
-				 CONFIG_WATCH_MS, &config_follow_ops, n);
+				 CONFIG_WATCH_MS, 0, &config_follow_ops, n);
 }
 
 void job_config_stop(struct job_node *n)
--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -41,6 +41,8 @@
 /* Those of jobs and workers end by themselves when nothing changes. */
 #define IN_WATCH_MS 2500u
 #define WORKER_WATCH_MS 2000u
+/* Each worker writes about once a second; a drain is to be known within 2 s. */
+#define WORKER_GATHER_MS 200u
 /*
  * An owner of 500 workers and 1,200 starts/s uses up to 0.3 of a core; VMs with
  * less than that wait for the others, which start within 0.3 s of each other.
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -230,9 +230,9 @@
 			     wall_ms());
 	o->state = OWNER_ACTING;
 	o->workers = job_workers_create(n, o->sched);
-	o->worker_follow =
-		kv_follow_create(n->base, n->kv, n->platform->worker_prefix,
-				 WORKER_WATCH_MS, &worker_follow_ops, o);
+	o->worker_follow = kv_follow_create(
+		n->base, n->kv, n->platform->worker_prefix, WORKER_WATCH_MS,
+		WORKER_GATHER_MS, &worker_follow_ops, o);
 	sched_stats(o->sched, &st);
 	log_event(LOG_INFO, "owner-acting", "epoch=%llu jobs_open=%u",
 		  (unsigned long long)o->epoch, st.jobs_open);
@@ -319,7 +319,7 @@
 	job_owner_apply_config(o);
 	load_pairs(o);
 	o->in_follow = kv_follow_create(n->base, n->kv, JOB_IN_PREFIX,
-					IN_WATCH_MS, &in_follow_ops, o);
+					IN_WATCH_MS, 0, &in_follow_ops, o);
 }
 
 static void free_commit(struct job_owner *o)
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -359,7 +359,7 @@
 	o->timer = event_new(n->base, -1, EV_PERSIST, on_timer, o);
 	event_add(o->timer, &interval);
 	o->follow = kv_follow_create(n->base, n->kv, JOB_OWNER_PREFIX,
-				     OWNER_WATCH_MS, &owner_follow_ops, o);
+				     OWNER_WATCH_MS, 0, &owner_follow_ops, o);
 	return o;
 }
 
--- a/src/kv-follow.c
+++ b/src/kv-follow.c
@@ -14,12 +14,13 @@
 struct kv_follow {
 	struct kv *kv;
 	struct kv_watch *watch;
-	struct event *retry;
+	struct event *retry; /* asks again later */
 	const struct kv_follow_ops *ops;
 	void *arg;
 	char prefix[KV_KEY_BYTES];
 	char after[KV_KEY_BYTES]; /* last key of the page before */
 	uint32_t wait_ms;
+	uint32_t gather_ms;
 	uint64_t revision;	 /* changes after it are not known */
 	uint64_t range_revision; /* of the first page */
 	uint64_t asked_us;
@@ -44,6 +45,14 @@
 	ask(arg);
 }
 
+static void ask_later(struct kv_follow *f)
+{
+	struct timeval tv = { .tv_sec = f->gather_ms / 1000,
+			      .tv_usec = f->gather_ms % 1000 * 1000 };
+
+	evtimer_add(f->retry, &tv);
+}
+
 static void retry_later(struct kv_follow *f)
 {
 	uint64_t us =
@@ -141,7 +150,11 @@
 		retry_later(f);
 		return;
 	}
-	if (!f->freed)
+	if (f->freed)
+		return;
+	if (f->synced && r->count && f->gather_ms)
+		ask_later(f);
+	else
 		ask(f);
 }
 
@@ -172,6 +185,7 @@
 
 struct kv_follow *kv_follow_create(struct event_base *base, struct kv *kv,
 				   const char *prefix, uint32_t wait_ms,
+				   uint32_t gather_ms,
 				   const struct kv_follow_ops *ops, void *arg)
 {
 	struct kv_follow *f = xcalloc(1, sizeof(*f));
@@ -180,6 +194,7 @@
 	f->ops = ops;
 	f->arg = arg;
 	f->wait_ms = wait_ms;
+	f->gather_ms = gather_ms;
 	f->rng.state = clock_now_us() ^ (uint64_t)(uintptr_t)f;
 	snprintf(f->prefix, sizeof(f->prefix), "%s", prefix);
 	f->watch = kv->ops->watch(kv, prefix);
--- a/src/kv-follow.h
+++ b/src/kv-follow.h
@@ -19,7 +19,8 @@
  *	Between those, item() is called for single changes.
  *
  *	A poll ends by itself after wait_ms, so that a connection that went
- *	silent is noticed.
+ *	silent is noticed. After changes the next poll is sent gather_ms later
+ *	(0: at once), so that frequent changes arrive several at a time.
  */
 
 struct kv_follow_ops {
@@ -32,6 +33,7 @@
 
 struct kv_follow *kv_follow_create(struct event_base *base, struct kv *kv,
 				   const char *prefix, uint32_t wait_ms,
+				   uint32_t gather_ms,
 				   const struct kv_follow_ops *ops, void *arg);
 void kv_follow_free(struct kv_follow *f);
 
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -53,6 +53,8 @@
 void jobs_platform_delete(struct jobs_platform *p, const char *key);
 /* Revision of the store. */
 uint64_t jobs_platform_revision(const struct jobs_platform *p);
+/* Polls for changes of the workers. */
+uint32_t jobs_platform_worker_polls(const struct jobs_platform *p);
 uint32_t jobs_platform_count(const struct jobs_platform *p, const char *prefix);
 
 /*
--- a/tests/support-jobs-private.h
+++ b/tests/support-jobs-private.h
@@ -94,6 +94,7 @@
 	uint64_t lease_count;
 	struct store_watch watches[STORE_WATCHES_MAX];
 	uint32_t watch_count;
+	uint32_t worker_polls;
 	uint64_t revision;
 	char scratch[65536];
 	struct sim_worker *workers[PLATFORM_WORKERS_MAX];
--- a/tests/support-jobs-store.c
+++ b/tests/support-jobs-store.c
@@ -105,6 +105,11 @@
 	return p->revision;
 }
 
+uint32_t jobs_platform_worker_polls(const struct jobs_platform *p)
+{
+	return p->worker_polls;
+}
+
 uint32_t jobs_platform_count(const struct jobs_platform *p, const char *prefix)
 {
 	uint32_t n = 0;
@@ -275,6 +280,7 @@
 	w->req = req;
 	snprintf(w->prefix, sizeof(w->prefix), "%s",
 		 evhttp_find_header(query, "prefix"));
+	p->worker_polls += !strcmp(w->prefix, "servers/");
 	w->after = strtoull(evhttp_find_header(query, "after"), NULL, 10);
 	w->end_us =
 		clock_now_us() +
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -522,6 +522,29 @@
 	tear_down(&f);
 }
 
+/*
+ * Guards against a call on the store for each line that one of many workers
+ * writes about itself.
+ */
+static void test_changes_of_workers_are_gathered(void)
+{
+	struct fixture f;
+	uint32_t polls;
+	char key[32];
+
+	set_up(&f);
+	polls = jobs_platform_worker_polls(f.platform);
+	for (int i = 0; i < 40; i++) {
+		snprintf(key, sizeof(key), "servers/other-%d", i % 8);
+		jobs_platform_put(f.platform, key, "{}");
+		run_loop(&f, 25);
+	}
+	polls = jobs_platform_worker_polls(f.platform) - polls;
+	/* One second of changes, one poll in 200 ms. */
+	CU_ASSERT(polls >= 3 && polls <= 7);
+	tear_down(&f);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -542,6 +565,8 @@
 		{ "configuration never goes back",
 		  test_configuration_never_goes_back },
 		{ "foreign worker entries", test_foreign_worker_entries },
+		{ "changes of workers are gathered",
+		  test_changes_of_workers_are_gathered },
 		{ "readiness", test_readiness },
 	};
 
