Hold a worker for a task that is next in order and fits nowhere

Such a task, as long as its job can meet its objective, holds the worker on which it is expected to fit first; an eighth of the workers may be held at once.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -102,6 +102,8 @@
 	char labels[SCHED_LABELS_MAX][JOB_NAME_BYTES];
 	struct room capacity;
 	struct room used;	/* by tasks that count against capacity */
+	struct room held;	/* for tasks that are next in order */
+	uint32_t held_for;	/* the task that it was last held for */
 	uint32_t serving_milli; /* part of used that serves */
 	uint32_t filling_milli; /* of tasks that fill */
 	struct service_room rooms[SERVICE_IMAGES_MAX];
@@ -165,6 +167,9 @@
 	/* Needs that no worker could meet in this round of placement. */
 	struct unmet unmet[UNMET_MAX];
 	uint32_t unmet_count;
+	/* Tasks that hold a worker in this round, and the most that may. */
+	uint32_t held_count;
+	uint32_t held_max;
 };
 
 /* ---- sched.c ---- */
@@ -211,6 +216,15 @@
 
 /* ---- sched-place.c ---- */
 void sched_place(struct sched *s);
+/* Whether a worker may get tasks of the job's step at all. */
+bool sched_worker_usable(const struct sched *s, const struct worker *w,
+			 const struct job *j, const struct job_step *step);
+
+/* ---- sched-reserve.c ---- */
+/* Nothing is held; called at the begin of a round of placement. */
+void sched_reserve_reset(struct sched *s);
+/* Holds room for a task that fits nowhere against those later in order. */
+void sched_reserve(struct sched *s, const struct job *j, const struct task *t);
 
 /* ---- sched-pace.c ---- */
 /* Acts on a report so that batch work does not keep a service over target. */
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -33,8 +33,16 @@
 /* A job that takes up to that many times its objective is late, not lost. */
 #define LATE_FACTOR 3u
 
+/* What a job can still be worth. */
+enum order_class {
+	CLASS_IN_TIME, /* it meets its objective, or it lasts */
+	CLASS_LATE,
+	CLASS_LOST,
+};
+
 struct candidate {
 	uint32_t job;
+	enum order_class class;
 	uint64_t key;
 };
 
@@ -81,9 +89,8 @@
 	return false;
 }
 
-/* Whether a worker may get tasks of the job's step at all. */
-static bool usable(const struct sched *s, const struct worker *w,
-		   const struct job *j, const struct job_step *step)
+bool sched_worker_usable(const struct sched *s, const struct worker *w,
+			 const struct job *j, const struct job_step *step)
 {
 	if (!w->listed || !w->reported || w->draining ||
 	    strcmp(w->service, j->queue.service) ||
@@ -107,14 +114,16 @@
 /* Whether there is room for one more task. */
 static bool fits(const struct worker *w, const struct job_step *step)
 {
-	if (w->used.memory_mb + step->need.memory_mb > w->capacity.memory_mb ||
-	    w->used.accelerators + step->need.accelerators >
+	if (w->used.memory_mb + w->held.memory_mb + step->need.memory_mb >
+		    w->capacity.memory_mb ||
+	    w->used.accelerators + w->held.accelerators +
+			    step->need.accelerators >
 		    w->capacity.accelerators)
 		return false;
 	if (step->fills)
 		return !w->over_us &&
 		       filling_room(w) >= (int64_t)step->need.cpu_milli;
-	return w->used.cpu_milli + step->need.cpu_milli <=
+	return w->used.cpu_milli + w->held.cpu_milli + step->need.cpu_milli <=
 	       w->capacity.cpu_milli;
 }
 
@@ -176,7 +185,7 @@
 		struct worker *w = &s->workers[i];
 		int64_t value;
 
-		if (!usable(s, w, j, step) || !fits(w, step) ||
+		if (!sched_worker_usable(s, w, j, step) || !fits(w, step) ||
 		    (rack && !has_label(w, rack)))
 			continue;
 		value = score(s, w, step, t);
@@ -210,7 +219,7 @@
 		struct worker *w = &s->workers[i];
 		float headroom;
 
-		if (!usable(s, w, j, step) || w->over_us ||
+		if (!sched_worker_usable(s, w, j, step) || w->over_us ||
 		    w->used.memory_mb + step->need.memory_mb >
 			    w->capacity.memory_mb ||
 		    (step->per_worker_max &&
@@ -309,6 +318,14 @@
 	return best;
 }
 
+static bool waits_for_rack(const struct sched *s, const struct job_step *step,
+			   const struct task *t)
+{
+	return *step->rack &&
+	       s->now_us < t->since_us + step->estimate_ms * 10ull *
+						 RACK_WAIT_PERCENT;
+}
+
 static uint32_t choose_worker(struct sched *s, const struct job *j,
 			      const struct task *t)
 {
@@ -318,9 +335,7 @@
 	if (!*step->rack)
 		return choose_anywhere(s, j, t);
 	best = best_worker(s, j, t, step->rack);
-	if (best != SCHED_NONE ||
-	    s->now_us <
-		    t->since_us + step->estimate_ms * 10ull * RACK_WAIT_PERCENT)
+	if (best != SCHED_NONE || waits_for_rack(s, step, t))
 		return best;
 	return choose_anywhere(s, j, t);
 }
@@ -403,7 +418,8 @@
 		  (long long)(j->deadline_wall_ms - s->wall_ms), s->backlog);
 }
 
-static void place_step(struct sched *s, struct job *j, struct task *first)
+static void place_step(struct sched *s, struct job *j, struct task *first,
+		       bool holds)
 {
 	const struct job_step *step = &j->spec.steps[first->step];
 	const struct task *last = NULL;
@@ -423,6 +439,8 @@
 			w = choose_worker(s, j, &first[i]);
 		if (w == SCHED_NONE) {
 			waiting++;
+			if (holds && !waits_for_rack(s, step, &first[i]))
+				sched_reserve(s, j, &first[i]);
 			continue;
 		}
 		sched_task_place(s, &first[i], w);
@@ -436,7 +454,7 @@
 	log_step(s, j, first, placed, waiting, last);
 }
 
-static void place_job(struct sched *s, struct job *j)
+static void place_job(struct sched *s, struct job *j, bool holds)
 {
 	for (uint32_t i = 0; i < j->occurrence_count; i++) {
 		uint32_t n = j->occurrences[i].first_task;
@@ -444,7 +462,7 @@
 		if (!j->occurrences[i].used)
 			continue;
 		for (uint32_t k = 0; k < j->spec.step_count; k++) {
-			place_step(s, j, &s->tasks[n]);
+			place_step(s, j, &s->tasks[n], holds);
 			n += j->spec.steps[k].count;
 		}
 	}
@@ -487,24 +505,26 @@
 	return longest;
 }
 
+static enum order_class order_class(const struct sched *s, const struct job *j)
+{
+	uint64_t end = s->wall_ms + chain_left_ms(j);
+	uint64_t accepted = j->spec.accepted_wall_ms;
+
+	if (job_spec_lasts(&j->spec) || end <= j->deadline_wall_ms)
+		return CLASS_IN_TIME;
+	return end > accepted + LATE_FACTOR * (j->deadline_wall_ms - accepted)
+		       ? CLASS_LOST
+		       : CLASS_LATE;
+}
+
 /*
  * Load pattern: a burst brings more work than fits. What can still meet its
  * objective goes first, then what is late but still of use, then the rest; in
  * each of them by deadline.
  */
-static uint64_t order_key(const struct sched *s, const struct job *j)
+static uint64_t order_key(const struct job *j, enum order_class class)
 {
-	uint64_t end = s->wall_ms + chain_left_ms(j);
-	uint64_t class = 0;
-
-	if (!job_spec_lasts(&j->spec) && end > j->deadline_wall_ms)
-		class = end > j->spec.accepted_wall_ms +
-						LATE_FACTOR *
-							(j->deadline_wall_ms -
-							 j->spec.accepted_wall_ms)
-				? 2
-				: 1;
-	return (uint64_t)j->queue.priority << 60 | class << 56 |
+	return (uint64_t)j->queue.priority << 60 | (uint64_t) class << 56 |
 	       (j->deadline_wall_ms & ((1ull << 56) - 1));
 }
 
@@ -513,6 +533,7 @@
 	struct candidate *list = xcalloc(s->job_count + 1, sizeof(*list));
 	uint32_t n = 0;
 
+	sched_reserve_reset(s);
 	s->unmet_count = 0;
 	s->backlog = 0;
 	for (uint32_t i = 0; i < s->job_count; i++) {
@@ -526,10 +547,13 @@
 			continue;
 		s->backlog += waiting;
 		list[n].job = i;
-		list[n++].key = order_key(s, j);
+		list[n].class = order_class(s, j);
+		list[n].key = order_key(j, list[n].class);
+		n++;
 	}
 	qsort(list, n, sizeof(*list), by_key);
 	for (uint32_t i = 0; i < n; i++)
-		place_job(s, &s->jobs[list[i].job]);
+		place_job(s, &s->jobs[list[i].job],
+			  list[i].class == CLASS_IN_TIME);
 	free(list);
 }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -40,6 +40,7 @@
 	memset(w, 0, sizeof(*w));
 	snprintf(w->id, sizeof(w->id), "%s", id);
 	w->first_task = SCHED_NONE;
+	w->held_for = SCHED_NONE;
 	w->failed_job = SCHED_NONE;
 	/* A predecessor may have granted a lease just before its own ended. */
 	w->lease_end_us = s->created_us + lease_us(s) +
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -381,6 +381,42 @@
 	job_model_free(m);
 }
 
+/*
+ * Load pattern: small tasks of uneven length keep all workers full, and each
+ * piece that becomes free is wanted at once. Jobs with tasks of three quarters
+ * of a worker are to be done in time, too.
+ */
+static void test_small_tasks_leave_room_for_large_ones(void)
+{
+	struct model *m = job_model_create(16, CORES(16), GB(64));
+	uint32_t late = 0, large = 0;
+
+	job_model_run(m, 100);
+	for (uint32_t i = 0; i < 400; i++) {
+		job_model_submit(m, job_model_job(m, "batch", 1, 8, CORES(2),
+						  GB(2), 700 + i * 37 % 900));
+		if (i % 40 == 39)
+			job_model_submit(m,
+					 job_model_job(m, "batch", 1, 2,
+						       CORES(12), GB(8), 1000));
+		job_model_run(m, 70);
+	}
+	job_model_run(m, 6000);
+	for (uint32_t i = 0; i < m->job_count; i++) {
+		struct model_job *j = &m->jobs[i];
+
+		if (j->spec.steps[0].need.cpu_milli != CORES(12))
+			continue;
+		large++;
+		late += !j->completed_ms ||
+			j->completed_ms > j->handed_in_ms + 3000;
+	}
+	CU_ASSERT_EQUAL(large, 10);
+	CU_ASSERT_EQUAL(late, 0);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -406,6 +442,8 @@
 		  test_disturbing_batch_work_is_kept_away },
 		{ "halted batch work goes on", test_halted_batch_work_goes_on },
 		{ "burst of batch work", test_burst_of_batch_work },
+		{ "small tasks leave room for large ones",
+		  test_small_tasks_leave_room_for_large_ones },
 	};
 
 	return RUN_SUITE("sched", tests);
