Log which settings a reload changed

Cause: settings-reloaded named the file, and keys that need a restart were named, but not those that took effect.

--- a/src/log-events.c
+++ b/src/log-events.c
@@ -79,6 +79,7 @@
 	"seq-malformed",
 	"service-started",
 	"session-ended",
+	"settings-changed",
 	"settings-fault",
 	"settings-need-restart",
 	"settings-readable",
--- a/src/settings-reload.c
+++ b/src/settings-reload.c
@@ -45,7 +45,10 @@
 
 static void report_key(void *arg, const char *section, const char *key)
 {
-	if (!is_live(arg, section, key))
+	if (is_live(arg, section, key))
+		log_event(LOG_INFO, "settings-changed", "section=%s key=%s",
+			  section, key);
+	else
 		log_event(LOG_WARNING, "settings-need-restart",
 			  "section=%s key=%s", section, key);
 }
--- a/src/settings-reload.h
+++ b/src/settings-reload.h
@@ -11,8 +11,9 @@
  *
  * DESCRIPTION
  *	settings_reload() reads the file into read, puts the section [log] in
- *	force and logs what changed but is only read at the start, that is
- *	all but [log] and the keys of live. The caller puts those in force.
+ *	force and logs each key that differs from the running settings: as
+ *	changed, if it is of [log] or in live, else as one that is only read
+ *	at the start. The caller puts the keys of live in force.
  *
  * RETURN VALUES
  *	0, or -1 after logging the faults of the file; the settings in force
