Look for ended processes before the time of a stop is judged

The log of the process shows SIGTERM at 970.368 and its end at 976.369, 6.0 s later, while the store was silent and then refused. The soak looked for ended processes only between faults, up to 1.1 s apart, and compared the time before it asked whether the process had ended.

Ruled out: a late end (the log's times), the machine's load (the 6.0 s are the product's own limit, stop_grace).

Change: processes are looked for every 50 ms, and the time counts only for those that still run; the bound stays 6.5 s.

Open: with the store away a stop takes all of stop_grace, which is the platform's own limit, since the owner waits for its resignation.

--- a/tests/soak-jobs.c
+++ b/tests/soak-jobs.c
@@ -30,6 +30,7 @@
 #define SLOW_TASK_MS 4000
 #define READY_US 3000000u
 #define START_US 20000u /* of a program, until main() */
+#define REAP_US 50000u
 #define GAP_MIN_US 200000u
 #define GAP_SPAN_US 900000u
 #define FAULT_MAX_US 5000000u
@@ -203,14 +204,15 @@
 
 		if (!e->pid)
 			continue;
-		if (e->stopping_us && !e->paused &&
-		    clock_now_us() > e->stopping_us + STOP_MAX_US) {
+		if (waitpid(e->pid, &status, WNOHANG) != e->pid) {
+			if (!e->stopping_us ||
+			    clock_now_us() <= e->stopping_us + STOP_MAX_US)
+				continue;
 			report(s, "a stop ends in time", i, 0);
 			kill(e->pid, SIGKILL);
 			e->stopping_us = 0;
-		}
-		if (waitpid(e->pid, &status, WNOHANG) != e->pid)
 			continue;
+		}
 		if (!WIFSIGNALED(status) || WTERMSIG(status) != SIGKILL)
 			if (!e->stopping_us || status)
 				report(s, "no process ends by itself", i,
@@ -430,11 +432,16 @@
 
 static void run_loop(struct soak *s, uint64_t us)
 {
-	struct timeval tv = { (time_t)(us / 1000000), us % 1000000 };
+	uint64_t end = clock_now_us() + us;
+
+	/* Often enough to see when a process ended. */
+	do {
+		struct timeval tv = { 0, REAP_US };
 
-	event_base_loopexit(s->base, &tv);
-	event_base_dispatch(s->base);
-	reap(s);
+		event_base_loopexit(s->base, &tv);
+		event_base_dispatch(s->base);
+		reap(s);
+	} while (clock_now_us() < end);
 }
 
 static int add_link(struct soak *s, const char *kind, uint32_t i,
