jobs: carry the owner's calls to workers through relays

Cause: one owner calls all workers.

Change: entry VMs connect to the owner and carry its calls. The owner still decides and stores alone. relay-assign chooses few, large relays in each zone by weighted rendezvous hashing, without input or output; worker-path is the owner's side, job-relay the relay's, frame-conn and relay-wire carry the messages. A relay starts a call only before a deadline on its own CLOCK_BOOTTIME that the owner derives from the relay's latest ping. A relay that is silent for 0.8 s loses its calls, which end as WORKER_PATH_LOST and say nothing about the worker; a poll without a response is repeated on another path at once. With few workers for its CPU, or no relay, the owner calls them itself, as before. The owner key names the relay port behind the words that earlier builds read.

Tests: test-jobs-relay (relay killed with orders in flight, owner and relay lost together, workers that move, a silent relay, malformed messages both ways, a call past its deadline, a suspended relay, peers without relays), test-relay-assign, test-relay-wire. Without the check of the deadline "expired call is not sent" fails. The fixture of test-jobs-node moves to support-jobs-fixture; its tests are unchanged.

--- /dev/null
+++ b/src/frame-conn.c
@@ -0,0 +1,221 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "buffer.h"
+#include "frame-conn.h"
+
+#define HEADER_BYTES 4u
+/* Sent data that stays unacknowledged for this long fails the connection. */
+#define UNACKED_TIMEOUT_MS 2000u
+#define READ_CHUNK_BYTES (256 * 1024)
+
+struct frame_conn {
+	const struct frame_conn_ops *ops;
+	void *arg;
+	struct event *readable;
+	struct event *writable;
+	struct event *failed; /* reports the failure from the event loop */
+	struct evbuffer *in;
+	struct evbuffer *out;
+	const char *failure;
+	int fd;
+	bool connecting;
+	bool unflushed;
+	bool in_callback;
+	bool free_pending;
+};
+
+static void fail(struct frame_conn *c, const char *reason)
+{
+	if (c->failure)
+		return;
+	c->failure = reason;
+	event_del(c->readable);
+	event_del(c->writable);
+	event_active(c->failed, EV_TIMEOUT, 0);
+}
+
+static void destroy(struct frame_conn *c)
+{
+	event_free(c->readable);
+	event_free(c->writable);
+	event_free(c->failed);
+	evbuffer_free(c->in);
+	evbuffer_free(c->out);
+	close(c->fd);
+	free(c);
+}
+
+static void on_failed(evutil_socket_t fd, short what, void *arg)
+{
+	struct frame_conn *c = arg;
+
+	(void)fd;
+	(void)what;
+	c->ops->closed(c->arg, c->failure);
+}
+
+/* Passes on all complete frames. */
+static void deliver_frames(struct frame_conn *c)
+{
+	uint32_t len;
+
+	while (!c->free_pending && !c->failure &&
+	       evbuffer_copyout(c->in, &len, HEADER_BYTES) == HEADER_BYTES) {
+		len = ntohl(len);
+		if (len > FRAME_MAX_BYTES) {
+			fail(c, "frame-too-long");
+			return;
+		}
+		if (evbuffer_get_length(c->in) < HEADER_BYTES + len)
+			return;
+		evbuffer_drain(c->in, HEADER_BYTES);
+		c->ops->frame(c->arg, evbuffer_pullup(c->in, len), len);
+		evbuffer_drain(c->in, len);
+	}
+}
+
+static void on_readable(evutil_socket_t fd, short what, void *arg)
+{
+	struct frame_conn *c = arg;
+	int n = evbuffer_read(c->in, fd, READ_CHUNK_BYTES);
+
+	(void)what;
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		fail(c, n ? "read-failed" : "closed-by-peer");
+		return;
+	}
+	c->in_callback = true;
+	deliver_frames(c);
+	c->in_callback = false;
+	if (c->free_pending)
+		destroy(c);
+}
+
+static void write_queued(struct frame_conn *c)
+{
+	if (c->connecting || c->failure || !evbuffer_get_length(c->out))
+		return;
+	if (evbuffer_write(c->out, c->fd) < 0 && errno != EAGAIN &&
+	    errno != EINTR)
+		fail(c, "write-failed");
+	else if (evbuffer_get_length(c->out) > FRAME_QUEUE_MAX_BYTES)
+		fail(c, "queue-full");
+	else if (evbuffer_get_length(c->out))
+		event_add(c->writable, NULL);
+}
+
+static void on_writable(evutil_socket_t fd, short what, void *arg)
+{
+	struct frame_conn *c = arg;
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	(void)what;
+	if (c->connecting) {
+		getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len);
+		if (error) {
+			fail(c, "connect-failed");
+			return;
+		}
+		c->connecting = false;
+		event_add(c->readable, NULL);
+	}
+	write_queued(c);
+}
+
+static struct frame_conn *create(struct event_base *base, int fd,
+				 const struct frame_conn_ops *ops, void *arg)
+{
+	struct frame_conn *c = xcalloc(1, sizeof(*c));
+	unsigned int ms = UNACKED_TIMEOUT_MS;
+	int one = 1;
+
+	c->ops = ops;
+	c->arg = arg;
+	c->fd = fd;
+	c->in = evbuffer_new();
+	c->out = evbuffer_new();
+	c->readable = event_new(base, fd, EV_READ | EV_PERSIST, on_readable, c);
+	c->writable = event_new(base, fd, EV_WRITE, on_writable, c);
+	c->failed = event_new(base, -1, 0, on_failed, c);
+	evutil_make_socket_nonblocking(fd);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	return c;
+}
+
+struct frame_conn *frame_conn_connect(struct event_base *base, const char *host,
+				      uint16_t port,
+				      const struct frame_conn_ops *ops,
+				      void *arg)
+{
+	struct sockaddr_in to = { .sin_family = AF_INET,
+				  .sin_port = htons(port) };
+	struct frame_conn *c;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return NULL;
+	c = create(base, fd, ops, arg);
+	c->connecting = true;
+	if (inet_pton(AF_INET, host, &to.sin_addr) != 1 ||
+	    (connect(fd, (struct sockaddr *)&to, sizeof(to)) < 0 &&
+	     errno != EINPROGRESS))
+		fail(c, "connect-failed");
+	else
+		event_add(c->writable, NULL);
+	return c;
+}
+
+struct frame_conn *frame_conn_accept(struct event_base *base, int fd,
+				     const struct frame_conn_ops *ops,
+				     void *arg)
+{
+	struct frame_conn *c = create(base, fd, ops, arg);
+
+	event_add(c->readable, NULL);
+	return c;
+}
+
+void frame_conn_free(struct frame_conn *c)
+{
+	if (!c)
+		return;
+	c->free_pending = true;
+	if (!c->in_callback)
+		destroy(c);
+}
+
+void frame_conn_send(struct frame_conn *c, const void *data, size_t len)
+{
+	uint32_t header = htonl((uint32_t)len);
+
+	if (c->failure)
+		return;
+	evbuffer_add(c->out, &header, sizeof(header));
+	evbuffer_add(c->out, data, len);
+	c->unflushed = true;
+}
+
+void frame_conn_flush(struct frame_conn *c)
+{
+	c->unflushed = false;
+	write_queued(c);
+}
+
+bool frame_conn_has_unflushed(const struct frame_conn *c)
+{
+	return c->unflushed;
+}
--- /dev/null
+++ b/src/frame-conn.h
@@ -0,0 +1,56 @@
+#ifndef FRAME_CONN_H
+#define FRAME_CONN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct event_base;
+
+/*
+ * NAME
+ *	frame-conn - connection that carries length-prefixed frames
+ *
+ * DESCRIPTION
+ *	Frames are queued by frame_conn_send() and written by
+ *	frame_conn_flush(), so that many frames take one system call. After a
+ *	flush, what the socket did not accept is written as it drains.
+ *
+ *	When the connection fails, the closed callback runs once, from the
+ *	event loop; after it, the connection must only be freed. Either
+ *	callback may free the connection.
+ *
+ * ERRORS
+ *	A frame longer than FRAME_MAX_BYTES, and more than
+ *	FRAME_QUEUE_MAX_BYTES of unsent data, fail the connection.
+ */
+
+#define FRAME_MAX_BYTES (1024u * 1024u)
+/* A peer that does not read is disconnected rather than buffered for. */
+#define FRAME_QUEUE_MAX_BYTES (8u * 1024u * 1024u)
+
+struct frame_conn;
+
+struct frame_conn_ops {
+	/* data is valid during the call. */
+	void (*frame)(void *arg, const void *data, size_t len);
+	void (*closed)(void *arg, const char *reason);
+};
+
+/* Connects to an IPv4 address. Returns NULL if no socket can be created. */
+struct frame_conn *frame_conn_connect(struct event_base *base, const char *host,
+				      uint16_t port,
+				      const struct frame_conn_ops *ops,
+				      void *arg);
+/* Takes ownership of the socket fd. */
+struct frame_conn *frame_conn_accept(struct event_base *base, int fd,
+				     const struct frame_conn_ops *ops,
+				     void *arg);
+void frame_conn_free(struct frame_conn *c);
+
+void frame_conn_send(struct frame_conn *c, const void *data, size_t len);
+void frame_conn_flush(struct frame_conn *c);
+/* Whether frames were queued since the last flush. */
+bool frame_conn_has_unflushed(const struct frame_conn *c);
+
+#endif
--- a/src/job-node.c
+++ b/src/job-node.c
@@ -1,6 +1,7 @@
 #include "clock.h"
 #include "job-node.h"
 #include "kv-follow.h"
+#include "worker-path.h"
 
 /*
  * Not ready after this long without a reply to the configuration watch. An
@@ -15,7 +16,12 @@
 		n->rng.state = n->rng.state * 31 + (unsigned char)*c;
 	n->kv = n->platform->open_store(n->base,
 					&n->settings->platform.address);
+	n->relay_hub = relay_hub_create(n, err);
+	if (!n->relay_hub)
+		return -1;
 	n->owner = job_owner_create(n);
+	if (n->settings->jobs.relays.port)
+		n->relay = job_relay_create(n);
 	n->intake = job_intake_create(n);
 	job_config_start(n);
 	n->peer = job_peer_create(n, err);
@@ -30,7 +36,9 @@
 	job_metrics_destroy(n->metrics);
 	job_peer_destroy(n->peer);
 	job_config_stop(n);
+	job_relay_destroy(n->relay);
 	job_owner_destroy(n->owner);
+	relay_hub_destroy(n->relay_hub);
 	job_intake_destroy(n->intake);
 	n->kv->ops->destroy(n->kv);
 }
--- a/src/job-node.h
+++ b/src/job-node.h
@@ -36,7 +36,9 @@
 struct job_metrics;
 struct job_owner;
 struct job_peer;
+struct job_relay;
 struct kv_follow;
+struct relay_hub;
 
 struct job_node {
 	const struct settings *settings;
@@ -48,6 +50,8 @@
 	struct kv_follow *config_follow;
 	struct job_owner *owner;
 	struct job_peer *peer;
+	struct relay_hub *relay_hub; /* calls to workers, as owner */
+	struct job_relay *relay;     /* calls for another owner */
 	struct job_intake *intake;
 	struct job_metrics *metrics;
 	bool draining;
@@ -72,15 +76,18 @@
 struct sched *job_owner_sched(struct job_owner *o);
 /* Address of the owner's peer server; returns false if none is known. */
 bool job_owner_address(const struct job_owner *o, struct settings_address *out);
+/* Address of the owner's relay hub; false if it has none or is this process. */
+bool job_owner_relay_address(const struct job_owner *o,
+			     struct settings_address *out);
 /* Schedules a tick: there may be records to store or tasks to place. */
 void job_owner_schedule_tick(struct job_owner *o);
 /* Another process is, or may be, the owner: steps down at the next tick. */
 void job_owner_ownership_lost(struct job_owner *o);
 uint64_t job_owner_fencing_token(const struct job_owner *o);
-/* Whether this process is the active owner and its lease has not expired. */
-bool job_owner_lease_valid(const struct job_owner *o, uint64_t now_us);
-/* Whether the owner may still renew the leases of workers. */
-bool job_owner_may_renew_leases(const struct job_owner *o, uint64_t now_us);
+/* Until when this owner may start tasks; 0 if it is not the active owner. */
+uint64_t job_owner_lease_end_us(const struct job_owner *o);
+/* Until when this owner may renew the leases of workers; 0 as above. */
+uint64_t job_owner_renewal_end_us(const struct job_owner *o);
 
 /* ---- job-workers.c ---- */
 struct job_workers;
@@ -149,6 +156,17 @@
 			 size_t len, uint32_t timeout_ms, intake_fn *fn,
 			 void *arg);
 
+/* ---- job-relay.c ---- */
+
+/*
+ * Calls workers on behalf of the owner on another entry VM, which sends it
+ * polls and orders (relay-wire.h).
+ */
+struct job_relay *job_relay_create(struct job_node *n);
+void job_relay_destroy(struct job_relay *r);
+/* The address of the owner may have changed. */
+void job_relay_owner_changed(struct job_relay *r);
+
 /* ---- job-metrics.c ---- */
 struct job_metrics *job_metrics_create(struct job_node *n, struct error *err);
 void job_metrics_destroy(struct job_metrics *m);
--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -96,6 +96,7 @@
 	bool owner_known;
 	bool owner_unseen; /* not seen yet in the current read of the key */
 	struct settings_address owner_address;
+	uint16_t owner_relay_port; /* 0: it has no relay hub */
 	uint64_t owner_key_revision;
 	/* Owner key that a candidacy replaces; 0: the key must not exist. */
 	uint64_t claim_expected_revision;
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -7,6 +7,7 @@
 #include "job-owner-internal.h"
 #include "kv-follow.h"
 #include "log.h"
+#include "worker-path.h"
 
 /* A call to the store. Its reply is ignored if the owner stepped down since. */
 struct owner_store_call {
@@ -315,6 +316,7 @@
 
 	o->state = OWNER_LOADING;
 	o->load_generation++;
+	relay_hub_open(n->relay_hub);
 	o->progress_cursor[0] = '\0';
 	o->specs_loaded = false;
 	o->sched = sched_create(&sched_ops, o, &settings, clock_now_us());
@@ -356,6 +358,7 @@
 	kv_follow_free(o->worker_follow);
 	o->spec_follow = NULL;
 	o->worker_follow = NULL;
+	relay_hub_close(o->node->relay_hub);
 	job_workers_destroy(o->workers);
 	o->workers = NULL;
 	sched_destroy(o->sched);
@@ -551,5 +554,6 @@
 		o->commit = build_commit(o);
 	if (o->commit && !o->commit_in_flight && now >= o->next_commit_us)
 		send_commit(o);
+	relay_hub_tick(o->node->relay_hub, now);
 	job_workers_tick(o->workers, now);
 }
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -26,7 +26,7 @@
 static void on_owner_item(void *arg, const struct kv_item *item)
 {
 	struct job_owner *o = arg;
-	unsigned port;
+	unsigned port, relay_port = 0;
 
 	if (strcmp(item->key, JOB_OWNER_KEY))
 		return;
@@ -39,10 +39,12 @@
 			job_owner_ownership_lost(o);
 		return;
 	}
-	o->owner_known = sscanf(item->value, "%47[^:]:%u",
-				o->owner_address.host, &port) == 2;
+	o->owner_known = sscanf(item->value, "%47[^:]:%u %*s %u",
+				o->owner_address.host, &port, &relay_port) >= 2;
 	o->owner_address.port = (uint16_t)port;
+	o->owner_relay_port = (uint16_t)relay_port;
 	o->owner_key_revision = item->revision;
+	job_relay_owner_changed(o->node->relay);
 	if (o->state >= OWNER_LOADING &&
 	    item->revision > o->ownership_revision && o->ownership_revision) {
 		log_event(LOG_WARNING, "owner-replaced", "owner=%s:%u",
@@ -74,6 +76,15 @@
 	return o->owner_known;
 }
 
+bool job_owner_relay_address(const struct job_owner *o,
+			     struct settings_address *out)
+{
+	*out = o->owner_address;
+	out->port = o->owner_relay_port;
+	return o->owner_known && o->owner_relay_port &&
+	       o->state == OWNER_FOLLOWER;
+}
+
 /* ---- election ---- */
 
 static void election_failed(struct job_owner *o, const char *reason)
@@ -112,7 +123,7 @@
 static void on_seq_read(void *arg, const struct kv_reply *r)
 {
 	struct job_owner *o = arg;
-	char value[96], seq[48];
+	char value[SETTINGS_TEXT_BYTES + 96], seq[48];
 	struct kv_condition expect[2] = { { JOB_OWNER_KEY,
 					    o->claim_expected_revision },
 					  { JOB_SEQ_KEY, 0 } };
@@ -138,8 +149,9 @@
 	}
 	o->epoch = epoch + 1;
 	sets[0].len =
-		(size_t)snprintf(value, sizeof(value), "%s:%u %s", a->host,
-				 a->port, o->node->settings->node.id);
+		(size_t)snprintf(value, sizeof(value), "%s:%u %s %u", a->host,
+				 a->port, o->node->settings->node.id,
+				 o->node->settings->jobs.relays.port);
 	sets[1].len = (size_t)snprintf(seq, sizeof(seq), "%llu 0",
 				       (unsigned long long)o->epoch);
 	o->node->kv->ops->txn(o->node->kv, &t, on_elected, o);
@@ -201,19 +213,21 @@
 				      on_lease_renewed, o);
 }
 
-bool job_owner_lease_valid(const struct job_owner *o, uint64_t now_us)
+uint64_t job_owner_lease_end_us(const struct job_owner *o)
 {
-	return o->state == OWNER_ACTIVE &&
-	       now_us < o->renewed_us + OWNER_LEASE_TTL_MS * 1000u -
-				OWNER_LEASE_CLOCK_MARGIN_US;
+	return o->state == OWNER_ACTIVE
+		       ? o->renewed_us + OWNER_LEASE_TTL_MS * 1000u -
+				 OWNER_LEASE_CLOCK_MARGIN_US
+		       : 0;
 }
 
-bool job_owner_may_renew_leases(const struct job_owner *o, uint64_t now_us)
+uint64_t job_owner_renewal_end_us(const struct job_owner *o)
 {
-	return o->state == OWNER_ACTIVE &&
-	       now_us < o->renewed_us +
-				(OWNER_LEASE_TTL_MS + WORKER_LEASE_GRACE_MS) *
-					1000u;
+	return o->state == OWNER_ACTIVE
+		       ? o->renewed_us +
+				 (OWNER_LEASE_TTL_MS + WORKER_LEASE_GRACE_MS) *
+					 1000u
+		       : 0;
 }
 
 uint64_t job_owner_fencing_token(const struct job_owner *o)
--- a/src/job-platform.h
+++ b/src/job-platform.h
@@ -54,6 +54,8 @@
 	WORKER_OTHER_INCARNATION, /* restarted under another id */
 	WORKER_NOT_SENT,	  /* no byte was sent */
 	WORKER_OUTCOME_UNKNOWN,	  /* may have been executed, or be later */
+	WORKER_PATH_LOST, /* the relay failed; as above, the worker may be well
+			   */
 };
 
 struct worker_poll {
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -8,9 +8,12 @@
 #include "job-node.h"
 #include "latency.h"
 #include "log.h"
+#include "worker-path.h"
 
 /* Minimum time between polls of a worker; batches its run ends. */
 #define POLL_INTERVAL_US 20000u
+/* A poll that neither renews a lease nor acknowledges ends is sent until. */
+#define PLAIN_POLL_VALID_US 1000000u
 /* Polls again after this time even if the last run ends aren't stored yet. */
 #define ACK_TIMEOUT_US 700000u
 #define UNRESPONSIVE_RETRY_US 300000u
@@ -19,10 +22,10 @@
 /* An unlisted, unresponsive worker is polled for this long. */
 #define UNLISTED_POLL_US 30000000u
 
-/* Connections to one worker and the orders queued for it. */
+/* State of one worker and the orders queued for it. */
 struct worker_link {
 	struct job_workers *workers;
-	struct worker_client *client;
+	struct worker_path *path;
 	uint32_t worker; /* index in the scheduler */
 	char id[JOB_NAME_BYTES];
 	struct settings_address address;
@@ -91,7 +94,7 @@
 {
 	struct queued_order *o;
 
-	l->workers->node->platform->worker->close(l->client);
+	worker_path_free(l->path);
 	for (int i = 0; i < WORKER_ORDER_CONNECTIONS; i++)
 		if (l->in_flight[i])
 			free_order(l->in_flight[i]);
@@ -136,8 +139,8 @@
 	l->verify_incarnation = true;
 	l->address = e->address;
 	snprintf(l->id, sizeof(l->id), "%s", e->id);
-	l->client = w->node->platform->worker->open(w->node->base, e->id,
-						    &e->address);
+	l->path = worker_path_create(w->node->relay_hub, worker, e->id, e->zone,
+				     &e->address);
 	return l;
 }
 
@@ -226,6 +229,8 @@
 	case WORKER_OTHER_INCARNATION:
 		sched_worker_dead(w->sched, l->worker, now);
 		break;
+	case WORKER_PATH_LOST:
+		break;
 	default:
 		counter_add(w->lost_responses, 1);
 		break;
@@ -236,6 +241,22 @@
 
 /* ---- polls ---- */
 
+/*
+ * The first poll without a response is repeated without delay, as it takes
+ * another path. The loss of a relay says nothing about the worker.
+ */
+static void handle_no_report(struct worker_link *l,
+			     const struct worker_response *a, uint64_t now)
+{
+	if (a->outcome == WORKER_PATH_LOST)
+		return;
+	if (l->unresponsive_since_us)
+		l->next_poll_us = now + UNRESPONSIVE_RETRY_US;
+	else
+		l->unresponsive_since_us = now;
+	sched_worker_unresponsive(l->workers->sched, l->worker, now);
+}
+
 static void on_report(void *arg, const struct worker_response *a)
 {
 	struct worker_link *l = arg;
@@ -246,10 +267,7 @@
 	l->polling = false;
 	l->next_poll_us = now + POLL_INTERVAL_US;
 	if (!handle_response(l, a)) {
-		l->next_poll_us = now + UNRESPONSIVE_RETRY_US;
-		if (!l->unresponsive_since_us)
-			l->unresponsive_since_us = now;
-		sched_worker_unresponsive(w->sched, l->worker, now);
+		handle_no_report(l, a, now);
 		return;
 	}
 	l->unresponsive_since_us = 0;
@@ -273,10 +291,12 @@
 	struct job_owner *owner = w->node->owner;
 	struct worker_poll q = { .fencing_token =
 					 job_owner_fencing_token(owner) };
+	uint64_t deadline_us = now + PLAIN_POLL_VALID_US;
 
 	if (!l->verify_incarnation && l->clock_ms &&
-	    job_owner_may_renew_leases(owner, now)) {
+	    now < job_owner_renewal_end_us(owner)) {
 		q.lease_until_ms = lease_until(l, now);
+		deadline_us = job_owner_renewal_end_us(owner);
 		sched_lease_granted(w->sched, l->worker, now);
 	}
 	if (!l->verify_incarnation) {
@@ -287,7 +307,7 @@
 	l->poll_sent_us = now;
 	l->polling = true;
 	counter_add(w->polls, 1);
-	w->node->platform->worker->poll(l->client, &q, on_report, l);
+	worker_path_poll(l->path, &q, deadline_us, on_report, l);
 }
 
 /* ---- orders ---- */
@@ -301,7 +321,8 @@
 
 	l->in_flight[o->connection] = NULL;
 	latency_add(LATENCY_ORDER, clock_now_us() - o->sent_us);
-	if (a->outcome == WORKER_OUTCOME_UNKNOWN) {
+	if (a->outcome == WORKER_OUTCOME_UNKNOWN ||
+	    a->outcome == WORKER_PATH_LOST) {
 		/* Repeated on a new connection; polls tell if it is alive. */
 		counter_add(w->lost_responses, 1);
 		result = SCHED_OUTCOME_UNKNOWN;
@@ -321,15 +342,21 @@
 }
 
 /* A start is sent only while this process's ownership is certain. */
-static bool may_send(const struct worker_link *l, const struct sched_order *o,
-		     uint64_t now)
+static uint64_t order_deadline_us(const struct worker_link *l,
+				  const struct sched_order *o)
 {
 	const struct job_owner *owner = l->workers->node->owner;
 
+	return o->type == SCHED_START ? job_owner_lease_end_us(owner)
+				      : job_owner_renewal_end_us(owner);
+}
+
+static bool may_send(const struct worker_link *l, const struct sched_order *o,
+		     uint64_t now)
+{
 	if (l->verify_incarnation || !l->clock_ms || l->unresponsive_since_us)
 		return false;
-	return o->type == SCHED_START ? job_owner_lease_valid(owner, now)
-				      : job_owner_may_renew_leases(owner, now);
+	return now < order_deadline_us(l, o);
 }
 
 /*
@@ -386,10 +413,10 @@
 		if (o->order.type == SCHED_START)
 			sched_lease_granted(w->sched, l->worker, now);
 		counter_add(w->orders, 1);
-		w->node->platform->worker->order(
-			l->client, connection, &o->order,
-			job_owner_fencing_token(w->node->owner),
-			lease_until(l, now), on_order, o);
+		worker_path_order(l->path, connection, &o->order,
+				  job_owner_fencing_token(w->node->owner),
+				  lease_until(l, now),
+				  order_deadline_us(l, &o->order), on_order, o);
 	}
 }
 
@@ -437,7 +464,7 @@
 		if (!l->listed && l->unresponsive_since_us &&
 		    now > l->unresponsive_since_us + UNLISTED_POLL_US)
 			continue;
-		if (poll_due(l, now))
+		if (poll_due(l, now) && worker_path_usable(l->path, now))
 			send_poll(l, now);
 		send_orders(l);
 	}
--- a/src/settings.c
+++ b/src/settings.c
@@ -93,6 +93,7 @@
 	  REQUIRED_KV, NULL },
 	{ "jobs", "peers", VALUE_ADDRESS, FIELD(jobs.peers), 0, 0, REQUIRED_KV,
 	  NULL },
+	{ "jobs", "relays", VALUE_ADDRESS, FIELD(jobs.relays), 0, 0, 0, NULL },
 	{ "jobs", "metrics", VALUE_ADDRESS, FIELD(jobs.metrics), 0, 0, 0,
 	  NULL },
 	{ "jobs", "lease_max", VALUE_TIME, FIELD(jobs.lease_max_us), SECOND_US,
--- a/src/settings.h
+++ b/src/settings.h
@@ -89,7 +89,9 @@
 	struct {
 		struct settings_address readiness; /* load balancer checks */
 		struct settings_address peers;	   /* other entry VMs */
-		struct settings_address metrics;   /* port 0: disabled */
+		/* Entry VMs that relay calls; port 0: disabled. */
+		struct settings_address relays;
+		struct settings_address metrics; /* port 0: disabled */
 		uint64_t lease_max_us; /* longest lease that a worker grants */
 		uint64_t status_keep_us; /* retention of ended jobs */
 		uint64_t stop_grace_us;	 /* time limit of a stop */
--- /dev/null
+++ b/tests/support-jobs-fixture.c
@@ -0,0 +1,201 @@
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "log.h"
+#include "support-jobs-fixture.h"
+#include "support-unit.h"
+
+#define PORT_FIRST 20000
+#define PORT_BLOCKS 250
+#define PORT_BLOCK_SIZE 40
+#define WORKER_PORT_OFFSET 4
+#define ENTRY_PORT_OFFSET 10
+#define ENTRY_PORT_COUNT 10
+#define WORKERS 2
+
+#define CONFIG_BODY                                                              \
+	"{\"version\":7,\"routes\":[{\"name\":\"forms\",\"host\":\"a.example\"," \
+	"\"prefix\":\"/forms/\",\"kind\":\"unsafe\",\"timeout-ms\":3000,"        \
+	"\"target-latency-ms\":300,\"priority\":0,\"service\":\"svc\","          \
+	"\"max-attempts\":2,\"stretch\":1.5}],\"services\":[{\"name\":\"svc\","  \
+	"\"enforces-capacity\":true}],\"limits\":{\"max-body-bytes\":262144}}"
+
+const char *jobs_fixture_config(void)
+{
+	return CONFIG_BODY;
+}
+
+uint16_t jobs_fixture_port(void)
+{
+	return (uint16_t)(PORT_FIRST +
+			  getpid() % PORT_BLOCKS * PORT_BLOCK_SIZE);
+}
+
+uint16_t jobs_fixture_entry_port(int entry)
+{
+	return (uint16_t)(jobs_fixture_port() + ENTRY_PORT_OFFSET +
+			  entry * ENTRY_PORT_COUNT);
+}
+
+uint16_t jobs_fixture_relay_port(int entry)
+{
+	return (uint16_t)(jobs_fixture_entry_port(entry) + 4);
+}
+
+void jobs_fixture_on_reply(void *arg, const struct event_http_response *a)
+{
+	struct jobs_fixture *f = arg;
+
+	f->status = a->outcome == EVENT_HTTP_RESPONDED ? a->status : -1;
+	snprintf(f->body, sizeof(f->body), "%s",
+		 a->outcome == EVENT_HTTP_RESPONDED ? a->body : "");
+}
+
+void jobs_fixture_run(struct jobs_fixture *f, uint32_t ms)
+{
+	struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+
+	event_base_loopexit(f->base, &tv);
+	event_base_dispatch(f->base);
+}
+
+int jobs_fixture_request(struct jobs_fixture *f, int entry, const char *method,
+			 const char *path, const char *body)
+{
+	static const struct http_header headers[] = {
+		{ "X-Deadline-Remaining", "3000" }, { NULL, NULL }
+	};
+
+	f->status = 0;
+	http_conn_call(f->clients[entry], method, path, headers, body,
+		       body ? strlen(body) : 0, 4000, jobs_fixture_on_reply, f);
+	for (int i = 0; i < 400 && !f->status; i++)
+		jobs_fixture_run(f, 10);
+	return f->status;
+}
+
+void jobs_fixture_start_entry(struct jobs_fixture *f, int i)
+{
+	struct jobs_fixture_entry *e = &f->entries[i];
+	uint16_t port = jobs_fixture_entry_port(i);
+	struct error err;
+
+	settings_defaults(&e->settings);
+	if (f->cpu_milli[i])
+		e->settings.node.cpu_milli = f->cpu_milli[i];
+	snprintf(e->settings.node.id, sizeof(e->settings.node.id), "entry-%d",
+		 i);
+	strcpy(e->settings.platform.address.host, "127.0.0.1");
+	e->settings.platform.address.port = jobs_fixture_port();
+	e->settings.jobs.peers = e->settings.platform.address;
+	e->settings.jobs.peers.port = port;
+	e->settings.jobs.readiness = e->settings.jobs.peers;
+	e->settings.jobs.readiness.port = (uint16_t)(port + 1);
+	e->settings.jobs.metrics = e->settings.jobs.peers;
+	e->settings.jobs.metrics.port = (uint16_t)(port + 2);
+	e->settings.front.listen = e->settings.jobs.peers;
+	e->settings.front.listen.port = (uint16_t)(port + 3);
+	if (f->relays[i]) {
+		e->settings.jobs.relays = e->settings.jobs.peers;
+		e->settings.jobs.relays.port = jobs_fixture_relay_port(i);
+	}
+	memset(&e->node, 0, sizeof(e->node));
+	e->node.settings = &e->settings;
+	e->node.platform = &adapter_platform;
+	e->node.base = f->base;
+	CU_ASSERT_EQUAL_FATAL(job_node_start(&e->node, &err), 0);
+	e->ingress = ingress_create(&e->node, &err);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(e->ingress);
+}
+
+void jobs_fixture_stop_entry(struct jobs_fixture *f, int i)
+{
+	ingress_destroy(f->entries[i].ingress);
+	f->entries[i].ingress = NULL;
+	job_node_stop(&f->entries[i].node);
+}
+
+void jobs_fixture_start(struct jobs_fixture *f)
+{
+	uint16_t worker_port =
+		(uint16_t)(jobs_fixture_port() + WORKER_PORT_OFFSET);
+
+	log_set_level(getenv("WAXWING_TEST_LOG") ? LOG_DEBUG : LOG_ERROR);
+	if (!f->base)
+		f->base = event_base_new();
+	f->platform = jobs_platform_create(f->base, jobs_fixture_port());
+	jobs_platform_put(f->platform, "op/config", CONFIG_BODY);
+	for (uint16_t i = 0; i < WORKERS; i++)
+		jobs_platform_add_worker(f->platform,
+					 (uint16_t)(worker_port + i),
+					 (uint16_t)(worker_port + i),
+					 f->task_ms ? f->task_ms : 100);
+	for (int i = 0; i < f->entry_count; i++) {
+		jobs_fixture_start_entry(f, i);
+		f->clients[i] = http_conn_create(
+			f->base, "127.0.0.1",
+			(uint16_t)(jobs_fixture_entry_port(i) + 3));
+		jobs_fixture_run(f, f->start_interval_ms);
+	}
+}
+
+void jobs_fixture_set_up(struct jobs_fixture *f)
+{
+	memset(f, 0, sizeof(*f));
+	f->entry_count = 2;
+	f->start_interval_ms = 400;
+	jobs_fixture_start(f);
+}
+
+void jobs_fixture_tear_down(struct jobs_fixture *f)
+{
+	for (int i = 0; i < f->entry_count; i++)
+		if (f->entries[i].ingress)
+			jobs_fixture_stop_entry(f, i);
+	for (int i = 0; i < f->entry_count; i++)
+		http_conn_free(f->clients[i]);
+	jobs_fixture_run(f, 50);
+	CU_ASSERT_EQUAL(jobs_platform_duplicate_runs(f->platform), 0);
+	jobs_platform_free(f->platform);
+	event_base_free(f->base);
+}
+
+bool jobs_fixture_wait_completed(struct jobs_fixture *f, int entry,
+				 const char *path, uint32_t ms)
+{
+	for (uint32_t t = 0; t < ms; t += 100) {
+		if (jobs_fixture_request(f, entry, "GET", path, NULL) == 200 &&
+		    strstr(f->body, "completed"))
+			return true;
+		jobs_fixture_run(f, 100);
+	}
+	return false;
+}
+
+void jobs_fixture_set_queue_host(struct jobs_fixture *f)
+{
+	char config[1200], host[64], *at;
+
+	snprintf(config, sizeof(config), "%s", CONFIG_BODY);
+	at = strstr(config, "a.example");
+	snprintf(host, sizeof(host), "127.0.0.1");
+	memmove(at + strlen(host), at + strlen("a.example"),
+		strlen(at + strlen("a.example")) + 1);
+	memcpy(at, host, strlen(host));
+	at = strstr(config, "\"version\":7");
+	at[strlen("\"version\":")] = '8';
+	jobs_platform_put(f->platform, "op/config", config);
+	jobs_fixture_run(f, 300);
+}
+
+int jobs_fixture_owner(const struct jobs_fixture *f)
+{
+	for (int i = 0; i < f->entry_count; i++)
+		if (f->entries[i].ingress &&
+		    job_owner_sched(f->entries[i].node.owner))
+			return i;
+	return -1;
+}
