sched: search workers and reports without scans of cold memory

Reports compared each task's printed name with each listed run.

Change: services have handles; what a search reads of a worker is compact (struct worker_room, names apart); headrooms are computed again only after an observation or a change of tasks; a task keeps the worker of its reservation without a new search; jobs and steps count their waiting tasks; a report marks the tasks that it lists. Due polls are looked for every 5 ms instead of after each report.

--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -14,6 +14,8 @@
 #define POLL_INTERVAL_US 20000u
 /* A poll that neither renews a lease nor acknowledges ends is sent until. */
 #define PLAIN_POLL_VALID_US 1000000u
+/* Interval at which due polls are sent, as a report follows each tick. */
+#define SCAN_INTERVAL_US 5000u
 /* Polls again after this time even if the last run ends aren't stored yet. */
 #define ACK_TIMEOUT_US 700000u
 #define UNRESPONSIVE_RETRY_US 300000u
@@ -63,6 +65,7 @@
 	struct sched *sched;
 	struct worker_link **links; /* by index in the scheduler */
 	uint32_t count;
+	uint64_t next_scan_us;
 	struct counter *polls;
 	struct counter *orders;
 	struct counter *lost_responses;
@@ -456,6 +459,9 @@
 
 void job_workers_tick(struct job_workers *w, uint64_t now)
 {
+	if (now < w->next_scan_us)
+		return;
+	w->next_scan_us = now + SCAN_INTERVAL_US;
 	for (uint32_t i = 0; i < w->count; i++) {
 		struct worker_link *l = w->links[i];
 
--- a/src/sched-interference.c
+++ b/src/sched-interference.c
@@ -88,6 +88,7 @@
 	return s->now_us >= w->throttled_us + OBSERVE_INTERVAL_US;
 }
 
+/* The headrooms are computed again on each observation of this worker. */
 static void observe_interference(struct sched *s, struct sched_worker *w)
 {
 	struct pair_load loads[LOADS_MAX];
@@ -97,6 +98,7 @@
 	    !is_steady(s, w))
 		return;
 	w->observed_us = s->now_us;
+	w->headrooms_valid = false;
 	n = batch_loads(s, w, loads, true);
 	for (uint32_t i = w->first_task; i != SCHED_NONE;
 	     i = s->tasks[i].next_on_worker) {
@@ -240,8 +242,8 @@
 		  "job=%s step=%u index=%u worker=%s image=%s progress=%u "
 		  "slowdown_percent=%d",
 		  s->jobs[t->job].spec.id, t->step, t->index,
-		  s->workers[t->worker].id, step->image, t->progress_percent,
-		  (int)(slowdown * 100));
+		  s->workers[t->worker].identity->id, step->image,
+		  t->progress_percent, (int)(slowdown * 100));
 	s->workers[t->worker].throttled_us = s->now_us;
 	if (step->checkpoints ||
 	    t->progress_percent <= MIGRATE_PROGRESS_MAX_PERCENT)
@@ -354,7 +356,6 @@
 		return;
 	}
 	observe_interference(s, w);
-	w->headrooms_valid = false;
 	service = worst_service(s, w, &tail);
 	w->tail_percent = tail;
 	if (tail <= TARGET_EXCEEDED_PERCENT) {
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -46,6 +46,7 @@
 	uint32_t failed_run; /* of a gang: the last failed run */
 	uint32_t worker;
 	uint32_t last_failed_worker; /* worker of the last failure */
+	uint32_t reserved_on;	     /* index + 1 of the worker; 0: none */
 	uint32_t next_on_worker;
 	uint32_t prev_on_worker;
 	uint64_t state_since_us; /* time of the last state change */
@@ -53,8 +54,9 @@
 	uint8_t state;
 	uint8_t cpu_percent;	  /* limit ordered, or CPU_PERCENT_UNKNOWN */
 	uint8_t progress_percent; /* progress */
-	bool wait_logged; /* first task of a step: its wait was logged */
-	bool confirmed;	  /* the worker confirmed the start or stop */
+	bool wait_logged;   /* first task of a step: its wait was logged */
+	bool confirmed;	    /* the worker confirmed the start or stop */
+	uint32_t listed_in; /* number of the last report that lists the run */
 	uint32_t metric;
 	char checkpoint[SCHED_CHECKPOINT_BYTES];
 };
@@ -69,6 +71,7 @@
 	uint32_t number;
 	uint32_t first_task;
 	uint32_t tasks_left[JOB_STEPS_MAX]; /* per step: tasks not done */
+	uint32_t waiting[JOB_STEPS_MAX];    /* per step: TASK_WAITING */
 	uint64_t due_wall_ms;
 	bool used;
 };
@@ -76,10 +79,12 @@
 struct job {
 	struct job_spec spec;
 	struct sched_queue queue; /* copy of the queue's policy */
+	uint32_t service;	  /* handle of the queue's service */
 	struct occurrence *occurrences;
 	uint32_t occurrence_count;
 	uint32_t next_occurrence; /* number of the next to begin */
 	uint32_t next_in_bucket;
+	uint32_t waiting; /* tasks in TASK_WAITING */
 	enum sched_job_state state;
 	uint64_t ended_wall_ms;
 	uint64_t deadline_wall_ms; /* latency objective */
@@ -96,29 +101,40 @@
 	float slowdown_left;
 };
 
-struct sched_worker {
+/* What a worker is called; rarely read. */
+struct worker_identity {
 	char id[JOB_NAME_BYTES];
-	char service[JOB_NAME_BYTES];
 	char zone[JOB_NAME_BYTES];
 	char labels[SCHED_LABELS_MAX][JOB_NAME_BYTES];
+};
+
+struct sched_worker {
+	/* Read for all workers in each search; kept on few cache lines. */
 	struct resources capacity;
 	struct resources used;	    /* CPU without best-effort tasks */
 	struct resources reserved;  /* for tasks that did not fit */
-	uint32_t reserved_for;	    /* task of the last reservation */
+	uint32_t service;	    /* handle of its service */
 	uint32_t service_milli;	    /* CPU of long-running tasks */
 	uint32_t best_effort_milli; /* CPU of best-effort tasks */
-	struct service_headroom headrooms[SERVICE_IMAGES_MAX];
-	uint32_t headroom_count;
-	bool headrooms_valid; /* else recomputed on use */
 	uint32_t first_task;
+	uint64_t quarantine_end_us;
+	uint64_t full_until_us; /* a start was refused: no placement until */
+	uint64_t over_target_since_us; /* service above target; 0: none */
+	bool listed;
+	bool draining;
+	bool responsive;      /* has answered the last request for a report */
+	bool on_trial;	      /* after quarantine: one finite task at a time */
+	bool headrooms_valid; /* else recomputed on use */
+	uint32_t headroom_count;
+	struct service_headroom headrooms[SERVICE_IMAGES_MAX];
+
+	struct worker_identity *identity;
+	uint32_t report_number;
 	uint64_t started_wall_ms;
 	uint64_t ends_seen;	 /* highest sequence number processed */
 	uint64_t ends_collected; /* ... in the records being stored */
 	uint64_t ends_stored;	 /* ... in stored records */
 	uint64_t lease_end_us;	 /* all leases have expired by then */
-	uint64_t quarantine_end_us;
-	uint64_t full_until_us; /* a start was refused: no placement until */
-	uint64_t over_target_since_us; /* service above target; 0: none */
 	uint64_t last_action_us; /* last halt, resume or migration of a batch
 				    task */
 	uint64_t observed_us;	 /* last update of the interference model */
@@ -126,16 +142,21 @@
 	uint32_t tail_percent;	 /* tail latency of target, worst service */
 	uint32_t failures;	 /* consecutive, of different jobs */
 	uint32_t last_failed_job;
-	bool listed;
-	bool draining;
-	bool responsive; /* has answered the last request for a report */
-	bool on_trial;	 /* after quarantine: one finite task at a time */
+};
+
+/* What is free on a worker in the current placement round. */
+struct worker_room {
+	uint32_t service; /* SCHED_NONE: accepts no task */
+	int32_t cpu_milli;
+	int32_t best_effort_milli; /* for best-effort tasks */
+	int32_t memory_mb;
+	int32_t accelerators;
 };
 
 #define UNMET_MAX 32
 /* Demand that no worker could meet in the current placement round. */
 struct unmet_demand {
-	const char *service;
+	uint32_t service;
 	uint32_t image; /* of best-effort tasks, else SCHED_NONE */
 	struct resources demand;
 };
@@ -146,6 +167,8 @@
 	struct sched_settings settings;
 	struct sched_queue *queues;
 	size_t queue_count;
+	char (*services)[JOB_NAME_BYTES]; /* names by handle */
+	uint32_t service_count;
 	struct job *jobs;
 	uint32_t job_count;
 	uint32_t job_capacity;
@@ -157,6 +180,7 @@
 	struct task_block *free_blocks;
 	uint32_t free_block_count;
 	struct sched_worker *workers;
+	struct worker_room *rooms; /* by worker */
 	uint32_t worker_count;
 	uint64_t created_us;
 	uint64_t now_us;
@@ -174,6 +198,8 @@
 };
 
 /* ---- sched.c ---- */
+/* Handle of a service, which is added if it is new. */
+uint32_t sched_service(struct sched *s, const char *name);
 struct job *sched_job_find(const struct sched *s, const char *id);
 uint32_t sched_job_index(const struct sched *s, const struct job *j);
 /* Time since the job was accepted. */
@@ -191,6 +217,9 @@
 			     struct occurrence *o);
 
 /* ---- sched-task.c ---- */
+/* Changes the state and the counts of waiting tasks. */
+void sched_task_set_state(struct sched *s, struct sched_task *t,
+			  enum task_state state);
 void sched_task_place(struct sched *s, struct sched_task *t, uint32_t worker);
 /* Detaches the task from its worker and frees the resources. */
 void sched_task_release(struct sched *s, struct sched_task *t);
@@ -219,6 +248,8 @@
 
 /* ---- sched-place.c ---- */
 void sched_place(struct sched *s);
+/* The resources of a worker that are used or reserved have changed. */
+void sched_update_room(struct sched *s, uint32_t worker);
 /* Whether the worker is eligible for tasks of the job's step. */
 bool sched_worker_usable(const struct sched *s, const struct sched_worker *w,
 			 const struct job *j, const struct job_step *step);
@@ -227,8 +258,7 @@
 /* Drops all reservations at the start of a placement round. */
 void sched_reserve_reset(struct sched *s);
 /* Reserves resources for a task that fits nowhere against later tasks. */
-void sched_reserve(struct sched *s, const struct job *j,
-		   const struct sched_task *t);
+void sched_reserve(struct sched *s, const struct job *j, struct sched_task *t);
 
 /* ---- sched-interference.c ---- */
 /* After a report: limits batch tasks that keep a service above its target. */
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -60,7 +60,7 @@
 	if (!*label)
 		return true;
 	for (int i = 0; i < SCHED_LABELS_MAX; i++)
-		if (!strcmp(w->labels[i], label))
+		if (!strcmp(w->identity->labels[i], label))
 			return true;
 	return false;
 }
@@ -90,12 +90,18 @@
 	return false;
 }
 
+/* Whether the worker accepts tasks at present. */
+static bool available(const struct sched *s, const struct sched_worker *w)
+{
+	return w->listed && w->responsive && !w->draining &&
+	       s->now_us >= w->quarantine_end_us &&
+	       s->now_us >= w->full_until_us;
+}
+
 bool sched_worker_usable(const struct sched *s, const struct sched_worker *w,
 			 const struct job *j, const struct job_step *step)
 {
-	if (!w->listed || !w->responsive || w->draining ||
-	    strcmp(w->service, j->queue.service) ||
-	    s->now_us < w->quarantine_end_us || s->now_us < w->full_until_us)
+	if (w->service != j->service || !available(s, w))
 		return false;
 	if (w->on_trial && !step->long_running && has_finite_task(s, w))
 		return false;
@@ -112,22 +118,43 @@
 	       w->best_effort_milli;
 }
 
+static int32_t left(uint32_t capacity, uint32_t used, uint32_t reserved)
+{
+	int64_t n = (int64_t)capacity - used - reserved;
+
+	return n < INT32_MIN   ? INT32_MIN
+	       : n > INT32_MAX ? INT32_MAX
+			       : (int32_t)n;
+}
+
+void sched_update_room(struct sched *s, uint32_t worker)
+{
+	const struct sched_worker *w = &s->workers[worker];
+	struct worker_room *room = &s->rooms[worker];
+
+	room->service = available(s, w) ? w->service : SCHED_NONE;
+	room->cpu_milli = left(w->capacity.cpu_milli, w->used.cpu_milli,
+			       w->reserved.cpu_milli);
+	room->best_effort_milli = w->over_target_since_us
+					  ? INT32_MIN
+					  : (int32_t)best_effort_cpu_left(w);
+	room->memory_mb = left(w->capacity.memory_mb, w->used.memory_mb,
+			       w->reserved.memory_mb);
+	room->accelerators =
+		left(w->capacity.accelerators, w->used.accelerators,
+		     w->reserved.accelerators);
+}
+
 /* Whether one more task of the step fits beside used and reserved resources. */
-static bool fits(const struct sched_worker *w, const struct job_step *step)
+static bool fits(const struct worker_room *room, const struct job *j,
+		 const struct job_step *step)
 {
-	if (w->used.memory_mb + w->reserved.memory_mb + step->demand.memory_mb >
-		    w->capacity.memory_mb ||
-	    w->used.accelerators + w->reserved.accelerators +
-			    step->demand.accelerators >
-		    w->capacity.accelerators)
-		return false;
-	if (step->best_effort)
-		return !w->over_target_since_us &&
-		       best_effort_cpu_left(w) >=
-			       (int64_t)step->demand.cpu_milli;
-	return w->used.cpu_milli + w->reserved.cpu_milli +
-		       step->demand.cpu_milli <=
-	       w->capacity.cpu_milli;
+	return room->service == j->service &&
+	       (step->best_effort
+			? room->best_effort_milli
+			: room->cpu_milli) >= (int64_t)step->demand.cpu_milli &&
+	       room->memory_mb >= (int64_t)step->demand.memory_mb &&
+	       room->accelerators >= (int64_t)step->demand.accelerators;
 }
 
 /* Whether the worker has long-running tasks, and only of the given image. */
@@ -195,7 +222,8 @@
 		struct sched_worker *w = &s->workers[i];
 		int64_t value;
 
-		if (!sched_worker_usable(s, w, j, step) || !fits(w, step) ||
+		if (!fits(&s->rooms[i], j, step) ||
+		    !sched_worker_usable(s, w, j, step) ||
 		    (rack && !has_label(w, rack)))
 			continue;
 		value = score(s, w, step, t);
@@ -247,14 +275,14 @@
 }
 
 /* Whether more than half of the CPU of a service's workers is idle. */
-static bool mostly_idle(const struct sched *s, const char *service)
+static bool mostly_idle(const struct sched *s, uint32_t service)
 {
 	uint64_t used_milli = 0, capacity_milli = 0;
 
 	for (uint32_t i = 0; i < s->worker_count; i++) {
 		const struct sched_worker *w = &s->workers[i];
 
-		if (!w->listed || strcmp(w->service, service))
+		if (!w->listed || w->service != service)
 			continue;
 		capacity_milli += w->capacity.cpu_milli;
 		used_milli += w->used.cpu_milli + w->best_effort_milli -
@@ -292,7 +320,7 @@
 		    u->demand.cpu_milli <= step->demand.cpu_milli &&
 		    u->demand.memory_mb <= step->demand.memory_mb &&
 		    u->demand.accelerators <= step->demand.accelerators &&
-		    !strcmp(u->service, j->queue.service))
+		    u->service == j->service)
 			return true;
 	}
 	return false;
@@ -308,7 +336,7 @@
 	    s->unmet_count == UNMET_MAX)
 		return;
 	s->unmet_count++;
-	u->service = j->queue.service;
+	u->service = j->service;
 	u->image = unmet_image(step);
 	u->demand = step->demand;
 }
@@ -326,7 +354,7 @@
 	}
 	if (best == SCHED_NONE && step->best_effort &&
 	    s->now_us > t->state_since_us + STARVATION_US &&
-	    mostly_idle(s, j->queue.service) && has_no_placed_task(s, j))
+	    mostly_idle(s, j->service) && has_no_placed_task(s, j))
 		best = least_disturbed_worker(s, j, t);
 	return best;
 }
@@ -375,7 +403,7 @@
 		return true;
 	while (placed--) {
 		sched_task_release(s, &first[placed]);
-		first[placed].state = TASK_WAITING;
+		sched_task_set_state(s, &first[placed], TASK_WAITING);
 		first[placed].run = run;
 	}
 	return false;
@@ -401,7 +429,7 @@
 		return;
 	if (step->same_rack)
 		for (uint32_t i = 0; i < s->worker_count; i++) {
-			const char *rack = s->workers[i].labels[1];
+			const char *rack = s->workers[i].identity->labels[1];
 
 			if (*rack && try_gang(s, j, first, rack))
 				return;
@@ -426,9 +454,9 @@
 		  "job=%s step=%u placed=%u waiting=%u last_worker=%s cpu=%u "
 		  "memory_mb=%u image=%s age_ms=%llu deadline_in_ms=%lld "
 		  "backlog=%u",
-		  j->spec.id, first->step, placed, waiting, w ? w->id : "-",
-		  step->demand.cpu_milli, step->demand.memory_mb,
-		  *step->image ? step->image : "-",
+		  j->spec.id, first->step, placed, waiting,
+		  w ? w->identity->id : "-", step->demand.cpu_milli,
+		  step->demand.memory_mb, *step->image ? step->image : "-",
 		  (unsigned long long)sched_job_age_us(s, j) / 1000,
 		  (long long)(j->deadline_wall_ms - s->wall_ms), s->backlog);
 }
@@ -477,24 +505,13 @@
 		if (!j->occurrences[i].used)
 			continue;
 		for (uint32_t k = 0; k < j->spec.step_count; k++) {
-			place_step(s, j, &s->tasks[n], may_reserve);
+			if (j->occurrences[i].waiting[k])
+				place_step(s, j, &s->tasks[n], may_reserve);
 			n += j->spec.steps[k].count;
 		}
 	}
 }
 
-static uint32_t count_waiting_tasks(const struct sched *s, const struct job *j)
-{
-	uint32_t count = job_spec_task_count(&j->spec);
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < j->occurrence_count; i++)
-		for (uint32_t k = 0; j->occurrences[i].used && k < count; k++)
-			n += s->tasks[j->occurrences[i].first_task + k].state ==
-			     TASK_WAITING;
-	return n;
-}
-
 /* Estimated length of the remaining critical path. */
 static uint32_t remaining_path_ms(const struct job *j)
 {
@@ -552,18 +569,16 @@
 	uint32_t n = 0;
 
 	sched_reserve_reset(s);
+	for (uint32_t i = 0; i < s->worker_count; i++)
+		sched_update_room(s, i);
 	s->unmet_count = 0;
 	s->backlog = 0;
 	for (uint32_t i = 0; i < s->job_count; i++) {
 		const struct job *j = &s->jobs[i];
-		uint32_t waiting;
 
-		if (!j->used || j->state >= SCHED_JOB_COMPLETED)
-			continue;
-		waiting = count_waiting_tasks(s, j);
-		if (!waiting)
+		if (!j->used || j->state >= SCHED_JOB_COMPLETED || !j->waiting)
 			continue;
-		s->backlog += waiting;
+		s->backlog += j->waiting;
 		list[n].job = i;
 		list[n].class = deadline_class(s, j);
 		list[n].key = sort_key(j, list[n].class);
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -32,7 +32,7 @@
 	if (t->worker == SCHED_NONE)
 		msgpack_pack_nil(pk);
 	else
-		pack_str(pk, s->workers[t->worker].id);
+		pack_str(pk, s->workers[t->worker].identity->id);
 	pack_str(pk, t->checkpoint);
 }
 
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -98,39 +98,60 @@
 	s->reserved_max /= RESERVED_WORKERS_DIVISOR;
 }
 
-void sched_reserve(struct sched *s, const struct job *j,
-		   const struct sched_task *t)
+/* Whether the task can keep the worker of its previous reservation. */
+static bool keeps_reservation(const struct sched *s, const struct job *j,
+			      const struct sched_task *t)
+{
+	const struct job_step *step = &j->spec.steps[t->step];
+	const struct sched_worker *w;
+
+	if (!t->reserved_on)
+		return false;
+	w = &s->workers[t->reserved_on - 1];
+	return sched_worker_usable(s, w, j, step) &&
+	       earliest_fit_us(s, w, step) != UINT64_MAX;
+}
+
+/* The worker on which the task is expected to fit first, or SCHED_NONE. */
+static uint32_t find_earliest_fit(const struct sched *s, const struct job *j,
+				  const struct sched_task *t)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
-	uint32_t index = (uint32_t)(t - s->tasks);
 	uint32_t best = SCHED_NONE;
 	uint64_t earliest = UINT64_MAX;
 
-	if (s->reserved_count >= s->reserved_max || step->best_effort)
-		return;
 	for (uint32_t i = 0; i < s->worker_count; i++) {
-		struct sched_worker *w = &s->workers[i];
+		const struct sched_worker *w = &s->workers[i];
 		uint64_t at_us;
 
 		if (!sched_worker_usable(s, w, j, step) ||
 		    i == t->last_failed_worker)
 			continue;
 		at_us = earliest_fit_us(s, w, step);
-		if (at_us == UINT64_MAX)
-			continue;
-		/* Another worker would waste the reservation so far. */
-		if (w->reserved_for == index)
-			at_us = 0;
 		if (at_us >= earliest)
 			continue;
 		earliest = at_us;
 		best = i;
 	}
+	return best;
+}
+
+void sched_reserve(struct sched *s, const struct job *j, struct sched_task *t)
+{
+	const struct job_step *step = &j->spec.steps[t->step];
+	uint32_t best;
+
+	if (s->reserved_count >= s->reserved_max || step->best_effort)
+		return;
+	/* Another worker would waste the reservation so far. */
+	best = keeps_reservation(s, j, t) ? t->reserved_on - 1
+					  : find_earliest_fit(s, j, t);
 	if (best == SCHED_NONE)
 		return;
-	s->workers[best].reserved_for = index;
+	t->reserved_on = best + 1;
 	s->workers[best].reserved.cpu_milli += step->demand.cpu_milli;
 	s->workers[best].reserved.memory_mb += step->demand.memory_mb;
 	s->workers[best].reserved.accelerators += step->demand.accelerators;
 	s->reserved_count++;
+	sched_update_room(s, best);
 }
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -22,10 +22,30 @@
 	return t->worker != SCHED_NONE;
 }
 
+void sched_task_set_state(struct sched *s, struct sched_task *t,
+			  enum task_state state)
+{
+	struct job *j = &s->jobs[t->job];
+	bool waited = t->state == TASK_WAITING, waits = state == TASK_WAITING;
+	struct occurrence *o;
+
+	t->state = (uint8_t)state;
+	if (waited == waits)
+		return;
+	o = sched_find_occurrence(j, t->occurrence);
+	if (waits) {
+		o->waiting[t->step]++;
+		j->waiting++;
+	} else {
+		o->waiting[t->step]--;
+		j->waiting--;
+	}
+}
+
 static void set_state(struct sched *s, struct sched_task *t,
 		      enum task_state state)
 {
-	t->state = (uint8_t)state;
+	sched_task_set_state(s, t, state);
 	t->state_since_us = s->now_us;
 }
 
@@ -36,16 +56,34 @@
 		 s->jobs[t->job].spec.id, t->occurrence, t->step, t->index);
 }
 
+/* Reads a dot and a decimal number, and advances *p. */
+static bool parse_number(const char **p, uint32_t *out)
+{
+	const char *c = *p;
+	uint64_t n = 0;
+
+	if (*c++ != '.' || *c < '0' || *c > '9')
+		return false;
+	for (; *c >= '0' && *c <= '9' && n <= UINT32_MAX; c++)
+		n = n * 10 + (uint32_t)(*c - '0');
+	*p = c;
+	*out = (uint32_t)n;
+	return n <= UINT32_MAX;
+}
+
 struct sched_task *sched_task_find(struct sched *s, const char *name)
 {
-	char id[JOB_ID_BYTES];
-	unsigned number, step, index;
+	char id[JOB_ID_BYTES] = "";
+	const char *p = name + JOB_ID_CHARS;
+	uint32_t number, step, index, n;
 	struct occurrence *o;
 	struct job *j;
-	uint32_t n;
 
-	if (sscanf(name, "%16[0-9a-fA-F].%u.%u.%u", id, &number, &step,
-		   &index) != 4)
+	if (strnlen(name, JOB_ID_CHARS) < JOB_ID_CHARS)
+		return NULL;
+	memcpy(id, name, JOB_ID_CHARS);
+	if (!parse_number(&p, &number) || !parse_number(&p, &step) ||
+	    !parse_number(&p, &index) || *p)
 		return NULL;
 	j = sched_job_find(s, id);
 	if (!j || step >= j->spec.step_count ||
@@ -90,11 +128,12 @@
 		(uint32_t)(sign * (int)step->demand.accelerators);
 	if (step->best_effort) {
 		w->best_effort_milli += (uint32_t)cpu;
-		return;
+	} else {
+		w->used.cpu_milli += (uint32_t)cpu;
+		if (step->long_running)
+			w->service_milli += (uint32_t)cpu;
 	}
-	w->used.cpu_milli += (uint32_t)cpu;
-	if (step->long_running)
-		w->service_milli += (uint32_t)cpu;
+	sched_update_room(s, t->worker);
 }
 
 void sched_task_place(struct sched *s, struct sched_task *t, uint32_t worker)
@@ -103,6 +142,7 @@
 	uint32_t index = task_index(s, t);
 
 	t->worker = worker;
+	t->reserved_on = 0;
 	t->run++;
 	t->confirmed = false;
 	t->cpu_percent = 100;
@@ -254,8 +294,9 @@
 	log_event(reason == SCHED_END_DONE ? LOG_DEBUG : LOG_INFO, "task-ended",
 		  "job=%s step=%u index=%u run=%u worker=%s how=%s "
 		  "failures=%u progress=%u checkpoint=%s",
-		  j->spec.id, t->step, t->index, t->run, w ? w->id : "-",
-		  end_reason_names[reason], t->failures, t->progress_percent,
+		  j->spec.id, t->step, t->index, t->run,
+		  w ? w->identity->id : "-", end_reason_names[reason],
+		  t->failures, t->progress_percent,
 		  *checkpoint ? checkpoint : "-");
 	sched_task_checkpoint(s, t, checkpoint);
 	if (w)
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -22,7 +22,7 @@
 uint32_t sched_find_worker(const struct sched *s, const char *id)
 {
 	for (uint32_t i = 0; i < s->worker_count; i++)
-		if (!strcmp(s->workers[i].id, id))
+		if (!strcmp(s->workers[i].identity->id, id))
 			return i;
 	return SCHED_NONE;
 }
@@ -36,11 +36,13 @@
 		return i;
 	s->workers = xrealloc(s->workers,
 			      (s->worker_count + 1) * sizeof(*s->workers));
+	s->rooms =
+		xrealloc(s->rooms, (s->worker_count + 1) * sizeof(*s->rooms));
 	w = &s->workers[s->worker_count];
 	memset(w, 0, sizeof(*w));
-	snprintf(w->id, sizeof(w->id), "%s", id);
+	w->identity = xcalloc(1, sizeof(*w->identity));
+	snprintf(w->identity->id, sizeof(w->identity->id), "%s", id);
 	w->first_task = SCHED_NONE;
-	w->reserved_for = SCHED_NONE;
 	w->last_failed_job = SCHED_NONE;
 	/* A predecessor can grant leases until its own lease ends. */
 	w->lease_end_us = s->created_us + lease_bound_us(s) +
@@ -63,7 +65,8 @@
 	s->stats.tasks_lost += n;
 	if (n)
 		log_event(LOG_INFO, "worker-tasks-lost",
-			  "worker=%s tasks=%u why=%s", w->id, n, reason);
+			  "worker=%s tasks=%u why=%s", w->identity->id, n,
+			  reason);
 }
 
 /* A restarted worker runs no task and numbers its run ends from 1 again. */
@@ -105,18 +108,20 @@
 	uint32_t i = sched_worker_add(s, info->id);
 	struct sched_worker *w = &s->workers[i];
 
-	snprintf(w->service, sizeof(w->service), "%s", info->service);
-	snprintf(w->zone, sizeof(w->zone), "%s", info->zone);
-	memcpy(w->labels, info->labels, sizeof(w->labels));
+	w->service = sched_service(s, info->service);
+	snprintf(w->identity->zone, sizeof(w->identity->zone), "%s",
+		 info->zone);
+	memcpy(w->identity->labels, info->labels, sizeof(w->identity->labels));
 	w->capacity = info->capacity;
 	if (!w->listed)
 		log_event(LOG_INFO, "worker-listed",
 			  "worker=%s service=%s zone=%s cpu=%u memory_mb=%u",
-			  w->id, w->service, w->zone, w->capacity.cpu_milli,
-			  w->capacity.memory_mb);
+			  w->identity->id, info->service, w->identity->zone,
+			  w->capacity.cpu_milli, w->capacity.memory_mb);
 	w->listed = true;
 	if (info->draining && !w->draining) {
-		log_event(LOG_INFO, "worker-draining", "worker=%s", w->id);
+		log_event(LOG_INFO, "worker-draining", "worker=%s",
+			  w->identity->id);
 		w->draining = true;
 		drain_worker(s, w);
 	}
@@ -134,8 +139,8 @@
 	s->now_us = now_us;
 	if (!w->listed)
 		return;
-	log_event(LOG_INFO, "worker-unlisted", "worker=%s draining=%d", w->id,
-		  w->draining);
+	log_event(LOG_INFO, "worker-unlisted", "worker=%s draining=%d",
+		  w->identity->id, w->draining);
 	w->listed = false;
 }
 
@@ -145,7 +150,8 @@
 	s->now_us = now_us;
 	if (s->workers[worker].responsive)
 		log_event(LOG_INFO, "worker-silent", "worker=%s listed=%d",
-			  s->workers[worker].id, s->workers[worker].listed);
+			  s->workers[worker].identity->id,
+			  s->workers[worker].listed);
 	s->workers[worker].responsive = false;
 }
 
@@ -185,7 +191,7 @@
 	w->quarantine_end_us = s->now_us + QUARANTINE_US;
 	w->on_trial = true;
 	log_event(LOG_INFO, "worker-quarantined", "worker=%s failures=%u",
-		  w->id, w->failures);
+		  w->identity->id, w->failures);
 }
 
 /* Stops a run that is unknown or has been replaced. */
@@ -200,7 +206,7 @@
 
 	snprintf(o.task, sizeof(o.task), "%s", run->task);
 	log_event(LOG_WARNING, "task-stray", "task=%s run=%u worker=%s",
-		  run->task, run->run, s->workers[worker].id);
+		  run->task, run->run, s->workers[worker].identity->id);
 	s->ops->order(s->arg, &o);
 }
 
@@ -213,6 +219,7 @@
 		stop_unknown_run(s, worker, run);
 		return;
 	}
+	t->listed_in = s->workers[worker].report_number;
 	sched_task_checkpoint(s, t, run->checkpoint);
 	t->progress_percent = (uint8_t)run->progress_percent;
 	t->metric = run->metric;
@@ -233,17 +240,6 @@
 		sched_task_stop(s, t);
 }
 
-/* Whether the report lists the run as running. */
-static bool lists_run(const struct sched_report *r, const char *name,
-		      uint32_t run)
-{
-	for (size_t i = 0; i < r->running_count; i++)
-		if (r->running[i].run == run &&
-		    !strcmp(r->running[i].task, name))
-			return true;
-	return false;
-}
-
 /* Requeues confirmed or restored tasks that the report does not list. */
 static void requeue_missing(struct sched *s, struct sched_worker *w,
 			    const struct sched_report *r)
@@ -258,14 +254,13 @@
 			(t->state == TASK_RUNNING || t->state == TASK_STOPPING);
 
 		i = t->next_on_worker;
-		if (!known && t->state != TASK_UNCONFIRMED)
+		if (t->listed_in == w->report_number ||
+		    (!known && t->state != TASK_UNCONFIRMED))
 			continue;
 		sched_task_name(s, t, name);
-		if (lists_run(r, name, t->run))
-			continue;
 		log_event(LOG_INFO, "task-absent",
 			  "task=%s run=%u worker=%s state=%u", name, t->run,
-			  w->id, t->state);
+			  w->identity->id, t->state);
 		sched_task_requeue(s, t, 0);
 	}
 }
@@ -291,6 +286,7 @@
 
 	s->now_us = now_us;
 	s->wall_ms = wall_ms;
+	w->report_number++;
 	if (r->started_wall_ms && r->started_wall_ms != w->started_wall_ms)
 		handle_restart(s, w, r->started_wall_ms);
 	for (size_t i = 0; i < r->ended_count; i++) {
@@ -309,7 +305,7 @@
 		if (w->lease_end_us > now_us + lease_bound_us(s))
 			w->lease_end_us = now_us + lease_bound_us(s);
 		log_event(LOG_INFO, "worker-reports",
-			  "worker=%s running=%zu ended=%zu", w->id,
+			  "worker=%s running=%zu ended=%zu", w->identity->id,
 			  r->running_count, r->ended_count);
 		s->placement_due = true;
 	}
--- a/src/sched.c
+++ b/src/sched.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -55,11 +56,27 @@
 	free(s->jobs);
 	free(s->tasks);
 	free(s->free_blocks);
+	for (uint32_t i = 0; i < s->worker_count; i++)
+		free(s->workers[i].identity);
 	free(s->workers);
+	free(s->rooms);
+	free(s->services);
 	free(s->queues);
 	free(s);
 }
 
+uint32_t sched_service(struct sched *s, const char *name)
+{
+	for (uint32_t i = 0; i < s->service_count; i++)
+		if (!strcmp(s->services[i], name))
+			return i;
+	s->services = xrealloc(s->services,
+			       (s->service_count + 1) * sizeof(*s->services));
+	snprintf(s->services[s->service_count], sizeof(*s->services), "%s",
+		 name);
+	return s->service_count++;
+}
+
 static const struct sched_queue *find_queue(const struct sched *s,
 					    const char *name)
 {
@@ -69,10 +86,11 @@
 	return NULL;
 }
 
-static void apply_queue(const struct sched *s, struct job *j)
+static void apply_queue(struct sched *s, struct job *j)
 {
 	const struct sched_queue *q = find_queue(s, j->spec.queue);
 
+	j->service = sched_service(s, q ? q->service : j->queue.service);
 	if (!q)
 		return;
 	j->queue = *q;
@@ -281,7 +299,8 @@
 
 		for (uint32_t k = 0; k < step->count; k++, n++)
 			if (ready && s->tasks[n].state == TASK_BLOCKED)
-				s->tasks[n].state = TASK_WAITING;
+				sched_task_set_state(s, &s->tasks[n],
+						     TASK_WAITING);
 	}
 	s->placement_due = true;
 }
@@ -337,9 +356,9 @@
 		} else if (t->state == TASK_PLACED ||
 			   t->state == TASK_STORING) {
 			sched_task_release(s, t);
-			t->state = TASK_DROPPED;
+			sched_task_set_state(s, t, TASK_DROPPED);
 		} else if (t->state < TASK_RUNNING) {
-			t->state = TASK_DROPPED;
+			sched_task_set_state(s, t, TASK_DROPPED);
 		}
 	}
 }
