sched: a draining worker that is not listed may still run tasks

Cause: tasks of a draining worker were placed again as soon as its entry was gone, since a worker leaves after its work.

Change: its tasks wait for the end of its leases like those of any silent worker. Test: "draining worker in a partition keeps tasks"; with the old rule it fails with duplicate runs.

--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -321,10 +321,11 @@
 
 		if (w->responsive || w->first_task == SCHED_NONE)
 			continue;
-		/* A draining worker is unlisted only when it runs no task. */
-		if (w->draining && !w->listed)
-			requeue_lost_tasks(s, w, "left");
-		else if (s->now_us > w->lease_end_us)
+		/*
+		 * Also if a draining worker is no longer listed: its entry
+		 * expires while a partition keeps it from the store.
+		 */
+		if (s->now_us > w->lease_end_us)
 			requeue_lost_tasks(s, w, "lease-over");
 	}
 }
--- a/tests/support-sched.c
+++ b/tests/support-sched.c
@@ -356,9 +356,14 @@
 			.service = "svc",
 			.zone = "zone",
 			.capacity = w->capacity,
+			.draining = w->draining,
 			.started_wall_ms = w->started_wall_ms,
 		};
 
+		if (w->entry_expired) {
+			sched_worker_unlisted(m->s, w->handle, m->now_us);
+			continue;
+		}
 		strcpy(info.labels[0], "a");
 		snprintf(info.labels[1], JOB_NAME_BYTES, "r%u", i / 8);
 		w->handle = sched_update_worker(m->s, &info);
--- a/tests/support-sched.h
+++ b/tests/support-sched.h
@@ -51,6 +51,8 @@
 	bool unresponsive; /* no answers; tasks run until the lease expires */
 	bool failing;	   /* every run fails after 20 ms */
 	bool hanging;	   /* runs make no progress */
+	bool draining;
+	bool entry_expired; /* the platform no longer lists it */
 	double speed;
 	uint64_t lease_end_us;
 	uint64_t reported_us;
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -36,6 +36,33 @@
 	job_model_free(m);
 }
 
+/*
+ * Guards against a second run of the tasks of a draining worker whose entry has
+ * expired while a partition keeps it from the store and the owner.
+ */
+static void test_draining_worker_in_partition_keeps_tasks(void)
+{
+	struct model *m = job_model_create(4, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_add_job(m, "urgent", 1, 8, CORES(4), GB(2), 9000);
+	struct model_worker *w = &m->workers[0];
+
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 300);
+	CU_ASSERT(w->run_count > 0);
+	w->draining = true;
+	job_model_run(m, 200);
+	w->unresponsive = true;
+	w->entry_expired = true;
+	job_model_run(m, 5000);
+	CU_ASSERT_EQUAL(m->starts, 8);
+	job_model_run(m, 13000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
 /* Guards against a second run of a task that a predecessor started. */
 static void test_successor_adopts_running_tasks(void)
 {
@@ -422,6 +449,8 @@
 {
 	static const struct unit_test tests[] = {
 		{ "step dependencies", test_step_dependencies },
+		{ "draining worker in a partition keeps tasks",
+		  test_draining_worker_in_partition_keeps_tasks },
 		{ "successor adopts running tasks",
 		  test_successor_adopts_running_tasks },
 		{ "unresponsive worker keeps tasks until lease expires",
