sched: urgent jobs preempt, run times are learnt

Their tasks (11 cores, 22 GB in the mean) fit nowhere: services hold 31,600 of 33,280 cores and what is free lies in pieces below 4 cores; batch tasks, whose CPU is not counted, fill memory. Reservations ignored the ends of batch tasks. And jobs fell behind a backlog because estimates, off by a factor, made them look late.

Change: sched-preempt stops batch tasks of a lower priority, or services without a limit of absent tasks, where that loses least; a stopped service leaves its room to urgent tasks for 3 s. Services come after finite jobs of their priority. Eight searches for reservations a round at most. sched-estimate learns for each queue how the longest run of a step relates to its estimate, and counts done steps by their run times.

Tests: "urgent job preempts batch tasks", "urgent job preempts services" (both fail without the stops), "limited services are not preempted", test-sched-estimate.

--- a/src/log-events.c
+++ b/src/log-events.c
@@ -112,6 +112,7 @@
 	"task-end-unknown",
 	"task-ended",
 	"task-stray",
+	"tasks-preempted",
 	"thread-failed",
 	"too-many-targets",
 	"worker-draining",
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -11,6 +11,8 @@
  * DESCRIPTION
  *	sched.c: jobs; sched-task.c: tasks; sched-worker.c: reports and leases;
  *	sched-place.c: placement; sched-reserve.c: reservations;
+ *	sched-preempt.c: urgent jobs that stop other tasks;
+ *	sched-estimate.c: run times and objectives;
  *	sched-interference.c: batch tasks beside services; sched-record.c: the
  *	stored progress record.
  *
@@ -47,6 +49,7 @@
 	uint32_t worker;
 	uint32_t last_failed_worker; /* worker of the last failure */
 	uint32_t reserved_on;	     /* index + 1 of the worker; 0: none */
+	uint64_t reserved_us;	     /* since when */
 	uint32_t next_on_worker;
 	uint32_t prev_on_worker;
 	uint64_t state_since_us; /* time of the last state change */
@@ -56,6 +59,7 @@
 	uint8_t progress_percent; /* progress */
 	bool wait_logged;   /* first task of a step: its wait was logged */
 	bool confirmed;	    /* the worker confirmed the start or stop */
+	bool preempted;	    /* a service stopped for an urgent task */
 	uint32_t listed_in; /* number of the last report that lists the run */
 	uint32_t metric;
 	char checkpoint[SCHED_CHECKPOINT_BYTES];
@@ -80,6 +84,9 @@
 	struct job_spec spec;
 	struct sched_queue queue; /* copy of the queue's policy */
 	uint32_t service;	  /* handle of the queue's service */
+	uint32_t estimate;	  /* of the queue, in the table of estimates */
+	uint32_t longest_run_ms[JOB_STEPS_MAX]; /* of the tasks done so far */
+	uint32_t step_ms[JOB_STEPS_MAX]; /* duration of steps; 0: not done */
 	struct occurrence *occurrences;
 	uint32_t occurrence_count;
 	uint32_t next_occurrence; /* number of the next to begin */
@@ -153,6 +160,14 @@
 	int32_t accelerators;
 };
 
+#define SCHED_ESTIMATES_MAX 64
+/* How the run times of a queue's tasks relate to their estimates. */
+struct queue_estimate {
+	char name[JOB_NAME_BYTES];
+	float log_ratio; /* of the longest run of a step to its estimate */
+	float steps;	 /* observed, up to a maximum */
+};
+
 #define UNMET_MAX 32
 /* Demand that no worker could meet in the current placement round. */
 struct unmet_demand {
@@ -169,6 +184,8 @@
 	size_t queue_count;
 	char (*services)[JOB_NAME_BYTES]; /* names by handle */
 	uint32_t service_count;
+	struct queue_estimate estimates[SCHED_ESTIMATES_MAX];
+	uint32_t estimate_count;
 	struct job *jobs;
 	uint32_t job_count;
 	uint32_t job_capacity;
@@ -193,8 +210,12 @@
 	struct pair_model pairs;
 	struct unmet_demand unmet[UNMET_MAX];
 	uint32_t unmet_count;
-	uint32_t reserved_count; /* reservations of this placement round */
-	uint32_t reserved_max;	 /* limit of reserved_count */
+	uint32_t reserved_count;   /* reservations of this placement round */
+	uint32_t reserved_max;	   /* limit of reserved_count */
+	uint32_t reserve_searches; /* of this placement round */
+	uint32_t listed_count;	   /* listed workers in this round */
+	uint32_t preempt_cursor;   /* worker at which the next search begins */
+	uint32_t stopped_services; /* preempted tasks, not placed again yet */
 };
 
 /* ---- sched.c ---- */
@@ -248,6 +269,10 @@
 
 /* ---- sched-place.c ---- */
 void sched_place(struct sched *s);
+/* Whether the step's limit of tasks on one worker allows one more. */
+bool sched_below_worker_max(const struct sched *s, const struct sched_worker *w,
+			    const struct sched_task *t,
+			    const struct job_step *step);
 /* The resources of a worker that are used or reserved have changed. */
 void sched_update_room(struct sched *s, uint32_t worker);
 /* Whether the worker is eligible for tasks of the job's step. */
@@ -260,6 +285,14 @@
 /* Reserves resources for a task that fits nowhere against later tasks. */
 void sched_reserve(struct sched *s, const struct job *j, struct sched_task *t);
 
+/* ---- sched-preempt.c ---- */
+/*
+ * Stops batch tasks or services where a task of the job then fits. Returns the
+ * worker, or SCHED_NONE if no task was stopped.
+ */
+uint32_t sched_preempt(struct sched *s, const struct job *j,
+		       const struct sched_task *t);
+
 /* ---- sched-interference.c ---- */
 /* After a report: limits batch tasks that keep a service above its target. */
 void sched_control_interference(struct sched *s, uint32_t worker);
@@ -270,6 +303,18 @@
 float sched_interference_headroom(struct sched *s, struct sched_worker *w,
 				  const struct job_step *step);
 
+/* ---- sched-estimate.c ---- */
+/* Index of the queue's estimate. */
+uint32_t sched_estimate_queue(struct sched *s, const char *name);
+/* A task has ended as done. */
+void sched_estimate_run(struct sched *s, const struct sched_task *t);
+/* All tasks of a step are done. */
+void sched_estimate_step(struct sched *s, struct job *j, uint32_t step);
+/* Expected duration of the steps that are not done. */
+uint32_t sched_remaining_ms(const struct sched *s, const struct job *j);
+/* Sets the job's latency objective by what is known of its run times. */
+void sched_update_deadline(const struct sched *s, struct job *j);
+
 /* ---- sched-record.c ---- */
 void sched_record_encode(const struct sched *s, const struct job *j,
 			 struct buffer *out);
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -80,6 +80,14 @@
 	return n;
 }
 
+bool sched_below_worker_max(const struct sched *s, const struct sched_worker *w,
+			    const struct sched_task *t,
+			    const struct job_step *step)
+{
+	return !step->per_worker_max ||
+	       count_step_tasks(s, w, t) < step->per_worker_max;
+}
+
 /* Whether a task will end on the worker and show if the worker is healthy. */
 static bool has_finite_task(const struct sched *s, const struct sched_worker *w)
 {
@@ -231,8 +239,7 @@
 			value -= PENALTY_FAILED_HERE;
 		if (best != SCHED_NONE && value <= best_score)
 			continue;
-		if (step->per_worker_max &&
-		    count_step_tasks(s, w, t) >= step->per_worker_max)
+		if (!sched_below_worker_max(s, w, t, step))
 			continue;
 		if (step->best_effort &&
 		    sched_interference_headroom(s, w, step) < 0)
@@ -262,8 +269,7 @@
 		    w->over_target_since_us ||
 		    w->used.memory_mb + step->demand.memory_mb >
 			    w->capacity.memory_mb ||
-		    (step->per_worker_max &&
-		     count_step_tasks(s, w, t) >= step->per_worker_max))
+		    !sched_below_worker_max(s, w, t, step))
 			continue;
 		headroom = sched_interference_headroom(s, w, step);
 		if (best != SCHED_NONE && headroom <= best_headroom)
@@ -482,7 +488,8 @@
 			w = choose_worker(s, j, &first[i]);
 		if (w == SCHED_NONE) {
 			waiting++;
-			if (may_reserve && !waits_for_rack(s, step, &first[i]))
+			if ((may_reserve || first[i].reserved_on) &&
+			    !waits_for_rack(s, step, &first[i]))
 				sched_reserve(s, j, &first[i]);
 			continue;
 		}
@@ -512,55 +519,30 @@
 	}
 }
 
-/* Estimated length of the remaining critical path. */
-static uint32_t remaining_path_ms(const struct job *j)
-{
-	const struct occurrence *o = NULL;
-	uint32_t ends[JOB_STEPS_MAX] = { 0 };
-	uint32_t longest = 0;
-
-	for (uint32_t i = 0; i < j->occurrence_count && !o; i++)
-		if (j->occurrences[i].used)
-			o = &j->occurrences[i];
-	for (uint32_t i = 0; o && i < j->spec.step_count; i++) {
-		uint32_t begin = 0;
-
-		if (!o->tasks_left[i])
-			continue;
-		for (uint32_t k = 0; k < i; k++)
-			if (j->spec.steps[i].depends_on >> k & 1 &&
-			    ends[k] > begin)
-				begin = ends[k];
-		ends[i] = begin + j->spec.steps[i].estimate_ms;
-		if (ends[i] > longest)
-			longest = ends[i];
-	}
-	return longest;
-}
-
 static enum deadline_class deadline_class(const struct sched *s,
 					  const struct job *j)
 {
-	uint64_t end = s->wall_ms + remaining_path_ms(j);
+	uint64_t end = s->wall_ms + sched_remaining_ms(s, j);
 	uint64_t accepted = j->spec.accepted_wall_ms;
+	uint64_t objective_ms = j->deadline_wall_ms - accepted;
 
 	if (job_spec_long_running(&j->spec) || end <= j->deadline_wall_ms)
 		return CLASS_ON_TIME;
-	return end > accepted + LATE_RATIO_MAX *
-					       (j->deadline_wall_ms - accepted)
-		       ? CLASS_HOPELESS
-		       : CLASS_LATE;
+	return end > accepted + LATE_RATIO_MAX * objective_ms ? CLASS_HOPELESS
+							      : CLASS_LATE;
 }
 
 /*
  * Load pattern: a burst exceeds the capacity. Within a priority, jobs that can
- * still meet their objective come first, then late jobs that are still of use,
- * then the rest; each class is ordered by deadline.
+ * still meet their objective come first, then services, then late jobs that are
+ * still of use, then the rest; each class is ordered by deadline.
  */
 static uint64_t sort_key(const struct job *j, enum deadline_class class)
 {
-	return (uint64_t)j->queue.priority << 60 | (uint64_t) class << 56 |
-	       (j->deadline_wall_ms & ((1ull << 56) - 1));
+	uint64_t long_running = job_spec_long_running(&j->spec);
+
+	return (uint64_t)j->queue.priority << 60 | (uint64_t) class << 57 |
+	       long_running << 56 | (j->deadline_wall_ms & ((1ull << 56) - 1));
 }
 
 void sched_place(struct sched *s)
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -14,6 +14,15 @@
  * leave cores idle; see docs/notes/platform.md.
  */
 #define RESERVED_WORKERS_DIVISOR 8u
+/*
+ * Searches in one placement round. Each reads the tasks of many workers, and
+ * demands that fit nowhere repeat theirs in each round.
+ */
+#define SEARCHES_MAX 8u
+/* An urgent task that would wait longer stops other tasks. */
+#define PREEMPT_WAIT_US 150000u
+/* Run times are estimates: a reservation may stay unused for longer. */
+#define RESERVATION_OVERDUE_US 350000u
 /* Tasks considered on a worker; further ones are assumed not to end. */
 #define TASK_ENDS_MAX 64
 
@@ -53,6 +62,15 @@
 		       w->capacity.accelerators + freed->accelerators;
 }
 
+/* Whether a task of the step fits once all finite tasks have ended. */
+static bool may_ever_fit(const struct sched_worker *w,
+			 const struct job_step *step)
+{
+	return w->service_milli + w->reserved.cpu_milli +
+		       step->demand.cpu_milli <=
+	       w->capacity.cpu_milli;
+}
+
 /* Expected time at which a task of the step fits; UINT64_MAX: unknown. */
 static uint64_t earliest_fit_us(const struct sched *s,
 				const struct sched_worker *w,
@@ -69,11 +87,17 @@
 		const struct sched_task *t = &s->tasks[i];
 		const struct job_step *other = sched_task_step(s, t);
 
-		if (other->long_running || other->best_effort)
+		if (t->state != TASK_STOPPING && other->long_running)
 			continue;
-		ends[n].at_us =
-			t->state_since_us + other->estimate_ms * 1000ull;
-		ends[n++].freed = other->demand;
+		ends[n].at_us = t->state == TASK_STOPPING
+					? s->now_us
+					: t->state_since_us +
+						  other->estimate_ms * 1000ull;
+		ends[n].freed = other->demand;
+		/* Their CPU is not counted against the capacity. */
+		if (other->best_effort)
+			ends[n].freed.cpu_milli = 0;
+		n++;
 	}
 	qsort(ends, n, sizeof(ends[0]), compare_task_ends);
 	for (size_t i = 0; i < n; i++) {
@@ -90,12 +114,13 @@
 void sched_reserve_reset(struct sched *s)
 {
 	s->reserved_count = 0;
-	s->reserved_max = 0;
+	s->reserve_searches = 0;
+	s->listed_count = 0;
 	for (uint32_t i = 0; i < s->worker_count; i++) {
 		s->workers[i].reserved = (struct resources){ 0 };
-		s->reserved_max += s->workers[i].listed;
+		s->listed_count += s->workers[i].listed;
 	}
-	s->reserved_max /= RESERVED_WORKERS_DIVISOR;
+	s->reserved_max = s->listed_count / RESERVED_WORKERS_DIVISOR;
 }
 
 /* Whether the task can keep the worker of its previous reservation. */
@@ -114,7 +139,7 @@
 
 /* The worker on which the task is expected to fit first, or SCHED_NONE. */
 static uint32_t find_earliest_fit(const struct sched *s, const struct job *j,
-				  const struct sched_task *t)
+				  const struct sched_task *t, uint64_t *at)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	uint32_t best = SCHED_NONE;
@@ -124,7 +149,8 @@
 		const struct sched_worker *w = &s->workers[i];
 		uint64_t at_us;
 
-		if (!sched_worker_usable(s, w, j, step) ||
+		if (!may_ever_fit(w, step) ||
+		    !sched_worker_usable(s, w, j, step) ||
 		    i == t->last_failed_worker)
 			continue;
 		at_us = earliest_fit_us(s, w, step);
@@ -133,9 +159,36 @@
 		earliest = at_us;
 		best = i;
 	}
+	*at = earliest;
 	return best;
 }
 
+static uint32_t choose_reservation(struct sched *s, const struct job *j,
+				   struct sched_task *t)
+{
+	bool keeps = keeps_reservation(s, j, t);
+	uint32_t best = keeps ? t->reserved_on - 1 : SCHED_NONE;
+	uint32_t preempted;
+	uint64_t at_us;
+
+	/* Another worker would waste the reservation so far. */
+	if (keeps && s->now_us < t->reserved_us + RESERVATION_OVERDUE_US)
+		return best;
+	if (s->reserve_searches++ >= SEARCHES_MAX)
+		return best;
+	if (!keeps) {
+		best = find_earliest_fit(s, j, t, &at_us);
+		if (best != SCHED_NONE && at_us <= s->now_us + PREEMPT_WAIT_US)
+			return best;
+	}
+	preempted = sched_preempt(s, j, t);
+	if (preempted == SCHED_NONE)
+		return best;
+	/* Counts from the stops on. */
+	t->reserved_on = 0;
+	return preempted;
+}
+
 void sched_reserve(struct sched *s, const struct job *j, struct sched_task *t)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
@@ -143,11 +196,11 @@
 
 	if (s->reserved_count >= s->reserved_max || step->best_effort)
 		return;
-	/* Another worker would waste the reservation so far. */
-	best = keeps_reservation(s, j, t) ? t->reserved_on - 1
-					  : find_earliest_fit(s, j, t);
+	best = choose_reservation(s, j, t);
 	if (best == SCHED_NONE)
 		return;
+	if (t->reserved_on != best + 1)
+		t->reserved_us = s->now_us;
 	t->reserved_on = best + 1;
 	s->workers[best].reserved.cpu_milli += step->demand.cpu_milli;
 	s->workers[best].reserved.memory_mb += step->demand.memory_mb;
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -6,6 +6,11 @@
 #include "log.h"
 #include "sched-internal.h"
 
+/*
+ * A service that was stopped for urgent tasks leaves them its room for this
+ * long. The platform expects it back after 6 s if there is room elsewhere.
+ */
+#define PREEMPTED_DELAY_MS 3000u
 /* Delay before a retry, on another worker if possible, after two failures. */
 #define RETRY_DELAY_MS 50u
 
@@ -30,6 +35,10 @@
 	struct occurrence *o;
 
 	t->state = (uint8_t)state;
+	if (t->preempted && state != TASK_STOPPING && !waits) {
+		t->preempted = false;
+		s->stopped_services--;
+	}
 	if (waited == waits)
 		return;
 	o = sched_find_occurrence(j, t->occurrence);
@@ -261,6 +270,7 @@
 	const struct job_step *step = sched_task_step(s, t);
 
 	s->stats.ends_done++;
+	sched_estimate_run(s, t);
 	sched_task_release(s, t);
 	sched_mark_dirty(s, j);
 	if (step->long_running && j->state < SCHED_JOB_COMPLETED) {
@@ -274,6 +284,7 @@
 	if (j->state >= SCHED_JOB_COMPLETED)
 		return;
 	if (!o->tasks_left[t->step]) {
+		sched_estimate_step(s, j, t->step);
 		log_event(LOG_INFO, "step-done",
 			  "job=%s occurrence=%u step=%u age_ms=%llu",
 			  j->spec.id, o->number, t->step,
@@ -320,7 +331,7 @@
 					   : RETRY_DELAY_MS);
 		return;
 	}
-	sched_task_requeue(s, t, 0);
+	sched_task_requeue(s, t, t->preempted ? PREEMPTED_DELAY_MS : 0);
 }
 
 static void handle_start_result(struct sched *s, struct sched_task *t,
--- a/src/sched.c
+++ b/src/sched.c
@@ -94,9 +94,8 @@
 	if (!q)
 		return;
 	j->queue = *q;
-	j->deadline_wall_ms =
-		j->spec.accepted_wall_ms + q->target_latency_ms +
-		(uint64_t)(q->stretch * job_spec_critical_path_ms(&j->spec));
+	j->estimate = sched_estimate_queue(s, q->name);
+	sched_update_deadline(s, j);
 }
 
 void sched_set_policy(struct sched *s, const struct sched_policy *p)
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -445,12 +445,119 @@
 	job_model_free(m);
 }
 
+/*
+ * Load pattern: batch tasks that use spare CPU fill the memory of all workers.
+ * Guards against urgent jobs that wait for their ends, and against batch work
+ * that is stopped without need.
+ */
+static void test_urgent_job_preempts_batch_tasks(void)
+{
+	struct model *m = job_model_create(16, CORES(32), GB(64));
+	struct model_job *urgent[8];
+	struct model_job *batch;
+
+	job_model_run(m, 100);
+	batch = job_model_add_job(m, "batch", 1, 200, CORES(2), GB(8), 20000);
+	batch->spec.steps[0].best_effort = true;
+	batch->spec.steps[0].checkpoints = true;
+	job_model_submit(m, batch);
+	job_model_run(m, 3000);
+	CU_ASSERT_EQUAL(job_model_running(m), 128);
+	for (int i = 0; i < 8; i++) {
+		urgent[i] = job_model_add_job(m, "urgent", 1, 4, CORES(8),
+					      GB(20), 500);
+		job_model_submit(m, urgent[i]);
+		job_model_run(m, 300);
+	}
+	job_model_run(m, 1000);
+	for (int i = 0; i < 8; i++)
+		CU_ASSERT(urgent[i]->completed_ms &&
+			  urgent[i]->completed_ms <=
+				  urgent[i]->submitted_ms + 1100);
+	/* Three batch tasks make room for one urgent task. */
+	CU_ASSERT(m->stops <= 3 * 8 * 4);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/*
+ * Load pattern: services take nearly all CPU. Guards against urgent jobs that
+ * wait for pieces of CPU that are too small, and against services that stay
+ * away, or that may not be stopped and are.
+ */
+static void test_urgent_job_preempts_services(void)
+{
+	struct model *m = job_model_create(16, CORES(32), GB(64));
+	struct model_job *urgent[6];
+	struct model_job *service, *fixed;
+	uint32_t running;
+
+	job_model_run(m, 100);
+	fixed = job_model_add_job(m, "urgent", 1, 16, CORES(6), GB(4), 100);
+	fixed->spec.steps[0].long_running = true;
+	fixed->spec.steps[0].max_unavailable = 1;
+	fixed->work_ms[0] = -1;
+	job_model_submit(m, fixed);
+	service = job_model_add_job(m, "urgent", 1, 64, CORES(6), GB(4), 100);
+	service->spec.steps[0].long_running = true;
+	service->work_ms[0] = -1;
+	job_model_submit(m, service);
+	job_model_run(m, 2000);
+	running = job_model_running(m);
+	CU_ASSERT_EQUAL(running, 80);
+	for (int i = 0; i < 6; i++) {
+		urgent[i] = job_model_add_job(m, "urgent", 1, 4, CORES(12),
+					      GB(8), 500);
+		job_model_submit(m, urgent[i]);
+		job_model_run(m, 400);
+	}
+	job_model_run(m, 1000);
+	for (int i = 0; i < 6; i++)
+		CU_ASSERT(urgent[i]->completed_ms &&
+			  urgent[i]->completed_ms <=
+				  urgent[i]->submitted_ms + 1200);
+	/* The room of one stop serves several jobs. */
+	CU_ASSERT(m->stops > 0 && m->stops <= 12);
+	job_model_run(m, 4000);
+	CU_ASSERT_EQUAL(job_model_running(m), running);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against a step with a limit of absent tasks that is preempted. */
+static void test_limited_services_are_not_preempted(void)
+{
+	struct model *m = job_model_create(4, CORES(32), GB(64));
+	struct model_job *urgent, *service;
+
+	job_model_run(m, 100);
+	service = job_model_add_job(m, "urgent", 1, 20, CORES(6), GB(4), 100);
+	service->spec.steps[0].long_running = true;
+	service->spec.steps[0].max_unavailable = 2;
+	service->work_ms[0] = -1;
+	job_model_submit(m, service);
+	job_model_run(m, 2000);
+	CU_ASSERT_EQUAL(job_model_running(m), 20);
+	urgent = job_model_add_job(m, "urgent", 1, 2, CORES(12), GB(8), 500);
+	job_model_submit(m, urgent);
+	job_model_run(m, 3000);
+	CU_ASSERT_EQUAL(m->stops, 0);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
 		{ "step dependencies", test_step_dependencies },
 		{ "draining worker in a partition keeps tasks",
 		  test_draining_worker_in_partition_keeps_tasks },
+		{ "urgent job preempts batch tasks",
+		  test_urgent_job_preempts_batch_tasks },
+		{ "urgent job preempts services",
+		  test_urgent_job_preempts_services },
+		{ "limited services are not preempted",
+		  test_limited_services_are_not_preempted },
 		{ "successor adopts running tasks",
 		  test_successor_adopts_running_tasks },
 		{ "unresponsive worker keeps tasks until lease expires",
