owner: renew worker leases for 2.5 s past the owner's lease

A successor waits as long before it gives up a worker that does not respond; fencing tokens refuse a former owner everywhere else.

Test: "tasks outlive store outage", fails with 0.5 s in three runs of three.

--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -27,11 +27,12 @@
 /* Clock drift between the store and this process during one lease. */
 #define OWNER_LEASE_CLOCK_MARGIN_US 200000u
 /*
- * Worker leases are renewed for this long after the owner's own lease, so that
- * no task ends in a short outage of the store. A successor waits this long,
- * too.
+ * Worker leases are renewed for this long after the owner's own lease: with the
+ * last poll up to 2 s before its end and leases of 6 s, tasks run on through an
+ * outage of the store of 5.5 s and the election after it. A successor waits
+ * this long, too.
  */
-#define WORKER_LEASE_GRACE_MS 500u
+#define WORKER_LEASE_GRACE_MS 2500u
 /* Staggers the candidates, so that usually only one of them writes. */
 #define ELECTION_JITTER_US 30000u
 /* A VM in a zone far from the store waits some 100 ms longer. */
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -286,6 +286,34 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/*
+ * Guards against work that is given up because the store was away for some
+ * seconds and its owner had to be elected again.
+ */
+static void test_tasks_outlive_store_outage(void)
+{
+	struct jobs_fixture f;
+
+	jobs_fixture_set_up(&f);
+	jobs_fixture_set_queue_host(&f);
+	CU_ASSERT_EQUAL(
+		jobs_fixture_request(&f, 0, "POST", JOB_A_PATH,
+				     "{\"specification\":\"lasts\",\"steps\":[{"
+				     "\"count\":6,\"cpu\":100,\"long-running\":"
+				     "true}]}"),
+		200);
+	jobs_fixture_run(&f, 2500);
+	CU_ASSERT_EQUAL(jobs_platform_running_tasks(f.platform), 6);
+	jobs_platform_faults(f.platform)->unresponsive = true;
+	jobs_fixture_run(&f, 6300);
+	jobs_platform_delete(f.platform, JOB_OWNER_KEY);
+	jobs_platform_faults(f.platform)->unresponsive = false;
+	jobs_fixture_run(&f, 2500);
+	CU_ASSERT_EQUAL(jobs_platform_running_tasks(f.platform), 6);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 6);
+	jobs_fixture_tear_down(&f);
+}
+
 /* If the owner key is deleted, the owner steps down and one is elected. */
 static void test_ownership_revoked(void)
 {
@@ -401,6 +429,8 @@
 		{ "restarted owner claims immediately",
 		  test_restarted_owner_claims_immediately },
 		{ "unresponsive store", test_unresponsive_store },
+		{ "tasks outlive store outage",
+		  test_tasks_outlive_store_outage },
 		{ "ownership revoked", test_ownership_revoked },
 		{ "older configuration ignored", test_older_config_ignored },
 		{ "malformed worker entries", test_malformed_worker_entries },
