relays: no call is left without an outcome

Cause: a relay closed its connections to a worker when the owner announced it again, which happens when calls to it alternate between two relays; a poll in flight ended without a word.

Change: an announcement that repeats what the relay knows does nothing; another address refuses the calls in flight. The owner gives up a call whose outcome is overdue and does not use its relay for 10 s.

--- a/src/job-relay.c
+++ b/src/job-relay.c
@@ -188,7 +188,13 @@
 
 	if (!t)
 		t = add_target(r, w->worker);
-	/* The worker may have another address than before. */
+	else if (!strcmp(t->id, w->id) && !strcmp(t->address.host, w->host) &&
+		 t->address.port == w->port)
+		return;
+	/* Another worker, or another address of the same. */
+	for (uint32_t i = 0; i < RELAY_LANES; i++)
+		if (t->calls[i].busy)
+			refuse_call(r, &t->calls[i].call);
 	close_client(t);
 	snprintf(t->id, sizeof(t->id), "%s", w->id);
 	snprintf(t->address.host, sizeof(t->address.host), "%s", w->host);
--- a/src/log-events.c
+++ b/src/log-events.c
@@ -67,6 +67,7 @@
 	"progress-refused",
 	"refuse",
 	"relay-call-expired",
+	"relay-call-overdue",
 	"relay-disconnected",
 	"relay-joined",
 	"relay-lost",
--- a/src/worker-path.c
+++ b/src/worker-path.c
@@ -28,6 +28,17 @@
 #define SILENCE_IDLE_MAX_US 3500000u
 /* Time without a tick that shows that this process was suspended. */
 #define SUSPENDED_US 400000u
+/*
+ * A relay reports the outcome of a call within the worker's own timeouts. A
+ * call without one for this long beyond the requested wait is given up, as if
+ * the relay were lost.
+ */
+#define OVERDUE_POLL_US 1800000u
+#define OVERDUE_ORDER_US 1500000u
+/* A relay with such a call is not used for this long. */
+#define SUSPECT_US 10000000u
+/* Interval at which overdue calls are looked for. */
+#define OVERDUE_SCAN_US 200000u
 /* A worker returns to its preferred relay after this time on another one. */
 #define PREFERRED_RETRY_US 5000000u
 /* Relays tried before the worker is called directly. */
@@ -44,6 +55,7 @@
 	uint64_t clock_local_us; /* ... received at this time */
 	uint64_t heard_us;	 /* last message, or first call after idle */
 	uint32_t calls_in_flight;
+	uint64_t suspect_until_us; /* not used until then; 0: usable */
 };
 
 struct path_call {
@@ -51,6 +63,7 @@
 	void *arg;
 	uint32_t seq;
 	struct relay *relay;
+	uint64_t overdue_us; /* given up at this time */
 };
 
 struct worker_path {
@@ -75,6 +88,7 @@
 	bool open;
 	uint64_t opened_us;
 	uint64_t last_tick_us;
+	uint64_t next_overdue_scan_us;
 	/* Parallel tables of the connections. */
 	struct relay **relays;
 	struct relay_candidate *candidates;
@@ -87,6 +101,7 @@
 	uint32_t worker_count;
 	struct counter *calls;
 	struct counter *lost;
+	struct counter *overdue;
 	struct counter *malformed;
 	struct counter *connected;
 };
@@ -209,7 +224,7 @@
 
 static void relay_call(struct worker_path *p, struct relay *r, uint32_t lane,
 		       struct relay_message *m, uint64_t deadline_us,
-		       worker_response_fn *fn, void *arg)
+		       uint64_t timeout_us, worker_response_fn *fn, void *arg)
 {
 	struct path_call *c = &p->calls[lane];
 
@@ -217,6 +232,7 @@
 	c->arg = arg;
 	c->relay = r;
 	c->seq++;
+	c->overdue_us = clock_now_us() + timeout_us;
 	if (!r->calls_in_flight++)
 		r->heard_us = clock_now_us();
 	announce_worker(p, r);
@@ -250,7 +266,8 @@
 		return;
 	}
 	m.u.poll = *q;
-	relay_call(p, r, 0, &m, deadline_us, fn, arg);
+	relay_call(p, r, 0, &m, deadline_us,
+		   q->wait_ms * 1000ull + OVERDUE_POLL_US, fn, arg);
 }
 
 void worker_path_order(struct worker_path *p, int connection,
@@ -270,7 +287,8 @@
 	m.u.order.order = *o;
 	m.u.order.fencing_token = fencing_token;
 	m.u.order.lease_until_ms = lease_until_ms;
-	relay_call(p, r, (uint32_t)connection + 1, &m, deadline_us, fn, arg);
+	relay_call(p, r, (uint32_t)connection + 1, &m, deadline_us,
+		   OVERDUE_ORDER_US, fn, arg);
 }
 
 /* Ends a call in flight. */
@@ -428,6 +446,35 @@
 	free_relay(r);
 }
 
+/* A relay that lost a call gets no calls for some time. */
+static void set_usable(struct relay *r, bool usable)
+{
+	r->suspect_until_us = usable ? 0 : clock_now_us() + SUSPECT_US;
+	r->hub->candidates[relay_index(r)].connected = usable;
+	r->hub->assignment_due = true;
+}
+
+/* Gives up the calls of relays that are alive but do not report an outcome. */
+static void drop_overdue_calls(struct relay_hub *h, uint64_t now)
+{
+	struct worker_response lost = { .outcome = WORKER_PATH_LOST };
+
+	h->next_overdue_scan_us = now + OVERDUE_SCAN_US;
+	for (uint32_t i = 0; i < h->path_count; i++)
+		for (uint32_t lane = 0; lane < RELAY_LANES; lane++) {
+			struct worker_path *p = h->paths[i];
+
+			if (!p || !p->calls[lane].fn ||
+			    now < p->calls[lane].overdue_us)
+				continue;
+			counter_add(h->overdue, 1);
+			log_event(LOG_WARNING, "relay-call-overdue",
+				  "worker=%s lane=%u", p->id, lane);
+			set_usable(p->calls[lane].relay, false);
+			complete_call(p, lane, &lost);
+		}
+}
+
 void relay_hub_tick(struct relay_hub *h, uint64_t now)
 {
 	bool suspended = now > h->last_tick_us + SUSPENDED_US;
@@ -438,6 +485,8 @@
 		struct relay *r = h->relays[i];
 
 		/* What the relays sent meanwhile has not been read yet. */
+		if (r->suspect_until_us && now >= r->suspect_until_us)
+			set_usable(r, true);
 		if (suspended)
 			r->heard_us = now;
 		else if (now > r->heard_us + (r->calls_in_flight
@@ -445,6 +494,8 @@
 						      : SILENCE_IDLE_MAX_US))
 			lose_relay(r, "silent");
 	}
+	if (!suspended && now >= h->next_overdue_scan_us)
+		drop_overdue_calls(h, now);
 }
 
 /* ---- hub ---- */
@@ -471,6 +522,7 @@
 	h->flush = event_new(n->base, -1, 0, on_flush, h);
 	h->calls = counter_get(COUNTER, "waxwing_relay_calls_total", NULL);
 	h->lost = counter_get(COUNTER, "waxwing_relay_lost_total", NULL);
+	h->overdue = counter_get(COUNTER, "waxwing_relay_overdue_total", NULL);
 	h->malformed =
 		counter_get(COUNTER, "waxwing_relay_malformed_total", NULL);
 	h->connected = counter_get(GAUGE, "waxwing_relays_connected", NULL);
--- a/tests/test-jobs-relay.c
+++ b/tests/test-jobs-relay.c
@@ -260,6 +260,40 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/*
+ * Guards against a worker that is never polled again, so that its work ends,
+ * because a relay that is alive lost a call.
+ */
+static void test_relay_that_loses_calls(void)
+{
+	struct peer lossy = { 0 };
+	bool completed = false;
+	struct relay_message ping = { .type = RELAY_PING };
+	struct jobs_fixture f;
+	struct sched_stats st;
+	int owner;
+
+	set_up(&f, 300);
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	connect_as_relay(&f, &lossy, owner);
+	CU_ASSERT_EQUAL(
+		jobs_fixture_request(&f, 0, "POST", JOB_A_PATH, JOB_BODY), 200);
+	for (int i = 0; i < 60 && !completed; i++) {
+		ping.u.clock_us = clock_now_us();
+		send_to(&lossy, &ping);
+		completed = jobs_fixture_wait_completed(&f, 0, JOB_A_PATH, 100);
+	}
+	CU_ASSERT(completed);
+	CU_ASSERT_FALSE(lossy.closed);
+	CU_ASSERT(lossy.frames > 0);
+	sched_stats(job_owner_sched(f.entries[owner].node.owner), &st);
+	CU_ASSERT_EQUAL(st.tasks_lost, 0);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), JOB_BODY_TASKS);
+	frame_conn_free(lossy.conn);
+	jobs_fixture_tear_down(&f);
+}
+
 /* Guards against a malformed message that takes the owner down. */
 static void test_malformed_message(void)
 {
@@ -304,12 +338,24 @@
 	o->peer.conn = frame_conn_accept(o->f.base, fd, &peer_ops, &o->peer);
 }
 
+static void announce(struct owner_fixture *o, uint32_t port)
+{
+	struct relay_message worker = { .type = RELAY_WORKER };
+	char id[64];
+
+	snprintf(id, sizeof(id), "i-%u", jobs_fixture_port() + 4u);
+	worker.u.worker.worker = 5;
+	worker.u.worker.id = id;
+	worker.u.worker.host = "127.0.0.1";
+	worker.u.worker.port = port;
+	send_to(&o->peer, &worker);
+}
+
 /* Entry 0 is a relay of the owner that the store names: the test. */
 static void set_up_owner(struct owner_fixture *o)
 {
 	struct sockaddr_in to = { .sin_family = AF_INET };
-	struct relay_message worker = { .type = RELAY_WORKER };
-	char value[64], id[64];
+	char value[64];
 
 	memset(o, 0, sizeof(*o));
 	o->f.base = event_base_new();
@@ -334,12 +380,7 @@
 				 (uint16_t)(jobs_fixture_entry_port(0) + 3));
 	jobs_fixture_run(&o->f, 400);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(o->peer.conn);
-	snprintf(id, sizeof(id), "i-%u", jobs_fixture_port() + 4u);
-	worker.u.worker.worker = 5;
-	worker.u.worker.id = id;
-	worker.u.worker.host = "127.0.0.1";
-	worker.u.worker.port = (uint32_t)jobs_fixture_port() + 4;
-	send_to(&o->peer, &worker);
+	announce(o, (uint32_t)jobs_fixture_port() + 4);
 }
 
 static void tear_down_owner(struct owner_fixture *o)
@@ -365,6 +406,41 @@
 	send_to(&o->peer, &m);
 }
 
+static void send_poll(struct owner_fixture *o, uint32_t seq)
+{
+	struct relay_message m = { .type = RELAY_POLL,
+				   .call = { 5, 0, seq,
+					     clock_now_us() + 1000000 } };
+
+	m.u.poll.fencing_token = 1;
+	m.u.poll.wait_ms = 600;
+	send_to(&o->peer, &m);
+}
+
+/*
+ * Guards against a poll in flight that is dropped without a word when its
+ * worker is announced again, which leaves the worker without polls.
+ */
+static void test_announced_again_during_poll(void)
+{
+	struct owner_fixture o;
+
+	set_up_owner(&o);
+	send_poll(&o, 1);
+	jobs_fixture_run(&o.f, 100);
+	announce(&o, (uint32_t)jobs_fixture_port() + 4);
+	jobs_fixture_run(&o.f, 900);
+	CU_ASSERT_EQUAL(o.peer.last_call.seq, 1);
+	CU_ASSERT_EQUAL(o.peer.last_response.outcome, WORKER_RESPONDED);
+	send_poll(&o, 2);
+	jobs_fixture_run(&o.f, 100);
+	announce(&o, (uint32_t)jobs_fixture_port() + 5);
+	jobs_fixture_run(&o.f, 200);
+	CU_ASSERT_EQUAL(o.peer.last_call.seq, 2);
+	CU_ASSERT_EQUAL(o.peer.last_response.outcome, WORKER_PATH_LOST);
+	tear_down_owner(&o);
+}
+
 /* Guards against an order that is sent after the owner's permission ended. */
 static void test_expired_call_is_not_sent(void)
 {
@@ -430,7 +506,10 @@
 		  test_workers_move_between_relays },
 		{ "peers without relays", test_peers_without_relays },
 		{ "silent relay", test_silent_relay },
+		{ "relay that loses calls", test_relay_that_loses_calls },
 		{ "malformed message", test_malformed_message },
+		{ "announced again during poll",
+		  test_announced_again_during_poll },
 		{ "expired call is not sent", test_expired_call_is_not_sent },
 		{ "suspended relay sends nothing",
 		  test_suspended_relay_sends_nothing },
