tests: no leak in test-jobs-relay, no shared ports of the jobs fixture

Change: the test frees the earlier connection. A process keeps the last port of its block bound and takes the next block if it is in use. No check is changed.

--- a/tests/support-jobs-fixture.c
+++ b/tests/support-jobs-fixture.c
@@ -1,7 +1,9 @@
 #include <event2/event.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "log.h"
@@ -28,10 +30,49 @@
 	return CONFIG_BODY;
 }
 
+/* Returns a socket that is bound to the port, or -1 if it is in use. */
+static int bind_port(uint16_t port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(port) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (fd >= 0 && !bind(fd, (struct sockaddr *)&address, sizeof(address)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+/*
+ * Two processes whose ids fall on the same block must not share it, so the last
+ * port of the block is kept bound until the process exits.
+ */
+static bool claim_block(uint16_t first)
+{
+	int lock = bind_port((uint16_t)(first + PORT_BLOCK_SIZE - 1));
+	int store = lock < 0 ? -1 : bind_port(first);
+
+	if (store >= 0)
+		close(store);
+	else if (lock >= 0)
+		close(lock);
+	return store >= 0;
+}
+
 uint16_t jobs_fixture_port(void)
 {
-	return (uint16_t)(PORT_FIRST +
-			  getpid() % PORT_BLOCKS * PORT_BLOCK_SIZE);
+	static uint16_t first;
+
+	for (int i = 0; !first && i < PORT_BLOCKS; i++) {
+		uint16_t port =
+			(uint16_t)(PORT_FIRST + (getpid() + i) % PORT_BLOCKS *
+							PORT_BLOCK_SIZE);
+
+		if (claim_block(port))
+			first = port;
+	}
+	return first;
 }
 
 uint16_t jobs_fixture_entry_port(int entry)
--- a/tests/test-jobs-relay.c
+++ b/tests/test-jobs-relay.c
@@ -325,6 +325,7 @@
 struct owner_fixture {
 	struct jobs_fixture f;
 	struct peer peer;
+	struct frame_conn *previous; /* before the relay connected again */
 };
 
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
@@ -335,6 +336,8 @@
 	(void)listener;
 	(void)address;
 	(void)len;
+	frame_conn_free(o->previous);
+	o->previous = o->peer.conn;
 	o->peer.conn = frame_conn_accept(o->f.base, fd, &peer_ops, &o->peer);
 }
 
@@ -386,6 +389,7 @@
 static void tear_down_owner(struct owner_fixture *o)
 {
 	frame_conn_free(o->peer.conn);
+	frame_conn_free(o->previous);
 	evconnlistener_free(o->peer.listener);
 	jobs_fixture_tear_down(&o->f);
 }
@@ -490,7 +494,6 @@
 	CU_ASSERT(o.peer.closed);
 	/* It connects again and serves. */
 	CU_ASSERT(o.peer.conn != first);
-	frame_conn_free(first);
 	tear_down_owner(&o);
 }
 
