--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -13,7 +13,8 @@
  *tasks; sched-worker.c: reports and leases; sched-place.c: placement;
  *sched-reserve.c: reservations; sched-preempt.c: urgent jobs that stop other
  *tasks; sched-estimate.c: run times and objectives; sched-interference.c: batch
- *tasks beside services; sched-record.c: the stored progress record.
+ *tasks beside services; sched-wait-log.c: why tasks wait; sched-record.c: the
+ *stored progress record.
  *
  *	Jobs, workers and tasks are stored in growing tables and refer to each
  *	other by index. The tasks of one occurrence are contiguous.
@@ -53,12 +54,13 @@
 	uint32_t prev_on_worker;
 	uint64_t state_since_us; /* time of the last state change */
 	uint64_t retry_us;	 /* earliest next placement */
+	uint64_t wait_logged_us; /* first task of a step: its wait was logged;
+				    0: it does not wait */
 	uint8_t state;
 	uint8_t cpu_percent;	  /* limit ordered, or CPU_PERCENT_UNKNOWN */
 	uint8_t progress_percent; /* progress */
-	bool wait_logged;   /* first task of a step: its wait was logged */
-	bool confirmed;	    /* the worker confirmed the start or stop */
-	bool preempted;	    /* a service stopped for an urgent task */
+	bool confirmed;		  /* the worker confirmed the start or stop */
+	bool preempted;		  /* a service stopped for an urgent task */
 	uint32_t listed_in; /* number of the last report that lists the run */
 	uint32_t metric;
 	char checkpoint[SCHED_CHECKPOINT_BYTES];
@@ -278,6 +280,14 @@
 bool sched_worker_usable(const struct sched *s, const struct sched_worker *w,
 			 const struct job *j, const struct job_step *step);
 
+/* ---- sched-wait-log.c ---- */
+/*
+ * Logs that a task of the step of which first is the first task fits nowhere,
+ * with the number of workers for each reason.
+ */
+void sched_log_wait(struct sched *s, const struct job *j,
+		    struct sched_task *first, uint32_t waiting);
+
 /* ---- sched-reserve.c ---- */
 /* Drops all reservations at the start of a placement round. */
 void sched_reserve_reset(struct sched *s);
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -452,22 +452,19 @@
 		try_gang(s, j, first, NULL);
 }
 
-/* Logs the result of a round for a step and the inputs of the decision. */
+/* Logs the placement of tasks of a step and the inputs of the decision. */
 static void log_step_placement(const struct sched *s, const struct job *j,
-			       const struct sched_task *first, uint32_t placed,
-			       uint32_t waiting,
-			       const struct sched_task *last_placed)
+			       const struct sched_task *last, uint32_t placed,
+			       uint32_t waiting)
 {
-	const struct job_step *step = &j->spec.steps[first->step];
-	const struct sched_worker *w =
-		last_placed ? &s->workers[last_placed->worker] : NULL;
+	const struct job_step *step = &j->spec.steps[last->step];
 
-	log_event(LOG_INFO, placed ? "step-placed" : "step-waits",
+	log_event(LOG_INFO, "step-placed",
 		  "job=%s step=%u placed=%u waiting=%u last_worker=%s cpu=%u "
 		  "memory_mb=%u image=%s age_ms=%llu deadline_in_ms=%lld "
 		  "backlog=%u",
-		  j->spec.id, first->step, placed, waiting,
-		  w ? w->identity->id : "-", step->demand.cpu_milli,
+		  j->spec.id, last->step, placed, waiting,
+		  s->workers[last->worker].identity->id, step->demand.cpu_milli,
 		  step->demand.memory_mb, *step->image ? step->image : "-",
 		  (unsigned long long)sched_job_age_us(s, j) / 1000,
 		  (long long)(j->deadline_wall_ms - s->wall_ms), s->backlog);
@@ -503,11 +500,12 @@
 		last_placed = &first[i];
 		placed++;
 	}
-	/* Log a waiting step only once, to keep a backlog quiet. */
-	if (!placed && (!waiting || first->wait_logged))
-		return;
-	first->wait_logged = !placed;
-	log_step_placement(s, j, first, placed, waiting, last_placed);
+	if (placed) {
+		first->wait_logged_us = 0;
+		log_step_placement(s, j, last_placed, placed, waiting);
+	} else if (waiting) {
+		sched_log_wait(s, j, first, waiting);
+	}
 }
 
 static void place_job(struct sched *s, struct job *j, bool may_reserve)
