--- a/src/counter.h
+++ b/src/counter.h
@@ -26,6 +26,12 @@
 
 enum counter_kind { COUNTER, GAUGE };
 
+/* Bytes exchanged with the store and with relays, by direction. */
+#define COUNTER_STORE_BYTES "waxwing_store_bytes_total"
+#define COUNTER_RELAY_BYTES "waxwing_relay_bytes_total"
+#define COUNTER_SENT "direction=\"sent\""
+#define COUNTER_RECEIVED "direction=\"received\""
+
 struct counter {
 	atomic_llong value;
 };
--- a/src/frame-conn.c
+++ b/src/frame-conn.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "buffer.h"
+#include "counter.h"
 #include "frame-conn.h"
 
 #define HEADER_BYTES 4u
@@ -26,6 +27,8 @@
 	struct event *failed; /* reports the failure from the event loop */
 	struct evbuffer *in;
 	struct evbuffer *out;
+	struct counter *sent_bytes;
+	struct counter *received_bytes;
 	const char *failure;
 	int fd;
 	bool connecting;
@@ -96,6 +99,7 @@
 		fail(c, n ? "read-failed" : "closed-by-peer");
 		return;
 	}
+	counter_add(c->received_bytes, n);
 	c->in_callback = true;
 	deliver_frames(c);
 	c->in_callback = false;
@@ -145,6 +149,9 @@
 	c->ops = ops;
 	c->arg = arg;
 	c->fd = fd;
+	c->sent_bytes = counter_get(COUNTER, COUNTER_RELAY_BYTES, COUNTER_SENT);
+	c->received_bytes =
+		counter_get(COUNTER, COUNTER_RELAY_BYTES, COUNTER_RECEIVED);
 	c->in = evbuffer_new();
 	c->out = evbuffer_new();
 	c->readable = event_new(base, fd, EV_READ | EV_PERSIST, on_readable, c);
@@ -206,6 +213,7 @@
 		return;
 	evbuffer_add(c->out, &header, sizeof(header));
 	evbuffer_add(c->out, data, len);
+	counter_add(c->sent_bytes, (long long)(HEADER_BYTES + len));
 	c->unflushed = true;
 }
 
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -525,6 +525,11 @@
 	o->node->kv->ops->txn(o->node->kv, &t, on_committed, call);
 }
 
+static long long kilobytes(const char *name, const char *direction)
+{
+	return counter_value(counter_get(COUNTER, name, direction)) / 1000;
+}
+
 static void log_status(struct job_owner *o, uint64_t now)
 {
 	struct sched_stats st;
@@ -536,13 +541,18 @@
 	log_event(LOG_INFO, "owner-status",
 		  "epoch=%llu jobs_open=%u tasks_waiting=%u tasks_running=%u "
 		  "workers=%u reporting=%u starts=%llu done=%llu failed=%llu "
-		  "lost=%llu",
+		  "lost=%llu store_sent_kb=%lld store_received_kb=%lld "
+		  "relays_sent_kb=%lld relays_received_kb=%lld",
 		  (unsigned long long)o->epoch, st.jobs_open, st.tasks_waiting,
 		  st.tasks_running, st.workers, st.workers_reporting,
 		  (unsigned long long)st.starts,
 		  (unsigned long long)st.ends_done,
 		  (unsigned long long)st.ends_failed,
-		  (unsigned long long)st.tasks_lost);
+		  (unsigned long long)st.tasks_lost,
+		  kilobytes(COUNTER_STORE_BYTES, COUNTER_SENT),
+		  kilobytes(COUNTER_STORE_BYTES, COUNTER_RECEIVED),
+		  kilobytes(COUNTER_RELAY_BYTES, COUNTER_SENT),
+		  kilobytes(COUNTER_RELAY_BYTES, COUNTER_RECEIVED));
 }
 
 void job_owner_process(struct job_owner *o, uint64_t now)
