sched: a task that crashes its workers is given up

Cause: the tasks of a lost worker returned to the queue without a trace; only ends reported as failed counted as attempts.

A crash now counts for the tasks that started after the worker's last report. Their next run is a probation: on the worker with the least to lose, where no other task starts until this one has run for longer than before the crash. If that worker crashes too, the job fails; else the suspicion is dropped. All crashes are counted as well, for tasks that crash their workers late. The counts are stored in the record's count of failures, in bits that earlier builds ignore.

--- /dev/null
+++ b/src/sched-crash.c
@@ -0,0 +1,248 @@
+#include "log.h"
+#include "sched-internal.h"
+
+/*
+ * Load pattern: a task crashes each worker that starts it, and the other tasks
+ * there lose their runs. Without a bound one such task takes down worker after
+ * worker; a bound on all tasks of a crashed worker gives up sound ones.
+ *
+ * A crash is therefore counted for the tasks that started there after the last
+ * report. Their next run is a probation: on the worker with the least to lose,
+ * where no other task starts until this one has run for longer than before the
+ * crash. Then the suspicion is dropped; if the worker crashes instead, the job
+ * fails. Where workers are short, only a task that is suspected twice waits for
+ * a probation. A task that crashes its workers late is covered by a count of
+ * all crashes.
+ */
+
+/* A task that a report lists this long after its start did not crash there. */
+#define SURVIVAL_US 1000000u
+/* A task that crashes its workers later than this after its start is missed. */
+#define AGE_MAX_US 4000000u
+/* Suspicions that fail a job if the last run was a probation ... */
+#define SUSPICIONS_PROBATION_MAX 2u
+/* ... and if other tasks had just started there, too. */
+#define SUSPICIONS_MAX 3u
+/* Crashes after which a task is on probation whatever else ran there. */
+#define CRASHES_MAX 3u
+/* Probations at a time: a part of the workers, fewer if there are many. */
+#define PROBATIONS_FEW 8u
+#define WORKERS_PER_PROBATION 8u
+#define WORKERS_PER_PROBATION_FEW 2u
+/* A worker that has just restarted may crash again by itself. */
+#define RESTARTED_MS 10000u
+/* Penalties in the score for a probation, in thousandths of all CPU. */
+#define PENALTY_NEW_TASK 2000
+#define PENALTY_RESTARTED 100000
+
+static bool may_have_run(const struct sched_task *t)
+{
+	return t->state == TASK_STARTING || t->state == TASK_RUNNING ||
+	       t->state == TASK_STOPPING || t->state == TASK_UNCONFIRMED;
+}
+
+/* How long the task is known to have run. */
+static uint64_t known_age_us(const struct sched_worker *w,
+			     const struct sched_task *t)
+{
+	if (!t->confirmed || t->state == TASK_UNCONFIRMED ||
+	    w->heard_us < t->state_since_us)
+		return 0;
+	return w->heard_us - t->state_since_us;
+}
+
+/* Run time after which a crash has another cause than the task. */
+static uint64_t survival_us(const struct sched_task *t)
+{
+	bool by_count = t->on_probation && t->crashes >= CRASHES_MAX;
+
+	return (by_count ? t->lost_age_us : t->suspect_age_us) + SURVIVAL_US;
+}
+
+/* How likely it is that the task caused a crash that happens now. */
+enum suspicion {
+	SUSPICION_NONE,
+	SUSPICION_ANY,	     /* ran there */
+	SUSPICION_PROBATION, /* was expected to crash the worker */
+	SUSPICION_NEW,	     /* started after the last report */
+};
+
+static enum suspicion suspicion_of(const struct sched_worker *w,
+				   const struct sched_task *t)
+{
+	uint64_t age_us = known_age_us(w, t);
+
+	if (!may_have_run(t))
+		return SUSPICION_NONE;
+	if (!age_us)
+		return SUSPICION_NEW;
+	return t->on_probation && age_us < survival_us(t) ? SUSPICION_PROBATION
+							  : SUSPICION_ANY;
+}
+
+/* The highest suspicion of a task on the worker, and how many tasks share it.
+ */
+static enum suspicion highest_suspicion(const struct sched *s,
+					const struct sched_worker *w,
+					uint32_t *count)
+{
+	enum suspicion highest = SUSPICION_NONE;
+
+	*count = 0;
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker) {
+		enum suspicion of = suspicion_of(w, &s->tasks[i]);
+
+		if (of > highest) {
+			highest = of;
+			*count = 0;
+		}
+		*count += of == highest;
+	}
+	return highest;
+}
+
+static uint32_t count_new(const struct sched *s, const struct sched_worker *w)
+{
+	uint32_t count;
+
+	return highest_suspicion(s, w, &count) == SUSPICION_NEW ? count : 0;
+}
+
+/* Bounded, so that a probation does not last longer. */
+static void extend(uint64_t *age_us, uint64_t to_us)
+{
+	if (to_us > AGE_MAX_US)
+		to_us = AGE_MAX_US;
+	if (to_us > *age_us)
+		*age_us = to_us;
+}
+
+static void increment(uint8_t *n)
+{
+	if (*n < UINT8_MAX)
+		++*n;
+}
+
+/* sole: no other task is as likely. Returns whether the job fails. */
+static bool suspect(struct sched *s, const struct sched_worker *w,
+		    struct sched_task *t, bool sole)
+{
+	uint64_t age_us = known_age_us(w, t);
+	bool fails;
+
+	increment(&t->suspicions);
+	fails = t->suspicions >= SUSPICIONS_MAX ||
+		(sole && t->on_probation &&
+		 (t->suspicions >= SUSPICIONS_PROBATION_MAX ||
+		  t->crashes > CRASHES_MAX));
+	extend(&t->suspect_age_us, age_us);
+	log_event(fails ? LOG_WARNING : LOG_INFO,
+		  fails ? "task-given-up" : "task-suspected",
+		  "job=%s step=%u index=%u run=%u worker=%s age_ms=%llu "
+		  "crashes=%u suspicions=%u probation=%d sole=%d",
+		  s->jobs[t->job].spec.id, t->step, t->index, t->run,
+		  w->identity->id, (unsigned long long)age_us / 1000,
+		  t->crashes, t->suspicions, t->on_probation, sole);
+	return fails;
+}
+
+uint32_t sched_crash_observed(struct sched *s, const struct sched_worker *w)
+{
+	uint32_t failed_job = SCHED_NONE, count;
+	enum suspicion highest = highest_suspicion(s, w, &count);
+
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker) {
+		struct sched_task *t = &s->tasks[i];
+
+		if (!may_have_run(t))
+			continue;
+		increment(&t->crashes);
+		extend(&t->lost_age_us, known_age_us(w, t));
+		sched_mark_dirty(s, &s->jobs[t->job]);
+		if (suspicion_of(w, t) == highest &&
+		    suspect(s, w, t, count == 1))
+			failed_job = t->job;
+	}
+	return failed_job;
+}
+
+void sched_crash_possible(struct sched *s, struct sched_task *t)
+{
+	if (!may_have_run(t))
+		return;
+	increment(&t->crashes);
+	sched_mark_dirty(s, &s->jobs[t->job]);
+}
+
+bool sched_needs_probation(const struct sched_task *t)
+{
+	return t->suspicions || t->crashes >= CRASHES_MAX;
+}
+
+bool sched_probation_required(const struct sched_task *t)
+{
+	return t->suspicions >= SUSPICIONS_PROBATION_MAX ||
+	       t->crashes >= CRASHES_MAX;
+}
+
+bool sched_probation_available(const struct sched *s)
+{
+	uint32_t max = s->listed_count / WORKERS_PER_PROBATION_FEW;
+
+	if (max > PROBATIONS_FEW)
+		max = PROBATIONS_FEW;
+	if (max < s->listed_count / WORKERS_PER_PROBATION)
+		max = s->listed_count / WORKERS_PER_PROBATION;
+	return s->probations < max || !s->probations;
+}
+
+int64_t sched_probation_score(const struct sched *s,
+			      const struct sched_worker *w)
+{
+	int64_t score = -((int64_t)w->used.cpu_milli + w->best_effort_milli) *
+			1000 / (w->capacity.cpu_milli + 1);
+
+	score -= (int64_t)count_new(s, w) * PENALTY_NEW_TASK;
+	if (s->wall_ms < w->started_wall_ms + RESTARTED_MS)
+		score -= PENALTY_RESTARTED;
+	return score;
+}
+
+void sched_begin_probation(struct sched *s, struct sched_task *t)
+{
+	t->on_probation = true;
+	s->workers[t->worker].probations++;
+	s->probations++;
+}
+
+void sched_end_probation(struct sched *s, struct sched_task *t)
+{
+	if (!t->on_probation)
+		return;
+	t->on_probation = false;
+	s->workers[t->worker].probations--;
+	s->probations--;
+	s->placement_due = true;
+}
+
+void sched_crash_survived(struct sched *s, struct sched_task *t,
+			  uint64_t requested_us)
+{
+	uint64_t age_us;
+
+	if (!t->crashes || t->state != TASK_RUNNING ||
+	    requested_us < t->state_since_us)
+		return;
+	age_us = requested_us - t->state_since_us;
+	if (age_us < survival_us(t))
+		return;
+	sched_end_probation(s, t);
+	t->suspicions = 0;
+	t->suspect_age_us = 0;
+	if (age_us < t->lost_age_us + SURVIVAL_US)
+		return;
+	t->crashes = 0;
+	t->lost_age_us = 0;
+}
--- a/src/sched-interference.c
+++ b/src/sched-interference.c
@@ -36,6 +36,7 @@
 #define REPORT_WAIT_MS 2000u
 #define REPORT_WAIT_SHARED_MS 1000u
 #define REPORT_WAIT_NEAR_TARGET_MS 400u
+#define REPORT_WAIT_PROBATION_MS 400u
 
 static bool is_service(const struct job_step *step)
 {
@@ -334,6 +335,8 @@
 {
 	const struct sched_worker *w = &s->workers[worker];
 
+	if (w->probations)
+		return REPORT_WAIT_PROBATION_MS;
 	if (!w->service_milli || !w->best_effort_milli)
 		return REPORT_WAIT_MS;
 	return w->tail_percent > TARGET_SAFE_PERCENT
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -14,7 +14,8 @@
  *placement; sched-place.c: placement;
  *sched-reserve.c: reservations; sched-preempt.c: urgent jobs that stop other
  *tasks; sched-estimate.c: run times and objectives; sched-interference.c: batch
- *tasks beside services; sched-wait-log.c: why tasks wait; sched-record.c: the
+ *tasks beside services; sched-crash.c: tasks that
+ *crash their workers; sched-wait-log.c: why tasks wait; sched-record.c: the
  *stored progress record.
  *
  *	Jobs, workers and tasks are stored in growing tables and refer to each
@@ -44,6 +45,9 @@
 	uint32_t occurrence; /* its number in the job */
 	uint16_t step;
 	uint16_t failures;
+	uint8_t crashes;     /* of workers, while the task ran there */
+	uint8_t suspicions;  /* crashes that it is suspected of */
+	bool on_probation;   /* its worker starts no other task */
 	uint32_t index;	     /* in the step */
 	uint32_t run;	     /* number of the last run; 0: none */
 	uint32_t failed_run; /* of a gang: the last failed run */
@@ -55,6 +59,8 @@
 	uint32_t prev_on_worker;
 	uint64_t state_since_us; /* time of the last state change */
 	uint64_t retry_us;	 /* earliest next placement */
+	uint64_t lost_age_us;	 /* longest run that a crash ended ... */
+	uint64_t suspect_age_us; /* ... that the task is suspected of */
 	uint64_t stoppable_us;	 /* of a service: earliest preemption */
 	uint64_t wait_logged_us; /* first task of a step: its wait was logged;
 				    0: it does not wait */
@@ -134,6 +140,7 @@
 	bool draining;
 	bool responsive;      /* has answered the last request for a report */
 	bool on_trial;	      /* after quarantine: one finite task at a time */
+	uint8_t probations;   /* tasks on probation: no other is placed */
 	bool headrooms_valid; /* else recomputed on use */
 	uint32_t headroom_count;
 	struct service_headroom headrooms[SERVICE_IMAGES_MAX];
@@ -144,6 +151,7 @@
 	uint64_t ends_seen;	 /* highest sequence number processed */
 	uint64_t ends_collected; /* ... in the records being stored */
 	uint64_t ends_stored;	 /* ... in stored records */
+	uint64_t heard_us;	 /* when the last report was requested */
 	uint64_t lease_end_us;	 /* all leases have expired by then */
 	uint64_t last_action_us; /* last halt, resume or migration of a batch
 				    task */
@@ -219,6 +227,7 @@
 	uint32_t listed_count;	   /* listed workers in this round */
 	uint32_t preempt_cursor;   /* worker at which the next search begins */
 	uint32_t stopped_services; /* preempted tasks, not placed again yet */
+	uint32_t probations;	   /* tasks on probation */
 };
 
 /* ---- sched.c ---- */
@@ -330,6 +339,30 @@
 uint32_t sched_preempt(struct sched *s, const struct job *j,
 		       const struct sched_task *t);
 
+/* ---- sched-crash.c ---- */
+/*
+ * A worker has crashed: counts the crash for the tasks that ran there, before
+ * they are requeued. Returns the index of the job whose task caused it, or
+ * SCHED_NONE if that is not certain.
+ */
+uint32_t sched_crash_observed(struct sched *s, const struct sched_worker *w);
+/* The task's worker may have crashed: its run is gone for an unknown reason. */
+void sched_crash_possible(struct sched *s, struct sched_task *t);
+/* Whether no other task should start beside the task. */
+bool sched_needs_probation(const struct sched_task *t);
+/* Whether no other task may start beside the task; it waits for that. */
+bool sched_probation_required(const struct sched_task *t);
+/* Whether a further task may be placed on probation. */
+bool sched_probation_available(const struct sched *s);
+/* Score of a worker for a probation; higher is better. */
+int64_t sched_probation_score(const struct sched *s,
+			      const struct sched_worker *w);
+void sched_begin_probation(struct sched *s, struct sched_task *t);
+void sched_end_probation(struct sched *s, struct sched_task *t);
+/* A report lists the task: it has not crashed its worker so far. */
+void sched_crash_survived(struct sched *s, struct sched_task *t,
+			  uint64_t requested_us);
+
 /* ---- sched-interference.c ---- */
 /* After a report: limits batch tasks that keep a service above its target. */
 void sched_control_interference(struct sched *s, uint32_t worker);
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -201,7 +201,8 @@
  * fits.
  */
 static uint32_t best_worker(struct sched *s, const struct job *j,
-			    const struct sched_task *t, const char *rack)
+			    const struct sched_task *t, const char *rack,
+			    bool beside_probations)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	uint32_t best = SCHED_NONE;
@@ -213,9 +214,11 @@
 
 		if (!fits(&s->rooms[i], j, step) ||
 		    !sched_worker_usable(s, w, j, step) ||
+		    (w->probations && !beside_probations) ||
 		    (rack && !has_label(w, rack)))
 			continue;
-		value = score(s, w, step, t);
+		value = sched_needs_probation(t) ? sched_probation_score(s, w)
+						 : score(s, w, step, t);
 		if (i == t->last_failed_worker)
 			value -= PENALTY_FAILED_HERE;
 		if (best != SCHED_NONE && value <= best_score)
@@ -246,7 +249,7 @@
 		struct sched_worker *w = &s->workers[i];
 		float headroom;
 
-		if (!sched_worker_usable(s, w, j, step) ||
+		if (!sched_worker_usable(s, w, j, step) || w->probations ||
 		    w->over_target_since_us ||
 		    w->used.memory_mb + step->demand.memory_mb >
 			    w->capacity.memory_mb ||
@@ -335,7 +338,7 @@
 	uint32_t best = SCHED_NONE;
 
 	if (!known_unmet(s, j, step)) {
-		best = best_worker(s, j, t, NULL);
+		best = best_worker(s, j, t, NULL, false);
 		if (best == SCHED_NONE)
 			record_unmet(s, j, step);
 	}
@@ -354,15 +357,30 @@
 						       RACK_WAIT_PERCENT;
 }
 
+/* A task that may wait for its probation runs beside others at once if not. */
+static uint32_t choose_for_probation(struct sched *s, const struct job *j,
+				     const struct sched_task *t)
+{
+	uint32_t best = SCHED_NONE;
+
+	if (sched_probation_available(s))
+		best = best_worker(s, j, t, NULL, false);
+	if (best == SCHED_NONE && !sched_probation_required(t))
+		best = best_worker(s, j, t, NULL, true);
+	return best;
+}
+
 static uint32_t choose_worker(struct sched *s, const struct job *j,
 			      const struct sched_task *t)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	uint32_t best;
 
+	if (sched_needs_probation(t))
+		return choose_for_probation(s, j, t);
 	if (!*step->rack)
 		return choose_any_rack(s, j, t);
-	best = best_worker(s, j, t, step->rack);
+	best = best_worker(s, j, t, step->rack, false);
 	if (best != SCHED_NONE || waits_for_rack(s, step, t))
 		return best;
 	return choose_any_rack(s, j, t);
@@ -379,7 +397,7 @@
 		if (first[i].run > run)
 			run = first[i].run;
 	for (; placed < step->count; placed++) {
-		uint32_t w = best_worker(s, j, &first[placed], rack);
+		uint32_t w = best_worker(s, j, &first[placed], rack, false);
 
 		if (w == SCHED_NONE)
 			break;
@@ -438,13 +456,15 @@
 		       bool may_reserve, struct step_result *r)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
+	bool probation = sched_needs_probation(t);
 	uint32_t w = SCHED_NONE;
 
 	/* The tasks of a step have equal demands. */
-	if (!r->waiting)
+	if (!r->waiting || probation)
 		w = choose_worker(s, j, t);
 	if (w == SCHED_NONE) {
-		r->waiting++;
+		/* The others of the step may fit. */
+		r->waiting += !probation;
 		if ((may_reserve || t->reserved_on) &&
 		    !waits_for_rack(s, step, t))
 			sched_reserve(s, j, t);
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -8,12 +8,16 @@
  * [format, state, ended_wall_ms, started, next occurrence,
  *  [[number, [task, ...]], ...]]
  * A task is nil if it was never placed, true if it is done, else
- * [run, failures, worker id or nil, checkpoint].
+ * [run, counts, worker id or nil, checkpoint]. The lower 16 bits of the counts
+ * are failures, all that earlier versions read; then crashes and suspicions in
+ * 8 bits each.
  */
 #define RECORD_FORMAT 1
 #define RECORD_ELEMENTS 6
 #define TASK_ELEMENTS 4
 #define RECORD_INVALID 2
+#define CRASHES_SHIFT 16
+#define SUSPICIONS_SHIFT 24
 
 static void pack_task(msgpack_packer *pk, const struct sched *s,
 		      const struct sched_task *t)
@@ -28,7 +32,9 @@
 	}
 	msgpack_pack_array(pk, TASK_ELEMENTS);
 	msgpack_pack_uint32(pk, t->run);
-	msgpack_pack_uint32(pk, t->failures);
+	msgpack_pack_uint32(pk, (uint32_t)t->suspicions << SUSPICIONS_SHIFT |
+					(uint32_t)t->crashes << CRASHES_SHIFT |
+					t->failures);
 	if (t->worker == SCHED_NONE)
 		msgpack_pack_nil(pk);
 	else
@@ -109,6 +115,8 @@
 		return false;
 	t->run = (uint32_t)e[0].via.u64;
 	t->failures = (uint16_t)e[1].via.u64;
+	t->crashes = (uint8_t)(e[1].via.u64 >> CRASHES_SHIFT);
+	t->suspicions = (uint8_t)(e[1].via.u64 >> SUSPICIONS_SHIFT);
 	if (j->state >= SCHED_JOB_COMPLETED)
 		t->state = TASK_DROPPED;
 	return restore_worker(s, t, &e[2]);
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -165,6 +165,8 @@
 		s->tasks[w->first_task].prev_on_worker = index;
 	w->first_task = index;
 	account_resources(s, t, 1);
+	if (sched_needs_probation(t))
+		sched_begin_probation(s, t);
 	set_state(s, t, TASK_PLACED);
 	sched_mark_dirty(s, &s->jobs[t->job]);
 }
@@ -173,6 +175,7 @@
 {
 	if (t->worker == SCHED_NONE)
 		return;
+	sched_end_probation(s, t);
 	account_resources(s, t, -1);
 	if (t->prev_on_worker != SCHED_NONE)
 		s->tasks[t->prev_on_worker].next_on_worker = t->next_on_worker;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -50,15 +50,27 @@
 	return s->worker_count++;
 }
 
+/* Why a worker no longer runs its tasks. */
+enum loss {
+	LOSS_CRASHED,
+	LOSS_LEASE_OVER, /* it is silent, and all leases have ended */
+};
+
 /* Requeues all tasks of a worker on which they can no longer run. */
 static void requeue_lost_tasks(struct sched *s, struct sched_worker *w,
-			       const char *reason)
+			       enum loss loss, const char *reason)
 {
+	uint32_t failed_job = SCHED_NONE;
 	uint32_t n = 0;
 
+	/* A worker that drains exits by itself. */
+	if (loss == LOSS_CRASHED && !w->draining)
+		failed_job = sched_crash_observed(s, w);
 	while (w->first_task != SCHED_NONE) {
 		struct sched_task *t = &s->tasks[w->first_task];
 
+		if (loss == LOSS_LEASE_OVER && !w->listed && !w->draining)
+			sched_crash_possible(s, t);
 		sched_task_requeue(s, t, 0);
 		n++;
 	}
@@ -67,6 +79,8 @@
 		log_event(LOG_INFO, "worker-tasks-lost",
 			  "worker=%s tasks=%u why=%s", w->identity->id, n,
 			  reason);
+	if (failed_job != SCHED_NONE)
+		sched_end_job(s, &s->jobs[failed_job], SCHED_JOB_FAILED);
 }
 
 /* A restarted worker runs no task and numbers its run ends from 1 again. */
@@ -74,7 +88,7 @@
 			   uint64_t started_wall_ms)
 {
 	if (w->started_wall_ms)
-		requeue_lost_tasks(s, w, "restarted");
+		requeue_lost_tasks(s, w, LOSS_CRASHED, "restarted");
 	w->started_wall_ms = started_wall_ms;
 	w->ends_seen = 0;
 	w->ends_collected = 0;
@@ -158,7 +172,7 @@
 void sched_worker_dead(struct sched *s, uint32_t worker, uint64_t now_us)
 {
 	sched_worker_unresponsive(s, worker, now_us);
-	requeue_lost_tasks(s, &s->workers[worker], "dead");
+	requeue_lost_tasks(s, &s->workers[worker], LOSS_CRASHED, "dead");
 }
 
 void sched_lease_granted(struct sched *s, uint32_t worker, uint64_t now_us)
@@ -211,7 +225,7 @@
 }
 
 static void handle_running(struct sched *s, uint32_t worker,
-			   const struct sched_run *run)
+			   const struct sched_run *run, uint64_t requested_us)
 {
 	struct sched_task *t = sched_task_find(s, run->task);
 
@@ -233,6 +247,7 @@
 		t->state_since_us = s->now_us;
 		t->confirmed = true;
 	}
+	sched_crash_survived(s, t, requested_us);
 	if ((s->jobs[t->job].state >= SCHED_JOB_COMPLETED &&
 	     t->state == TASK_RUNNING) ||
 	    (t->state == TASK_STOPPING &&
@@ -261,6 +276,8 @@
 		log_event(LOG_INFO, "task-absent",
 			  "task=%s run=%u worker=%s state=%u", name, t->run,
 			  w->identity->id, t->state);
+		if (t->state == TASK_UNCONFIRMED)
+			sched_crash_possible(s, t);
 		sched_task_requeue(s, t, 0);
 	}
 }
@@ -289,6 +306,7 @@
 	w->report_number++;
 	if (r->started_wall_ms && r->started_wall_ms != w->started_wall_ms)
 		handle_restart(s, w, r->started_wall_ms);
+	w->heard_us = r->requested_us;
 	for (size_t i = 0; i < r->ended_count; i++) {
 		if (r->ended[i].seq <= w->ends_seen)
 			continue;
@@ -296,7 +314,7 @@
 		handle_ended(s, worker, &r->ended[i]);
 	}
 	for (size_t i = 0; i < r->running_count; i++)
-		handle_running(s, worker, &r->running[i]);
+		handle_running(s, worker, &r->running[i], r->requested_us);
 	if (!r->ended_truncated)
 		requeue_missing(s, w, r);
 	if (!w->responsive) {
@@ -326,6 +344,6 @@
 		 * expires while a partition keeps it from the store.
 		 */
 		if (s->now_us > w->lease_end_us)
-			requeue_lost_tasks(s, w, "lease-over");
+			requeue_lost_tasks(s, w, LOSS_LEASE_OVER, "lease-over");
 	}
 }
--- a/tests/support-sched.c
+++ b/tests/support-sched.c
@@ -10,6 +10,7 @@
 #define VIOLATION_MS 4000
 #define REPORT_MS 500
 #define BASELINE_TAIL_MS 20
+#define RESTART_US 3000000u
 
 static void on_order(void *arg, const struct sched_order *o);
 static void on_forget(void *arg, const char *id);
@@ -132,6 +133,10 @@
 	r->long_running = step->long_running;
 	r->target_ms = step->target_ms;
 	snprintf(r->image, sizeof(r->image), "%s", step->image);
+	r->crash_after_ms = -1;
+	if (j->crashes_workers && !number &&
+	    (uint32_t)atoi(strrchr(o->task, '.') + 1) == j->crash_index)
+		r->crash_after_ms = j->crash_after_ms;
 	w->changed = true;
 	sched_order_result(m->s, o, SCHED_OK, m->now_us);
 }
@@ -402,6 +407,36 @@
 	}
 }
 
+void job_model_crash_worker(struct model *m, struct model_worker *w)
+{
+	w->run_count = 0;
+	w->ended_count = 0;
+	w->last_end_seq = 0;
+	w->unresponsive = true;
+	w->restarts_us = m->now_us + RESTART_US;
+}
+
+static void crash_or_restart(struct model *m, struct model_worker *w)
+{
+	for (uint32_t i = 0; i < w->run_count; i++) {
+		struct model_run *r = &w->runs[i];
+		uint32_t step;
+
+		r->age_ms += MODEL_STEP_MS;
+		if (r->crash_after_ms < 0 || r->age_ms < r->crash_after_ms)
+			continue;
+		job_of(m, r->task, &step)->crashes++;
+		job_model_crash_worker(m, w);
+		return;
+	}
+	if (!w->restarts_us || m->now_us < w->restarts_us)
+		return;
+	w->restarts_us = 0;
+	w->unresponsive = false;
+	w->started_wall_ms = m->wall_ms;
+	w->changed = true;
+}
+
 static void check_targets(struct model *m, struct model_worker *w)
 {
 	bool over = false;
@@ -455,6 +490,7 @@
 		struct model_worker *w = &m->workers[i];
 
 		run_tasks(m, w);
+		crash_or_restart(m, w);
 		check_targets(m, w);
 		if (m->now_us > w->lease_end_us)
 			while (w->run_count)
--- a/tests/support-sched.h
+++ b/tests/support-sched.h
@@ -35,6 +35,8 @@
 	char image[JOB_NAME_BYTES];
 	uint32_t target_ms;
 	double done_ms;
+	double age_ms;
+	double crash_after_ms; /* then it crashes its worker; negative: never */
 };
 
 struct model_worker {
@@ -58,6 +60,7 @@
 	uint64_t reported_us;
 	bool changed;
 	uint64_t over_since_us; /* a service exceeds its target */
+	uint64_t restarts_us;	/* after a crash; 0: it runs */
 };
 
 struct model_job {
@@ -66,6 +69,11 @@
 	uint64_t submitted_ms;
 	uint64_t completed_ms; /* as reported by the scheduler; 0: not yet */
 	bool refused;
+	/* The task with this index in step 0 crashes its workers. */
+	bool crashes_workers;
+	uint32_t crash_index;
+	double crash_after_ms;
+	uint32_t crashes;
 };
 
 struct model_faults {
@@ -123,6 +131,8 @@
 enum sched_job_state job_model_state(struct model *m,
 				     const struct model_job *j);
 uint32_t job_model_running(const struct model *m);
+/* The worker loses all runs, is silent for 3 s and starts again. */
+void job_model_crash_worker(struct model *m, struct model_worker *w);
 /* Delivers a report of the worker; job_model_run() calls it, too. */
 void job_model_report(struct model *m, struct model_worker *w);
 
--- /dev/null
+++ b/tests/test-sched-crash.c
@@ -0,0 +1,189 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "support-sched.h"
+#include "support-unit.h"
+
+#define CORES(n) ((n)*1000u)
+#define GB(n) ((n)*1000u)
+
+/*
+ * The platform allows two more starts of a task after three workers have
+ * crashed under it.
+ */
+#define CRASHES_ALLOWED 5u
+
+/* Services on all workers, and a stream of urgent jobs. */
+struct load {
+	struct model *m;
+	struct model_job *service;
+	uint32_t first_urgent;
+};
+
+static void begin_load(struct load *l, uint32_t workers)
+{
+	l->m = job_model_create(workers, CORES(16), GB(64));
+	job_model_run(l->m, 100);
+	l->service = job_model_add_job(l->m, "urgent", 1, workers * 2, CORES(4),
+				       GB(4), 100);
+	l->service->spec.steps[0].long_running = true;
+	l->service->work_ms[0] = -1;
+	job_model_submit(l->m, l->service);
+	job_model_run(l->m, 3000);
+	l->first_urgent = l->m->job_count;
+}
+
+/* Adds urgent jobs to the load, every 250 ms. */
+static void run_load(struct load *l, uint32_t ms)
+{
+	for (uint32_t t = 0; t < ms; t += 250) {
+		job_model_submit(l->m, job_model_add_job(l->m, "urgent", 1, 3,
+							 CORES(1), GB(1),
+							 300 + t % 1700));
+		job_model_run(l->m, 250);
+	}
+}
+
+static struct model_job *add_crashing_job(struct load *l, double after_ms)
+{
+	struct model_job *j = job_model_add_job(l->m, "urgent", 1, 6, CORES(1),
+						GB(1), after_ms + 600);
+
+	j->crashes_workers = true;
+	j->crash_index = 3;
+	j->crash_after_ms = after_ms;
+	job_model_submit(l->m, j);
+	return j;
+}
+
+/* All jobs but the given one are done or running. */
+static void expect_others_sound(struct load *l,
+				const struct model_job *crashing)
+{
+	struct model *m = l->m;
+	uint32_t failed = 0, open = 0, services = 0;
+
+	job_model_run(m, 12000);
+	for (uint32_t i = 0; i < m->job_count; i++) {
+		const struct model_job *j = &m->jobs[i];
+
+		if (j == crashing)
+			continue;
+		failed += job_model_state(m, j) == SCHED_JOB_FAILED;
+		open += j != l->service && !j->completed_ms;
+	}
+	for (uint32_t i = 0; i < m->worker_count; i++)
+		for (uint32_t k = 0; k < m->workers[i].run_count; k++)
+			services += m->workers[i].runs[k].long_running;
+	CU_ASSERT_EQUAL(failed, 0);
+	CU_ASSERT_EQUAL(open, 0);
+	CU_ASSERT_EQUAL(services, l->service->spec.steps[0].count);
+	CU_ASSERT_EQUAL(m->faults.duplicate_runs, 0);
+	CU_ASSERT_EQUAL(m->faults.overcommits, 0);
+}
+
+/*
+ * Load pattern: a task crashes each worker 10 ms after its start. Guards
+ * against a task that takes down worker after worker, and against sound tasks
+ * that are given up because they ran beside it.
+ */
+static void test_task_that_crashes_workers_is_given_up(void)
+{
+	static const uint32_t sizes[] = { 2, 6, 24 };
+
+	for (int i = 0; i < 3; i++) {
+		struct model_job *j;
+		struct load l;
+
+		begin_load(&l, sizes[i]);
+		run_load(&l, 1000);
+		j = add_crashing_job(&l, 10);
+		run_load(&l, 30000);
+		CU_ASSERT_EQUAL(job_model_state(l.m, j), SCHED_JOB_FAILED);
+		CU_ASSERT(j->crashes >= 2 && j->crashes <= CRASHES_ALLOWED);
+		printf("%u workers: %u crashes\n", sizes[i], j->crashes);
+		expect_others_sound(&l, j);
+		job_model_free(l.m);
+	}
+}
+
+/* The same with a task that runs for seconds before the crash. */
+static void test_task_that_crashes_workers_late_is_given_up(void)
+{
+	struct model_job *j;
+	struct load l;
+
+	begin_load(&l, 12);
+	run_load(&l, 1000);
+	j = add_crashing_job(&l, 3000);
+	run_load(&l, 60000);
+	CU_ASSERT_EQUAL(job_model_state(l.m, j), SCHED_JOB_FAILED);
+	CU_ASSERT(j->crashes >= 2 && j->crashes <= CRASHES_ALLOWED);
+	printf("%u crashes\n", j->crashes);
+	expect_others_sound(&l, j);
+	job_model_free(l.m);
+}
+
+/* Guards against crashes that a successor of the owner does not know of. */
+static void test_crashes_are_counted_across_failover(void)
+{
+	struct model_job *j;
+	uint32_t seen = 0;
+	struct load l;
+
+	begin_load(&l, 12);
+	run_load(&l, 1000);
+	j = add_crashing_job(&l, 10);
+	for (int i = 0; i < 200; i++) {
+		run_load(&l, 250);
+		if (j->crashes == seen)
+			continue;
+		/* The owner is lost right after the worker. */
+		seen = j->crashes;
+		job_model_fail_over(l.m);
+	}
+	CU_ASSERT_EQUAL(job_model_state(l.m, j), SCHED_JOB_FAILED);
+	CU_ASSERT(j->crashes >= 2 && j->crashes <= CRASHES_ALLOWED);
+	printf("%u crashes\n", j->crashes);
+	expect_others_sound(&l, j);
+	job_model_free(l.m);
+}
+
+/*
+ * Load pattern: workers crash by themselves, some of them again and again.
+ * Guards against sound tasks that are given up for it.
+ */
+static void test_crashing_workers_fail_no_job(void)
+{
+	struct load l;
+
+	begin_load(&l, 24);
+	for (int i = 0; i < 80; i++) {
+		struct model_worker *w = &l.m->workers[i % 3 * 5];
+
+		if (!w->restarts_us)
+			job_model_crash_worker(l.m, w);
+		if (i == 40)
+			for (int k = 8; k < 16; k++)
+				job_model_crash_worker(l.m, &l.m->workers[k]);
+		run_load(&l, 500);
+	}
+	expect_others_sound(&l, NULL);
+	job_model_free(l.m);
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "task that crashes workers is given up",
+		  test_task_that_crashes_workers_is_given_up },
+		{ "task that crashes workers late is given up",
+		  test_task_that_crashes_workers_late_is_given_up },
+		{ "crashes are counted across failover",
+		  test_crashes_are_counted_across_failover },
+		{ "crashing workers fail no job",
+		  test_crashing_workers_fail_no_job },
+	};
+
+	return RUN_SUITE("sched-crash", tests);
+}
