tests: starts stay within a capacity that shrinks and grows

In the model, capacities halve and grow again under full load, with a change of the owner: no start exceeds the capacity, and all jobs end.

--- a/tests/test-sched-load.c
+++ b/tests/test-sched-load.c
@@ -305,6 +305,60 @@
 	job_model_free(m);
 }
 
+static void set_capacity(struct model *m, uint32_t from, uint32_t cpu_milli,
+			 uint32_t memory_mb)
+{
+	for (uint32_t i = from; i < m->worker_count; i += 2) {
+		m->workers[i].capacity.cpu_milli = cpu_milli;
+		m->workers[i].capacity.memory_mb = memory_mb;
+	}
+}
+
+/*
+ * Load pattern: the capacity of workers shrinks below what runs there and grows
+ * again, while all are full and the owner is replaced. Guards against starts
+ * beyond the capacity (rule LIMIT), and against room that is not used again.
+ */
+static void test_starts_stay_within_changing_capacity(void)
+{
+	struct model *m = job_model_create(8, CORES(16), GB(64));
+	struct model_job *service, *batch;
+	uint32_t open = 0;
+
+	job_model_run(m, 100);
+	service = job_model_add_job(m, "urgent", 1, 16, CORES(4), GB(4), 100);
+	service->spec.steps[0].long_running = true;
+	service->work_ms[0] = -1;
+	job_model_submit(m, service);
+	batch = job_model_add_job(m, "batch", 1, 60, CORES(2), GB(6), 3000);
+	batch->spec.steps[0].best_effort = true;
+	batch->spec.steps[0].checkpoints = true;
+	job_model_submit(m, batch);
+	for (uint32_t i = 0; i < 200; i++) {
+		if (i % 20 == 5)
+			set_capacity(m, i / 20 % 2, CORES(5), GB(20));
+		if (i % 20 == 15)
+			set_capacity(m, i / 20 % 2, CORES(16), GB(64));
+		if (i == 90)
+			job_model_fail_over(m);
+		job_model_submit(m,
+				 job_model_add_job(m, "urgent", 1, 4, CORES(3),
+						   GB(5), 300 + i * 37 % 700));
+		if (i % 10 == 9)
+			sched_cancel(m->s, m->jobs[m->job_count - 1].spec.id,
+				     m->now_us, m->wall_ms);
+		job_model_run(m, 150);
+	}
+	job_model_run(m, 15000);
+	for (uint32_t i = 0; i < m->job_count; i++)
+		open += &m->jobs[i] != service && !m->jobs[i].completed_ms &&
+			job_model_state(m, &m->jobs[i]) != SCHED_JOB_CANCELLED;
+	CU_ASSERT_EQUAL(open, 0);
+	CU_ASSERT_EQUAL(m->faults.overcommits, 0);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -314,6 +368,8 @@
 		  test_urgent_job_preempts_services },
 		{ "stopped services return under urgent load",
 		  test_stopped_services_return_under_urgent_load },
+		{ "starts stay within changing capacity",
+		  test_starts_stay_within_changing_capacity },
 		{ "limited services are not preempted",
 		  test_limited_services_are_not_preempted },
 		{ "disturbing job is not starved",
