sched: nothing starts beside a run that the owner does not know of

Cause: a run that the owner does not know of (of a former owner, or an order that was executed late) was stopped, but took no room in the owner's tables. Until it had ended, up to 0.9 s later, other tasks started beside it.

A worker whose last report lists such a run now gets no task. Test 'no start beside unknown run' (an overcommitted worker without the change).

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -140,6 +140,7 @@
 	bool draining;
 	bool responsive;      /* has answered the last request for a report */
 	bool on_trial;	      /* after quarantine: one finite task at a time */
+	bool has_unknown_run; /* takes room that is not counted as used */
 	uint8_t probations;   /* tasks on probation: no other is placed */
 	bool headrooms_valid; /* else recomputed on use */
 	uint32_t headroom_count;
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -83,7 +83,7 @@
 static bool available(const struct sched *s, const struct sched_worker *w)
 {
 	return w->listed && w->responsive && !w->draining &&
-	       s->now_us >= w->quarantine_end_us &&
+	       !w->has_unknown_run && s->now_us >= w->quarantine_end_us &&
 	       s->now_us >= w->full_until_us;
 }
 
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -230,6 +230,7 @@
 	struct sched_task *t = sched_task_find(s, run->task);
 
 	if (!t || t->worker != worker || t->run != run->run) {
+		s->workers[worker].has_unknown_run = true;
 		stop_unknown_run(s, worker, run);
 		return;
 	}
@@ -313,6 +314,8 @@
 		w->ends_seen = r->ended[i].seq;
 		handle_ended(s, worker, &r->ended[i]);
 	}
+	s->placement_due = s->placement_due || w->has_unknown_run;
+	w->has_unknown_run = false;
 	for (size_t i = 0; i < r->running_count; i++)
 		handle_running(s, worker, &r->running[i], r->requested_us);
 	if (!r->ended_truncated)
--- a/tests/support-sched.c
+++ b/tests/support-sched.c
@@ -156,8 +156,10 @@
 	}
 	if (o->type == SCHED_STOP) {
 		m->stops++;
-		if (r && r->run == o->run)
+		if (r && r->run == o->run && !m->stop_ms)
 			end_run(m, w, r, SCHED_END_STOPPED);
+		else if (r && r->run == o->run && !r->stops_us)
+			r->stops_us = m->now_us + m->stop_ms * 1000ull;
 	} else {
 		m->throttles++;
 		if (r && r->run == o->run)
@@ -416,6 +418,13 @@
 	w->restarts_us = m->now_us + RESTART_US;
 }
 
+static void end_stopping_runs(struct model *m, struct model_worker *w)
+{
+	for (uint32_t i = w->run_count; i-- > 0;)
+		if (w->runs[i].stops_us && m->now_us >= w->runs[i].stops_us)
+			end_run(m, w, &w->runs[i], SCHED_END_STOPPED);
+}
+
 static void crash_or_restart(struct model *m, struct model_worker *w)
 {
 	for (uint32_t i = 0; i < w->run_count; i++) {
@@ -490,6 +499,7 @@
 		struct model_worker *w = &m->workers[i];
 
 		run_tasks(m, w);
+		end_stopping_runs(m, w);
 		crash_or_restart(m, w);
 		check_targets(m, w);
 		if (m->now_us > w->lease_end_us)
--- a/tests/support-sched.h
+++ b/tests/support-sched.h
@@ -37,6 +37,7 @@
 	double done_ms;
 	double age_ms;
 	double crash_after_ms; /* then it crashes its worker; negative: never */
+	uint64_t stops_us;     /* when a stop takes effect; 0: none ordered */
 };
 
 struct model_worker {
@@ -96,6 +97,7 @@
 	struct model_job *jobs;
 	uint32_t job_count;
 	bool store_down;
+	uint32_t stop_ms; /* how long a stop takes */
 	struct {
 		char id[JOB_ID_BYTES];
 		char *data;
--- a/tests/test-sched-load.c
+++ b/tests/test-sched-load.c
@@ -359,6 +359,37 @@
 	job_model_free(m);
 }
 
+/*
+ * Guards against a start beside a run that the owner does not know of, such as
+ * one of a predecessor that was ordered late, before that run has ended (rule
+ * LIMIT: what is being stopped still counts).
+ */
+static void test_no_start_beside_unknown_run(void)
+{
+	struct model *m = job_model_create(1, CORES(16), GB(64));
+	struct model_worker *w = &m->workers[0];
+	struct model_run *stray = &w->runs[0];
+	struct model_job *j;
+
+	m->stop_ms = 900;
+	job_model_run(m, 100);
+	strcpy(stray->task, "00000000000000ff.0.0.0");
+	stray->run = 1;
+	stray->left_ms = 60000;
+	stray->cpu_milli = CORES(12);
+	stray->memory_mb = GB(8);
+	stray->crash_after_ms = -1;
+	w->run_count = 1;
+	w->changed = true;
+	job_model_run(m, 20);
+	j = job_model_add_job(m, "urgent", 1, 1, CORES(8), GB(8), 300);
+	job_model_submit(m, j);
+	job_model_run(m, 3000);
+	CU_ASSERT(j->completed_ms > 0);
+	CU_ASSERT_EQUAL(m->faults.overcommits, 0);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -368,6 +399,8 @@
 		  test_urgent_job_preempts_services },
 		{ "stopped services return under urgent load",
 		  test_stopped_services_return_under_urgent_load },
+		{ "no start beside unknown run",
+		  test_no_start_beside_unknown_run },
 		{ "starts stay within changing capacity",
 		  test_starts_stay_within_changing_capacity },
 		{ "limited services are not preempted",
