sched: members of a gang start beside each other's probations

After a crash under new members of a gang, each was on probation and no other task could start on its worker. With more members than workers the gang never started again. Members start together, so they now count as one. A task that is being stopped is no longer taken for a new one when its worker crashes.

Test 'gang starts again after crash' (fails without the change).

--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -74,14 +74,16 @@
 
 	if (!may_have_run(t))
 		return SUSPICION_NONE;
+	/* A task that is being stopped has run before. */
+	if (t->state == TASK_STOPPING)
+		return SUSPICION_ANY;
 	if (!age_us)
 		return SUSPICION_NEW;
 	return t->on_probation && age_us < survival_us(t) ? SUSPICION_PROBATION
 							  : SUSPICION_ANY;
 }
 
-/* The highest suspicion of a task on the worker, and how many tasks share it.
- */
+/* The highest suspicion of a task on the worker; count: of how many tasks. */
 static enum suspicion highest_suspicion(const struct sched *s,
 					const struct sched_worker *w,
 					uint32_t *count)
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -397,7 +397,8 @@
 		if (first[i].run > run)
 			run = first[i].run;
 	for (; placed < step->count; placed++) {
-		uint32_t w = best_worker(s, j, &first[placed], rack, false);
+		/* Members start together: none can run without the others. */
+		uint32_t w = best_worker(s, j, &first[placed], rack, true);
 
 		if (w == SCHED_NONE)
 			break;
--- a/tests/test-sched-crash.c
+++ b/tests/test-sched-crash.c
@@ -172,6 +172,28 @@
 	job_model_free(l.m);
 }
 
+/*
+ * Guards against a gang that never starts again, because its members may not
+ * start beside each other.
+ */
+static void test_gang_starts_again_after_crash(void)
+{
+	struct model *m = job_model_create(2, CORES(16), GB(64));
+	struct model_job *j =
+		job_model_add_job(m, "urgent", 1, 8, CORES(2), GB(2), 1500);
+
+	j->spec.steps[0].gang = true;
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 100);
+	CU_ASSERT_EQUAL(job_model_running(m), 8);
+	job_model_crash_worker(m, &m->workers[0]);
+	job_model_crash_worker(m, &m->workers[1]);
+	job_model_run(m, 8000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -181,6 +203,8 @@
 		  test_task_that_crashes_workers_late_is_given_up },
 		{ "crashes are counted across failover",
 		  test_crashes_are_counted_across_failover },
+		{ "gang starts again after crash",
+		  test_gang_starts_again_after_crash },
 		{ "crashing workers fail no job",
 		  test_crashing_workers_fail_no_job },
 	};
