sched: reasons of a wait for services only, unmet demands by image

On a small VM that owns 490 workers with 20,000 waiting tasks, counting why each worker is ruled out took a fifth of the placement time, as each batch step that begins to wait counted 490 workers; and with room for 96 unmet demands each step compared with all of them.

step-waits has its former fields again; services get step-waits-for with the counts. Unmet demands lie in buckets by image.

--- a/src/log-events.c
+++ b/src/log-events.c
@@ -103,6 +103,7 @@
 	"step-done",
 	"step-placed",
 	"step-waits",
+	"step-waits-for",
 	"stopped",
 	"store-call-failed",
 	"store-key-unknown",
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -180,7 +180,9 @@
 	float steps;	 /* observed, up to a maximum */
 };
 
-#define UNMET_MAX 96
+/* By image, so that a look-up reads few. */
+#define UNMET_BUCKETS 32u
+#define UNMET_MAX 16u /* in a bucket */
 /* Demand that no worker could meet in the current placement round. */
 struct unmet_demand {
 	uint32_t service;
@@ -188,6 +190,11 @@
 	struct resources demand;
 };
 
+struct unmet_bucket {
+	struct unmet_demand list[UNMET_MAX];
+	uint32_t count;
+};
+
 struct sched {
 	const struct sched_ops *ops;
 	void *arg;
@@ -220,8 +227,7 @@
 	uint32_t backlog; /* waiting tasks at the last round */
 	struct sched_stats stats;
 	struct pair_model pairs;
-	struct unmet_demand unmet[UNMET_MAX];
-	uint32_t unmet_count;
+	struct unmet_bucket unmet[UNMET_BUCKETS];
 	uint32_t reserved_count;   /* reservations of this placement round */
 	uint32_t reserved_max;	   /* limit of reserved_count */
 	uint32_t reserve_searches; /* of this placement round */
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -305,12 +305,20 @@
 	       a->accelerators <= b->accelerators;
 }
 
+static struct unmet_bucket *unmet_bucket(struct sched *s,
+					 const struct job_step *step)
+{
+	return &s->unmet[unmet_image(step) % UNMET_BUCKETS];
+}
+
 /* Whether a demand no larger than this was not met in this round. */
-static bool known_unmet(const struct sched *s, const struct job *j,
+static bool known_unmet(struct sched *s, const struct job *j,
 			const struct job_step *step)
 {
-	for (uint32_t i = 0; i < s->unmet_count; i++) {
-		const struct unmet_demand *u = &s->unmet[i];
+	const struct unmet_bucket *b = unmet_bucket(s, step);
+
+	for (uint32_t i = 0; i < b->count; i++) {
+		const struct unmet_demand *u = &b->list[i];
 
 		if (u->image == unmet_image(step) && u->service == j->service &&
 		    no_larger(&u->demand, &step->demand))
@@ -326,22 +334,22 @@
 static void record_unmet(struct sched *s, const struct job *j,
 			 const struct job_step *step)
 {
+	struct unmet_bucket *b = unmet_bucket(s, step);
 	uint32_t i = 0;
 
 	if (*step->label || *step->rack || step->per_worker_max)
 		return;
-	while (i < s->unmet_count &&
-	       (s->unmet[i].image != unmet_image(step) ||
-		s->unmet[i].service != j->service ||
-		!no_larger(&step->demand, &s->unmet[i].demand)))
+	while (i < b->count && (b->list[i].image != unmet_image(step) ||
+				b->list[i].service != j->service ||
+				!no_larger(&step->demand, &b->list[i].demand)))
 		i++;
 	if (i == UNMET_MAX)
 		return;
-	if (i == s->unmet_count)
-		s->unmet_count++;
-	s->unmet[i].service = j->service;
-	s->unmet[i].image = unmet_image(step);
-	s->unmet[i].demand = step->demand;
+	if (i == b->count)
+		b->count++;
+	b->list[i].service = j->service;
+	b->list[i].image = unmet_image(step);
+	b->list[i].demand = step->demand;
 }
 
 static uint32_t choose_any_rack(struct sched *s, const struct job *j,
@@ -572,7 +580,8 @@
 	sched_reserve_reset(s);
 	for (uint32_t i = 0; i < s->worker_count; i++)
 		sched_update_room(s, i);
-	s->unmet_count = 0;
+	for (uint32_t i = 0; i < UNMET_BUCKETS; i++)
+		s->unmet[i].count = 0;
 	n = sched_list_candidates(s, &list);
 	for (uint32_t i = 0; i < n; i++)
 		place_job(s, &s->jobs[list[i].job], list[i].class);
--- a/src/sched-wait-log.c
+++ b/src/sched-wait-log.c
@@ -15,61 +15,64 @@
 	uint32_t accelerators;
 	uint32_t reserved; /* has room, which is reserved for other tasks */
 	uint32_t at_max;   /* has the maximum of tasks of the step */
-	uint32_t disturbed;
 };
 
-static void count_reason(struct sched *s, struct sched_worker *w,
+static void count_reason(const struct sched *s, const struct sched_worker *w,
 			 const struct job *j, const struct sched_task *t,
 			 struct wait_reasons *r)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	const struct resources *d = &step->demand;
-	const struct worker_room *room = &s->rooms[w - s->workers];
 
 	if (!sched_worker_usable(s, w, j, step))
 		r->not_usable++;
 	else if (w->used.memory_mb + d->memory_mb > w->capacity.memory_mb)
 		r->memory++;
-	else if (step->best_effort
-			 ? room->best_effort_milli < (int64_t)d->cpu_milli
-			 : w->used.cpu_milli + d->cpu_milli >
-				   w->capacity.cpu_milli)
+	else if (w->used.cpu_milli + d->cpu_milli > w->capacity.cpu_milli)
 		r->cpu++;
 	else if (w->used.accelerators + d->accelerators >
 		 w->capacity.accelerators)
 		r->accelerators++;
 	else if (!sched_below_worker_max(s, w, t, step))
 		r->at_max++;
-	else if (step->best_effort &&
-		 sched_interference_headroom(s, w, step) < 0)
-		r->disturbed++;
 	else
 		r->reserved++;
 }
 
+/* Many batch steps wait in a burst; reasons are logged for services only. */
+static void log_reasons(struct sched *s, const struct job *j,
+			const struct sched_task *first)
+{
+	struct wait_reasons r = { 0 };
+
+	for (uint32_t i = 0; i < s->worker_count; i++)
+		if (s->workers[i].listed && s->workers[i].service == j->service)
+			count_reason(s, &s->workers[i], j, first, &r);
+	log_event(LOG_INFO, "step-waits-for",
+		  "job=%s step=%u not_usable=%u no_memory=%u no_cpu=%u "
+		  "no_accelerator=%u at_max=%u reserved=%u reservations=%u/%u",
+		  j->spec.id, first->step, r.not_usable, r.memory, r.cpu,
+		  r.accelerators, r.at_max, r.reserved, s->reserved_count,
+		  s->reserved_max);
+}
+
 void sched_log_wait(struct sched *s, const struct job *j,
 		    struct sched_task *first, uint32_t waiting)
 {
 	const struct job_step *step = &j->spec.steps[first->step];
-	struct wait_reasons r = { 0 };
 
 	if (first->wait_logged_us &&
 	    (!step->long_running ||
 	     s->now_us < first->wait_logged_us + SERVICE_WAIT_LOG_US))
 		return;
 	first->wait_logged_us = s->now_us;
-	for (uint32_t i = 0; i < s->worker_count; i++)
-		if (s->workers[i].listed && s->workers[i].service == j->service)
-			count_reason(s, &s->workers[i], j, first, &r);
 	log_event(LOG_INFO, "step-waits",
 		  "job=%s step=%u waiting=%u cpu=%u memory_mb=%u image=%s "
-		  "age_ms=%llu deadline_in_ms=%lld backlog=%u not_usable=%u "
-		  "no_memory=%u no_cpu=%u no_accelerator=%u at_max=%u "
-		  "disturbed=%u reserved=%u reservations=%u/%u",
+		  "age_ms=%llu deadline_in_ms=%lld backlog=%u",
 		  j->spec.id, first->step, waiting, step->demand.cpu_milli,
 		  step->demand.memory_mb, *step->image ? step->image : "-",
 		  (unsigned long long)sched_job_age_us(s, j) / 1000,
-		  (long long)(j->deadline_wall_ms - s->wall_ms), s->backlog,
-		  r.not_usable, r.memory, r.cpu, r.accelerators, r.at_max,
-		  r.disturbed, r.reserved, s->reserved_count, s->reserved_max);
+		  (long long)(j->deadline_wall_ms - s->wall_ms), s->backlog);
+	if (step->long_running)
+		log_reasons(s, j, first);
 }
