sched: batch steps that cannot fit are left without reading their tasks

With 20,000 waiting tasks a placement round read the tasks of each waiting step to find the first one that waits, and summed the idle CPU of 490 workers for each batch job that had waited for 1.5 s.

A batch step whose demand is known not to fit in this round is left at once, unless most CPU is idle or a task of the job is suspected of a crash; the idle CPU is summed once a round.

--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -161,6 +161,7 @@
 		if (!may_have_run(t))
 			continue;
 		increment(&t->crashes);
+		s->jobs[t->job].has_suspect = true;
 		extend(&t->lost_age_us, known_age_us(w, t));
 		sched_mark_dirty(s, &s->jobs[t->job]);
 		if (suspicion_of(w, t) == highest &&
@@ -175,6 +176,7 @@
 	if (!may_have_run(t))
 		return;
 	increment(&t->crashes);
+	s->jobs[t->job].has_suspect = true;
 	sched_mark_dirty(s, &s->jobs[t->job]);
 }
 
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -105,9 +105,10 @@
 	uint64_t ended_wall_ms;
 	uint64_t deadline_wall_ms; /* latency objective */
 	bool used;
-	bool started;	/* a task was started */
-	bool dirty;	/* changed since its record was collected */
-	bool collected; /* its record is being stored */
+	bool started;	  /* a task was started */
+	bool has_suspect; /* a worker crashed under a task */
+	bool dirty;	  /* changed since its record was collected */
+	bool collected;	  /* its record is being stored */
 };
 
 #define SERVICE_IMAGES_MAX 8
@@ -228,6 +229,9 @@
 	struct sched_stats stats;
 	struct pair_model pairs;
 	struct unmet_bucket unmet[UNMET_BUCKETS];
+	bool idle_known; /* idle is valid in this placement round ... */
+	bool idle;	 /* much of the CPU of the service's workers is */
+	uint32_t idle_service;
 	uint32_t reserved_count;   /* reservations of this placement round */
 	uint32_t reserved_max;	   /* limit of reserved_count */
 	uint32_t reserve_searches; /* of this placement round */
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -264,11 +264,17 @@
 	return best;
 }
 
-/* Whether a large part of the CPU of a service's workers is idle. */
-static bool mostly_idle(const struct sched *s, uint32_t service)
+/*
+ * Whether a large part of the CPU of a service's workers is idle, at its first
+ * use in this placement round.
+ */
+static bool mostly_idle(struct sched *s, uint32_t service)
 {
 	uint64_t used_milli = 0, capacity_milli = 0;
 
+	if (s->idle_known && s->idle_service == service)
+		return s->idle;
+
 	for (uint32_t i = 0; i < s->worker_count; i++) {
 		const struct sched_worker *w = &s->workers[i];
 
@@ -279,7 +285,10 @@
 			      w->service_milli *
 				      (100 - SERVICE_CPU_USE_PERCENT) / 100;
 	}
-	return used_milli * 100 < capacity_milli * MOSTLY_IDLE_MAX_PERCENT;
+	s->idle_known = true;
+	s->idle_service = service;
+	s->idle = used_milli * 100 < capacity_milli * MOSTLY_IDLE_MAX_PERCENT;
+	return s->idle;
 }
 
 static bool has_no_placed_task(const struct sched *s, const struct job *j)
@@ -520,6 +529,14 @@
 	return !step->best_effort && s->reserved_count < s->reserved_max;
 }
 
+/* Whether no task of a batch step can be placed; reads none of its tasks. */
+static bool cannot_fit(struct sched *s, const struct job *j,
+		       const struct job_step *step)
+{
+	return step->best_effort && !*step->rack && !j->has_suspect &&
+	       known_unmet(s, j, step) && !mostly_idle(s, j->service);
+}
+
 static void place_step(struct sched *s, struct job *j, struct sched_task *first,
 		       enum deadline_class class)
 {
@@ -531,6 +548,8 @@
 		place_gang(s, j, first);
 		return;
 	}
+	if (first->wait_logged_us && cannot_fit(s, j, step))
+		return;
 	if (class == CLASS_OVERDUE_SERVICE) {
 		struct sched_task *t = NULL;
 
@@ -580,6 +599,7 @@
 	sched_reserve_reset(s);
 	for (uint32_t i = 0; i < s->worker_count; i++)
 		sched_update_room(s, i);
+	s->idle_known = false;
 	for (uint32_t i = 0; i < UNMET_BUCKETS; i++)
 		s->unmet[i].count = 0;
 	n = sched_list_candidates(s, &list);
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -117,6 +117,7 @@
 	t->failures = (uint16_t)e[1].via.u64;
 	t->crashes = (uint8_t)(e[1].via.u64 >> CRASHES_SHIFT);
 	t->suspicions = (uint8_t)(e[1].via.u64 >> SUSPICIONS_SHIFT);
+	j->has_suspect = j->has_suspect || t->crashes;
 	if (j->state >= SCHED_JOB_COMPLETED)
 		t->state = TASK_DROPPED;
 	return restore_worker(s, t, &e[2]);
