sched: list the files of the core as a table

The description in sched-internal.h had become one ragged paragraph; the comment on sched_log_wait() described an earlier state. No code changes.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -9,14 +9,19 @@
  *	sched-internal - data structures of the scheduling core
  *
  * DESCRIPTION
- *	sched.c: jobs; sched-view.c: what callers and metrics see; sched-task.c:
- *tasks; sched-worker.c: reports and leases; sched-order.c: order of
- *placement; sched-place.c: placement;
- *sched-reserve.c: reservations; sched-preempt.c: urgent jobs that stop other
- *tasks; sched-estimate.c: run times and objectives; sched-interference.c: batch
- *tasks beside services; sched-crash.c: tasks that
- *crash their workers; sched-wait-log.c: why tasks wait; sched-record.c: the
- *stored progress record.
+ *	sched.c		jobs
+ *	sched-view.c	what callers and metrics see
+ *	sched-task.c	tasks
+ *	sched-worker.c	reports and leases
+ *	sched-order.c	order of placement
+ *	sched-place.c	placement
+ *	sched-reserve.c	reservations
+ *	sched-preempt.c	urgent jobs that stop other tasks
+ *	sched-crash.c	tasks that crash their workers
+ *	sched-estimate.c	run times and objectives
+ *	sched-interference.c	batch tasks beside services
+ *	sched-wait-log.c	why tasks wait
+ *	sched-record.c	the stored progress record
  *
  *	Jobs, workers and tasks are stored in growing tables and refer to each
  *	other by index. The tasks of one occurrence are contiguous.
@@ -332,8 +337,8 @@
 
 /* ---- sched-wait-log.c ---- */
 /*
- * Logs that a task of the step of which first is the first task fits nowhere,
- * with the number of workers for each reason.
+ * Logs that tasks of a step fit nowhere; of a service, also the number of
+ * workers that each reason rules out. first: the first task of the step.
  */
 void sched_log_wait(struct sched *s, const struct job *j,
 		    struct sched_task *first, uint32_t waiting);
