--- a/src/log-events.c
+++ b/src/log-events.c
@@ -41,6 +41,7 @@
 	"no-thread",
 	"operator-denied",
 	"order-lost",
+	"order-refused",
 	"order-without-worker",
 	"out-of-memory",
 	"owner-acting",
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -74,8 +74,10 @@
 	uint8_t state;
 	uint8_t cpu_percent;	  /* limit ordered, or CPU_PERCENT_UNKNOWN */
 	uint8_t progress_percent; /* progress */
-	bool confirmed;		  /* the worker confirmed the start or stop */
-	bool preempted;		  /* a service stopped for an urgent task */
+	uint8_t unanswered; /* copies of the run's start without an answer,
+			       which may still be carried out */
+	bool confirmed;	    /* the worker confirmed the start or stop */
+	bool preempted;	    /* a service stopped for an urgent task */
 	uint32_t listed_in; /* number of the last report that lists the run */
 	uint32_t metric;
 	char checkpoint[SCHED_CHECKPOINT_BYTES];
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -19,6 +19,11 @@
 static const char *const end_reason_names[] = { "done",	  "failed", "stopped",
 						"lapsed", "broken", "alone" };
 
+static const char *const result_names[] = { "ok",	 "no-capacity",
+					    "stale-run", "lease-expired",
+					    "unhealthy", "invalid",
+					    "not-sent",	 "unknown" };
+
 static uint32_t task_index(const struct sched *s, const struct sched_task *t)
 {
 	return (uint32_t)(t - s->tasks);
@@ -157,6 +162,7 @@
 	t->reserved_on = 0;
 	t->run++;
 	t->confirmed = false;
+	t->unanswered = 0;
 	t->cpu_percent = 100;
 	t->progress_percent = 0;
 	t->prev_on_worker = SCHED_NONE;
@@ -340,6 +346,18 @@
 	sched_task_requeue(s, t, t->preempted ? PREEMPTED_DELAY_MS : 0);
 }
 
+static void log_refused(const struct sched *s, const struct sched_task *t,
+			const struct sched_order *o, enum sched_result result)
+{
+	if (result == SCHED_OK || result == SCHED_NOT_SENT ||
+	    result == SCHED_OUTCOME_UNKNOWN)
+		return;
+	log_event(LOG_INFO, "order-refused",
+		  "task=%s run=%u type=%d worker=%s result=%s unanswered=%u",
+		  o->task, o->run, o->type, s->workers[t->worker].identity->id,
+		  result_names[result], t->unanswered);
+}
+
 static void handle_start_result(struct sched *s, struct sched_task *t,
 				enum sched_result result)
 {
@@ -394,6 +412,10 @@
 	s->now_us = now_us;
 	if (!t || t->run != o->run || t->worker != o->worker)
 		return;
+	log_refused(s, t, o, result);
+	if (o->type == SCHED_START && result == SCHED_OUTCOME_UNKNOWN &&
+	    t->unanswered < UINT8_MAX)
+		t->unanswered++;
 	if (o->type == SCHED_START &&
 	    (t->state == TASK_STARTING ||
 	     (t->state == TASK_STOPPING && result == SCHED_OK))) {
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -276,8 +276,9 @@
 			continue;
 		sched_task_name(s, t, name);
 		log_event(LOG_INFO, "task-absent",
-			  "task=%s run=%u worker=%s state=%u", name, t->run,
-			  w->identity->id, t->state);
+			  "task=%s run=%u worker=%s state=%u unanswered=%u",
+			  name, t->run, w->identity->id, t->state,
+			  t->unanswered);
 		if (t->state == TASK_UNCONFIRMED && sched_crash_possible(s, t))
 			failed_job = t->job;
 		sched_task_requeue(s, t, sched_crash_delay_ms(t));
