--- a/tests/support-sched.c
+++ b/tests/support-sched.c
@@ -4,7 +4,7 @@
 #include <time.h>
 
 #include "buffer.h"
-#include "support-sched.h"
+#include "support-sched-internal.h"
 
 #define LEASE_MAX_MS 6000
 #define VIOLATION_MS 4000
@@ -27,7 +27,7 @@
 	return (uint64_t)ts.tv_sec * 1000000000u + (uint64_t)ts.tv_nsec;
 }
 
-static struct model_worker *worker_of(struct model *m, uint32_t handle)
+struct model_worker *job_model_worker(struct model *m, uint32_t handle)
 {
 	for (uint32_t i = 0; i < m->worker_count; i++)
 		if (m->workers[i].handle == handle)
@@ -57,6 +57,7 @@
 	e->reason = reason;
 	e->checkpoint = reason == SCHED_END_STOPPED ? "saved" : "";
 	w->ended_count++;
+	job_model_reject_run(w, r->task, r->run);
 	*r = w->runs[--w->run_count];
 	w->changed = true;
 }
@@ -140,21 +141,19 @@
 	    (uint32_t)atoi(strrchr(o->task, '.') + 1) == j->crash_index)
 		r->crash_after_ms = j->crash_after_ms;
 	w->changed = true;
-	sched_order_result(m->s, o, SCHED_OK, m->now_us);
 }
 
-static void execute_order(struct model *m, const struct sched_order *o)
+enum sched_result job_model_execute(struct model *m, struct model_worker *w,
+				    const struct sched_order *o)
 {
-	struct model_worker *w = worker_of(m, o->worker);
-	struct model_run *r;
+	struct model_run *r = find_run(w, o->task);
 
-	if (!w || w->unresponsive)
-		return; /* no answer */
-	r = find_run(w, o->task);
-	sched_lease_granted(m->s, o->worker, m->now_us);
 	if (o->type == SCHED_START) {
-		start(m, w, o);
-		return;
+		if (job_model_rejects(w, o->task, o->run))
+			return SCHED_STALE_RUN;
+		if (!r || r->run != o->run)
+			start(m, w, o);
+		return SCHED_OK;
 	}
 	if (o->type == SCHED_STOP) {
 		m->stops++;
@@ -162,12 +161,24 @@
 			end_run(m, w, r, SCHED_END_STOPPED);
 		else if (r && r->run == o->run && !r->stops_us)
 			r->stops_us = m->now_us + m->stop_ms * 1000ull;
+		else if (!r || r->run != o->run)
+			job_model_reject_run(w, o->task, o->run);
 	} else {
 		m->throttles++;
 		if (r && r->run == o->run)
 			r->cpu_percent = o->cpu_percent;
 	}
-	sched_order_result(m->s, o, SCHED_OK, m->now_us);
+	return SCHED_OK;
+}
+
+static void execute_at_once(struct model *m, const struct sched_order *o)
+{
+	struct model_worker *w = job_model_worker(m, o->worker);
+
+	if (!w || w->unresponsive)
+		return; /* no answer */
+	sched_lease_granted(m->s, o->worker, m->now_us);
+	sched_order_result(m->s, o, job_model_execute(m, w, o), m->now_us);
 }
 
 /* Excludes the worker's execution of an order from the scheduler's CPU time. */
@@ -176,7 +187,10 @@
 	struct model *m = arg;
 	uint64_t begin = cpu_ns();
 
-	execute_order(m, o);
+	if (m->fate)
+		job_model_queue_order(m, o);
+	else
+		execute_at_once(m, o);
 	m->core_ns -= cpu_ns() - begin;
 }
 
@@ -224,6 +238,7 @@
 		free_job(&m->jobs[i]);
 	for (uint32_t i = 0; i < m->record_count; i++)
 		free(m->records[i].data);
+	free(m->orders);
 	free(m->jobs);
 	free(m);
 }
@@ -425,6 +440,7 @@
 	w->run_count = 0;
 	w->ended_count = 0;
 	w->last_end_seq = 0;
+	w->rejected_count = 0;
 	w->unresponsive = true;
 	w->restarts_us = m->now_us + RESTART_US;
 }
@@ -506,6 +522,7 @@
 	m->now_us += MODEL_STEP_MS * 1000;
 	m->wall_ms += MODEL_STEP_MS;
 	list_workers(m);
+	job_model_deliver_orders(m);
 	for (uint32_t i = 0; i < m->worker_count; i++) {
 		struct model_worker *w = &m->workers[i];
 
--- a/tests/support-sched.h
+++ b/tests/support-sched.h
@@ -22,6 +22,7 @@
 #define MODEL_RUNS_MAX 256 /* on one worker */
 #define MODEL_JOBS_MAX 2048
 #define MODEL_STEP_MS 10
+#define MODEL_REJECTED_MAX 512 /* kept by a worker */
 
 struct model_run {
 	char task[SCHED_TASK_NAME_BYTES];
@@ -40,6 +41,12 @@
 	uint64_t stops_us;     /* when a stop takes effect; 0: none ordered */
 };
 
+/* A run that has ended or was stopped: none up to it is started any more. */
+struct model_rejected {
+	char task[SCHED_TASK_NAME_BYTES];
+	uint32_t run;
+};
+
 struct model_worker {
 	char id[JOB_NAME_BYTES];
 	uint32_t handle;
@@ -50,6 +57,8 @@
 	char ended_names[MODEL_RUNS_MAX * 8][SCHED_TASK_NAME_BYTES];
 	uint32_t ended_count;
 	uint64_t last_end_seq;
+	struct model_rejected rejected[MODEL_REJECTED_MAX];
+	uint32_t rejected_count; /* total; the table is a ring */
 	uint64_t started_wall_ms;
 	bool unresponsive; /* no answers; tasks run until the lease expires */
 	bool failing;	   /* every run fails after 20 ms */
@@ -89,6 +98,23 @@
 	uint32_t restarts_after_done; /* starts of a task that was done */
 };
 
+/* What becomes of one copy of an order. */
+enum model_outcome {
+	MODEL_EXECUTED,
+	MODEL_REFUSED,	   /* with the result; not executed */
+	MODEL_ANSWER_LOST, /* executed at once */
+	MODEL_LATE,	   /* no answer; executed after late_ms */
+	MODEL_LOST,	   /* no answer, not executed */
+};
+
+struct model_fate {
+	enum model_outcome outcome;
+	enum sched_result result;
+	uint32_t late_ms;
+};
+
+struct model_order;
+
 struct model {
 	struct sched *s;
 	struct sched_settings settings;
@@ -112,6 +138,14 @@
 	uint32_t throttles;
 	uint64_t core_ns; /* CPU time of the scheduler */
 	struct model_faults faults;
+	/*
+	 * Decides what becomes of an order. NULL: all are executed, and
+	 * answered before the call of ops->order() returns.
+	 */
+	struct model_fate (*fate)(struct model *m, const struct sched_order *o);
+	void *fate_arg;
+	struct model_order *orders; /* queued or in flight; see fate */
+	uint32_t order_count;
 	/* slowdown of a service image by a batch image, per CPU share */
 	double (*slope)(const char *service, const char *batch);
 };
--- /dev/null
+++ b/tests/test-sched-unanswered.c
@@ -0,0 +1,289 @@
+#include <string.h>
+
+#include "support-sched.h"
+#include "support-unit.h"
+
+#define CORES(n) ((n)*1000u)
+#define GB(n) ((n)*1000u)
+
+/* Fates of the orders of a test, by their number among orders of a type. */
+struct script {
+	struct model_fate starts[8];
+	struct model_fate stops[8];
+	uint32_t start_count;
+	uint32_t stop_count;
+	uint32_t starts_at_draining;
+};
+
+static bool is_draining(const struct model *m, uint32_t handle)
+{
+	for (uint32_t i = 0; i < m->worker_count; i++)
+		if (m->workers[i].handle == handle)
+			return m->workers[i].draining;
+	return false;
+}
+
+static struct model_fate scripted(struct model *m, const struct sched_order *o)
+{
+	struct script *script = m->fate_arg;
+
+	if (o->type == SCHED_START) {
+		script->starts_at_draining += is_draining(m, o->worker);
+		return script->starts[script->start_count++ % 8];
+	}
+	return script->stops[script->stop_count++ % 8];
+}
+
+static struct model *create_model(uint32_t workers, struct script *script)
+{
+	struct model *m = job_model_create(workers, CORES(16), GB(64));
+
+	m->fate = scripted;
+	m->fate_arg = script;
+	m->stop_ms = 200;
+	job_model_run(m, 100);
+	return m;
+}
+
+static struct model_job *submit_task(struct model *m, double work_ms)
+{
+	struct model_job *j =
+		job_model_add_job(m, "urgent", 1, 1, CORES(2), GB(2), work_ms);
+
+	job_model_submit(m, j);
+	return j;
+}
+
+static void expect_no_faults(const struct model *m)
+{
+	CU_ASSERT_EQUAL(m->faults.duplicate_runs, 0);
+	CU_ASSERT_EQUAL(m->faults.restarts_after_done, 0);
+	CU_ASSERT_EQUAL(m->faults.overcommits, 0);
+	CU_ASSERT_EQUAL(m->faults.unstored_starts, 0);
+}
+
+static void check_refused_repetition(enum sched_result refusal)
+{
+	struct script script = {
+		.starts = { { .outcome = MODEL_LATE, .late_ms = 2500 },
+			    { .outcome = MODEL_REFUSED, .result = refusal } },
+	};
+	struct model *m = create_model(2, &script);
+	struct model_job *j = submit_task(m, 4000);
+
+	job_model_run(m, 12000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	CU_ASSERT_EQUAL(job_model_running(m), 0);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/*
+ * Guards against a second run of a task whose first start had no answer and was
+ * carried out after its repetition had been refused.
+ */
+static void test_refused_repetition_leaves_first_copy(void)
+{
+	check_refused_repetition(SCHED_UNHEALTHY);
+	check_refused_repetition(SCHED_NO_CAPACITY);
+	check_refused_repetition(SCHED_LEASE_EXPIRED);
+	check_refused_repetition(SCHED_INVALID);
+}
+
+/* Guards against a wait for copies that do not exist. */
+static void test_refused_first_copy_is_placed_at_once(void)
+{
+	struct script script = {
+		.starts = { { .outcome = MODEL_REFUSED,
+			      .result = SCHED_UNHEALTHY } },
+	};
+	struct model *m = create_model(2, &script);
+	struct model_job *j = submit_task(m, 300);
+
+	job_model_run(m, 600);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	CU_ASSERT_EQUAL(script.stop_count, 0);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/*
+ * Guards against a stop that counts as carried out although the worker refused
+ * it: the run that it is for begins later.
+ */
+static void test_refused_stop_is_repeated(void)
+{
+	struct script script = {
+		.starts = { { .outcome = MODEL_LATE, .late_ms = 2500 },
+			    { .outcome = MODEL_REFUSED,
+			      .result = SCHED_UNHEALTHY } },
+		.stops = { { .outcome = MODEL_REFUSED,
+			     .result = SCHED_UNHEALTHY },
+			   { .outcome = MODEL_REFUSED,
+			     .result = SCHED_INVALID } },
+	};
+	struct model *m = create_model(2, &script);
+	struct model_job *j = submit_task(m, 4000);
+
+	job_model_run(m, 12000);
+	CU_ASSERT(script.stop_count >= 3);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against a cancelled job of which a late start runs on. */
+static void test_cancelled_job_has_no_late_run(void)
+{
+	struct script script = {
+		.starts = { { .outcome = MODEL_LATE, .late_ms = 2500 } },
+		.stops = { { .outcome = MODEL_REFUSED,
+			     .result = SCHED_UNHEALTHY } },
+	};
+	struct model *m = create_model(1, &script);
+	struct model_job *j = submit_task(m, 20000);
+
+	job_model_run(m, 100);
+	sched_cancel(m->s, j->spec.id, m->now_us, m->wall_ms);
+	job_model_run(m, 3000);
+	CU_ASSERT_EQUAL(job_model_running(m), 0);
+	CU_ASSERT_EQUAL(m->starts, 0);
+	job_model_free(m);
+}
+
+/* Guards against workers that refuse all stops and get one each round trip. */
+static void test_refused_stops_are_paced(void)
+{
+	struct script script = {
+		.starts = { { .outcome = MODEL_LATE, .late_ms = 60000 },
+			    { .outcome = MODEL_REFUSED,
+			      .result = SCHED_UNHEALTHY } },
+	};
+	struct model *m = create_model(2, &script);
+
+	for (int i = 0; i < 8; i++)
+		script.stops[i] =
+			(struct model_fate){ .outcome = MODEL_REFUSED,
+					     .result = SCHED_UNHEALTHY };
+	submit_task(m, 300);
+	job_model_run(m, 3000);
+	CU_ASSERT(script.stop_count >= 5);
+	CU_ASSERT(script.stop_count <= 40);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* ---- random orders ---- */
+
+struct disorder {
+	uint32_t late_percent;
+	uint32_t lost_percent;
+	uint32_t refused_percent; /* at the workers that refuse any */
+	uint32_t refusing_workers;
+};
+
+static const enum sched_result refusals[] = { SCHED_UNHEALTHY, SCHED_UNHEALTHY,
+					      SCHED_NO_CAPACITY };
+
+static struct model_fate random_fate(struct model *m,
+				     const struct sched_order *o)
+{
+	const struct disorder *d = m->fate_arg;
+	uint32_t draw = rng_below(&m->rng, 100);
+
+	if (draw < d->late_percent)
+		return (struct model_fate){ .outcome = MODEL_LATE,
+					    .late_ms = 2000 + rng_below(&m->rng,
+									4000) };
+	draw -= d->late_percent;
+	if (draw < d->lost_percent)
+		return (struct model_fate){
+			.outcome = draw % 2 ? MODEL_LOST : MODEL_ANSWER_LOST
+		};
+	if (o->worker < d->refusing_workers &&
+	    rng_below(&m->rng, 100) < d->refused_percent)
+		return (struct model_fate){
+			.outcome = MODEL_REFUSED,
+			.result = o->type == SCHED_START
+					  ? refusals[rng_below(&m->rng, 3)]
+					  : SCHED_UNHEALTHY,
+		};
+	return (struct model_fate){ .outcome = MODEL_EXECUTED };
+}
+
+static void check_disorder(uint64_t seed, struct disorder *d)
+{
+	struct model *m = job_model_create(8, CORES(16), GB(64));
+	uint32_t open = 0;
+
+	m->rng.state = seed;
+	m->fate = random_fate;
+	m->fate_arg = d;
+	m->stop_ms = 200;
+	job_model_run(m, 100);
+	for (int i = 0; i < 40; i++) {
+		struct model_job *j = job_model_add_job(
+			m, "urgent", 1 + i % 2, 4, CORES(2), GB(2),
+			200 + rng_below(&m->rng, 2500));
+
+		job_model_submit(m, j);
+		job_model_run(m, 250);
+		if (i % 7 == 3)
+			sched_cancel(m->s, j->spec.id, m->now_us, m->wall_ms);
+		if (i % 10 == 5)
+			m->workers[i / 10].draining = true;
+		if (i % 10 == 9)
+			m->workers[i / 10].draining = false;
+	}
+	job_model_run(m, 30000);
+	for (uint32_t i = 0; i < m->job_count; i++) {
+		enum sched_job_state state = job_model_state(m, &m->jobs[i]);
+
+		open += state != SCHED_JOB_COMPLETED &&
+			state != SCHED_JOB_CANCELLED;
+	}
+	if (m->faults.duplicate_runs || m->faults.restarts_after_done || open)
+		printf("seed=%llu late=%u refused=%u duplicates=%u again=%u "
+		       "open=%u\n",
+		       (unsigned long long)seed, d->late_percent,
+		       d->refused_percent, m->faults.duplicate_runs,
+		       m->faults.restarts_after_done, open);
+	CU_ASSERT_EQUAL(open, 0);
+	CU_ASSERT_EQUAL(job_model_running(m), 0);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/*
+ * Load pattern: for seconds, half of the orders have no answer and are carried
+ * out late, beside workers that refuse some. Guards against two runs of a task
+ * and against tasks that are never placed again.
+ */
+static void test_late_orders_beside_refusing_workers(void)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		struct disorder few = { 6, 2, 40, 1 };
+		struct disorder many = { 50, 5, 50, 3 };
+
+		check_disorder(seed, &few);
+		check_disorder(seed, &many);
+	}
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "refused repetition leaves first copy",
+		  test_refused_repetition_leaves_first_copy },
+		{ "refused first copy is placed at once",
+		  test_refused_first_copy_is_placed_at_once },
+		{ "refused stop is repeated", test_refused_stop_is_repeated },
+		{ "cancelled job has no late run",
+		  test_cancelled_job_has_no_late_run },
+		{ "refused stops are paced", test_refused_stops_are_paced },
+		{ "late orders beside refusing workers",
+		  test_late_orders_beside_refusing_workers },
+	};
+
+	return RUN_SUITE("sched-unanswered", tests);
+}
