sched: a refused stop is ordered again

A stop that a worker refused (429, 503 or 400) counted as executed. When the run was not there yet, because its start had no answer and was carried out late, the next report did not list it, and the task was placed again or dropped: the late start then ran a second time, or for a cancelled job.

What concerns stops moves to sched-stop.c.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -12,6 +12,7 @@
  *	sched.c		jobs
  *	sched-view.c	what callers and metrics see
  *	sched-task.c	tasks
+ *	sched-stop.c	stops
  *	sched-worker.c	reports and leases
  *	sched-order.c	order of placement
  *	sched-place.c	placement
@@ -205,6 +206,14 @@
 	uint32_t count;
 };
 
+/* A refused stop that is ordered again. */
+struct stop_retry {
+	uint32_t task; /* index */
+	uint32_t run;
+	uint32_t worker;
+	uint64_t due_us;
+};
+
 struct sched {
 	const struct sched_ops *ops;
 	void *arg;
@@ -225,6 +234,8 @@
 	uint32_t task_capacity;
 	struct task_block *free_blocks;
 	uint32_t free_block_count;
+	struct stop_retry *stop_retries;
+	uint32_t stop_retry_count;
 	struct sched_worker *workers;
 	struct worker_room *rooms; /* by worker */
 	uint32_t worker_count;
@@ -280,7 +291,9 @@
 void sched_task_requeue(struct sched *s, struct sched_task *t,
 			uint32_t pause_ms);
 void sched_task_start(struct sched *s, struct sched_task *t);
-void sched_task_stop(struct sched *s, struct sched_task *t);
+/* Passes an order for the task's run to its worker. */
+void sched_task_order(struct sched *s, struct sched_task *t,
+		      enum sched_order_type type);
 void sched_task_ended(struct sched *s, struct sched_task *t, enum sched_end how,
 		      const char *checkpoint);
 /* Replaces the checkpoint unless the new value is empty or too long. */
@@ -292,6 +305,13 @@
 struct sched_task *sched_task_find(struct sched *s, const char *name);
 bool sched_task_on_worker(const struct sched_task *t);
 
+/* ---- sched-stop.c ---- */
+void sched_task_stop(struct sched *s, struct sched_task *t);
+void sched_stop_result(struct sched *s, struct sched_task *t,
+		       enum sched_result result);
+/* Orders refused stops again that are due. */
+void sched_stops_tick(struct sched *s);
+
 /* ---- sched-worker.c ---- */
 /* Returns the worker's index; adds it if only a stored record names it. */
 uint32_t sched_worker_add(struct sched *s, const char *id);
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -208,8 +208,8 @@
 	s->placement_due = true;
 }
 
-static void send_order(struct sched *s, struct sched_task *t,
-		       enum sched_order_type type)
+void sched_task_order(struct sched *s, struct sched_task *t,
+		      enum sched_order_type type)
 {
 	struct sched_order o = { .type = type,
 				 .worker = t->worker,
@@ -226,14 +226,7 @@
 {
 	set_state(s, t, TASK_STARTING);
 	s->stats.starts++;
-	send_order(s, t, SCHED_START);
-}
-
-void sched_task_stop(struct sched *s, struct sched_task *t)
-{
-	set_state(s, t, TASK_STOPPING);
-	t->confirmed = false;
-	send_order(s, t, SCHED_STOP);
+	sched_task_order(s, t, SCHED_START);
 }
 
 /* The end of one member completes all tasks of a gang. */
@@ -399,7 +392,7 @@
 	case SCHED_OUTCOME_UNKNOWN:
 		/* Safe to repeat: a run is started at most once. */
 		if (t->state == TASK_STARTING)
-			send_order(s, t, SCHED_START);
+			sched_task_order(s, t, SCHED_START);
 		break;
 	}
 }
@@ -424,12 +417,7 @@
 		else
 			t->confirmed = true;
 	} else if (o->type == SCHED_STOP && t->state == TASK_STOPPING) {
-		/* Once confirmed, the next report no longer lists the run. */
-		t->state_since_us = now_us;
-		t->confirmed = result != SCHED_OUTCOME_UNKNOWN &&
-			       result != SCHED_NOT_SENT;
-		if (!t->confirmed)
-			send_order(s, t, SCHED_STOP);
+		sched_stop_result(s, t, result);
 	} else if (o->type == SCHED_THROTTLE && result != SCHED_OK) {
 		t->cpu_percent = CPU_PERCENT_UNKNOWN;
 	}
--- a/src/sched.c
+++ b/src/sched.c
@@ -59,6 +59,7 @@
 	free(s->jobs);
 	free(s->tasks);
 	free(s->free_blocks);
+	free(s->stop_retries);
 	for (uint32_t i = 0; i < s->worker_count; i++)
 		free(s->workers[i].identity);
 	free(s->workers);
@@ -467,6 +468,7 @@
 	s->now_us = now_us;
 	s->wall_ms = wall_ms;
 	sched_workers_tick(s);
+	sched_stops_tick(s);
 	for (uint32_t i = 0; i < s->job_count; i++) {
 		struct job *j = &s->jobs[i];
 
