sched: a refused start is given up only when no copy can be executed

A start without an answer is repeated. When the worker refused the repetition (429, 503, no room, late, invalid), the task was placed elsewhere at once, although the first copy could still be executed: workers that are slow do so seconds later. Class of fault: the refusal of one copy taken for the outcome of all.

Such a start is now given up by a stop, which makes the worker reject every copy of the run; the task keeps its room there and is placed again when a report that was requested after the stop does not list it. The worker is asked to report within 100 ms meanwhile. A start of which no copy is unanswered is placed again at once, as before.

--- a/src/sched-interference.c
+++ b/src/sched-interference.c
@@ -37,6 +37,7 @@
 #define REPORT_WAIT_SHARED_MS 1000u
 #define REPORT_WAIT_NEAR_TARGET_MS 400u
 #define REPORT_WAIT_PROBATION_MS 400u
+#define REPORT_WAIT_GIVEN_UP_MS 100u
 
 static bool is_service(const struct job_step *step)
 {
@@ -335,6 +336,8 @@
 {
 	const struct sched_worker *w = &s->workers[worker];
 
+	if (sched_worker_has_given_up_start(s, worker))
+		return REPORT_WAIT_GIVEN_UP_MS;
 	if (w->probations)
 		return REPORT_WAIT_PROBATION_MS;
 	if (!w->service_milli || !w->best_effort_milli)
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -12,7 +12,7 @@
  *	sched.c		jobs
  *	sched-view.c	what callers and metrics see
  *	sched-task.c	tasks
- *	sched-stop.c	stops
+ *	sched-stop.c	stops, and starts that are given up
  *	sched-worker.c	reports and leases
  *	sched-order.c	order of placement
  *	sched-place.c	placement
@@ -307,10 +307,18 @@
 
 /* ---- sched-stop.c ---- */
 void sched_task_stop(struct sched *s, struct sched_task *t);
+/*
+ * A copy of the task's start was refused. The task is placed again, after the
+ * delay, as soon as no other copy can be executed.
+ */
+void sched_start_refused(struct sched *s, struct sched_task *t,
+			 uint32_t delay_ms);
 void sched_stop_result(struct sched *s, struct sched_task *t,
 		       enum sched_result result);
 /* Orders refused stops again that are due. */
 void sched_stops_tick(struct sched *s);
+/* Whether a task waits for a report that shows that its start is void. */
+bool sched_worker_has_given_up_start(const struct sched *s, uint32_t worker);
 
 /* ---- sched-worker.c ---- */
 /* Returns the worker's index; adds it if only a stored record names it. */
--- a/src/sched-stop.c
+++ b/src/sched-stop.c
@@ -6,8 +6,12 @@
 /*
  * Load pattern: overloaded workers refuse some orders, leave others without an
  * answer and execute these seconds later.
- * A stop that was refused is ordered again: the run may still be there, or
- * begin.
+ *
+ * A refusal concerns one copy of an order only. So a start that is refused
+ * after a copy without an answer is given up by a stop: once the worker has
+ * executed that, it rejects all copies of the run. The task is placed again
+ * when a report that was requested afterwards does not list it. The stop itself
+ * is repeated until it is executed.
  */
 
 /* Delay before a stop that was refused is ordered again. */
@@ -21,6 +25,17 @@
 	sched_task_order(s, t, SCHED_STOP);
 }
 
+void sched_start_refused(struct sched *s, struct sched_task *t,
+			 uint32_t delay_ms)
+{
+	if (!t->unanswered) {
+		sched_task_requeue(s, t, delay_ms);
+		return;
+	}
+	t->retry_us = s->now_us + delay_ms * 1000u;
+	sched_task_stop(s, t);
+}
+
 static void add_retry(struct sched *s, struct stop_retry r)
 {
 	s->stop_retries =
@@ -76,3 +91,13 @@
 	}
 	free(list);
 }
+
+bool sched_worker_has_given_up_start(const struct sched *s, uint32_t worker)
+{
+	for (uint32_t i = s->workers[worker].first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker)
+		if (s->tasks[i].state == TASK_STOPPING &&
+		    s->tasks[i].unanswered)
+			return true;
+	return false;
+}
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -203,7 +203,8 @@
 	sched_task_release(s, t);
 	set_state(s, t,
 		  j->state < SCHED_JOB_COMPLETED ? TASK_WAITING : TASK_DROPPED);
-	t->retry_us = s->now_us + delay_ms * 1000u;
+	if (t->retry_us < s->now_us + delay_ms * 1000u)
+		t->retry_us = s->now_us + delay_ms * 1000u;
 	sched_mark_dirty(s, j);
 	s->placement_due = true;
 }
@@ -371,17 +372,17 @@
 		break;
 	case SCHED_NO_CAPACITY:
 		w->full_until_us = s->now_us + 200000u;
-		sched_task_requeue(s, t, 0);
+		sched_start_refused(s, t, 0);
 		break;
 	case SCHED_LEASE_EXPIRED:
-		sched_task_requeue(s, t, 0);
+		sched_start_refused(s, t, 0);
 		break;
 	case SCHED_UNHEALTHY:
 		w->quarantine_end_us = s->now_us + 1000000u;
-		sched_task_requeue(s, t, 0);
+		sched_start_refused(s, t, 0);
 		break;
 	case SCHED_INVALID:
-		sched_task_requeue(s, t, 2000);
+		sched_start_refused(s, t, 2000);
 		break;
 	case SCHED_STALE_RUN:
 		/* The run has ended; the next report has its end. */
