sched: no start is sent to a worker that drains

Class of fault: a decision taken before an event that is carried out again after it.

A task whose start is under way when its worker drains is stopped, as one whose start was refused: queued copies are dropped and a late one is rejected. A task whose record is stored after its worker drains is placed again. The answer to a start no longer confirms the stop that was ordered after it; with a report from before the run that led to a second run.

test-sched-unanswered: 'start is not repeated at draining worker' (1 start there) and 'stored task is not started at draining worker' (2) failed before; 'answer to start does not confirm stop' fails if only the first part is changed.

--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -410,13 +410,8 @@
 	if (o->type == SCHED_START && result == SCHED_OUTCOME_UNKNOWN &&
 	    t->unanswered < UINT8_MAX)
 		t->unanswered++;
-	if (o->type == SCHED_START &&
-	    (t->state == TASK_STARTING ||
-	     (t->state == TASK_STOPPING && result == SCHED_OK))) {
-		if (t->state == TASK_STARTING)
-			handle_start_result(s, t, result);
-		else
-			t->confirmed = true;
+	if (o->type == SCHED_START && t->state == TASK_STARTING) {
+		handle_start_result(s, t, result);
 	} else if (o->type == SCHED_STOP && t->state == TASK_STOPPING) {
 		sched_stop_result(s, t, result);
 	} else if (o->type == SCHED_THROTTLE && result != SCHED_OK) {
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -99,7 +99,10 @@
 	w->on_trial = false;
 }
 
-/* Stops long-running tasks and those with checkpoints; others may finish. */
+/*
+ * Stops long-running tasks and those with checkpoints; others may finish. No
+ * order to start a task may arrive there from now on.
+ */
 static void drain_worker(struct sched *s, struct sched_worker *w)
 {
 	uint32_t i = w->first_task;
@@ -109,8 +112,9 @@
 		const struct job_step *step = sched_task_step(s, t);
 
 		i = t->next_on_worker;
-		if (t->state == TASK_RUNNING &&
-		    (step->long_running || step->checkpoints))
+		if (t->state == TASK_STARTING ||
+		    (t->state == TASK_RUNNING &&
+		     (step->long_running || step->checkpoints)))
 			sched_task_stop(s, t);
 		else if (t->state == TASK_PLACED)
 			sched_task_requeue(s, t, 0);
--- a/src/sched.c
+++ b/src/sched.c
@@ -550,10 +550,12 @@
 
 			if (t->state != TASK_STORING)
 				continue;
-			if (stored)
-				sched_task_start(s, t);
-			else
+			if (!stored)
 				t->state = TASK_PLACED;
+			else if (s->workers[t->worker].draining)
+				sched_task_requeue(s, t, 0);
+			else
+				sched_task_start(s, t);
 		}
 	}
 }
--- a/tests/support-sched-orders.c
+++ b/tests/support-sched-orders.c
@@ -78,6 +78,16 @@
 	return job_model_execute(m, w, &o->order);
 }
 
+static void execute_late(struct model *m, struct model_order *o)
+{
+	enum sched_result result = execute(m, o);
+
+	if (o->fate.outcome != MODEL_SLOW)
+		return;
+	o->result = result;
+	o->answer_us = m->now_us + ROUND_TRIP_US;
+}
+
 static void send_order(struct model *m, struct model_order *o)
 {
 	o->state = ORDER_IN_FLIGHT;
@@ -96,6 +106,7 @@
 	case MODEL_ANSWER_LOST:
 		execute(m, o);
 		break;
+	case MODEL_SLOW:
 	case MODEL_LATE:
 		o->execute_us = m->now_us + o->fate.late_ms * 1000ull;
 		break;
@@ -152,6 +163,6 @@
 		if (!m->orders[i].executed &&
 		    m->orders[i].state != ORDER_QUEUED &&
 		    m->now_us >= m->orders[i].execute_us)
-			execute(m, &m->orders[i]);
+			execute_late(m, &m->orders[i]);
 	remove_finished(m);
 }
--- a/tests/support-sched.c
+++ b/tests/support-sched.c
@@ -512,8 +512,13 @@
 	uint64_t begin = cpu_ns();
 
 	sched_tick(m->s, m->now_us, m->wall_ms);
-	if (!m->store_down && sched_collect(m->s, MODEL_JOBS_MAX, on_record, m))
+	if (!m->store_down && !m->stored_us &&
+	    sched_collect(m->s, MODEL_JOBS_MAX, on_record, m))
+		m->stored_us = m->now_us + m->store_delay_ms * 1000ull;
+	if (m->stored_us && m->now_us >= m->stored_us) {
+		m->stored_us = 0;
 		sched_stored(m->s, true, m->now_us);
+	}
 	m->core_ns += cpu_ns() - begin;
 }
 
@@ -538,6 +543,8 @@
 			continue;
 		if (w->unresponsive)
 			sched_worker_unresponsive(m->s, w->handle, m->now_us);
+		else if (w->mute)
+			continue;
 		else if (w->changed ||
 			 m->now_us >= w->reported_us + REPORT_MS * 1000)
 			job_model_report(m, w);
--- a/tests/support-sched.h
+++ b/tests/support-sched.h
@@ -64,6 +64,7 @@
 	bool failing;	   /* every run fails after 20 ms */
 	bool hanging;	   /* runs make no progress */
 	bool draining;
+	bool mute;	    /* sends no reports; nothing shows it */
 	bool entry_expired; /* the platform no longer lists it */
 	double speed;
 	uint64_t lease_end_us;
@@ -102,6 +103,7 @@
 enum model_outcome {
 	MODEL_EXECUTED,
 	MODEL_REFUSED,	   /* with the result; not executed */
+	MODEL_SLOW,	   /* executed and answered after late_ms */
 	MODEL_ANSWER_LOST, /* executed at once */
 	MODEL_LATE,	   /* no answer; executed after late_ms */
 	MODEL_LOST,	   /* no answer, not executed */
@@ -126,7 +128,9 @@
 	struct model_job *jobs;
 	uint32_t job_count;
 	bool store_down;
-	uint32_t stop_ms; /* how long a stop takes */
+	uint32_t store_delay_ms; /* until a record is stored */
+	uint64_t stored_us;	 /* when the one in transit is; 0: none */
+	uint32_t stop_ms;	 /* how long a stop takes */
 	struct {
 		char id[JOB_ID_BYTES];
 		char *data;
--- a/tests/test-sched-unanswered.c
+++ b/tests/test-sched-unanswered.c
@@ -13,6 +13,7 @@
 	uint32_t start_count;
 	uint32_t stop_count;
 	uint32_t starts_at_draining;
+	uint32_t first_worker; /* handle of the worker of the first start */
 };
 
 static bool is_draining(const struct model *m, uint32_t handle)
@@ -29,6 +30,8 @@
 
 	if (o->type == SCHED_START) {
 		script->starts_at_draining += is_draining(m, o->worker);
+		if (!script->start_count)
+			script->first_worker = o->worker;
 		return script->starts[script->start_count++ % 8];
 	}
 	return script->stops[script->stop_count++ % 8];
@@ -151,6 +154,87 @@
 	job_model_free(m);
 }
 
+/*
+ * Guards against a start that is repeated at a worker that drains: it would
+ * begin after the worker has told the platform that it leaves.
+ */
+static void test_start_is_not_repeated_at_draining_worker(void)
+{
+	struct script script = {
+		.starts = { { .outcome = MODEL_LOST }, { MODEL_LOST } },
+	};
+	struct model *m = create_model(2, &script);
+	struct model_job *j = submit_task(m, 300);
+
+	job_model_run(m, 200);
+	CU_ASSERT_EQUAL(script.start_count, 1);
+	for (uint32_t i = 0; i < 2; i++)
+		m->workers[i].draining = i == script.first_worker;
+	job_model_run(m, 2500);
+	CU_ASSERT_EQUAL(script.starts_at_draining, 0);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* As above, for a task whose record is stored while its worker drains. */
+static void test_stored_task_is_not_started_at_draining_worker(void)
+{
+	struct script script = { .starts = { { .outcome = MODEL_EXECUTED } } };
+	struct model *m = create_model(2, &script);
+	struct model_job *j = submit_task(m, 300);
+
+	m->store_delay_ms = 1000;
+	job_model_run(m, 200);
+	CU_ASSERT_EQUAL(script.start_count, 0);
+	m->workers[0].draining = true;
+	job_model_run(m, 5000);
+	CU_ASSERT_EQUAL(script.starts_at_draining, 0);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	m->workers[0].draining = false;
+	m->workers[1].draining = true;
+	j = submit_task(m, 300);
+	job_model_run(m, 200);
+	m->workers[0].draining = true;
+	m->workers[1].draining = false;
+	job_model_run(m, 5000);
+	CU_ASSERT_EQUAL(script.starts_at_draining, 0);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	job_model_free(m);
+}
+
+/*
+ * Guards against a start's answer that confirms the stop ordered after it: a
+ * report from before the run began then seems to show that it is gone.
+ */
+static void test_answer_to_start_does_not_confirm_stop(void)
+{
+	struct script script = {
+		.starts = { { .outcome = MODEL_SLOW, .late_ms = 100 } },
+		.stops = { { MODEL_LOST }, { MODEL_LOST }, { MODEL_LOST } },
+	};
+	struct sched_report before_run = { .started_wall_ms = 1000 };
+	struct model *m = create_model(2, &script);
+	struct model_job *j = submit_task(m, 4000);
+	struct model_worker *w;
+
+	while (!script.start_count)
+		job_model_run(m, MODEL_STEP_MS);
+	w = &m->workers[script.first_worker];
+	w->mute = true;
+	w->draining = true;
+	job_model_run(m, 50);
+	before_run.requested_us = m->now_us;
+	job_model_run(m, 100);
+	CU_ASSERT_EQUAL(m->starts, 1);
+	sched_report(m->s, w->handle, &before_run, m->now_us, m->wall_ms);
+	w->mute = false;
+	job_model_run(m, 12000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
 /* Guards against workers that refuse all stops and get one each round trip. */
 static void test_refused_stops_are_paced(void)
 {
@@ -280,6 +364,12 @@
 		{ "refused stop is repeated", test_refused_stop_is_repeated },
 		{ "cancelled job has no late run",
 		  test_cancelled_job_has_no_late_run },
+		{ "start is not repeated at draining worker",
+		  test_start_is_not_repeated_at_draining_worker },
+		{ "stored task is not started at draining worker",
+		  test_stored_task_is_not_started_at_draining_worker },
+		{ "answer to start does not confirm stop",
+		  test_answer_to_start_does_not_confirm_stop },
 		{ "refused stops are paced", test_refused_stops_are_paced },
 		{ "late orders beside refusing workers",
 		  test_late_orders_beside_refusing_workers },
