tests: simulated workers that carry orders out late, refuse, leave, crash

They now do so by share and by worker, from a seed: orders without an answer that are executed 2 to 12 s later with the checks of that moment, lost orders, 429 or 503 to orders and polls, starts refused for want of room, workers that drain and leave, that crash and come back under their id with a new time of start or under a new id (calls for the former one get 421). Besides duplicate runs they count starts by orders that came over 2 s after the worker's draining was stored.

--- a/tests/support-jobs-internal.h
+++ b/tests/support-jobs-internal.h
@@ -3,6 +3,7 @@
 
 #include <jansson.h>
 
+#include "rng.h"
 #include "support-jobs-platform.h"
 
 /*
@@ -16,6 +17,7 @@
 #define SIM_TASKS_MAX 256
 #define SIM_DONE_TASKS_MAX 16384 /* completed tasks, in the whole test */
 #define SIM_STALE_RUNS_MAX 4096	 /* kept by a worker */
+#define SIM_LATE_ORDERS_MAX 4096 /* that a worker is to execute late */
 #define SIM_NAME_BYTES 64
 
 struct evhttp;
@@ -61,10 +63,37 @@
 	uint32_t run;
 };
 
+enum sim_order_type { SIM_START, SIM_STOP, SIM_PACE };
+
+struct sim_order {
+	enum sim_order_type type;
+	json_t *body;
+	uint64_t received_us;
+	uint64_t due_us; /* when it is executed; 0: at once */
+};
+
+enum sim_life { SIM_READY, SIM_DRAINING, SIM_DOWN };
+
 struct sim_worker {
 	struct jobs_platform *platform;
-	struct evhttp *server;
+	struct evhttp *server; /* NULL: down */
 	char id[SIM_NAME_BYTES];
+	uint16_t port;
+	uint16_t reached_port;
+	uint32_t incarnation; /* from 0 on */
+	uint64_t born_ms;     /* as the worker reports it */
+	enum sim_life life;
+	uint64_t draining_since_us;
+	uint64_t leaves_us; /* end of draining */
+	bool restart;	    /* when it has left */
+	bool restart_new_id;
+	char expiring_id[SIM_NAME_BYTES]; /* of an entry without a worker */
+	uint64_t entry_expires_us;	  /* 0: none does */
+	struct worker_faults faults;
+	struct sim_order *late_orders;
+	uint32_t late_order_count;
+	uint32_t refused;
+	uint32_t start_orders;
 	uint32_t task_ms;
 	uint64_t fencing_token;
 	uint64_t lease_end_ms; /* of the worker's clock */
@@ -77,7 +106,6 @@
 	uint32_t stale_run_count;    /* total; the table is a ring */
 	struct evhttp_request *poll; /* delayed until a run ends */
 	uint64_t poll_deadline_us;
-	uint64_t poll_acknowledged_seq;
 	bool unresponsive;
 	bool lease_active; /* at the last tick */
 };
@@ -99,8 +127,10 @@
 	char value_buffer[65536];
 	struct sim_worker *workers[PLATFORM_WORKERS_MAX];
 	int worker_count;
+	struct rng rng; /* of worker faults */
 	uint32_t starts;
 	uint32_t duplicate_runs;
+	uint32_t starts_while_draining;
 	char done[SIM_DONE_TASKS_MAX][SIM_NAME_BYTES];
 	uint32_t done_count;
 };
@@ -108,7 +138,30 @@
 void jobs_reply(struct evhttp_request *req, int status, json_t *body);
 void jobs_withhold_answer(struct evhttp_request *req);
 json_t *jobs_parse_body(struct evhttp_request *req);
+
+/* ---- support-jobs-worker.c ---- */
+uint64_t sim_clock_ms(void);
+void sim_worker_on_request(struct evhttp_request *req, void *arg);
+/* All that runs ends, and what is known of former runs is forgotten. */
+void sim_worker_forget(struct sim_worker *w, const char *reason);
+/* Executes an order and answers it; req is NULL if there is none to answer. */
+void sim_order_execute(struct sim_worker *w, const struct sim_order *o,
+		       struct evhttp_request *req);
 void sim_workers_tick(struct jobs_platform *p, uint64_t now);
+
+/* ---- support-jobs-orders.c ---- */
+/* Takes the body of the order. */
+void sim_order_receive(struct sim_worker *w, struct evhttp_request *req,
+		       enum sim_order_type type, json_t *body);
+/* Whether the poll was refused. */
+bool sim_poll_refuse(struct sim_worker *w, struct evhttp_request *req);
+/* Whether a start is refused for want of room. */
+bool sim_start_without_room(struct sim_worker *w, const struct sim_order *o);
+void sim_late_orders_tick(struct sim_worker *w, uint64_t now);
+void sim_late_orders_drop(struct sim_worker *w);
+
+/* ---- support-jobs-life.c ---- */
+void sim_worker_life_tick(struct sim_worker *w, uint64_t now);
 void sim_workers_free(struct jobs_platform *p);
 
 #endif
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -14,7 +14,9 @@
  * DESCRIPTION
  *	A store and workers that speak the platform's published messages over
  *	HTTP, on the event loop of the test. It counts violations: concurrent
- *	runs of a task, and starts of tasks that had completed.
+ *	runs of a task, starts of tasks that had completed, and starts by
+ *	orders that were sent to a worker long after its entry said that it
+ *	drains.
  */
 
 #define PLATFORM_WORKERS_MAX 16
@@ -29,9 +31,37 @@
 	uint32_t unanswered_writes; /* counted while lose_write_answers */
 };
 
-/* Called on task events, for tests that check more than duplicate runs. */
+/*
+ * Injected faults of one worker's orders: starts, stops and changes of pace.
+ * Shares in percent, drawn for each order; 0: none.
+ */
+struct worker_faults {
+	uint32_t late_percent; /* no answer, executed 2 to 12 s later */
+	uint32_t late_ms;      /* executed after exactly this time; 0: drawn */
+	uint32_t lost_percent; /* no answer, not executed */
+	uint32_t refuse_percent;       /* 429 or 503, not executed */
+	uint32_t refuse_polls_percent; /* the same, of polls */
+	uint32_t no_room_percent;      /* of starts */
+	/* Starts and changes of pace are not late, lost or refused. */
+	bool stops_only;
+};
+
+/* A task that a worker begins to run. */
+struct platform_start {
+	const char *task;
+	uint64_t received_us; /* when the order arrived */
+	bool late;	      /* the order was executed late */
+	/* How long the worker had been draining when the order arrived. */
+	uint64_t draining_us;
+};
+
+/*
+ * Called on task events, for tests that check more than duplicate runs. Besides
+ * the platform's names, reason is "crashed" if the worker crashed and "left" if
+ * it left after draining.
+ */
 struct platform_hooks {
-	void (*started)(void *arg, const char *task);
+	void (*started)(void *arg, const struct platform_start *start);
 	void (*ended)(void *arg, const char *task, const char *reason);
 	void *arg;
 };
@@ -69,10 +99,41 @@
 void jobs_platform_set_unresponsive(struct jobs_platform *p, int worker,
 				    bool unresponsive);
 
+/* Seed of the draws of worker faults. */
+void jobs_platform_seed(struct jobs_platform *p, uint64_t seed);
+/* Orders that wait to be executed late keep their time. */
+void jobs_platform_set_worker_faults(struct jobs_platform *p, int worker,
+				     const struct worker_faults *f);
+/*
+ * The worker reports that it drains; after this time it leaves, and all that
+ * runs there ends. Returns false unless the worker is ready.
+ */
+bool jobs_platform_drain_worker(struct jobs_platform *p, int worker,
+				uint32_t remaining_ms);
+/* Runs and orders are lost. Returns false unless the worker is ready. */
+bool jobs_platform_crash_worker(struct jobs_platform *p, int worker);
+/*
+ * A worker that has crashed or left serves again, one that drains does so once
+ * it has left: under a new id, or else under its former id with a new time of
+ * start. Not to be called while the worker serves a request.
+ */
+void jobs_platform_restart_worker(struct jobs_platform *p, int worker,
+				  bool new_id);
+bool jobs_platform_worker_ready(const struct jobs_platform *p, int worker);
+/* Orders of the worker that are still to be executed late. */
+uint32_t jobs_platform_late_orders(const struct jobs_platform *p, int worker);
+/* Orders and polls that the worker has refused because of its faults. */
+uint32_t jobs_platform_refused(const struct jobs_platform *p, int worker);
+/* Orders to start a task that the worker has received. */
+uint32_t jobs_platform_start_orders(const struct jobs_platform *p, int worker);
+uint32_t jobs_platform_worker_tasks(const struct jobs_platform *p, int worker);
+
 uint32_t jobs_platform_running_tasks(const struct jobs_platform *p);
 uint32_t jobs_platform_starts(const struct jobs_platform *p);
 /* Concurrent runs of a task, and starts after its completion. */
 uint32_t jobs_platform_duplicate_runs(const struct jobs_platform *p);
+/* Starts by orders that came over 2 s after their worker began to drain. */
+uint32_t jobs_platform_starts_while_draining(const struct jobs_platform *p);
 uint64_t jobs_platform_fencing_token(const struct jobs_platform *p);
 
 #endif
--- a/tests/support-jobs-worker.c
+++ b/tests/support-jobs-worker.c
@@ -8,7 +8,10 @@
 #include "clock.h"
 #include "support-jobs-internal.h"
 
-static uint64_t clock_ms(void)
+/* The worker's drain-ms on the users' sites. */
+#define DRAIN_US 2000000u
+
+uint64_t sim_clock_ms(void)
 {
 	return clock_now_us() / 1000;
 }
@@ -97,7 +100,7 @@
 	if (token < w->fencing_token) {
 		jobs_reply(req, 409,
 			   json_pack("{s:I,s:s}", "clock-ms",
-				     (json_int_t)clock_ms(), "reason",
+				     (json_int_t)sim_clock_ms(), "reason",
 				     "fence"));
 		return true;
 	}
@@ -110,78 +113,133 @@
 	uint64_t until =
 		(uint64_t)json_integer_value(json_object_get(body, "until-ms"));
 
-	if (until > clock_ms() + 6000)
-		until = clock_ms() + 6000;
+	if (until > sim_clock_ms() + 6000)
+		until = sim_clock_ms() + 6000;
 	if (until > w->lease_end_ms)
 		w->lease_end_ms = until;
 }
 
-static void refuse_start(struct evhttp_request *req, const char *reason)
+void sim_worker_forget(struct sim_worker *w, const char *reason)
 {
-	jobs_reply(req, 409,
-		   json_pack("{s:I,s:s}", "clock-ms", (json_int_t)clock_ms(),
-			     "reason", reason));
+	struct jobs_platform *p = w->platform;
+
+	forget_unacknowledged_ends(w);
+	for (uint32_t i = 0; i < w->task_count; i++)
+		if (p->hooks.ended)
+			p->hooks.ended(p->hooks.arg, w->tasks[i].name, reason);
+	w->task_count = 0;
+	w->ended_count = 0;
+	w->last_end_seq = 0;
+	w->stale_run_count = 0;
+	w->fencing_token = 0;
+	w->lease_end_ms = 0;
+	w->lease_active = false;
+	w->poll = NULL;
 }
 
-static void serve_start(struct sim_worker *w, struct evhttp_request *req,
-			const json_t *body)
+static void reply_to_order(struct evhttp_request *req, int status,
+			   const char *reason)
+{
+	json_t *body;
+
+	if (!req)
+		return;
+	body = json_pack("{s:I}", "clock-ms", (json_int_t)sim_clock_ms());
+	if (reason)
+		json_object_set_new(body, "reason", json_string(reason));
+	jobs_reply(req, status, body);
+}
+
+static void add_task(struct sim_worker *w, const struct sim_order *o,
+		     const char *name, uint32_t run)
 {
-	const char *name = json_string_value(json_object_get(body, "task"));
-	uint32_t run =
-		(uint32_t)json_integer_value(json_object_get(body, "run"));
 	const char *text =
-		json_string_value(json_object_get(body, "specification"));
+		json_string_value(json_object_get(o->body, "specification"));
+	struct jobs_platform *p = w->platform;
+	struct sim_task *t = &w->tasks[w->task_count];
+	struct platform_start start = { .task = t->name,
+					.received_us = o->received_us,
+					.late = o->due_us != 0 };
+
+	count_duplicate_runs(p, name);
+	p->starts++;
+	w->task_count++;
+	snprintf(t->name, sizeof(t->name), "%s", name);
+	t->run = run;
+	t->end_us = strcmp(text, "lasts")
+			    ? clock_now_us() + w->task_ms * 1000ull
+			    : UINT64_MAX;
+	if (w->life == SIM_DRAINING && o->received_us > w->draining_since_us)
+		start.draining_us = o->received_us - w->draining_since_us;
+	p->starts_while_draining += start.draining_us > DRAIN_US;
+	if (p->hooks.started)
+		p->hooks.started(p->hooks.arg, &start);
+}
+
+static void execute_start(struct sim_worker *w, const struct sim_order *o,
+			  struct evhttp_request *req)
+{
+	const char *name = json_string_value(json_object_get(o->body, "task"));
+	uint32_t run =
+		(uint32_t)json_integer_value(json_object_get(o->body, "run"));
+	uint64_t until = (uint64_t)json_integer_value(
+		json_object_get(o->body, "until-ms"));
 	struct sim_task *t = find_task(w, name);
 
-	if ((uint64_t)json_integer_value(json_object_get(body, "until-ms")) <=
-	    clock_ms()) {
-		refuse_start(req, "late");
+	if (until <= sim_clock_ms()) {
+		reply_to_order(req, 409, "late");
 		return;
 	}
-	extend_lease(w, body);
+	extend_lease(w, o->body);
 	if (is_stale_run(w, name, run)) {
-		refuse_start(req, "old");
+		reply_to_order(req, 409, "old");
 		return;
 	}
-	if (w->task_count == SIM_TASKS_MAX) {
-		refuse_start(req, "room");
+	if (w->task_count == SIM_TASKS_MAX ||
+	    ((!t || t->run != run) && sim_start_without_room(w, o))) {
+		reply_to_order(req, 409, "room");
 		return;
 	}
-	if (!t || t->run != run) {
-		count_duplicate_runs(w->platform, name);
-		w->platform->starts++;
-		t = &w->tasks[w->task_count++];
-		snprintf(t->name, sizeof(t->name), "%s", name);
-		t->run = run;
-		t->end_us = strcmp(text, "lasts")
-				    ? clock_now_us() + w->task_ms * 1000ull
-				    : UINT64_MAX;
-		if (w->platform->hooks.started)
-			w->platform->hooks.started(w->platform->hooks.arg,
-						   name);
-	}
-	if (w->platform->faults.lose_order_answers) {
+	if (!t || t->run != run)
+		add_task(w, o, name, run);
+	if (req && w->platform->faults.lose_order_answers)
 		jobs_withhold_answer(req);
-		return;
-	}
-	jobs_reply(req, 200,
-		   json_pack("{s:I}", "clock-ms", (json_int_t)clock_ms()));
+	else
+		reply_to_order(req, 200, NULL);
 }
 
-static void serve_stop(struct sim_worker *w, struct evhttp_request *req,
-		       const json_t *body)
+static void execute_stop(struct sim_worker *w, const struct sim_order *o,
+			 struct evhttp_request *req)
 {
-	const char *name = json_string_value(json_object_get(body, "task"));
+	const char *name = json_string_value(json_object_get(o->body, "task"));
 	uint32_t run =
-		(uint32_t)json_integer_value(json_object_get(body, "run"));
+		(uint32_t)json_integer_value(json_object_get(o->body, "run"));
 	struct sim_task *t = find_task(w, name);
 
 	if (t && t->run == run)
 		end_task(w, t, "stopped");
 	else
 		add_stale_run(w, name, run);
-	jobs_reply(req, 200,
-		   json_pack("{s:I}", "clock-ms", (json_int_t)clock_ms()));
+	reply_to_order(req, 200, NULL);
+}
+
+void sim_order_execute(struct sim_worker *w, const struct sim_order *o,
+		       struct evhttp_request *req)
+{
+	uint64_t token = (uint64_t)json_integer_value(
+		json_object_get(o->body, "fencing-token"));
+
+	if (token < w->fencing_token) {
+		reply_to_order(req, 409, "fence");
+		return;
+	}
+	w->fencing_token = token;
+	if (o->type == SIM_START)
+		execute_start(w, o, req);
+	else if (o->type == SIM_STOP)
+		execute_stop(w, o, req);
+	else
+		reply_to_order(req, 200, NULL);
 }
 
 static void answer_poll(struct sim_worker *w)
@@ -200,8 +258,9 @@
 				  w->ended[i].reason, ""));
 	jobs_reply(w->poll, 200,
 		   json_pack("{s:I,s:I,s:o,s:o}", "clock-ms",
-			     (json_int_t)clock_ms(), "born", (json_int_t)77,
-			     "running", running, "ended", ended));
+			     (json_int_t)sim_clock_ms(), "born",
+			     (json_int_t)w->born_ms, "running", running,
+			     "ended", ended));
 	w->poll = NULL;
 }
 
@@ -234,7 +293,17 @@
 		answer_poll(w);
 }
 
-static void on_request(struct evhttp_request *req, void *arg)
+/* A call that is meant for another incarnation gets 421. */
+static bool is_misdirected(const struct sim_worker *w,
+			   struct evhttp_request *req)
+{
+	const char *expected = evhttp_find_header(
+		evhttp_request_get_input_headers(req), "X-Expected-Instance");
+
+	return expected && strcmp(expected, w->id);
+}
+
+void sim_worker_on_request(struct evhttp_request *req, void *arg)
 {
 	struct sim_worker *w = arg;
 	const char *uri = evhttp_request_get_uri(req);
@@ -244,19 +313,21 @@
 		jobs_withhold_answer(req);
 		return;
 	}
+	if (is_misdirected(w, req)) {
+		jobs_reply(req, 421, NULL);
+		return;
+	}
 	body = jobs_parse_body(req);
-	if (reject_stale_token(w, req, body))
-		;
-	else if (strstr(uri, "/run-start"))
-		serve_start(w, req, body);
-	else if (strstr(uri, "/run-stop"))
-		serve_stop(w, req, body);
-	else if (strstr(uri, "/hold"))
+	if (strstr(uri, "/run-start")) {
+		sim_order_receive(w, req, SIM_START, json_incref(body));
+	} else if (strstr(uri, "/run-stop")) {
+		sim_order_receive(w, req, SIM_STOP, json_incref(body));
+	} else if (!strstr(uri, "/hold")) {
+		sim_order_receive(w, req, SIM_PACE, json_incref(body));
+	} else if (!sim_poll_refuse(w, req) &&
+		   !reject_stale_token(w, req, body)) {
 		serve_poll(w, req, body);
-	else
-		jobs_reply(
-			req, 200,
-			json_pack("{s:I}", "clock-ms", (json_int_t)clock_ms()));
+	}
 	json_decref(body);
 }
 
@@ -265,6 +336,8 @@
 	for (int n = 0; n < p->worker_count; n++) {
 		struct sim_worker *w = p->workers[n];
 
+		sim_worker_life_tick(w, now);
+		sim_late_orders_tick(w, now);
 		if (now / 1000 > w->lease_end_ms && w->lease_active)
 			forget_unacknowledged_ends(w);
 		w->lease_active = now / 1000 <= w->lease_end_ms;
@@ -280,49 +353,15 @@
 	}
 }
 
-int jobs_platform_add_worker(struct jobs_platform *p, uint16_t port,
-			     uint16_t reached_port, uint32_t task_ms)
-{
-	struct sim_worker *w = xcalloc(1, sizeof(*w));
-	char key[SIM_NAME_BYTES * 2], value[512];
-
-	w->platform = p;
-	w->task_ms = task_ms;
-	snprintf(w->id, sizeof(w->id), "i-%u", port);
-	w->server = evhttp_new(p->base);
-	evhttp_set_gencb(w->server, on_request, w);
-	if (evhttp_bind_socket(w->server, "127.0.0.1", port) < 0) {
-		fprintf(stderr, "simulated worker: cannot listen on port %u\n",
-			port);
-		abort();
-	}
-	snprintf(key, sizeof(key), "servers/%s", w->id);
-	snprintf(value, sizeof(value),
-		 "{\"service\":\"svc\",\"address\":\"127.0.0.1:%u\","
-		 "\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,"
-		 "\"state\":\"ready\",\"cold-remaining-ms\":0,\"born\":77,"
-		 "\"capacity\":{\"cpu\":16000,\"memory-request-mb\":64000,"
-		 "\"gpu\":0},\"labels\":[\"a\",\"r1-1\"],\"clock-ms\":1,"
-		 "\"sequence\":4}",
-		 reached_port);
-	jobs_platform_put(p, key, value);
-	p->workers[p->worker_count] = w;
-	return p->worker_count++;
-}
-
 void jobs_platform_set_unresponsive(struct jobs_platform *p, int worker,
 				    bool unresponsive)
 {
 	p->workers[worker]->unresponsive = unresponsive;
 }
 
-void sim_workers_free(struct jobs_platform *p)
+uint32_t jobs_platform_worker_tasks(const struct jobs_platform *p, int worker)
 {
-	for (int i = 0; i < p->worker_count; i++) {
-		p->workers[i]->poll = NULL;
-		evhttp_free(p->workers[i]->server);
-		free(p->workers[i]);
-	}
+	return p->workers[worker]->task_count;
 }
 
 uint32_t jobs_platform_running_tasks(const struct jobs_platform *p)
@@ -344,6 +383,11 @@
 	return p->duplicate_runs;
 }
 
+uint32_t jobs_platform_starts_while_draining(const struct jobs_platform *p)
+{
+	return p->starts_while_draining;
+}
+
 uint64_t jobs_platform_fencing_token(const struct jobs_platform *p)
 {
 	uint64_t token = 0;
--- a/tests/support-soak-callers.c
+++ b/tests/support-soak-callers.c
@@ -92,9 +92,10 @@
 	return &s->jobs[*job];
 }
 
-static void on_started(void *arg, const char *task)
+static void on_started(void *arg, const struct platform_start *start)
 {
 	struct callers *s = arg;
+	const char *task = start->task;
 	uint32_t job = 0, step, i;
 	struct soak_job *j = find_job(s, task, &job, &step, &i);
 
