job-workers: a refused poll does not end the renewal of leases

A worker that is unwell answers some polls with 429 or 503 and does nothing. Each such answer counted as silence: the next poll renewed no lease, so that only two accepted polls in a row did, and work that ran was lost after 6 s and started again.

A worker that refuses polls is still asked to renew its leases, every 100 ms, for as long as its tasks can run since the last report; it gets no new tasks and no ends are acknowledged meanwhile. One that refuses all is given up as before.

test-jobs-orders, 'refused polls keep leases', failed before (each second poll refused: the task of 12 s never ended). What is left are polls without an answer.

--- a/src/job-platform.h
+++ b/src/job-platform.h
@@ -67,11 +67,19 @@
 
 struct worker_response {
 	enum worker_outcome outcome;
-	uint64_t clock_ms;	    /* 0: unknown */
-	enum sched_result result;   /* of an order */
+	uint64_t clock_ms; /* 0: unknown */
+	/* Of an order; SCHED_UNHEALTHY also of a poll that was refused. */
+	enum sched_result result;
 	struct sched_report report; /* of a poll */
 };
 
+/* Whether the response to a poll says that the worker has not executed it. */
+static inline bool worker_poll_refused(const struct worker_response *a)
+{
+	return a->outcome == WORKER_OUTCOME_UNKNOWN &&
+	       a->result == SCHED_UNHEALTHY;
+}
+
 typedef void worker_response_fn(void *arg, const struct worker_response *a);
 
 /*
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -19,6 +19,8 @@
 /* Polls again after this time even if the last run ends aren't stored yet. */
 #define ACK_TIMEOUT_US 700000u
 #define UNRESPONSIVE_RETRY_US 300000u
+/* A worker that refused a poll answers; it is polled again after this time. */
+#define REFUSED_RETRY_US 100000u
 /* Several times the round trip to a worker in another zone. */
 #define ORDER_OVERDUE_US 60000u
 /* An unlisted, unresponsive worker is polled for this long. */
@@ -42,7 +44,9 @@
 	uint64_t last_end_seq;
 	uint64_t started_wall_ms;
 	uint64_t unresponsive_since_us; /* 0: responsive */
+	uint64_t reported_us;		/* when the last report was requested */
 	bool polling;
+	bool poll_refused; /* the last poll was, and did not renew the lease */
 	/* It may have restarted: acknowledge nothing before a report. */
 	bool verify_incarnation;
 	bool listed;
@@ -251,11 +255,14 @@
 static void handle_no_report(struct worker_link *l,
 			     const struct worker_response *a, uint64_t now)
 {
+	l->poll_refused = worker_poll_refused(a);
 	if (a->outcome == WORKER_PATH_LOST)
 		return;
-	if (l->unresponsive_since_us)
+	if (l->poll_refused)
+		l->next_poll_us = now + REFUSED_RETRY_US;
+	else if (l->unresponsive_since_us)
 		l->next_poll_us = now + UNRESPONSIVE_RETRY_US;
-	else
+	if (!l->unresponsive_since_us)
 		l->unresponsive_since_us = now;
 	sched_worker_unresponsive(l->workers->sched, l->worker, now);
 }
@@ -274,6 +281,8 @@
 		return;
 	}
 	l->unresponsive_since_us = 0;
+	l->poll_refused = false;
+	l->reported_us = l->poll_sent_us;
 	if (r.started_wall_ms && r.started_wall_ms != l->started_wall_ms)
 		l->started_wall_ms = r.started_wall_ms;
 	l->verify_incarnation = false;
@@ -288,6 +297,21 @@
 	send_orders(l);
 }
 
+/*
+ * A silent worker's leases must end. They are renewed at one that refuses polls
+ * while its tasks can still run, as the refused poll had no effect.
+ */
+static bool may_renew_lease(const struct worker_link *l, uint64_t now)
+{
+	const struct job_node *n = l->workers->node;
+
+	if (!l->clock_ms || now >= job_owner_renewal_end_us(n->owner))
+		return false;
+	return !l->verify_incarnation ||
+	       (l->poll_refused &&
+		now < l->reported_us + n->settings->jobs.lease_max_us);
+}
+
 static void send_poll(struct worker_link *l, uint64_t now)
 {
 	struct job_workers *w = l->workers;
@@ -296,8 +320,7 @@
 					 job_owner_fencing_token(owner) };
 	uint64_t deadline_us = now + PLAIN_POLL_VALID_US;
 
-	if (!l->verify_incarnation && l->clock_ms &&
-	    now < job_owner_renewal_end_us(owner)) {
+	if (may_renew_lease(l, now)) {
 		q.lease_until_ms = lease_until(l, now);
 		deadline_us = job_owner_renewal_end_us(owner);
 		sched_lease_granted(w->sched, l->worker, now);
--- a/src/worker-path.c
+++ b/src/worker-path.c
@@ -153,7 +153,7 @@
 	c->fn = NULL;
 	c->relay->calls_in_flight--;
 	if (!lane && a->outcome != WORKER_RESPONDED &&
-	    a->outcome != WORKER_FENCED)
+	    a->outcome != WORKER_FENCED && !worker_poll_refused(a))
 		try_next_path(p);
 	fn(c->arg, a);
 }
--- a/tests/support-jobs-internal.h
+++ b/tests/support-jobs-internal.h
@@ -94,6 +94,7 @@
 	uint32_t late_order_count;
 	uint32_t refused;
 	uint32_t start_orders;
+	uint32_t polls;
 	uint32_t task_ms;
 	uint64_t fencing_token;
 	uint64_t lease_end_ms; /* of the worker's clock */
--- a/tests/support-jobs-orders.c
+++ b/tests/support-jobs-orders.c
@@ -45,8 +45,11 @@
 bool sim_poll_refuse(struct sim_worker *w, struct evhttp_request *req)
 {
 	uint32_t percent = w->faults.refuse_polls_percent;
+	uint32_t each = w->faults.refuse_each_poll;
+	bool drawn = percent && rng_below(&w->platform->rng, 100) < percent;
 
-	if (!percent || rng_below(&w->platform->rng, 100) >= percent)
+	w->polls++;
+	if (!drawn && (!each || w->polls % each))
 		return false;
 	refuse(w, req);
 	return true;
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -41,6 +41,8 @@
 	uint32_t lost_percent; /* no answer, not executed */
 	uint32_t refuse_percent;       /* 429 or 503, not executed */
 	uint32_t refuse_polls_percent; /* the same, of polls */
+	uint32_t refuse_each_poll;     /* each poll with a multiple of this
+					  number; 0: none */
 	uint32_t no_room_percent;      /* of starts */
 	/* Starts and changes of pace are not late, lost or refused. */
 	bool stops_only;
--- a/tests/test-jobs-orders.c
+++ b/tests/test-jobs-orders.c
@@ -271,6 +271,43 @@
 		check_relayed_disorder(seed);
 }
 
+/*
+ * Guards against leases that are not renewed at a worker that answers, but
+ * refuses each second poll: its task would be started again.
+ */
+static void test_refused_polls_keep_leases(void)
+{
+	struct worker_faults each_second = { .refuse_each_poll = 2 };
+	struct jobs_fixture f;
+
+	set_up(&f, 12000);
+	set_faults(&f, &each_second);
+	submit(&f, JOB_A_PATH, ONE_TASK);
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_A_PATH, 16000));
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 1);
+	CU_ASSERT_EQUAL(jobs_platform_duplicate_runs(f.platform), 0);
+	tear_down(&f);
+}
+
+/*
+ * As above, of a worker that refuses all polls: its leases end, and its tasks
+ * are placed elsewhere.
+ */
+static void test_worker_that_refuses_all_polls_is_given_up(void)
+{
+	struct worker_faults all = { .refuse_polls_percent = 100 };
+	struct jobs_fixture f;
+	int worker;
+
+	set_up(&f, 1500);
+	submit(&f, JOB_A_PATH, ONE_TASK);
+	worker = wait_for_start_order(&f);
+	jobs_platform_set_worker_faults(f.platform, worker, &all);
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_A_PATH, 18000));
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 2);
+	tear_down(&f);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -279,6 +316,9 @@
 		{ "stop refused", test_stop_refused },
 		{ "worker drains with start under way",
 		  test_worker_drains_with_start_under_way },
+		{ "refused polls keep leases", test_refused_polls_keep_leases },
+		{ "worker that refuses all polls is given up",
+		  test_worker_that_refuses_all_polls_is_given_up },
 		{ "worker leaves", test_worker_leaves },
 		{ "worker restarts with orders in flight",
 		  test_worker_restarts_with_orders_in_flight },
