tests: a resumed process has its seat again before the next test

The test before it was wrong, not the program. "paused process" ended with a wait for seat.held, the zone's number of seats as last read, which a pause doesn't change. The sheet is taken from a peer or from a watch that was answered during the pause; the seat is withheld until a new answer of the store or a heartbeat confirms it. With a slow answer, the next test began with revision 0, waited for revision 0, which was there at once, and counted no revalidation: just these two lines.

Both pauses now end with cluster_wait_ready(): seats of all processes confirmed, that of the resumed one included; seat.held is still checked. Counts of log lines are those of the test itself, since earlier pauses made "revision=0" true beforehand and a revalidation by a peer in an earlier test would have made the exact count fail.

--- a/tests/itest-control.c
+++ b/tests/itest-control.c
@@ -224,24 +224,57 @@
 	CU_ASSERT_EQUAL(zone_capacity(0), slots);
 }
 
-/* Guards against a resumed process that uses outdated seats or sheet. */
-static void test_paused_process(void)
+static uint32_t count_last_log(const char *event, const char *field)
+{
+	return cluster_count_lines(&cluster, "entry-6.log", event, field);
+}
+
+/*
+ * Pauses the last entry VM while the sheet changes. Its zone's store link has
+ * the fault from its resumption on. The seat is withheld meanwhile, which
+ * "held", the zone's number of seats, doesn't show.
+ */
+static void pause_during_sheet_change(const char *link_fault)
 {
 	uint32_t last = cluster.entry_count - 1;
+	uint32_t zone = cluster.entry_zone[last];
+	uint32_t pauses = count_last_log("pause-detected", "ms=");
 	int64_t base = get_revision(0);
+	char link[32];
 
+	snprintf(link, sizeof(link), "store-%u", zone);
 	cluster_entry_signal(&cluster, last, SIGSTOP);
 	CU_ASSERT_EQUAL(put_sheet(0, base, 50), 200);
 	clock_sleep_us(5000000); /* longer than the lease */
+	CU_ASSERT_EQUAL(cluster_set_link(&cluster, link, link_fault), 0);
 	cluster_entry_signal(&cluster, last, SIGCONT);
 	CU_ASSERT_TRUE(wait_status(last, 1, NULL, "config_revision", base + 1,
 				   APPLY_TIMEOUT_MS));
-	CU_ASSERT(cluster_count_lines(&cluster, "entry-6.log", "pause-detected",
-				      "ms=") >= 1);
-	CU_ASSERT_TRUE(
-		wait_status(last, 1, "seat", "held",
-			    cluster.options.entries[cluster.entry_zone[last]],
-			    READY_TIMEOUT_MS));
+	CU_ASSERT_TRUE(wait_status(last, 1, "seat", "held",
+				   cluster.options.entries[zone],
+				   READY_TIMEOUT_MS));
+	CU_ASSERT_EQUAL(cluster_wait_ready(&cluster, READY_TIMEOUT_MS), 0);
+	CU_ASSERT(count_last_log("pause-detected", "ms=") > pauses);
+	CU_ASSERT_EQUAL(cluster_set_link(&cluster, link, "{\"reset\":true}"),
+			0);
+}
+
+/* Guards against a resumed process that uses outdated seats or sheet. */
+static void test_paused_process(void)
+{
+	pause_during_sheet_change("{}");
+}
+
+/*
+ * Guards against a resumed process that never uses its seat again after slow
+ * answers of the store, which the sheet, taken from a peer, doesn't wait for.
+ */
+static void test_pause_slow_store(void)
+{
+	uint32_t withheld = count_last_log("seat-changed", "revision=0 ");
+
+	pause_during_sheet_change("{\"delay_ms\":500}");
+	CU_ASSERT(count_last_log("seat-changed", "revision=0 ") > withheld);
 }
 
 /*
@@ -251,6 +284,8 @@
 static void test_pause_during_store_outage(void)
 {
 	uint32_t last = cluster.entry_count - 1;
+	uint32_t withheld = count_last_log("seat-changed", "revision=0 ");
+	uint32_t by_peer = count_last_log("seat-revalidated", "by=peer");
 	int64_t split =
 		cluster_status_number(&cluster, last, "seat", "revision");
 
@@ -261,15 +296,15 @@
 	cluster_entry_signal(&cluster, last, SIGCONT);
 	CU_ASSERT_TRUE(wait_status(last, 1, "seat", "revision", split,
 				   READY_TIMEOUT_MS));
-	CU_ASSERT(cluster_count_lines(&cluster, "entry-6.log", "seat-changed",
-				      "revision=0 ") >= 1);
-	CU_ASSERT(cluster_count_lines(&cluster, "entry-6.log",
-				      "seat-revalidated", "by=peer") == 1);
+	CU_ASSERT(count_last_log("seat-changed", "revision=0 ") > withheld);
+	CU_ASSERT_EQUAL(count_last_log("seat-revalidated", "by=peer"),
+			by_peer + 1);
 	cluster_set_fault(cluster_store_port(&cluster), "{\"reset\":true}");
 	CU_ASSERT_TRUE(
 		wait_status(last, 1, "seat", "held",
 			    cluster.options.entries[cluster.entry_zone[last]],
 			    READY_TIMEOUT_MS));
+	CU_ASSERT_EQUAL(cluster_wait_ready(&cluster, READY_TIMEOUT_MS), 0);
 }
 
 int main(void)
@@ -283,6 +318,7 @@
 		  test_restart_during_store_outage },
 		{ "seats follow membership", test_seats_follow_membership },
 		{ "paused process", test_paused_process },
+		{ "pause with slow store", test_pause_slow_store },
 		{ "pause during store outage", test_pause_during_store_outage },
 	};
 	struct cluster_options o;
