members: the seat is withheld before a pause counts as over

After a pause longer than the lease, other entry VMs may use the slots of the resumed one. members_seat() withholds the seat while the control thread's last tick is older than the lease; check_pause() renewed the time of that tick first, logged and updated the peers' table, and only then withheld the seat. A thread that asked in between got the seat from before the pause and could start requests on it: for some microseconds, or for as long as the control thread was not scheduled or its log write blocked, which a busy machine makes likely right after a pause.

No log of this case exists.

The time of the tick is now renewed after the seat is withheld.

test-members-pause (new; control thread's clock advanced by two leases, seat asked for at "pause-detected") failed before, revision 1 instead of 0, and passes.

--- a/src/svc-members.c
+++ b/src/svc-members.c
@@ -36,6 +36,7 @@
 static void start_tick(void *arg);
 static void begin_drain(void *arg);
 static void tick(void *arg);
+static void resume(struct members *m, uint64_t now, uint64_t paused_us);
 static void check_pause(struct members *m, uint64_t now);
 static void send_heartbeat(struct members *m);
 static void put_addresses(struct members *m, struct message_writer *w);
@@ -151,26 +152,32 @@
 	seats_tick(m, now);
 }
 
-/*
- * A process that was paused longer than its lease may use an outdated split, so
- * its seat is withheld until the store or a peer confirms the revision.
- */
-static void check_pause(struct members *m, uint64_t now)
+static void resume(struct members *m, uint64_t now, uint64_t paused_us)
 {
-	uint64_t last = atomic_exchange(&m->last_tick_us, now);
-
-	if (now - last <= m->s->platform.lease_us)
-		return;
 	counter_add(m->pauses, 1);
 	log_event(LOG_WARNING, "pause-detected", "ms=%" PRIu64,
-		  (now - last) / 1000);
+		  paused_us / 1000);
 	m->resumed_us = now;
 	/* Heartbeats couldn't be received, so peers don't count as silent. */
 	for (uint32_t i = 0; i < m->peer_count; i++)
-		m->peer_table[i].member.last_heartbeat_us += now - last;
+		m->peer_table[i].member.last_heartbeat_us += paused_us;
 	seats_revalidate(m);
 }
 
+/*
+ * A process that was paused longer than its lease may use an outdated split, so
+ * its seat is withheld until the store or a peer confirms the revision.
+ */
+static void check_pause(struct members *m, uint64_t now)
+{
+	uint64_t last = atomic_load(&m->last_tick_us);
+
+	if (now - last > m->s->platform.lease_us)
+		resume(m, now, now - last);
+	/* Until then members_seat() withholds the seat itself. */
+	atomic_store(&m->last_tick_us, now);
+}
+
 void members_format_address(const struct settings_address *a, char out[64])
 {
 	if (strchr(a->host, ':'))
