members: a heartbeat that is read after a stall confirms no seat

A resumed process withholds its seat until the store or a heartbeat that a peer sent after the pause shows that the split is unchanged. What was queued during the pause was told apart by time: heartbeats that are handled within 500 ms of the detection do not count. A process that did not run in these 500 ms (stopped again, or without processor, for less than a lease) took a heartbeat from before the end of the pause for a later one, and used slots that others may have been given meanwhile. Class of fault: elapsed time taken for time in which the process ran.

Heartbeats confirm a seat now only when the control thread has run for 500 ms without a gap of more than 250 ms. Otherwise the next heartbeat or the store does.

Not covered: a network thread that alone does not run while the control thread does. That needs a heartbeat that names the pause it answers.

--- a/src/members-internal.h
+++ b/src/members-internal.h
@@ -92,7 +92,8 @@
 	uint64_t applied_sent_us;
 	struct seat_listener listeners[SEAT_LISTENERS_MAX];
 	uint32_t listener_count;
-	uint64_t resumed_us; /* end of the last process pause */
+	uint64_t resumed_us;	   /* end of the last process pause */
+	uint64_t running_since_us; /* end of the last gap between ticks */
 	bool revalidating;
 	/* any thread */
 	_Atomic uint64_t last_tick_us;
--- a/src/svc-members.c
+++ b/src/svc-members.c
@@ -28,6 +28,8 @@
 #define PEER_EXPIRY_US 60000000u
 /* Time after a process pause for which queued heartbeats may be old. */
 #define PAUSE_SETTLE_US 500000u
+/* After a longer gap between ticks, old heartbeats may be queued as well. */
+#define TICK_GAP_MAX_US 250000u
 
 static int members_start(struct service *svc, struct kernel *k,
 			 struct error *err);
@@ -172,6 +174,8 @@
 {
 	uint64_t last = atomic_load(&m->last_tick_us);
 
+	if (now - last > TICK_GAP_MAX_US)
+		m->running_since_us = now;
 	if (now - last > m->s->platform.lease_us)
 		resume(m, now, now - last);
 	/* Until then members_seat() withholds the seat itself. */
@@ -334,6 +338,16 @@
 	}
 }
 
+/*
+ * Returns whether the process has run without a gap for long enough that no
+ * heartbeat is from before its last pause.
+ */
+static bool heartbeats_fresh(struct members *m, uint64_t now)
+{
+	return now - atomic_load(&m->last_tick_us) <= TICK_GAP_MAX_US &&
+	       now - m->running_since_us > PAUSE_SETTLE_US;
+}
+
 /* Adds or updates the sender's entry in the peer table. */
 static void on_heartbeat(void *arg, const char *sender, const void *body,
 			 size_t len)
@@ -385,8 +399,7 @@
 		check_liveness(m, now);
 	}
 	if (!strcmp(received.availability_zone, m->s->node.availability_zone))
-		seats_on_peer_index(m, seats_index,
-				    now - m->resumed_us > PAUSE_SETTLE_US);
+		seats_on_peer_index(m, seats_index, heartbeats_fresh(m, now));
 out:
 	message_reader_free(&r);
 }
--- a/tests/test-members-pause.c
+++ b/tests/test-members-pause.c
@@ -18,6 +18,8 @@
 
 #define LEASE_US 3000000u
 #define PAUSE_US (2 * LEASE_US)
+/* Longer than the time for which heartbeats of a pause may be queued. */
+#define STALL_US 600000u
 #define WAIT_US 20000000u
 
 static const char vms[] =
@@ -35,7 +37,9 @@
 /* Called on the control thread at the event "pause-detected". */
 static void (*on_pause)(void);
 static atomic_int pauses;
+static atomic_int heartbeats;
 static uint64_t seat_at_pause;
+static uint64_t seat_after_heartbeat;
 
 /* ---- clock, log and peers of the process under test ---- */
 
@@ -164,6 +168,7 @@
 	struct error err;
 
 	atomic_store(&pauses, 0);
+	atomic_store(&heartbeats, 0);
 	on_pause = NULL;
 	server = kv_start();
 	kv_set_vms(server, vms);
@@ -225,11 +230,72 @@
 	tear_down();
 }
 
+/* Delivers a heartbeat of a peer that has read the same split. */
+static void deliver_heartbeat(void *arg)
+{
+	struct message_writer w;
+
+	(void)arg;
+	message_writer_init(&w, 11);
+	message_put_uint(&w, 1);
+	message_put_str(&w, "zone-a");
+	message_put_str(&w, "127.0.0.1:2");
+	message_put_str(&w, "127.0.0.1:3");
+	message_put_uint(&w, 1);
+	message_put_uint(&w, 0);
+	message_put_uint(&w, members->seats_modify_index);
+	message_put_uint(&w, 0);
+	message_put_array(&w, 0);
+	message_put_array(&w, 0);
+	message_put_uint(&w, 1);
+	heartbeat_fn(heartbeat_arg, "e2", w.buffer.data, w.buffer.size);
+	message_writer_free(&w);
+	seat_after_heartbeat = seat_revision();
+	atomic_fetch_add(&heartbeats, 1);
+}
+
+/* The heartbeat was queued during the pause and is read after the stall. */
+static void stall_and_deliver(void *arg)
+{
+	atomic_fetch_add(&clock_offset_us, STALL_US);
+	deliver_heartbeat(arg);
+}
+
+static void stall_after_pause(void)
+{
+	loop_post(loop, stall_and_deliver, NULL);
+}
+
+/*
+ * Guards against a seat that is used again because of a heartbeat from before
+ * the end of the pause: the control thread stalled between the detection of the
+ * pause and the heartbeat, for less than a lease.
+ */
+static void test_heartbeat_after_stall(void)
+{
+	set_up();
+	kv_set_down(server, true);
+	on_pause = stall_after_pause;
+	loop_post(loop, pause_process, NULL);
+	CU_ASSERT_TRUE(wait_count(&heartbeats, 1));
+	CU_ASSERT_EQUAL(seat_after_heartbeat, 0);
+	/* Later heartbeats do confirm the seat, without the store. */
+	for (uint64_t end = clock_now_us() + WAIT_US;
+	     !seat_revision() && clock_now_us() < end;) {
+		loop_call(loop, deliver_heartbeat, NULL);
+		clock_sleep_us(50000);
+	}
+	CU_ASSERT(seat_revision() > 0);
+	tear_down();
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
 		{ "seat is withheld when a pause is detected",
 		  test_withheld_when_detected },
+		{ "heartbeat that is read after a stall confirms no seat",
+		  test_heartbeat_after_stall },
 	};
 
 	return RUN_SUITE("members-pause", tests);
