sched: a report from before a worker's restart is ignored

Callers would see a task run twice, or a sound job shown as failed. The store's entry of a restarted worker can be read before the last report of its previous incarnation, for instance when the owner wakes from a pause. sched_report() took the older incarnation for a newer one: it requeued what had been started since, counted it as lost in a crash, took over the numbers of the old ends, which the next poll would acknowledge to the new incarnation, and did so once more with the next report. Class of fault: an answer from one life of a worker taken as a statement about the next.

A report that names another incarnation and was requested before the present one was known has no effect now; the link asks again before it sends orders. Starting times are not compared, as a worker's clock can be set back.

test-sched-worker, 'report from before restart', failed before (tasks_lost above 8, job not completed after 6 s) and passes. Found by reading; no play showed it.

--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -170,7 +170,11 @@
 void sched_worker_unlisted(struct sched *s, uint32_t worker, uint64_t now_us);
 uint32_t sched_find_worker(const struct sched *s, const char *id);
 
-void sched_report(struct sched *s, uint32_t worker,
+/*
+ * Returns false, with no effect, if the worker restarted after it was asked for
+ * the report.
+ */
+bool sched_report(struct sched *s, uint32_t worker,
 		  const struct sched_report *r, uint64_t now_us,
 		  uint64_t wall_ms);
 /* The worker didn't respond: no task is placed there until it reports. */
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -282,6 +282,13 @@
 	}
 	l->unresponsive_since_us = 0;
 	l->poll_refused = false;
+	r.requested_us = l->poll_sent_us;
+	if (!sched_report(w->sched, l->worker, &r, now,
+			  clock_wall_us() / 1000)) {
+		l->verify_incarnation = true;
+		l->clock_ms = 0;
+		return;
+	}
 	l->reported_us = l->poll_sent_us;
 	if (r.started_wall_ms && r.started_wall_ms != l->started_wall_ms)
 		l->started_wall_ms = r.started_wall_ms;
@@ -291,8 +298,6 @@
 		l->last_end_seq = r.ended[r.ended_count - 1].seq;
 		l->ack_deadline_us = now + ACK_TIMEOUT_US;
 	}
-	r.requested_us = l->poll_sent_us;
-	sched_report(w->sched, l->worker, &r, now, clock_wall_us() / 1000);
 	job_owner_schedule_tick(w->node->owner);
 	send_orders(l);
 }
--- a/src/log-events.c
+++ b/src/log-events.c
@@ -125,6 +125,7 @@
 	"worker-listed",
 	"worker-quarantined",
 	"worker-refused",
+	"worker-report-outdated",
 	"worker-report-refused",
 	"worker-reports",
 	"worker-silent",
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -160,6 +160,7 @@
 	struct worker_identity *identity;
 	uint32_t report_number;
 	uint64_t started_wall_ms;
+	uint64_t incarnation_us; /* when started_wall_ms was learnt */
 	uint64_t ends_seen;	 /* highest sequence number processed */
 	uint64_t ends_collected; /* ... in the records being stored */
 	uint64_t ends_stored;	 /* ... in stored records */
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -91,6 +91,7 @@
 	if (w->started_wall_ms)
 		requeue_lost_tasks(s, w, LOSS_CRASHED, "restarted");
 	w->started_wall_ms = started_wall_ms;
+	w->incarnation_us = s->now_us;
 	w->ends_seen = 0;
 	w->ends_collected = 0;
 	w->ends_stored = 0;
@@ -304,7 +305,19 @@
 	sched_task_ended(s, t, e->reason, e->checkpoint);
 }
 
-void sched_report(struct sched *s, uint32_t worker,
+/*
+ * The entry of a restarted worker can be read before the last report of its
+ * previous incarnation. The times of the starts do not tell which is later: the
+ * worker's clock can have been set back.
+ */
+static bool is_from_earlier_incarnation(const struct sched_worker *w,
+					const struct sched_report *r)
+{
+	return r->started_wall_ms && r->started_wall_ms != w->started_wall_ms &&
+	       r->requested_us <= w->incarnation_us;
+}
+
+bool sched_report(struct sched *s, uint32_t worker,
 		  const struct sched_report *r, uint64_t now_us,
 		  uint64_t wall_ms)
 {
@@ -312,6 +325,12 @@
 
 	s->now_us = now_us;
 	s->wall_ms = wall_ms;
+	if (is_from_earlier_incarnation(w, r)) {
+		log_event(LOG_INFO, "worker-report-outdated",
+			  "worker=%s running=%zu ended=%zu", w->identity->id,
+			  r->running_count, r->ended_count);
+		return false;
+	}
 	w->report_number++;
 	if (r->started_wall_ms && r->started_wall_ms != w->started_wall_ms)
 		handle_restart(s, w, r->started_wall_ms);
@@ -341,6 +360,7 @@
 	if (!s->collecting && !sched_has_changes(s))
 		w->ends_stored = w->ends_seen;
 	sched_control_interference(s, worker);
+	return true;
 }
 
 void sched_workers_tick(struct sched *s)
