sched: limits that a late throttle order undid are ordered again

A throttle order without an answer can be carried out seconds later, after newer ones that were answered; the owner believed the newer limit and did not order it again. Class of fault: the answer to one order taken for the state after all copies.

A task of which a throttle order had no answer is marked; while it runs, a report whose CPU use contradicts the limit a second after the last order makes that limit be ordered again.

test-sched-unanswered: 'task halted by late order is resumed' (job not completed 10 s later) and 'task resumed by late order is halted' (service above its target for 4 s) failed before and pass. Found by reading.

--- a/src/sched-interference.c
+++ b/src/sched-interference.c
@@ -12,6 +12,8 @@
 /* Reports cover the last 0.5 s; an action must show in one before the next. */
 #define ACTION_INTERVAL_US 700000u
 #define OBSERVE_INTERVAL_US 500000u
+/* After this time a report shows whether an ordered limit is in effect. */
+#define LIMIT_CHECK_US 1000000u
 /* Time above the target after which all batch tasks on a worker are halted. */
 #define HALT_AFTER_US 1400000u
 /*
@@ -195,6 +197,7 @@
 	if (t->cpu_percent == percent)
 		return;
 	t->cpu_percent = (uint8_t)percent;
+	t->throttled_us = s->now_us;
 	s->workers[t->worker].throttled_us = s->now_us;
 	s->workers[t->worker].headrooms_valid = false;
 	s->stats.throttles++;
@@ -202,6 +205,38 @@
 	s->ops->order(s->arg, &o);
 }
 
+/* By the reported CPU use, which is imprecise. */
+static bool limit_is_in_effect(const struct sched_task *t,
+			       const struct job_step *step)
+{
+	uint32_t limit = step->demand.cpu_milli * t->cpu_percent / 100;
+	uint32_t tolerance = step->demand.cpu_milli / 10;
+
+	return t->metric <= limit + tolerance &&
+	       t->metric * 2 + tolerance >= limit;
+}
+
+/*
+ * An unanswered order may be executed after a later one, and its limit then
+ * stays. A repetition that was not needed has no effect.
+ */
+static void restore_limits(struct sched *s, const struct sched_worker *w)
+{
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker) {
+		struct sched_task *t = &s->tasks[i];
+		uint32_t percent = t->cpu_percent;
+
+		if (!t->throttle_unanswered || t->state != TASK_RUNNING ||
+		    percent == CPU_PERCENT_UNKNOWN ||
+		    s->now_us < t->throttled_us + LIMIT_CHECK_US ||
+		    limit_is_in_effect(t, sched_task_step(s, t)))
+			continue;
+		t->cpu_percent = CPU_PERCENT_UNKNOWN;
+		set_cpu_percent(s, t, percent);
+	}
+}
+
 /* Returns the batch task with the highest expected slowdown of the service. */
 static struct sched_task *most_disturbing_task(struct sched *s,
 					       const struct sched_worker *w,
@@ -355,6 +390,7 @@
 	float slowdown;
 	uint32_t tail;
 
+	restore_limits(s, w);
 	if (!w->service_milli) {
 		w->over_target_since_us = 0;
 		w->tail_percent = 0;
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -70,6 +70,7 @@
 	uint64_t lost_age_us;	 /* longest run that a crash ended ... */
 	uint64_t suspect_age_us; /* ... that the task is suspected of */
 	uint64_t stoppable_us;	 /* of a service: earliest preemption */
+	uint64_t throttled_us;	 /* last throttle order */
 	uint64_t wait_logged_us; /* first task of a step: its wait was logged;
 				    0: it does not wait */
 	uint8_t state;
@@ -79,6 +80,7 @@
 			       which may still be carried out */
 	bool confirmed;	    /* the worker confirmed the start or stop */
 	bool preempted;	    /* a service stopped for an urgent task */
+	bool throttle_unanswered; /* an order that may be carried out late */
 	uint32_t listed_in; /* number of the last report that lists the run */
 	uint32_t metric;
 	char checkpoint[SCHED_CHECKPOINT_BYTES];
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -164,6 +164,7 @@
 	t->confirmed = false;
 	t->unanswered = 0;
 	t->cpu_percent = 100;
+	t->throttle_unanswered = false;
 	t->progress_percent = 0;
 	t->prev_on_worker = SCHED_NONE;
 	t->next_on_worker = w->first_task;
@@ -416,6 +417,8 @@
 		sched_stop_result(s, t, result);
 	} else if (o->type == SCHED_THROTTLE && result != SCHED_OK) {
 		t->cpu_percent = CPU_PERCENT_UNKNOWN;
+		if (result == SCHED_OUTCOME_UNKNOWN)
+			t->throttle_unanswered = true;
 	}
 }
 
--- a/tests/test-sched-unanswered.c
+++ b/tests/test-sched-unanswered.c
@@ -10,8 +10,10 @@
 struct script {
 	struct model_fate starts[8];
 	struct model_fate stops[8];
+	struct model_fate throttles[8];
 	uint32_t start_count;
 	uint32_t stop_count;
+	uint32_t throttle_count;
 	uint32_t starts_at_draining;
 	uint32_t first_worker; /* handle of the worker of the first start */
 };
@@ -34,6 +36,8 @@
 			script->first_worker = o->worker;
 		return script->starts[script->start_count++ % 8];
 	}
+	if (o->type == SCHED_THROTTLE)
+		return script->throttles[script->throttle_count++ % 8];
 	return script->stops[script->stop_count++ % 8];
 }
 
@@ -257,6 +261,98 @@
 	job_model_free(m);
 }
 
+/* ---- late throttle orders ---- */
+
+/* Slowdown of services by batch tasks, for a share of 1 of the CPU. */
+static double slope_now;
+
+static double slope(const char *service, const char *batch)
+{
+	(void)service;
+	(void)batch;
+	return slope_now;
+}
+
+static struct model_job *submit_service(struct model *m)
+{
+	struct model_job *j =
+		job_model_add_job(m, "urgent", 1, 1, CORES(4), GB(2), -1);
+
+	j->spec.steps[0].long_running = true;
+	j->spec.steps[0].target_ms = 100;
+	strcpy(j->spec.steps[0].image, "service");
+	job_model_submit(m, j);
+	return j;
+}
+
+static struct model_job *submit_batch(struct model *m, double work_ms)
+{
+	struct model_job *j =
+		job_model_add_job(m, "batch", 1, 1, CORES(8), GB(2), work_ms);
+
+	j->spec.steps[0].best_effort = true;
+	strcpy(j->spec.steps[0].image, "batch");
+	job_model_submit(m, j);
+	return j;
+}
+
+/* Guards against a task that a late order halts after it was resumed. */
+static void test_task_halted_by_late_order_is_resumed(void)
+{
+	struct script script = {
+		.throttles = { { .outcome = MODEL_LATE, .late_ms = 3000 } },
+	};
+	struct model *m = create_model(1, &script);
+	struct model_job *service = submit_service(m), *batch;
+
+	m->slope = slope;
+	slope_now = 0;
+	job_model_run(m, 200);
+	batch = submit_batch(m, 20000);
+	job_model_run(m, 14000);
+	slope_now = 20;
+	while (script.throttle_count < 2)
+		job_model_run(m, MODEL_STEP_MS);
+	job_model_run(m, 100);
+	sched_cancel(m->s, service->spec.id, m->now_us, m->wall_ms);
+	job_model_run(m, 10000);
+	CU_ASSERT(script.throttle_count >= 3);
+	CU_ASSERT_EQUAL(job_model_state(m, batch), SCHED_JOB_COMPLETED);
+	job_model_free(m);
+}
+
+/*
+ * Guards against a halted task that a late order resumes while a service above
+ * its target runs beside it.
+ */
+static void test_task_resumed_by_late_order_is_halted(void)
+{
+	struct script script = {
+		.throttles = { { .outcome = MODEL_EXECUTED },
+			       { .outcome = MODEL_LATE, .late_ms = 5000 } },
+	};
+	struct model *m = create_model(1, &script);
+	struct model_job *service = submit_service(m);
+
+	m->slope = slope;
+	slope_now = 0;
+	job_model_run(m, 200);
+	submit_batch(m, 40000);
+	job_model_run(m, 30000);
+	slope_now = 80;
+	while (!script.throttle_count)
+		job_model_run(m, MODEL_STEP_MS);
+	job_model_run(m, 100);
+	sched_cancel(m->s, service->spec.id, m->now_us, m->wall_ms);
+	while (script.throttle_count < 3)
+		job_model_run(m, MODEL_STEP_MS);
+	submit_service(m);
+	job_model_run(m, 12000);
+	CU_ASSERT(script.throttle_count >= 4);
+	CU_ASSERT_EQUAL(m->faults.target_violations, 0);
+	job_model_free(m);
+}
+
 /* ---- random orders ---- */
 
 struct disorder {
@@ -371,6 +467,10 @@
 		{ "answer to start does not confirm stop",
 		  test_answer_to_start_does_not_confirm_stop },
 		{ "refused stops are paced", test_refused_stops_are_paced },
+		{ "task halted by late order is resumed",
+		  test_task_halted_by_late_order_is_resumed },
+		{ "task resumed by late order is halted",
+		  test_task_resumed_by_late_order_is_halted },
 		{ "late orders beside refusing workers",
 		  test_late_orders_beside_refusing_workers },
 	};
