job-intake: a cancellation that may be stored is not answered as refused

Callers got 503 for a DELETE whose write had no answer; the cancellation was stored, or could be later, and the job ended as cancelled. A submission in the same place is answered 504. Class of fault: no answer to one copy taken for a refusal.

An unanswered write of a cancellation is remembered, as that of a submission is: the store is asked again, and what remains uncertain is answered 504.

--- a/src/job-intake.c
+++ b/src/job-intake.c
@@ -280,12 +280,16 @@
 {
 	struct intake_request *p = arg;
 
-	if (r->outcome == KV_OK)
+	if (r->outcome == KV_OK) {
 		finish_done(p, SCHED_JOB_CANCELLED);
-	else if (r->outcome == KV_UNKNOWN)
+	} else if (r->outcome == KV_UNKNOWN) {
+		p->may_be_stored = true;
 		retry_later(p, "store-answer-lost");
-	else
+	} else if (p->may_be_stored) {
+		retry_later(p, "store");
+	} else {
 		forward(p);
+	}
 }
 
 static void store_cancel(struct intake_request *p)
