job-peer: an unreadable reply of the owner is no outcome

Callers could get 503 for a job that the owner had stored and that runs, or 200 for one that it had not: a 200 whose body is no JSON counted as refused, one without "outcome" as done. A state beyond the table of names ended the process when it was shown. Class of fault: what is not an answer taken for one.

All members of a reply must be numbers in their range. Only 400 and 421, which a peer sends before it does anything, and a call that was not sent count as refused; all else is unknown (504, or the store is read for a state).

test-job-intake: 'unreadable reply of owner' ended with a segmentation fault before (first statuses 503 and 200 instead of 504) and passes; 'refusal of owner' guards the refusals that remain.

--- a/src/job-peer.c
+++ b/src/job-peer.c
@@ -18,6 +18,9 @@
 #define MESSAGE_MAX_BYTES (512 * 1024)
 /* Less than the time that a peer waits for the reply. */
 #define SERVE_TIMEOUT_US 450000u
+/* Status of calls that had no effect. */
+#define STATUS_MALFORMED 400
+#define STATUS_NOT_OWNER 421
 
 static const char *const call_paths[] = { "/submit", "/cancel", "/state",
 					  "/waiting" };
@@ -39,26 +42,55 @@
 
 /* ---- calls to the owner ---- */
 
+static bool read_number(const json_t *o, const char *name, json_int_t max,
+			json_int_t *out)
+{
+	const json_t *value = json_object_get(o, name);
+
+	*out = json_integer_value(value);
+	return json_is_integer(value) && *out >= 0 && *out <= max;
+}
+
+static bool read_reply(const struct event_http_response *h,
+		       struct intake_reply *a)
+{
+	json_t *o = json_loadb(h->body, h->len, 0, NULL);
+	json_int_t outcome, state, waiting;
+	bool valid = read_number(o, "outcome", INTAKE_REFUSED, &outcome) &&
+		     read_number(o, "state", SCHED_JOB_CANCELLED, &state) &&
+		     read_number(o, "waiting", UINT32_MAX, &waiting);
+
+	json_decref(o);
+	if (!valid)
+		return false;
+	a->outcome = (enum intake_outcome)outcome;
+	a->state = (enum sched_job_state)state;
+	a->waiting = (uint32_t)waiting;
+	return true;
+}
+
+/* The call was not sent, or rejected by a peer before it did anything. */
+static bool was_refused(const struct event_http_response *h)
+{
+	return h->outcome == EVENT_HTTP_NOT_SENT ||
+	       (h->outcome == EVENT_HTTP_RESPONDED &&
+		(h->status == STATUS_MALFORMED ||
+		 h->status == STATUS_NOT_OWNER));
+}
+
 static void on_response(void *arg, const struct event_http_response *h)
 {
 	struct owner_call *q = arg;
-	struct intake_reply a = { .outcome = INTAKE_REFUSED,
+	struct intake_reply a = { .outcome = INTAKE_UNKNOWN,
 				  .reason = "owner" };
-	json_t *o;
 
 	q->busy = false;
-	if (h->outcome == EVENT_HTTP_NO_RESPONSE) {
-		a.outcome = INTAKE_UNKNOWN;
-	} else if (h->outcome == EVENT_HTTP_RESPONDED && h->status == 200 &&
-		   (o = json_loadb(h->body, h->len, 0, NULL))) {
-		a.outcome = (enum intake_outcome)json_integer_value(
-			json_object_get(o, "outcome"));
-		a.state = (enum sched_job_state)json_integer_value(
-			json_object_get(o, "state"));
-		a.waiting = (uint32_t)json_integer_value(
-			json_object_get(o, "waiting"));
-		json_decref(o);
-	}
+	if (was_refused(h))
+		a.outcome = INTAKE_REFUSED;
+	else if (h->outcome == EVENT_HTTP_RESPONDED &&
+		 (h->status != 200 || !read_reply(h, &a)))
+		log_event(LOG_WARNING, "peer-malformed", "status=%d bytes=%zu",
+			  h->status, h->len);
 	q->fn(q->arg, &a);
 }
 
@@ -144,7 +176,7 @@
 	if (job_spec_decode(&spec, evbuffer_pullup(in, -1), len, &err) < 0) {
 		log_event(LOG_WARNING, "peer-malformed", "error=\"%s\"",
 			  err.message);
-		send_reply(req, 400, NULL);
+		send_reply(req, STATUS_MALFORMED, NULL);
 		return;
 	}
 	job_intake_submit(p->node->intake, &spec,
@@ -160,7 +192,7 @@
 	struct intake_reply a = { .outcome = INTAKE_NOT_FOUND };
 
 	if (!s) {
-		send_reply(req, 421, NULL);
+		send_reply(req, STATUS_NOT_OWNER, NULL);
 		return;
 	}
 	if (sched_job_state(s, id, queue, &a.state))
@@ -177,13 +209,13 @@
 	const char *id, *queue;
 
 	if (!query || evhttp_parse_query_str(query + 1, &keys) < 0) {
-		send_reply(req, 400, NULL);
+		send_reply(req, STATUS_MALFORMED, NULL);
 		return;
 	}
 	id = evhttp_find_header(&keys, "id");
 	queue = evhttp_find_header(&keys, "queue");
 	if (!id || !queue) {
-		send_reply(req, 400, NULL);
+		send_reply(req, STATUS_MALFORMED, NULL);
 	} else if (!strncmp(uri, "/submit?", 8)) {
 		serve_submit(p, req);
 	} else if (!strncmp(uri, "/cancel?", 8)) {
@@ -200,7 +232,7 @@
 					       queue);
 		send_reply(req, 200, &a);
 	} else {
-		send_reply(req, 421, NULL);
+		send_reply(req, STATUS_NOT_OWNER, NULL);
 	}
 	evhttp_clear_headers(&keys);
 }
--- a/tests/test-job-intake.c
+++ b/tests/test-job-intake.c
@@ -1,8 +1,53 @@
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
 #include <string.h>
 
+#include "buffer.h"
 #include "support-jobs-fixture.h"
 #include "support-unit.h"
 
+/* Below the ports of the entry VMs, above those of the workers. */
+#define OWNER_PORT_OFFSET 8
+
+/* Answers each call of a peer in the owner's place. */
+struct fake_owner {
+	struct evhttp *server;
+	int status;
+	const char *body;
+	uint32_t calls;
+};
+
+static void on_peer_call(struct evhttp_request *req, void *arg)
+{
+	struct fake_owner *o = arg;
+	struct evbuffer *out = evbuffer_new();
+
+	o->calls++;
+	evbuffer_add(out, o->body, strlen(o->body));
+	evhttp_send_reply(req, o->status, NULL, out);
+	evbuffer_free(out);
+}
+
+/* Both entry VMs take the server for the owner; the store refuses calls. */
+static void replace_owner(struct jobs_fixture *f, struct fake_owner *o)
+{
+	uint16_t port = (uint16_t)(jobs_fixture_port() + OWNER_PORT_OFFSET);
+	struct buffer value = BUFFER_INIT;
+
+	memset(o, 0, sizeof(*o));
+	o->server = evhttp_new(f->base);
+	evhttp_set_gencb(o->server, on_peer_call, o);
+	CU_ASSERT_EQUAL_FATAL(evhttp_bind_socket(o->server, "127.0.0.1", port),
+			      0);
+	buffer_printf(&value, "127.0.0.1:%u entry-9 0", port);
+	jobs_platform_put(f->platform, JOB_OWNER_KEY, value.data);
+	buffer_free(&value);
+	jobs_fixture_run(f, 300);
+	jobs_platform_faults(f->platform)->refuse = true;
+	jobs_fixture_run(f, 100);
+}
+
 /* Sends a request, lets the store refuse calls 100 ms later, and waits. */
 static int request_then_refuse(struct jobs_fixture *f, const char *method,
 			       const char *path, const char *body)
@@ -69,6 +114,70 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/*
+ * Guards against a reply of the owner that cannot be read and is taken for a
+ * refusal or a success: the job may be stored, and runs, or is not.
+ */
+static void test_unreadable_reply_of_owner(void)
+{
+	static const char *const bodies[] = {
+		"no json",
+		"",
+		"{}",
+		"[0,0,0]",
+		"{\"outcome\":\"0\",\"state\":0,\"waiting\":0}",
+		"{\"outcome\":9,\"state\":0,\"waiting\":0}",
+		"{\"outcome\":0,\"state\":77,\"waiting\":0}",
+		"{\"outcome\":0,\"state\":-1,\"waiting\":0}",
+	};
+	struct jobs_fixture f;
+	struct fake_owner o;
+
+	jobs_fixture_set_up(&f);
+	jobs_fixture_set_queue_host(&f);
+	replace_owner(&f, &o);
+	o.status = 200;
+	for (size_t i = 0; i < sizeof(bodies) / sizeof(bodies[0]); i++) {
+		o.body = bodies[i];
+		CU_ASSERT_EQUAL(jobs_fixture_request(&f, 0, "POST", JOB_A_PATH,
+						     JOB_BODY),
+				504);
+		CU_ASSERT_EQUAL(
+			jobs_fixture_request(&f, 0, "DELETE", JOB_A_PATH, NULL),
+			504);
+		CU_ASSERT_EQUAL(
+			jobs_fixture_request(&f, 0, "GET", JOB_A_PATH, NULL),
+			503);
+	}
+	CU_ASSERT(o.calls >= 3 * sizeof(bodies) / sizeof(bodies[0]));
+	evhttp_free(o.server);
+	jobs_fixture_tear_down(&f);
+}
+
+/* A process that is not the owner any more has stored nothing. */
+static void test_refusal_of_owner(void)
+{
+	struct jobs_fixture f;
+	struct fake_owner o;
+
+	jobs_fixture_set_up(&f);
+	jobs_fixture_set_queue_host(&f);
+	replace_owner(&f, &o);
+	o.status = 421;
+	o.body = "";
+	CU_ASSERT_EQUAL(
+		jobs_fixture_request(&f, 0, "POST", JOB_A_PATH, JOB_BODY), 503);
+	o.status = 200;
+	o.body = "{\"outcome\":3,\"state\":0,\"waiting\":0}";
+	CU_ASSERT_EQUAL(
+		jobs_fixture_request(&f, 0, "POST", JOB_A_PATH, JOB_BODY), 503);
+	o.status = 500;
+	CU_ASSERT_EQUAL(
+		jobs_fixture_request(&f, 0, "POST", JOB_A_PATH, JOB_BODY), 504);
+	evhttp_free(o.server);
+	jobs_fixture_tear_down(&f);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -77,6 +186,8 @@
 		{ "unanswered cancellation", test_unanswered_cancellation },
 		{ "cancellation refused after unanswered write",
 		  test_cancellation_refused_after_unanswered_write },
+		{ "unreadable reply of owner", test_unreadable_reply_of_owner },
+		{ "refusal of owner", test_refusal_of_owner },
 	};
 
 	return RUN_SUITE("job-intake", tests);
