sched: a search reads only workers on which a task may fit

What callers would see: the owner's processor follows the number of its workers less closely.

Cause: each search for a worker read all workers.

Change: a tree over the workers holds the maxima of what is free (sched-index.c). A search leaves out subtrees in which no worker fits or can exceed the best score so far. The others are read in the same order as before, with the same comparisons, so the decisions are the same. test-sched-index compares both layers with plain scans; it fails when the index leaves out workers of a score or a demand that it must not.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -3,6 +3,7 @@
 
 #include "job-sched.h"
 #include "pair-model.h"
+#include "sched-index.h"
 
 /*
  * NAME
@@ -16,6 +17,7 @@
  *	sched-worker.c	reports and leases
  *	sched-order.c	order of placement
  *	sched-place.c	placement
+ *	sched-index.c	workers by free capacity
  *	sched-reserve.c	reservations
  *	sched-preempt.c	urgent jobs that stop other tasks
  *	sched-crash.c	tasks that crash their workers
@@ -177,15 +179,6 @@
 	uint32_t last_failed_job;
 };
 
-/* What is free on a worker in the current placement round. */
-struct worker_room {
-	uint32_t service; /* SCHED_NONE: accepts no task */
-	int32_t cpu_milli;
-	int32_t best_effort_milli; /* for best-effort tasks */
-	int32_t memory_mb;
-	int32_t accelerators;
-};
-
 #define SCHED_ESTIMATES_MAX 64
 /* How the run times of a queue's tasks relate to their estimates. */
 struct queue_estimate {
@@ -240,7 +233,7 @@
 	struct stop_retry *stop_retries;
 	uint32_t stop_retry_count;
 	struct sched_worker *workers;
-	struct worker_room *rooms; /* by worker */
+	struct room_index rooms; /* of the current placement round */
 	uint32_t worker_count;
 	uint64_t created_us;
 	uint64_t now_us;
@@ -358,6 +351,17 @@
 
 /* ---- sched-place.c ---- */
 void sched_place(struct sched *s);
+/* Score of a worker, in thousandths of its CPU; higher is better. */
+int64_t sched_worker_score(const struct sched *s, const struct sched_worker *w,
+			   const struct job_step *step,
+			   const struct sched_task *t);
+/*
+ * The worker with the highest score, the first of equals, or SCHED_NONE. rack:
+ * NULL for any. The worker of the last failure is chosen only if no other fits.
+ */
+uint32_t sched_best_worker(struct sched *s, const struct job *j,
+			   const struct sched_task *t, const char *rack,
+			   bool beside_probations);
 /* Whether the step's limit of tasks on one worker allows one more. */
 bool sched_below_worker_max(const struct sched *s, const struct sched_worker *w,
 			    const struct sched_task *t,
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -116,34 +116,42 @@
 			       : (int32_t)n;
 }
 
-void sched_update_room(struct sched *s, uint32_t worker)
+/* CPU that counts as free in the score of a task that is not best-effort. */
+static int64_t free_cpu(const struct sched_worker *w)
 {
-	const struct sched_worker *w = &s->workers[worker];
-	struct worker_room *room = &s->rooms[worker];
+	return (int64_t)w->capacity.cpu_milli - w->used.cpu_milli -
+	       w->best_effort_milli / 2;
+}
 
-	room->service = available(s, w) ? w->service : SCHED_NONE;
-	room->cpu_milli = left(w->capacity.cpu_milli, w->used.cpu_milli,
-			       w->reserved.cpu_milli);
-	room->best_effort_milli = w->over_target_since_us
-					  ? INT32_MIN
-					  : (int32_t)best_effort_cpu_left(w);
-	room->memory_mb = left(w->capacity.memory_mb, w->used.memory_mb,
-			       w->reserved.memory_mb);
-	room->accelerators =
-		left(w->capacity.accelerators, w->used.accelerators,
-		     w->reserved.accelerators);
+static uint32_t beside_services_bonus(const struct sched_worker *w)
+{
+	return w->service_milli ? SCORE_BESIDE_SERVICES : 0;
 }
 
-/* Whether one more task of the step fits beside used and reserved resources. */
-static bool fits(const struct worker_room *room, const struct job *j,
-		 const struct job_step *step)
+void sched_update_room(struct sched *s, uint32_t worker)
 {
-	return room->service == j->service &&
-	       (step->best_effort
-			? room->best_effort_milli
-			: room->cpu_milli) >= (int64_t)step->demand.cpu_milli &&
-	       room->memory_mb >= (int64_t)step->demand.memory_mb &&
-	       room->accelerators >= (int64_t)step->demand.accelerators;
+	const struct sched_worker *w = &s->workers[worker];
+	uint32_t capacity_milli = w->capacity.cpu_milli;
+	int64_t best_effort = best_effort_cpu_left(w);
+	struct worker_room room = {
+		.service = available(s, w) ? w->service : ROOM_NO_SERVICE,
+		.cpu_milli = left(capacity_milli, w->used.cpu_milli,
+				  w->reserved.cpu_milli),
+		.best_effort_milli = w->over_target_since_us
+					     ? INT32_MIN
+					     : (int32_t)best_effort,
+		.memory_mb = left(w->capacity.memory_mb, w->used.memory_mb,
+				  w->reserved.memory_mb),
+		.accelerators =
+			left(w->capacity.accelerators, w->used.accelerators,
+			     w->reserved.accelerators),
+		.rank = room_rank(free_cpu(w), capacity_milli, 0),
+		.best_effort_rank = room_rank(best_effort, capacity_milli,
+					      beside_services_bonus(w)),
+		.inverse_cpu = room_inverse(capacity_milli),
+	};
+
+	room_index_set(&s->rooms, worker, &room);
 }
 
 /* Whether the worker has long-running tasks, and only of the given image. */
@@ -165,16 +173,15 @@
 }
 
 /*
- * Returns the score of a worker, in thousandths of its CPU; higher is better.
- *
  * Services of one image are packed together, so that few workers are sensitive
  * to a given batch image and others run no service and accept all batch images.
  * Best-effort tasks are placed beside services that tolerate them, to leave the
  * workers without services to images that interfere. Other tasks are placed on
  * the worker with the most free CPU.
  */
-static int64_t score(const struct sched *s, const struct sched_worker *w,
-		     const struct job_step *step, const struct sched_task *t)
+int64_t sched_worker_score(const struct sched *s, const struct sched_worker *w,
+			   const struct job_step *step,
+			   const struct sched_task *t)
 {
 	int64_t capacity_milli = w->capacity.cpu_milli + 1;
 	int64_t need = step->demand.cpu_milli;
@@ -190,35 +197,32 @@
 	if (step->best_effort)
 		return (best_effort_cpu_left(w) - need) * 1000 /
 			       capacity_milli +
-		       (w->service_milli ? SCORE_BESIDE_SERVICES : 0);
-	return ((int64_t)w->capacity.cpu_milli - w->used.cpu_milli -
-		w->best_effort_milli / 2 - need) *
-	       1000 / capacity_milli;
+		       beside_services_bonus(w);
+	return (free_cpu(w) - need) * 1000 / capacity_milli;
 }
 
-/*
- * rack: NULL for any. The worker of the last failure is chosen only if no other
- * fits.
- */
-static uint32_t best_worker(struct sched *s, const struct job *j,
-			    const struct sched_task *t, const char *rack,
-			    bool beside_probations)
+uint32_t sched_best_worker(struct sched *s, const struct job *j,
+			   const struct sched_task *t, const char *rack,
+			   bool beside_probations)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
+	struct room_query q = room_query(j->service, step);
+	bool ranked = !step->long_running && !sched_needs_probation(t);
 	uint32_t best = SCHED_NONE;
 	int64_t best_score = 0;
 
-	for (uint32_t i = 0; i < s->worker_count; i++) {
+	for (uint32_t i = room_index_next(&s->rooms, &q, 0); i != SCHED_NONE;
+	     i = room_index_next(&s->rooms, &q, i + 1)) {
 		struct sched_worker *w = &s->workers[i];
 		int64_t value;
 
-		if (!fits(&s->rooms[i], j, step) ||
-		    !sched_worker_usable(s, w, j, step) ||
+		if (!sched_worker_usable(s, w, j, step) ||
 		    (w->probations && !beside_probations) ||
 		    (rack && !has_label(w, rack)))
 			continue;
-		value = sched_needs_probation(t) ? sched_probation_score(s, w)
-						 : score(s, w, step, t);
+		value = sched_needs_probation(t)
+				? sched_probation_score(s, w)
+				: sched_worker_score(s, w, step, t);
 		if (i == t->last_failed_worker)
 			value -= PENALTY_FAILED_HERE;
 		if (best != SCHED_NONE && value <= best_score)
@@ -230,6 +234,8 @@
 			continue;
 		best = i;
 		best_score = value;
+		if (ranked)
+			room_query_above(&q, best_score);
 	}
 	return best;
 }
@@ -368,7 +374,7 @@
 	uint32_t best = SCHED_NONE;
 
 	if (!known_unmet(s, j, step)) {
-		best = best_worker(s, j, t, NULL, false);
+		best = sched_best_worker(s, j, t, NULL, false);
 		if (best == SCHED_NONE)
 			record_unmet(s, j, step);
 	}
@@ -394,9 +400,9 @@
 	uint32_t best = SCHED_NONE;
 
 	if (sched_probation_available(s))
-		best = best_worker(s, j, t, NULL, false);
+		best = sched_best_worker(s, j, t, NULL, false);
 	if (best == SCHED_NONE && !sched_probation_required(t))
-		best = best_worker(s, j, t, NULL, true);
+		best = sched_best_worker(s, j, t, NULL, true);
 	return best;
 }
 
@@ -410,7 +416,7 @@
 		return choose_for_probation(s, j, t);
 	if (!*step->rack)
 		return choose_any_rack(s, j, t);
-	best = best_worker(s, j, t, step->rack, false);
+	best = sched_best_worker(s, j, t, step->rack, false);
 	if (best != SCHED_NONE || waits_for_rack(s, step, t))
 		return best;
 	return choose_any_rack(s, j, t);
@@ -428,7 +434,8 @@
 			run = first[i].run;
 	for (; placed < step->count; placed++) {
 		/* Members start together: none can run without the others. */
-		uint32_t w = best_worker(s, j, &first[placed], rack, true);
+		uint32_t w =
+			sched_best_worker(s, j, &first[placed], rack, true);
 
 		if (w == SCHED_NONE)
 			break;
--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -125,7 +125,7 @@
 			   const struct job *j, const struct job_step *step,
 			   bool services, struct victims *v)
 {
-	const struct worker_room *room = &s->rooms[worker];
+	const struct worker_room *room = &s->rooms.rooms[worker];
 	int64_t cpu = (int64_t)step->demand.cpu_milli - room->cpu_milli;
 	int64_t memory = (int64_t)step->demand.memory_mb - room->memory_mb;
 	struct victim all[VICTIMS_MAX];
@@ -157,7 +157,7 @@
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	const struct sched_worker *w = &s->workers[worker];
-	const struct worker_room *room = &s->rooms[worker];
+	const struct worker_room *room = &s->rooms.rooms[worker];
 	int64_t stoppable = services ? w->service_milli : 0;
 
 	return room->service == j->service &&
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -36,8 +36,7 @@
 		return i;
 	s->workers = xrealloc(s->workers,
 			      (s->worker_count + 1) * sizeof(*s->workers));
-	s->rooms =
-		xrealloc(s->rooms, (s->worker_count + 1) * sizeof(*s->rooms));
+	room_index_add(&s->rooms);
 	w = &s->workers[s->worker_count];
 	memset(w, 0, sizeof(*w));
 	w->identity = xcalloc(1, sizeof(*w->identity));
--- a/src/sched.c
+++ b/src/sched.c
@@ -63,7 +63,7 @@
 	for (uint32_t i = 0; i < s->worker_count; i++)
 		free(s->workers[i].identity);
 	free(s->workers);
-	free(s->rooms);
+	room_index_free(&s->rooms);
 	free(s->services);
 	free(s->queues);
 	free(s);
