worker-path: calls are numbered across all paths of an owner

A response of a relay to a call that was dropped could be taken for the response to a later one: when a worker's address changes its path is replaced, and the calls of the new one were numbered from 1 again. The outcome of an order or a report of the worker's previous life would then count for another call. Class of fault: an answer to one call taken for another.

The numbers now come from one counter of the hub.

test-jobs-relay: 'address changes during poll' (the number after the change was not above the one before) failed before and passes. Found by reading; no play showed it.

--- a/src/relay-hub-internal.h
+++ b/src/relay-hub-internal.h
@@ -64,6 +64,8 @@
 	struct relay_candidate *candidates;
 	uint32_t relay_count;
 	uint32_t next_number;
+	/* Number of the last call; unique, as paths are replaced. */
+	uint32_t last_seq;
 	uint64_t assignment_version; /* of the active relays */
 	bool assignment_due;
 	struct worker_path **paths; /* by worker */
--- a/src/worker-path.c
+++ b/src/worker-path.c
@@ -84,7 +84,7 @@
 	c->fn = fn;
 	c->arg = arg;
 	c->relay = r;
-	c->seq++;
+	c->seq = ++p->hub->last_seq;
 	c->overdue_us = clock_now_us() + timeout_us;
 	if (!r->calls_in_flight++)
 		r->heard_us = clock_now_us();
--- a/tests/test-jobs-relay.c
+++ b/tests/test-jobs-relay.c
@@ -174,6 +174,7 @@
 	struct evconnlistener *listener;
 	uint32_t frames;
 	struct relay_call last_call;
+	struct relay_call polls[2]; /* last poll of each worker */
 	struct worker_response last_response;
 	bool closed;
 };
@@ -190,6 +191,8 @@
 		p->last_call = m.call;
 		if (m.type == RELAY_RESPONSE)
 			p->last_response = m.u.response;
+		else if (m.type == RELAY_POLL && m.call.worker < 2)
+			p->polls[m.call.worker] = m.call;
 	}
 	relay_message_free(&m);
 }
@@ -294,6 +297,64 @@
 	jobs_fixture_tear_down(&f);
 }
 
+static void ping_and_run(struct jobs_fixture *f, struct peer *p)
+{
+	struct relay_message ping = { .type = RELAY_PING,
+				      .u.clock_us = clock_now_us() };
+
+	send_to(p, &ping);
+	jobs_fixture_run(f, 100);
+}
+
+/* Gives a worker's entry the address of another one. */
+static void move_worker(struct jobs_fixture *f, int worker, int to)
+{
+	char key[64], old[32], value[1024];
+	const char *entry;
+	char *at;
+
+	snprintf(key, sizeof(key), "servers/i-%d",
+		 jobs_fixture_port() + 4 + worker);
+	snprintf(old, sizeof(old), "127.0.0.1:%d",
+		 jobs_fixture_port() + 4 + worker);
+	entry = jobs_platform_get(f->platform, key);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(entry);
+	snprintf(value, sizeof(value), "%s", entry);
+	at = strstr(value, old);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+	at[strlen(old) - 1] = (char)('0' + (jobs_fixture_port() + 4 + to) % 10);
+	jobs_platform_put(f->platform, key, value);
+}
+
+/*
+ * Guards against a response to a call to a worker's previous address that is
+ * taken for the response to a later call.
+ */
+static void test_address_changes_during_poll(void)
+{
+	struct peer relay = { 0 };
+	struct jobs_fixture f;
+	uint32_t seq;
+	int owner, worker;
+
+	set_up(&f, 100);
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	connect_as_relay(&f, &relay, owner);
+	for (int i = 0; i < 40 && !relay.frames; i++)
+		ping_and_run(&f, &relay);
+	worker = !relay.polls[0].seq;
+	seq = relay.polls[worker].seq;
+	CU_ASSERT_FATAL(seq > 0);
+	move_worker(&f, worker, !worker);
+	for (int i = 0; i < 6; i++)
+		ping_and_run(&f, &relay);
+	CU_ASSERT(relay.polls[worker].seq > seq);
+	CU_ASSERT_FALSE(relay.closed);
+	frame_conn_free(relay.conn);
+	jobs_fixture_tear_down(&f);
+}
+
 /* Guards against a malformed message that takes the owner down. */
 static void test_malformed_message(void)
 {
@@ -510,6 +571,8 @@
 		{ "peers without relays", test_peers_without_relays },
 		{ "silent relay", test_silent_relay },
 		{ "relay that loses calls", test_relay_that_loses_calls },
+		{ "address changes during poll",
+		  test_address_changes_during_poll },
 		{ "malformed message", test_malformed_message },
 		{ "announced again during poll",
 		  test_announced_again_during_poll },
