job-workers: orders end with an outcome when a worker's address changes

A task was neither started nor placed again, and a stop never repeated, if the address of its worker changed without a restart while the order was queued or in flight: the orders of the former connection were dropped without a word. If a copy in flight was dropped, it was not counted as unanswered either.

Orders in flight now end as unknown and queued ones as not sent, and the scheduler repeats what is still wanted at the new address.

test-jobs-node, 'address changes during start', failed before (not completed after 8 s) and passes.

--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -97,18 +97,37 @@
 	free(o);
 }
 
-static void free_link(struct worker_link *l)
+static void free_orders(struct queued_order *o)
 {
-	struct queued_order *o;
+	struct queued_order *next;
 
-	worker_path_free(l->path);
-	for (int i = 0; i < WORKER_ORDER_CONNECTIONS; i++)
-		if (l->in_flight[i])
-			free_order(l->in_flight[i]);
-	while ((o = l->queue_head)) {
-		l->queue_head = o->next;
+	for (; o; o = next) {
+		next = o->next;
 		free_order(o);
 	}
+}
+
+/* Takes all orders of a link: those in flight, then those queued. */
+static struct queued_order *detach_orders(struct worker_link *l)
+{
+	struct queued_order *first = l->queue_head;
+
+	for (int i = WORKER_ORDER_CONNECTIONS; i-- > 0;) {
+		if (!l->in_flight[i])
+			continue;
+		l->in_flight[i]->next = first;
+		first = l->in_flight[i];
+		l->in_flight[i] = NULL;
+	}
+	l->queue_head = NULL;
+	l->queue_tail = &l->queue_head;
+	return first;
+}
+
+static void free_link(struct worker_link *l)
+{
+	worker_path_free(l->path);
+	free_orders(detach_orders(l));
 	free(l);
 }
 
@@ -151,13 +170,26 @@
 	return l;
 }
 
+/* Reports the outcome of the orders of a link that was replaced. */
+static void end_orders(struct job_workers *w, struct queued_order *orders)
+{
+	for (struct queued_order *o = orders; o; o = o->next)
+		sched_order_result(w->sched, &o->order,
+				   o->sent_us ? SCHED_OUTCOME_UNKNOWN
+					      : SCHED_NOT_SENT,
+				   clock_now_us());
+	free_orders(orders);
+}
+
 void job_workers_update_entry(struct job_workers *w,
 			      const struct job_worker_entry *e)
 {
 	uint32_t worker = sched_update_worker(w->sched, &e->info);
 	struct worker_link *l = find_link(w, worker);
+	struct queued_order *orders = NULL;
 
 	if (l && memcmp(&l->address, &e->address, sizeof(e->address))) {
+		orders = detach_orders(l);
 		free_link(l);
 		w->links[worker] = NULL;
 		l = NULL;
@@ -171,6 +203,7 @@
 		l->verify_incarnation = true;
 		l->clock_ms = 0;
 	}
+	end_orders(w, orders);
 }
 
 void job_workers_mark_unlisted(struct job_workers *w, const char *id)
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -187,6 +187,42 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/*
+ * Guards against a task whose start was in flight when its worker's address
+ * changed: without an outcome it was neither started nor placed again.
+ */
+static void test_address_changes_during_start(void)
+{
+	char first[32], second[32], address[32], value[1024], *at;
+	struct jobs_fixture f;
+
+	jobs_fixture_set_up(&f);
+	jobs_fixture_set_queue_host(&f);
+	snprintf(first, sizeof(first), "servers/i-%d", jobs_fixture_port() + 4);
+	snprintf(second, sizeof(second), "servers/i-%d",
+		 jobs_fixture_port() + 5);
+	snprintf(address, sizeof(address), "127.0.0.1:%d",
+		 jobs_fixture_port() + 4);
+	snprintf(value, sizeof(value), "%s",
+		 jobs_platform_get(f.platform, first));
+	at = strstr(value, address);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+	/* The first worker will be reached where the second one was. */
+	at[strlen(address) - 1]++;
+	jobs_platform_set_unresponsive(f.platform, 1, true);
+	jobs_platform_delete(f.platform, second);
+	jobs_fixture_run(&f, 4000);
+	jobs_platform_set_unresponsive(f.platform, 0, true);
+	CU_ASSERT_EQUAL(
+		jobs_fixture_request(&f, 0, "POST", JOB_A_PATH, JOB_BODY), 200);
+	jobs_fixture_run(&f, 150);
+	jobs_platform_set_unresponsive(f.platform, 1, false);
+	jobs_platform_put(f.platform, first, value);
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_A_PATH, 8000));
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 5);
+	jobs_fixture_tear_down(&f);
+}
+
 /*
  * When the owner resigns, the other VM adopts the running tasks with a higher
  * fencing token.
@@ -424,6 +460,8 @@
 		{ "store refuses", test_store_refuses },
 		{ "compacted history", test_compacted_history },
 		{ "lost worker answers", test_lost_worker_answers },
+		{ "address changes during start",
+		  test_address_changes_during_start },
 		{ "takeover", test_takeover },
 		{ "larger VM becomes owner", test_larger_vm_becomes_owner },
 		{ "restarted owner claims immediately",
