owner: the owner's key is read again when its watch may be outdated

test-jobs-node failed once in three runs of the suite beside six busy processes ("tasks outlive store outage", not all six tasks running): callers would see all tasks stopped and started again after an outage of the store of 6.3 s. Not the load, the phase of a poll was the cause: a watch poll that was sent during the outage stays unanswered for 3.4 s (2.5 s and its margin). Until then the former owner, whose lease the store had ended, believed in its own key, claimed it again each 0.4 s and lost ("election-lost reason=conflict", five times in the log of a run that passed), and the leases of the workers ended. Class of fault: a decision from a copy that a later answer had shown to be outdated.

kv_follow_refresh() gives up the poll and reads the prefix in full. A former owner calls it when it steps down, a candidate when the store refuses its claim.

test-jobs-node, "election after store outage" (polls in their worst phase), failed before: no owner 2 s after the store's return.

Left: other entry VMs learn from their own polls; if the former owner is lost in the outage, the election still waits for one of these.

--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -107,6 +107,8 @@
 	if (r->outcome != KV_OK) {
 		election_failed(o, r->outcome == KV_CONFLICT ? "conflict"
 							     : "store");
+		if (r->outcome == KV_CONFLICT)
+			kv_follow_refresh(o->owner_follow);
 		return;
 	}
 	o->ownership_revision = r->revision;
@@ -268,6 +270,9 @@
 					       ignore_reply, NULL);
 	o->lease_id = 0;
 	job_owner_unload(o);
+	/* The poll under way may have been lost in an outage of the store. */
+	if (!o->resigned)
+		kv_follow_refresh(o->owner_follow);
 }
 
 void job_owner_resign(struct job_owner *o)
--- a/src/kv-follow.c
+++ b/src/kv-follow.c
@@ -217,6 +217,17 @@
 		destroy(f);
 }
 
+void kv_follow_refresh(struct kv_follow *f)
+{
+	if (f->range_in_flight)
+		return;
+	f->kv->ops->watch_close(f->watch);
+	f->watch = f->kv->ops->watch(f->kv, f->prefix);
+	evtimer_del(f->retry);
+	f->synced = false;
+	send_request(f);
+}
+
 bool kv_follow_synced(const struct kv_follow *f)
 {
 	return f->confirmed_us != 0;
--- a/src/kv-follow.h
+++ b/src/kv-follow.h
@@ -39,6 +39,13 @@
 				   const struct kv_follow_ops *ops, void *arg);
 void kv_follow_free(struct kv_follow *f);
 
+/*
+ * Reads the prefix in full again, for a caller that has learnt that the known
+ * state is outdated: the poll under way may have been lost. Not to be called
+ * from the ops.
+ */
+void kv_follow_refresh(struct kv_follow *f);
+
 /* Whether the prefix has been read in full at least once. */
 bool kv_follow_synced(const struct kv_follow *f);
 
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -350,6 +350,31 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/*
+ * Guards against tasks whose leases end because no owner is elected until the
+ * watch polls that were sent during an outage of the store have timed out. The
+ * outage begins 1.5 s after polls were sent, so that they are repeated for the
+ * second time shortly before its end.
+ */
+static void test_election_after_store_outage(void)
+{
+	struct jobs_fixture f;
+
+	jobs_fixture_set_up(&f);
+	jobs_fixture_set_queue_host(&f);
+	jobs_platform_put(f.platform, "waxwing/owner/note", "x");
+	jobs_fixture_run(&f, 1500);
+	jobs_platform_faults(f.platform)->unresponsive = true;
+	jobs_fixture_run(&f, 6300);
+	jobs_platform_delete(f.platform, JOB_OWNER_KEY);
+	jobs_platform_faults(f.platform)->unresponsive = false;
+	/* The leases of workers may end 2 s later. */
+	jobs_fixture_run(&f, 2000);
+	CU_ASSERT(jobs_fixture_owner(&f) >= 0);
+	CU_ASSERT(jobs_platform_fencing_token(f.platform) >= 2);
+	jobs_fixture_tear_down(&f);
+}
+
 /* If the owner key is deleted, the owner steps down and one is elected. */
 static void test_ownership_revoked(void)
 {
@@ -469,6 +494,8 @@
 		{ "unresponsive store", test_unresponsive_store },
 		{ "tasks outlive store outage",
 		  test_tasks_outlive_store_outage },
+		{ "election after store outage",
+		  test_election_after_store_outage },
 		{ "ownership revoked", test_ownership_revoked },
 		{ "older configuration ignored", test_older_config_ignored },
 		{ "malformed worker entries", test_malformed_worker_entries },
