waxwingctl: job explain reads directories and names waits

From a caller's complaint an operator had to give each log by name and to find in the lines what a job waited for; lines of other jobs and of relays, which say so, were left out.

"job explain" now takes directories, and prints each wait below the lines of the job: a step without workers from step-waits to the step-placed that leaves none waiting, with the tasks of other jobs that were placed meanwhile and, for a service, the counts of step-waits-for; a start without an answer or refused (order-lost, order-refused) until task-absent, task-ended, step-done or another run, with relay-call-expired and relay-call-overdue of that worker. A wait without an end lasts until the last line. The lines printed before are the same.

Not part of it: which relay serves which worker is not logged, so it cannot be told.

--- a/src/cmd-job-explain.c
+++ b/src/cmd-job-explain.c
@@ -1,8 +1,11 @@
+#include <dirent.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include "cmd.h"
+#include "job-waits.h"
 #include "log-line.h"
 
 /* Maximum number of input files; each process writes its own log file. */
@@ -11,6 +14,7 @@
 struct line {
 	double at_s;
 	char *text;
+	bool shown; /* otherwise only used for the waits */
 };
 
 struct lines {
@@ -19,12 +23,16 @@
 	size_t malformed;
 };
 
-static void add_line(struct lines *all, double at_s, const char *text);
+static void add_line(struct lines *all, double at_s, const char *text,
+		     bool shown);
 static int read_lines(struct lines *all, const char *path, const char *id);
+static int read_directory(struct lines *all, const char *path, const char *id);
+static int read_path(struct lines *all, const char *path, const char *id);
 static int compare_time(const void *a, const void *b);
 static void print_line(const struct line *l, double begin_s);
 
-static void add_line(struct lines *all, double at_s, const char *text)
+static void add_line(struct lines *all, double at_s, const char *text,
+		     bool shown)
 {
 	struct line *l;
 
@@ -33,6 +41,7 @@
 	l = &all->items[all->count++];
 	l->at_s = at_s;
 	l->text = xstrdup(text);
+	l->shown = shown;
 }
 
 /*
@@ -68,8 +77,8 @@
 			continue;
 		if (!begin || log_line_parse(begin, &l) < 0)
 			all->malformed++;
-		else if (is_relevant(text, id))
-			add_line(all, l.time_s, begin);
+		else if (is_relevant(text, id) || job_waits_uses_line(text))
+			add_line(all, l.time_s, begin, is_relevant(text, id));
 	}
 	free(text);
 	if (f != stdin)
@@ -77,6 +86,40 @@
 	return CMD_OK;
 }
 
+/* Reads all files of a directory, except hidden ones and directories. */
+static int read_directory(struct lines *all, const char *path, const char *id)
+{
+	struct dirent **names;
+	int count = scandir(path, &names, NULL, alphasort), ret = CMD_OK;
+
+	if (count < 0) {
+		perror(path);
+		return CMD_INVALID_FILE;
+	}
+	for (int i = 0; i < count; i++) {
+		char file[4096];
+		struct stat st;
+
+		snprintf(file, sizeof(file), "%s/%s", path, names[i]->d_name);
+		if (ret == CMD_OK && names[i]->d_name[0] != '.' &&
+		    stat(file, &st) == 0 && S_ISREG(st.st_mode))
+			ret = read_lines(all, file, id);
+		free(names[i]);
+	}
+	free(names);
+	return ret;
+}
+
+static int read_path(struct lines *all, const char *path, const char *id)
+{
+	struct stat st;
+
+	if (strcmp(path, "-") != 0 && stat(path, &st) == 0 &&
+	    S_ISDIR(st.st_mode))
+		return read_directory(all, path, id);
+	return read_lines(all, path, id);
+}
+
 static int compare_time(const void *a, const void *b)
 {
 	const struct line *x = a, *y = b;
@@ -94,8 +137,24 @@
 	       event ? event + 6 : l->text);
 }
 
-/* Prints all lines from the first to the last one that names the job. */
-static int print_job_lines(const struct lines *all, const char *id)
+/* Prints what the job waited for, if it waited. */
+static void print_waits(const struct lines *all, const char *id, double begin_s)
+{
+	struct job_waits *w = job_waits_create(id);
+
+	for (size_t i = 0; i < all->count; i++)
+		job_waits_add(w, all->items[i].at_s, all->items[i].text);
+	if (job_waits_count(w))
+		printf("\nwaits:\n");
+	job_waits_print(w, begin_s, stdout);
+	job_waits_free(w);
+}
+
+/*
+ * Prints all lines from the first to the last one that names the job, and what
+ * it waited for.
+ */
+static int print_job(const struct lines *all, const char *id)
 {
 	size_t first = 0, last = 0;
 	bool found = false;
@@ -113,7 +172,9 @@
 		return CMD_REFUSED;
 	}
 	for (size_t i = first; i <= last; i++)
-		print_line(&all->items[i], all->items[first].at_s);
+		if (all->items[i].shown)
+			print_line(&all->items[i], all->items[first].at_s);
+	print_waits(all, id, all->items[first].at_s);
 	if (all->malformed)
 		fprintf(stderr, "%zu malformed lines skipped\n",
 			all->malformed);
@@ -130,24 +191,26 @@
 	struct arg_str *id = arg_str1(NULL, NULL, "ID", "job to explain");
 	struct arg_file *files =
 		arg_filen(NULL, NULL, "FILE", 0, FILES_MAX,
-			  "logs of entry VMs; standard input by default");
+			  "logs of entry VMs, or directories of logs; standard "
+			  "input by default");
 	void *table[] = { CMD_OPTIONS_TABLE(&o), id, files, o.end };
 
 	ret = cmd_parse(&o, table, sizeof(table) / sizeof(table[0]),
 			"job explain",
-			"Prints the log lines of a job in chronological order.",
+			"Prints the log lines of a job in chronological order, "
+			"and what it waited for.",
 			argc, argv);
 	if (ret >= 0)
 		goto out;
 	ret = CMD_OK;
 	for (int i = 0; i < files->count && ret == CMD_OK; i++)
-		ret = read_lines(&all, files->filename[i], id->sval[0]);
+		ret = read_path(&all, files->filename[i], id->sval[0]);
 	if (!files->count)
 		ret = read_lines(&all, "-", id->sval[0]);
 	if (ret != CMD_OK)
 		goto out;
 	qsort(all.items, all.count, sizeof(*all.items), compare_time);
-	ret = print_job_lines(&all, id->sval[0]);
+	ret = print_job(&all, id->sval[0]);
 out:
 	for (size_t i = 0; i < all.count; i++)
 		free(all.items[i].text);
--- a/src/waxwingctl.c
+++ b/src/waxwingctl.c
@@ -25,7 +25,8 @@
 	  cmd_placement_change },
 	{ "placement", "cancel", "cancel a placement", cmd_placement_cancel },
 	{ "placement", "list", "list all placements", cmd_placement_list },
-	{ "job", "explain", "print the log lines of a job", cmd_job_explain },
+	{ "job", "explain", "print the log lines of a job and its waits",
+	  cmd_job_explain },
 	{ "logs", "check", "report invalid log lines", cmd_logs_check },
 	{ NULL, "drain", "drain an entry VM", cmd_drain },
 };
