relays: a lost order names the entry VM that relayed it

An operator who followed a late task in the logs found that its start had no answer, but not which entry VM had carried it: the assignment of workers to relays is known to the owner only.

order-lost now has via=VM, "-" if the owner sent the order itself, and relay-call-overdue has vm=VM. The relay of a direct order is forgotten when it is sent, so the name is that of the call and not of an earlier one. "waxwingctl job explain" prints both in the wait of the task.

test-jobs-relay, "lost order names its relay" (a relay that reads orders and never responds), failed before and passes; test-job-waits covers what is printed. No live view of relays: their load over time is not logged.

--- a/src/job-waits.c
+++ b/src/job-waits.c
@@ -32,6 +32,7 @@
 	unsigned long placed;
 	/* of a task */
 	char worker[NAME_BYTES];
+	char via[NAME_BYTES]; /* relay of the last lost order, "-" or "" */
 	unsigned lost, refused;
 	char result[NAME_BYTES]; /* of the last refusal */
 };
@@ -40,7 +41,7 @@
 struct relay_line {
 	double at_s;
 	char worker[NAME_BYTES];
-	char node[NAME_BYTES];
+	char vm[NAME_BYTES];
 	bool expired;
 };
 
@@ -235,6 +236,7 @@
 	item->last_order_s = time_s;
 	if (is_event(text, "order-lost")) {
 		item->lost++;
+		get_text(text, "via", item->via, sizeof(item->via));
 		return;
 	}
 	item->refused++;
@@ -299,7 +301,7 @@
 	l->at_s = time_s;
 	l->expired = is_event(text, "relay-call-expired");
 	get_text(text, "worker", l->worker, sizeof(l->worker));
-	get_text(text, "node", l->node, sizeof(l->node));
+	get_text(text, l->expired ? "node" : "vm", l->vm, sizeof(l->vm));
 }
 
 /* ---- interface ---- */
@@ -367,12 +369,9 @@
 		    l->at_s < item->begin_s - RELAY_SLACK_S ||
 		    l->at_s > item->last_order_s + RELAY_SLACK_S)
 			continue;
-		if (l->expired)
-			fprintf(out, "; relay %s did not send a call in time",
-				l->node);
-		else
-			fprintf(out, "; a relay did not answer owner %s",
-				l->node);
+		fprintf(out, "; relay %s %s", *l->vm ? l->vm : "-",
+			l->expired ? "did not send a call in time"
+				   : "reported no outcome of a call");
 	}
 }
 
@@ -383,6 +382,8 @@
 		item->step, item->index, item->run, item->worker);
 	if (item->lost)
 		fprintf(out, "%u without an answer", item->lost);
+	if (*item->via && strcmp(item->via, "-") != 0)
+		fprintf(out, " (the last through relay %s)", item->via);
 	if (item->refused)
 		fprintf(out, "%s%u refused (%s)", item->lost ? ", " : "",
 			item->refused, item->result);
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -395,9 +395,10 @@
 	}
 	if (a->outcome != WORKER_RESPONDED)
 		log_event(LOG_INFO, "order-lost",
-			  "task=%s run=%u type=%d worker=%s outcome=%d",
+			  "task=%s run=%u type=%d worker=%s outcome=%d via=%s",
 			  o->order.task, o->order.run, o->order.type, l->id,
-			  a->outcome);
+			  a->outcome,
+			  worker_path_order_vm(l->path, o->connection));
 	if (a->outcome != WORKER_FENCED)
 		sched_order_result(w->sched, &o->order, result, clock_now_us());
 	free_order(o);
--- a/src/relay-hub-internal.h
+++ b/src/relay-hub-internal.h
@@ -32,7 +32,7 @@
 	worker_response_fn *fn; /* NULL: not in flight at a relay */
 	void *arg;
 	uint32_t seq;
-	struct relay *relay;
+	struct relay *relay; /* NULL: direct; valid while in flight */
 	uint64_t overdue_us; /* given up at this time */
 };
 
@@ -83,6 +83,8 @@
 bool relay_hub_needed(const struct relay_hub *h);
 /* Chooses the active relays again if workers or relays have changed. */
 void relay_hub_update(struct relay_hub *h);
+/* Name of the relay's entry VM; "" before its hello. */
+const char *relay_hub_vm(const struct relay *r);
 /* Queues a message; it is written from the event loop. */
 void relay_hub_send(struct relay *r, const struct relay_message *m);
 
--- a/src/relay-hub.c
+++ b/src/relay-hub.c
@@ -118,6 +118,11 @@
 	return i;
 }
 
+const char *relay_hub_vm(const struct relay *r)
+{
+	return r->hub->candidates[relay_index(r)].vm;
+}
+
 static void update_clock(struct relay *r, uint64_t clock_us)
 {
 	r->clock_us = clock_us;
@@ -258,7 +263,8 @@
 				continue;
 			counter_add(h->overdue, 1);
 			log_event(LOG_WARNING, "relay-call-overdue",
-				  "worker=%s lane=%u", p->id, lane);
+				  "worker=%s lane=%u vm=%s", p->id, lane,
+				  relay_hub_vm(p->calls[lane].relay));
 			set_usable(p->calls[lane].relay, false);
 			worker_path_complete(p, lane, &lost);
 		}
--- a/src/worker-path.c
+++ b/src/worker-path.c
@@ -132,6 +132,7 @@
 	struct relay_message m = { .type = RELAY_ORDER };
 
 	if (!r) {
+		p->calls[connection + 1].relay = NULL;
 		p->hub->node->platform->worker->order(
 			direct_client(p), connection, o, fencing_token,
 			lease_until_ms, fn, arg);
@@ -144,6 +145,13 @@
 		   OVERDUE_ORDER_US, fn, arg);
 }
 
+const char *worker_path_order_vm(const struct worker_path *p, int connection)
+{
+	const struct relay *r = p->calls[connection + 1].relay;
+
+	return r ? relay_hub_vm(r) : "-";
+}
+
 void worker_path_complete(struct worker_path *p, uint32_t lane,
 			  const struct worker_response *a)
 {
--- a/src/worker-path.h
+++ b/src/worker-path.h
@@ -53,6 +53,11 @@
 /* One poll, and one order for each connection, may be in flight. */
 void worker_path_poll(struct worker_path *p, const struct worker_poll *q,
 		      uint64_t deadline_us, worker_response_fn *fn, void *arg);
+/*
+ * Entry VM that relays the connection's order, "-" if it is sent directly. To
+ * be called before or in the callback of the order.
+ */
+const char *worker_path_order_vm(const struct worker_path *p, int connection);
 void worker_path_order(struct worker_path *p, int connection,
 		       const struct sched_order *o, uint64_t fencing_token,
 		       uint64_t lease_until_ms, uint64_t deadline_us,
--- a/tests/test-job-waits.c
+++ b/tests/test-job-waits.c
@@ -106,8 +106,10 @@
 			 "late_ms=5" },
 		{ 100.6, "event=relay-call-expired worker=w8 lane=1 "
 			 "late_ms=5" },
+		{ 100.65, "event=relay-call-overdue worker=w7 lane=1 "
+			  "vm=vm-3" },
 		{ 100.7, "event=order-lost task=" JOB ".0.2.3 run=1 type=0 "
-			 "worker=w7 outcome=4" },
+			 "worker=w7 outcome=4 via=vm-3" },
 		{ 101.0, "event=order-refused task=" JOB ".0.2.3 run=1 "
 			 "type=0 worker=w7 result=busy unanswered=2" },
 		{ 105.0, "event=relay-call-overdue worker=w7 lane=1" },
@@ -117,9 +119,10 @@
 	};
 
 	check(events, "    +0.300 s  for 5.000 s: task 0.2.3 run 1, starts "
-		      "at w7: 2 without an answer, 1 refused (busy); relay "
-		      "vm-1 did not send a call in time; not listed by its "
-		      "worker\n");
+		      "at w7: 2 without an answer (the last through relay "
+		      "vm-3), 1 refused (busy); relay vm-1 did not send a call "
+		      "in time; relay vm-3 reported no outcome of a call; not "
+		      "listed by its worker\n");
 }
 
 /* Guards against waits of earlier runs and steps that never end. */
--- a/tests/test-jobs-relay.c
+++ b/tests/test-jobs-relay.c
@@ -10,6 +10,7 @@
 #include "clock.h"
 #include "counter.h"
 #include "frame-conn.h"
+#include "log.h"
 #include "relay-wire.h"
 #include "support-jobs-fixture.h"
 #include "support-unit.h"
@@ -263,6 +264,57 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/* Copies the log of the process to a file until the returned value is ended. */
+static int begin_log(FILE *to)
+{
+	int saved = dup(STDOUT_FILENO);
+
+	fflush(stdout);
+	dup2(fileno(to), STDOUT_FILENO);
+	log_set_level(LOG_INFO);
+	return saved;
+}
+
+static void end_log(int saved)
+{
+	log_set_level(LOG_ERROR);
+	dup2(saved, STDOUT_FILENO);
+	close(saved);
+}
+
+/* Guards against a lost order whose log line does not tell which VM lost it. */
+static void test_lost_order_names_relay(void)
+{
+	struct peer silent = { 0 };
+	struct jobs_fixture f;
+	char line[LOG_LINE_BYTES];
+	FILE *log = tmpfile();
+	int owner, saved, lost = 0, named = 0;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(log);
+	set_up(&f, 300);
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	connect_as_relay(&f, &silent, owner);
+	saved = begin_log(log);
+	CU_ASSERT_EQUAL(
+		jobs_fixture_request(&f, 0, "POST", JOB_A_PATH, JOB_BODY), 200);
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_A_PATH, 6000));
+	end_log(saved);
+	rewind(log);
+	while (fgets(line, sizeof(line), log)) {
+		if (!strstr(line, "event=order-lost"))
+			continue;
+		lost++;
+		named += strstr(line, " via=silent") != NULL;
+	}
+	CU_ASSERT(lost > 0);
+	CU_ASSERT_EQUAL(named, lost);
+	fclose(log);
+	frame_conn_free(silent.conn);
+	jobs_fixture_tear_down(&f);
+}
+
 /*
  * Guards against a worker that is never polled again, so that its work ends,
  * because a relay that is alive lost a call.
@@ -570,6 +622,7 @@
 		  test_workers_move_between_relays },
 		{ "peers without relays", test_peers_without_relays },
 		{ "silent relay", test_silent_relay },
+		{ "lost order names its relay", test_lost_order_names_relay },
 		{ "relay that loses calls", test_relay_that_loses_calls },
 		{ "address changes during poll",
 		  test_address_changes_during_poll },
