job-workers: a tick reads only links for which something may be due

What callers would see: nothing.

Cause: every 5 ms the owner read the state of all workers' links, to find the polls that are due and the orders that wait.

Change: an array holds for each link until when it is idle: while a poll is in flight and no order waits, until an event resets it. Each event of a link (report, order, new entry) resets it, and the next tick reads the link as before. Polls and orders are sent at the same ticks as before.

--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -68,6 +68,8 @@
 	struct job_node *node;
 	struct sched *sched;
 	struct worker_link **links; /* by index in the scheduler */
+	/* By link: nothing is due before; reset by each event of a link. */
+	uint64_t *idle_until_us;
 	uint32_t count;
 	uint64_t next_scan_us;
 	struct counter *polls;
@@ -139,6 +141,7 @@
 		if (w->links[i])
 			free_link(w->links[i]);
 	free(w->links);
+	free(w->idle_until_us);
 	free(w);
 }
 
@@ -156,9 +159,15 @@
 		w->links = xrealloc(w->links, (worker + 1) * sizeof(*w->links));
 		memset(&w->links[w->count], 0,
 		       (worker + 1 - w->count) * sizeof(*w->links));
+		w->idle_until_us =
+			xrealloc(w->idle_until_us,
+				 (worker + 1) * sizeof(*w->idle_until_us));
+		memset(&w->idle_until_us[w->count], 0,
+		       (worker + 1 - w->count) * sizeof(*w->idle_until_us));
 		w->count = worker + 1;
 	}
 	w->links[worker] = l;
+	w->idle_until_us[worker] = 0;
 	l->workers = w;
 	l->worker = worker;
 	l->queue_tail = &l->queue_head;
@@ -309,6 +318,7 @@
 
 	l->polling = false;
 	l->next_poll_us = now + POLL_INTERVAL_US;
+	w->idle_until_us[l->worker] = 0;
 	if (!handle_response(l, a)) {
 		handle_no_report(l, a, now);
 		return;
@@ -505,6 +515,7 @@
 	o->order.checkpoint = o->checkpoint;
 	*l->queue_tail = o;
 	l->queue_tail = &o->next;
+	w->idle_until_us[l->worker] = 0;
 	send_orders(l);
 }
 
@@ -519,6 +530,13 @@
 		       l->last_end_seq;
 }
 
+static uint64_t idle_until_us(const struct worker_link *l)
+{
+	if (l->queue_head)
+		return 0;
+	return l->polling ? UINT64_MAX : l->next_poll_us;
+}
+
 void job_workers_tick(struct job_workers *w, uint64_t now)
 {
 	if (now < w->next_scan_us)
@@ -527,7 +545,7 @@
 	for (uint32_t i = 0; i < w->count; i++) {
 		struct worker_link *l = w->links[i];
 
-		if (!l)
+		if (now < w->idle_until_us[i] || !l)
 			continue;
 		if (!l->listed && l->unresponsive_since_us &&
 		    now > l->unresponsive_since_us + UNLISTED_POLL_US)
@@ -535,5 +553,6 @@
 		if (poll_due(l, now) && worker_path_usable(l->path, now))
 			send_poll(l, now);
 		send_orders(l);
+		w->idle_until_us[i] = idle_until_us(l);
 	}
 }
