sched: find a worker by a hash of its name

What callers would see: nothing.

Change: a hash table like that of jobs.

Measured: the checksums of orders in jobs-size, jobs-backlog and in the models of test-sched, test-sched-crash, test-sched-load, test-sched-estimate and test-sched-unanswered are the same as before.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -30,7 +30,8 @@
  *	other by index. The tasks of one occurrence are contiguous.
  */
 
-#define JOB_BUCKETS 4096u /* power of two */
+#define JOB_BUCKETS 4096u    /* power of two */
+#define WORKER_BUCKETS 4096u /* power of two */
 
 /* For a task that a predecessor started, or whose throttle order failed. */
 #define CPU_PERCENT_UNKNOWN 101
@@ -137,6 +138,7 @@
 	char id[JOB_NAME_BYTES];
 	char zone[JOB_NAME_BYTES];
 	char labels[SCHED_LABELS_MAX][JOB_NAME_BYTES];
+	uint32_t next_in_bucket;
 };
 
 struct sched_worker {
@@ -233,6 +235,7 @@
 	struct stop_retry *stop_retries;
 	uint32_t stop_retry_count;
 	struct sched_worker *workers;
+	uint32_t worker_buckets[WORKER_BUCKETS]; /* by hash of the id */
 	struct room_index rooms; /* of the current placement round */
 	uint32_t worker_count;
 	uint64_t created_us;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "log.h"
 #include "sched-internal.h"
@@ -19,17 +20,23 @@
 	       LEASE_DELAY_US;
 }
 
+static uint32_t bucket_of(const char *id)
+{
+	return (uint32_t)XXH64(id, strlen(id), 0) & (WORKER_BUCKETS - 1);
+}
+
 uint32_t sched_find_worker(const struct sched *s, const char *id)
 {
-	for (uint32_t i = 0; i < s->worker_count; i++)
-		if (!strcmp(s->workers[i].identity->id, id))
-			return i;
-	return SCHED_NONE;
+	uint32_t i = s->worker_buckets[bucket_of(id)];
+
+	while (i != SCHED_NONE && strcmp(s->workers[i].identity->id, id))
+		i = s->workers[i].identity->next_in_bucket;
+	return i;
 }
 
 uint32_t sched_worker_add(struct sched *s, const char *id)
 {
-	uint32_t i = sched_find_worker(s, id);
+	uint32_t i = sched_find_worker(s, id), *bucket;
 	struct sched_worker *w;
 
 	if (i != SCHED_NONE)
@@ -41,6 +48,9 @@
 	memset(w, 0, sizeof(*w));
 	w->identity = xcalloc(1, sizeof(*w->identity));
 	snprintf(w->identity->id, sizeof(w->identity->id), "%s", id);
+	bucket = &s->worker_buckets[bucket_of(w->identity->id)];
+	w->identity->next_in_bucket = *bucket;
+	*bucket = s->worker_count;
 	w->first_task = SCHED_NONE;
 	w->last_failed_job = SCHED_NONE;
 	/* A predecessor can grant leases until its own lease ends. */
--- a/src/sched.c
+++ b/src/sched.c
@@ -40,6 +40,8 @@
 	pair_model_init(&s->pairs);
 	for (uint32_t i = 0; i < JOB_BUCKETS; i++)
 		s->buckets[i] = SCHED_NONE;
+	for (uint32_t i = 0; i < WORKER_BUCKETS; i++)
+		s->worker_buckets[i] = SCHED_NONE;
 	return s;
 }
 
