sched: a tick and a commit read only jobs and workers that changed

What callers would see: nothing.

Cause: each tick of the owner, up to 500 a second, read all jobs, also those that are kept after their end, and all workers for leases that are over; each commit read all jobs and workers again.

Change: each job has the time before which a tick has nothing to do with it, reset by each change; changed jobs are counted, collected ones and workers with ends that are not stored yet are listed; the earliest end of a silent worker's lease is known. What is stored moves to sched-collect.c.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -11,6 +11,7 @@
  *
  * DESCRIPTION
  *	sched.c		jobs
+ *	sched-collect.c	what is to be stored
  *	sched-view.c	what callers and metrics see
  *	sched-task.c	tasks
  *	sched-stop.c	stops, and starts that are given up
@@ -170,6 +171,7 @@
 	uint64_t ends_seen;	 /* highest sequence number processed */
 	uint64_t ends_collected; /* ... in the records being stored */
 	uint64_t ends_stored;	 /* ... in stored records */
+	bool ending;		 /* listed in s->ending */
 	uint64_t heard_us;	 /* when the last report was requested */
 	uint64_t lease_end_us;	 /* all leases have expired by then */
 	uint64_t last_action_us; /* last halt, resume or migration of a batch
@@ -223,6 +225,14 @@
 	struct queue_estimate estimates[SCHED_ESTIMATES_MAX];
 	uint32_t estimate_count;
 	struct job *jobs;
+	/* By job: sched_tick() has nothing to do before; see sched_mark_dirty()
+	 */
+	uint64_t *job_due_wall_ms;
+	uint32_t *collected; /* indices of jobs, ascending */
+	uint32_t collected_count;
+	uint32_t dirty_count;
+	uint32_t *ending; /* indices of workers with ends that are not stored */
+	uint32_t ending_count;
 	uint32_t job_count;
 	uint32_t job_capacity;
 	uint32_t job_free; /* free list, linked by next_in_bucket */
@@ -238,6 +248,7 @@
 	uint32_t worker_buckets[WORKER_BUCKETS]; /* by hash of the id */
 	struct room_index rooms; /* of the current placement round */
 	uint32_t worker_count;
+	uint64_t lease_check_us; /* no lease of a silent worker ends before */
 	uint64_t created_us;
 	uint64_t now_us;
 	uint64_t wall_ms;
@@ -267,7 +278,6 @@
 uint32_t sched_job_index(const struct sched *s, const struct job *j);
 /* Time since the job was accepted. */
 uint64_t sched_job_age_us(const struct sched *s, const struct job *j);
-void sched_mark_dirty(struct sched *s, struct job *j);
 void sched_end_job(struct sched *s, struct job *j, enum sched_job_state state);
 const struct job_step *sched_task_step(const struct sched *s,
 				       const struct sched_task *t);
@@ -279,6 +289,14 @@
 void sched_finish_occurrence(struct sched *s, struct job *j,
 			     struct occurrence *o);
 
+/* ---- sched-collect.c ---- */
+/* The job has changed: its record is to be stored, and sched_tick() reads it.
+ */
+void sched_mark_dirty(struct sched *s, struct job *j);
+void sched_clear_dirty(struct sched *s, struct job *j);
+/* The worker has reported ends that are not stored yet. */
+void sched_worker_has_ends(struct sched *s, uint32_t worker);
+
 /* ---- sched-task.c ---- */
 /* Changes the state and the counts of waiting tasks. */
 void sched_task_set_state(struct sched *s, struct sched_task *t,
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -205,7 +205,7 @@
 		ret = error_set(err, ERROR_LAYER_CORE, RECORD_INVALID,
 				"progress record of job %s is malformed", id);
 	msgpack_unpacked_destroy(&u);
-	j->dirty = false;
+	sched_clear_dirty(s, j);
 	return ret;
 }
 
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -34,6 +34,12 @@
 	return i;
 }
 
+static void check_lease_at(struct sched *s, uint64_t lease_end_us)
+{
+	if (lease_end_us < s->lease_check_us)
+		s->lease_check_us = lease_end_us;
+}
+
 uint32_t sched_worker_add(struct sched *s, const char *id)
 {
 	uint32_t i = sched_find_worker(s, id), *bucket;
@@ -44,6 +50,8 @@
 	s->workers = xrealloc(s->workers,
 			      (s->worker_count + 1) * sizeof(*s->workers));
 	room_index_add(&s->rooms);
+	s->ending =
+		xrealloc(s->ending, (s->worker_count + 1) * sizeof(*s->ending));
 	w = &s->workers[s->worker_count];
 	memset(w, 0, sizeof(*w));
 	w->identity = xcalloc(1, sizeof(*w->identity));
@@ -56,6 +64,7 @@
 	/* A predecessor can grant leases until its own lease ends. */
 	w->lease_end_us = s->created_us + lease_bound_us(s) +
 			  s->settings.takeover_wait_ms * 1000ull;
+	check_lease_at(s, w->lease_end_us);
 	return s->worker_count++;
 }
 
@@ -182,6 +191,7 @@
 			  s->workers[worker].identity->id,
 			  s->workers[worker].listed);
 	s->workers[worker].responsive = false;
+	check_lease_at(s, s->workers[worker].lease_end_us);
 }
 
 void sched_worker_dead(struct sched *s, uint32_t worker, uint64_t now_us)
@@ -348,6 +358,7 @@
 		if (r->ended[i].seq <= w->ends_seen)
 			continue;
 		w->ends_seen = r->ended[i].seq;
+		sched_worker_has_ends(s, worker);
 		handle_ended(s, worker, &r->ended[i]);
 	}
 	s->placement_due = s->placement_due || w->has_unknown_run;
@@ -374,6 +385,9 @@
 
 void sched_workers_tick(struct sched *s)
 {
+	if (s->now_us <= s->lease_check_us)
+		return;
+	s->lease_check_us = UINT64_MAX;
 	for (uint32_t i = 0; i < s->worker_count; i++) {
 		struct sched_worker *w = &s->workers[i];
 
@@ -385,5 +399,7 @@
 		 */
 		if (s->now_us > w->lease_end_us)
 			requeue_lost_tasks(s, w, LOSS_LEASE_OVER, "lease-over");
+		else
+			check_lease_at(s, w->lease_end_us);
 	}
 }
--- a/src/sched.c
+++ b/src/sched.c
@@ -59,6 +59,9 @@
 	for (uint32_t i = 0; i < s->job_count; i++)
 		free_job(&s->jobs[i]);
 	free(s->jobs);
+	free(s->job_due_wall_ms);
+	free(s->collected);
+	free(s->ending);
 	free(s->tasks);
 	free(s->free_blocks);
 	free(s->stop_retries);
@@ -139,12 +142,6 @@
 		       : 0;
 }
 
-void sched_mark_dirty(struct sched *s, struct job *j)
-{
-	(void)s;
-	j->dirty = true;
-}
-
 static struct job *add_job(struct sched *s)
 {
 	struct job *j;
@@ -157,11 +154,18 @@
 			s->job_capacity = s->job_capacity * 2 + 64;
 			s->jobs = xrealloc(s->jobs,
 					   s->job_capacity * sizeof(*s->jobs));
+			s->job_due_wall_ms = xrealloc(
+				s->job_due_wall_ms,
+				s->job_capacity * sizeof(*s->job_due_wall_ms));
+			s->collected = xrealloc(s->collected,
+						s->job_capacity *
+							sizeof(*s->collected));
 		}
 		j = &s->jobs[s->job_count++];
 	}
 	memset(j, 0, sizeof(*j));
 	j->used = true;
+	s->job_due_wall_ms[sched_job_index(s, j)] = 0;
 	return j;
 }
 
@@ -403,18 +407,19 @@
 		sched_end_job(s, j, SCHED_JOB_CANCELLED);
 }
 
+static uint64_t occurrence_due_wall_ms(const struct job *j, uint32_t number)
+{
+	return j->spec.repetitions
+		       ? j->spec.first_wall_ms + number * j->spec.interval_ms
+		       : 0;
+}
+
 static void begin_due_occurrences(struct sched *s, struct job *j)
 {
 	uint32_t total = j->spec.repetitions ? j->spec.repetitions : 1;
 
 	while (j->next_occurrence < total) {
-		uint64_t due = j->spec.repetitions
-				       ? j->spec.first_wall_ms +
-						 j->next_occurrence *
-							 j->spec.interval_ms
-				       : 0;
-
-		if (due > s->wall_ms)
+		if (occurrence_due_wall_ms(j, j->next_occurrence) > s->wall_ms)
 			return;
 		sched_unblock(s, j,
 			      sched_begin_occurrence(s, j, j->next_occurrence));
@@ -463,6 +468,32 @@
 						    : PLACEMENT_INTERVAL_MAX_US;
 }
 
+/* When the job needs sched_tick() again unless it changes before. */
+static uint64_t job_due_wall_ms(const struct sched *s, const struct job *j)
+{
+	uint32_t total = j->spec.repetitions ? j->spec.repetitions : 1;
+
+	if (!j->used)
+		return UINT64_MAX;
+	if (j->state >= SCHED_JOB_COMPLETED)
+		return j->ended_wall_ms +
+		       s->settings.status_retention_s * 1000u + 1;
+	return j->next_occurrence < total
+		       ? occurrence_due_wall_ms(j, j->next_occurrence)
+		       : UINT64_MAX;
+}
+
+static void tick_job(struct sched *s, struct job *j)
+{
+	if (j->state < SCHED_JOB_COMPLETED)
+		begin_due_occurrences(s, j);
+	else if (!j->dirty && !j->collected &&
+		 s->wall_ms > j->ended_wall_ms +
+				      s->settings.status_retention_s * 1000u &&
+		 !has_placed_task(s, j))
+		remove_job(s, j);
+}
+
 void sched_tick(struct sched *s, uint64_t now_us, uint64_t wall_ms)
 {
 	uint64_t interval;
@@ -472,18 +503,11 @@
 	sched_workers_tick(s);
 	sched_stops_tick(s);
 	for (uint32_t i = 0; i < s->job_count; i++) {
-		struct job *j = &s->jobs[i];
-
-		if (!j->used)
+		if (wall_ms < s->job_due_wall_ms[i])
 			continue;
-		if (j->state < SCHED_JOB_COMPLETED)
-			begin_due_occurrences(s, j);
-		else if (!j->dirty && !j->collected &&
-			 wall_ms > j->ended_wall_ms +
-					   s->settings.status_retention_s *
-						   1000u &&
-			 !has_placed_task(s, j))
-			remove_job(s, j);
+		if (s->jobs[i].used)
+			tick_job(s, &s->jobs[i]);
+		s->job_due_wall_ms[i] = job_due_wall_ms(s, &s->jobs[i]);
 	}
 	interval = placement_interval_us(s);
 	if ((s->placement_due && now_us >= s->last_placement_us + interval) ||
@@ -493,101 +517,3 @@
 		sched_place(s);
 	}
 }
-
-size_t sched_collect(struct sched *s, size_t max,
-		     void (*fn)(void *arg, const char *id, const void *data,
-				size_t len),
-		     void *arg)
-{
-	struct buffer b = BUFFER_INIT;
-	size_t n = 0;
-	bool complete = true;
-
-	for (uint32_t i = 0; i < s->job_count; i++) {
-		struct job *j = &s->jobs[i];
-
-		if (!j->used || !j->dirty)
-			continue;
-		if (n == max) {
-			complete = false;
-			break;
-		}
-		for (uint32_t k = 0; k < j->occurrence_count; k++) {
-			struct occurrence *o = &j->occurrences[k];
-			uint32_t count = job_spec_task_count(&j->spec);
-
-			for (uint32_t m = 0; o->used && m < count; m++)
-				if (s->tasks[o->first_task + m].state ==
-				    TASK_PLACED)
-					s->tasks[o->first_task + m].state =
-						TASK_STORING;
-		}
-		buffer_reset(&b);
-		sched_record_encode(s, j, &b);
-		fn(arg, j->spec.id, b.data, b.len);
-		j->dirty = false;
-		j->collected = true;
-		n++;
-	}
-	buffer_free(&b);
-	if (complete)
-		for (uint32_t i = 0; i < s->worker_count; i++)
-			s->workers[i].ends_collected = s->workers[i].ends_seen;
-	s->collecting = n > 0;
-	if (!n)
-		for (uint32_t i = 0; i < s->worker_count; i++)
-			s->workers[i].ends_stored = s->workers[i].ends_seen;
-	return n;
-}
-
-static void start_stored_tasks(struct sched *s, struct job *j, bool stored)
-{
-	uint32_t count = job_spec_task_count(&j->spec);
-
-	for (uint32_t k = 0; k < j->occurrence_count; k++) {
-		const struct occurrence *o = &j->occurrences[k];
-
-		for (uint32_t m = 0; o->used && m < count; m++) {
-			struct sched_task *t = &s->tasks[o->first_task + m];
-
-			if (t->state != TASK_STORING)
-				continue;
-			if (!stored)
-				t->state = TASK_PLACED;
-			else if (s->workers[t->worker].draining)
-				sched_task_requeue(s, t, 0);
-			else
-				sched_task_start(s, t);
-		}
-	}
-}
-
-void sched_stored(struct sched *s, bool stored, uint64_t now_us)
-{
-	s->now_us = now_us;
-	for (uint32_t i = 0; i < s->job_count; i++) {
-		struct job *j = &s->jobs[i];
-
-		if (!j->used || !j->collected)
-			continue;
-		j->collected = false;
-		start_stored_tasks(s, j, stored);
-		if (!stored)
-			j->dirty = true;
-	}
-	s->collecting = false;
-	if (!stored)
-		return;
-	for (uint32_t i = 0; i < s->worker_count; i++)
-		if (s->workers[i].ends_collected > s->workers[i].ends_stored)
-			s->workers[i].ends_stored =
-				s->workers[i].ends_collected;
-}
-
-bool sched_has_changes(const struct sched *s)
-{
-	for (uint32_t i = 0; i < s->job_count; i++)
-		if (s->jobs[i].used && s->jobs[i].dirty)
-			return true;
-	return false;
-}
