tests: a range of ports is claimed by one process

Two processes that find the same range free both use it: neither holds it until its first server listens.

The process that chooses a range now keeps one port of it bound, without SO_REUSEADDR, until it exits.

--- a/tests/support-cluster-ports.c
+++ b/tests/support-cluster-ports.c
@@ -5,6 +5,7 @@
 #include "support-cluster-internal.h"
 
 #define PORT_RANGE_SIZE 600u
+#define OFFSET_LOCK 4u
 #define OFFSET_PROXY 5u
 #define OFFSET_WORKERS 10u
 #define OFFSET_RUNNER_CONTROL 15u
@@ -82,6 +83,24 @@
 	return ret == 0;
 }
 
+/*
+ * Several processes may find the same range free, so one of its ports stays
+ * bound until the process exits. Without SO_REUSEADDR, no other can bind it.
+ */
+static bool claim_range(uint16_t base)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET,
+				 .sin_port =
+					 htons((uint16_t)(base + OFFSET_LOCK)),
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (!bind(fd, (struct sockaddr *)&a, sizeof(a)))
+		return true;
+	close(fd);
+	return false;
+}
+
 /* Chooses a range below the kernel's default ephemeral ports. */
 uint16_t cluster_choose_ports(void)
 {
@@ -94,7 +113,7 @@
 
 		for (uint16_t p = 0; p < PORT_RANGE_SIZE && all_free; p++)
 			all_free = port_is_free((uint16_t)(base + p));
-		if (all_free)
+		if (all_free && claim_range(base))
 			return base;
 	}
 	return 0;
