tests: soak-jobs draws faults of orders and of workers

A start by a late order counts as of its sending in the check on cancelled jobs, which changes nothing for orders that are not late.

--- a/tests/support-jobs-internal.h
+++ b/tests/support-jobs-internal.h
@@ -87,6 +87,7 @@
 	uint64_t leaves_us; /* end of draining */
 	bool restart;	    /* when it has left */
 	bool restart_new_id;
+	uint64_t restart_tried_us;	  /* first, without success; 0: not */
 	char expiring_id[SIM_NAME_BYTES]; /* of an entry without a worker */
 	uint64_t entry_expires_us;	  /* 0: none does */
 	struct worker_faults faults;
@@ -132,6 +133,7 @@
 	uint32_t starts;
 	uint32_t duplicate_runs;
 	uint32_t starts_while_draining;
+	uint32_t late_orders; /* in total */
 	char done[SIM_DONE_TASKS_MAX][SIM_NAME_BYTES];
 	uint32_t done_count;
 };
--- a/tests/support-jobs-orders.c
+++ b/tests/support-jobs-orders.c
@@ -26,6 +26,11 @@
 	return p->workers[worker]->late_order_count;
 }
 
+uint32_t jobs_platform_late_orders_total(const struct jobs_platform *p)
+{
+	return p->late_orders;
+}
+
 uint32_t jobs_platform_refused(const struct jobs_platform *p, int worker)
 {
 	return p->workers[worker]->refused;
@@ -78,6 +83,7 @@
 		ms = LATE_MIN_MS + rng_below(&w->platform->rng, LATE_SPAN_MS);
 	o->due_us = o->received_us + ms * 1000ull;
 	w->late_orders[w->late_order_count++] = *o;
+	w->platform->late_orders++;
 }
 
 void sim_order_receive(struct sim_worker *w, struct evhttp_request *req,
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -124,6 +124,8 @@
 bool jobs_platform_worker_ready(const struct jobs_platform *p, int worker);
 /* Orders of the worker that are still to be executed late. */
 uint32_t jobs_platform_late_orders(const struct jobs_platform *p, int worker);
+/* Orders so far that were or are to be executed late, at all workers. */
+uint32_t jobs_platform_late_orders_total(const struct jobs_platform *p);
 /* Orders and polls that the worker has refused because of its faults. */
 uint32_t jobs_platform_refused(const struct jobs_platform *p, int worker);
 /* Orders to start a task that the worker has received. */
@@ -131,6 +133,9 @@
 uint32_t jobs_platform_worker_tasks(const struct jobs_platform *p, int worker);
 
 uint32_t jobs_platform_running_tasks(const struct jobs_platform *p);
+void jobs_platform_list_running(const struct jobs_platform *p,
+				void (*fn)(void *arg, const char *task),
+				void *arg);
 uint32_t jobs_platform_starts(const struct jobs_platform *p);
 /* Concurrent runs of a task, and starts after its completion. */
 uint32_t jobs_platform_duplicate_runs(const struct jobs_platform *p);
--- a/tests/support-soak-callers.h
+++ b/tests/support-soak-callers.h
@@ -45,6 +45,8 @@
 /* Counts accepted jobs neither cancelled nor reported as completed. */
 uint32_t callers_open_jobs(const struct callers *c);
 
+/* No task runs of a job that has ended; to be called in calm. */
+void callers_check_cancelled(struct callers *c);
 /* Checks the final state of all jobs; returns the violations so far. */
 uint32_t callers_check(struct callers *c);
 void callers_print_summary(const struct callers *c);
