sched: a restart does not take back what the new incarnation runs

Callers would see work that must run once run twice. A worker that crashes and is back under its id between two polls receives starts on new connections before anything tells of the restart. Its first report, or its entry, then took back all of its tasks, also those that it lists as running, and those whose start is under way and is executed after that report. Class of fault: an order that crosses the event which makes it void.

An entry no longer takes tasks back, as it does not tell what runs; the poll that it triggers at once does. With the report, a listed run goes on, a start under way is given up by a stop, and one that was answered after the report had been requested waits for the next report. Runs that the report lists did not crash the worker and are not counted as if they had.

A worker that is back but cannot be polled is taken for restarted only when it reports or its lease is over.

The check for reports from before a restart compares with the entry's incarnation now, since the entry no longer sets the known one.

--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -210,6 +210,7 @@
 	if (e->info.started_wall_ms > l->started_wall_ms) {
 		l->started_wall_ms = e->info.started_wall_ms;
 		l->verify_incarnation = true;
+		l->next_poll_us = 0;
 		l->clock_ms = 0;
 	}
 	end_orders(w, orders);
--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -97,10 +97,16 @@
 							  : SUSPICION_ANY;
 }
 
+/* Whether the task outlived the crash: the first report after it lists it. */
+static bool outlived(const struct sched_worker *w, const struct sched_task *t)
+{
+	return t->listed_in == w->report_number;
+}
+
 /* The highest suspicion of a task on the worker; count: of how many tasks. */
 static enum suspicion highest_suspicion(const struct sched *s,
 					const struct sched_worker *w,
-					uint32_t *count)
+					bool crashed, uint32_t *count)
 {
 	enum suspicion highest = SUSPICION_NONE;
 
@@ -109,6 +115,8 @@
 	     i = s->tasks[i].next_on_worker) {
 		enum suspicion of = suspicion_of(w, &s->tasks[i]);
 
+		if (crashed && outlived(w, &s->tasks[i]))
+			continue;
 		if (of > highest) {
 			highest = of;
 			*count = 0;
@@ -122,7 +130,8 @@
 {
 	uint32_t count;
 
-	return highest_suspicion(s, w, &count) == SUSPICION_NEW ? count : 0;
+	return highest_suspicion(s, w, false, &count) == SUSPICION_NEW ? count
+								       : 0;
 }
 
 /* Bounded, so that a probation does not last longer. */
@@ -186,13 +195,13 @@
 uint32_t sched_crash_observed(struct sched *s, const struct sched_worker *w)
 {
 	uint32_t failed_job = SCHED_NONE, count;
-	enum suspicion highest = highest_suspicion(s, w, &count);
+	enum suspicion highest = highest_suspicion(s, w, true, &count);
 
 	for (uint32_t i = w->first_task; i != SCHED_NONE;
 	     i = s->tasks[i].next_on_worker) {
 		struct sched_task *t = &s->tasks[i];
 
-		if (!may_have_run(t))
+		if (!may_have_run(t) || outlived(w, t))
 			continue;
 		increment(ran_at_crash(s, w, t) ? &t->crashes : &t->losses);
 		s->jobs[t->job].has_suspect = true;
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -167,19 +167,20 @@
 	struct worker_identity *identity;
 	uint32_t report_number;
 	uint64_t started_wall_ms;
-	uint64_t incarnation_us; /* when started_wall_ms was learnt */
-	uint64_t ends_seen;	 /* highest sequence number processed */
-	uint64_t ends_collected; /* ... in the records being stored */
-	uint64_t ends_stored;	 /* ... in stored records */
-	bool ending;		 /* listed in s->ending */
-	uint64_t heard_us;	 /* when the last report was requested */
-	uint64_t lease_end_us;	 /* all leases have expired by then */
-	uint64_t last_action_us; /* last halt, resume or migration of a batch
-				    task */
-	uint64_t observed_us;	 /* last update of the interference model */
-	uint64_t throttled_us;	 /* last change of a batch task's CPU limit */
-	uint32_t tail_percent;	 /* tail latency of target, worst service */
-	uint32_t failures;	 /* consecutive, of different jobs */
+	uint64_t announced_wall_ms; /* start of the incarnation in its entry */
+	uint64_t announced_us;	    /* when that was learnt */
+	uint64_t ends_seen;	    /* highest sequence number processed */
+	uint64_t ends_collected;    /* ... in the records being stored */
+	uint64_t ends_stored;	    /* ... in stored records */
+	bool ending;		    /* listed in s->ending */
+	uint64_t heard_us;	    /* when the last report was requested */
+	uint64_t lease_end_us;	    /* all leases have expired by then */
+	uint64_t last_action_us;    /* last halt, resume or migration of a batch
+				       task */
+	uint64_t observed_us;	    /* last update of the interference model */
+	uint64_t throttled_us; /* last change of a batch task's CPU limit */
+	uint32_t tail_percent; /* tail latency of target, worst service */
+	uint32_t failures;     /* consecutive, of different jobs */
 	uint32_t last_failed_job;
 };
 
@@ -420,8 +421,9 @@
 #define SCHED_CRASH_COUNT_MAX 31u
 /*
  * A worker has crashed: counts the crash for the tasks that ran there, before
- * they are requeued. Returns the index of the job whose task caused it, or
- * SCHED_NONE if that is not certain.
+ * they are requeued, except those that its report in progress lists. Returns
+ * the index of the job whose task caused it, or SCHED_NONE if that is not
+ * certain.
  */
 uint32_t sched_crash_observed(struct sched *s, const struct sched_worker *w);
 /*
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -163,6 +163,7 @@
 	t->run++;
 	t->confirmed = false;
 	t->unanswered = 0;
+	t->listed_in = 0;
 	t->cpu_percent = 100;
 	t->throttle_unanswered = false;
 	t->progress_percent = 0;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -102,14 +102,79 @@
 		sched_end_job(s, &s->jobs[failed_job], SCHED_JOB_FAILED);
 }
 
-/* A restarted worker runs no task and numbers its run ends from 1 again. */
-static void handle_restart(struct sched *s, struct sched_worker *w,
-			   uint64_t started_wall_ms)
+/*
+ * Whether the report was requested after the task's last order had been
+ * answered, so that it lists the run if the worker has it.
+ */
+static bool is_known_to_run(const struct sched_task *t,
+			    const struct sched_report *r)
+{
+	return t->confirmed && r->requested_us > t->state_since_us &&
+	       (t->state == TASK_RUNNING || t->state == TASK_STOPPING);
+}
+
+static void mark_listed(struct sched *s, uint32_t worker, const char *task,
+			uint32_t run)
+{
+	struct sched_task *t = sched_task_find(s, task);
+
+	if (t && t->worker == worker && t->run == run)
+		t->listed_in = s->workers[worker].report_number;
+}
+
+/*
+ * Takes back the tasks that ran in a worker's former incarnation. Orders that
+ * it received before this report may have been meant for that one: a run that
+ * is listed goes on, a start under way is given up, and the next report tells
+ * of a start that was answered since this one was requested.
+ */
+static void requeue_former_tasks(struct sched *s, struct sched_worker *w,
+				 const struct sched_report *r)
+{
+	uint32_t i = w->first_task, failed_job = SCHED_NONE, n = 0;
+
+	if (!w->draining)
+		failed_job = sched_crash_observed(s, w);
+	while (i != SCHED_NONE) {
+		struct sched_task *t = &s->tasks[i];
+
+		i = t->next_on_worker;
+		if (t->listed_in == w->report_number)
+			continue;
+		if (t->state == TASK_STARTING) {
+			if (!t->unanswered)
+				t->unanswered = 1;
+			sched_start_refused(s, t, sched_crash_delay_ms(t));
+		} else if (t->state == TASK_UNCONFIRMED ||
+			   is_known_to_run(t, r)) {
+			sched_task_requeue(s, t, sched_crash_delay_ms(t));
+		} else {
+			continue;
+		}
+		n++;
+	}
+	s->stats.tasks_lost += n;
+	if (n)
+		log_event(LOG_INFO, "worker-tasks-lost",
+			  "worker=%s tasks=%u why=restarted", w->identity->id,
+			  n);
+	if (failed_job != SCHED_NONE)
+		sched_end_job(s, &s->jobs[failed_job], SCHED_JOB_FAILED);
+}
+
+/* A restarted worker numbers its run ends from 1 again. */
+static void handle_restart(struct sched *s, uint32_t worker,
+			   const struct sched_report *r)
 {
+	struct sched_worker *w = &s->workers[worker];
+
+	for (size_t i = 0; i < r->running_count; i++)
+		mark_listed(s, worker, r->running[i].task, r->running[i].run);
+	for (size_t i = 0; i < r->ended_count; i++)
+		mark_listed(s, worker, r->ended[i].task, r->ended[i].run);
 	if (w->started_wall_ms)
-		requeue_lost_tasks(s, w, LOSS_CRASHED, "restarted");
-	w->started_wall_ms = started_wall_ms;
-	w->incarnation_us = s->now_us;
+		requeue_former_tasks(s, w, r);
+	w->started_wall_ms = r->started_wall_ms;
 	w->ends_seen = 0;
 	w->ends_collected = 0;
 	w->ends_stored = 0;
@@ -164,8 +229,13 @@
 		drain_worker(s, w);
 	}
 	w->draining = info->draining;
-	if (info->started_wall_ms && info->started_wall_ms > w->started_wall_ms)
-		handle_restart(s, w, info->started_wall_ms);
+	if (info->started_wall_ms > w->announced_wall_ms) {
+		w->announced_wall_ms = info->started_wall_ms;
+		w->announced_us = s->now_us;
+	}
+	/* Only a report tells what a new incarnation runs. */
+	if (!w->started_wall_ms)
+		w->started_wall_ms = info->started_wall_ms;
 	s->placement_due = true;
 	return i;
 }
@@ -197,6 +267,7 @@
 void sched_worker_dead(struct sched *s, uint32_t worker, uint64_t now_us)
 {
 	sched_worker_unresponsive(s, worker, now_us);
+	s->workers[worker].report_number++;
 	requeue_lost_tasks(s, &s->workers[worker], LOSS_CRASHED, "dead");
 }
 
@@ -290,13 +361,10 @@
 
 	while (i != SCHED_NONE) {
 		struct sched_task *t = &s->tasks[i];
-		bool known =
-			t->confirmed && r->requested_us > t->state_since_us &&
-			(t->state == TASK_RUNNING || t->state == TASK_STOPPING);
 
 		i = t->next_on_worker;
 		if (t->listed_in == w->report_number ||
-		    (!known && t->state != TASK_UNCONFIRMED))
+		    (!is_known_to_run(t, r) && t->state != TASK_UNCONFIRMED))
 			continue;
 		sched_task_name(s, t, name);
 		log_event(LOG_INFO, "task-absent",
@@ -332,8 +400,9 @@
 static bool is_from_earlier_incarnation(const struct sched_worker *w,
 					const struct sched_report *r)
 {
-	return r->started_wall_ms && r->started_wall_ms != w->started_wall_ms &&
-	       r->requested_us <= w->incarnation_us;
+	return r->started_wall_ms &&
+	       r->started_wall_ms != w->announced_wall_ms &&
+	       r->requested_us <= w->announced_us;
 }
 
 bool sched_report(struct sched *s, uint32_t worker,
@@ -352,7 +421,7 @@
 	}
 	w->report_number++;
 	if (r->started_wall_ms && r->started_wall_ms != w->started_wall_ms)
-		handle_restart(s, w, r->started_wall_ms);
+		handle_restart(s, worker, r);
 	w->heard_us = r->requested_us;
 	for (size_t i = 0; i < r->ended_count; i++) {
 		if (r->ended[i].seq <= w->ends_seen)
--- a/tests/support-sched.h
+++ b/tests/support-sched.h
@@ -64,8 +64,9 @@
 	bool failing;	   /* every run fails after 20 ms */
 	bool hanging;	   /* runs make no progress */
 	bool draining;
-	bool mute;	    /* sends no reports; nothing shows it */
-	bool entry_expired; /* the platform no longer lists it */
+	bool mute;		   /* sends no reports; nothing shows it */
+	uint64_t entry_started_ms; /* of an older entry; 0: it is current */
+	bool entry_expired;	   /* the platform no longer lists it */
 	double speed;
 	uint64_t lease_end_us;
 	uint64_t reported_us;
--- a/tests/test-sched-unanswered.c
+++ b/tests/test-sched-unanswered.c
@@ -239,6 +239,73 @@
 	job_model_free(m);
 }
 
+/*
+ * A worker restarts and receives the start of a task before it is asked for its
+ * first report. by_entry: its entry tells of the restart before that.
+ */
+static void check_start_at_new_incarnation(enum model_outcome outcome,
+					   bool by_entry)
+{
+	struct script script = { .starts = { { .outcome = outcome } } };
+	struct model *m = create_model(2, &script);
+	struct model_job *j;
+
+	for (uint32_t i = 0; i < 2; i++) {
+		m->workers[i].mute = true;
+		m->workers[i].entry_started_ms = m->workers[i].started_wall_ms;
+		m->workers[i].started_wall_ms += 5000;
+	}
+	j = submit_task(m, 3000);
+	job_model_run(m, 50);
+	CU_ASSERT_EQUAL(m->starts, 1);
+	for (uint32_t i = 0; i < 2; i++) {
+		m->workers[i].entry_started_ms *= !by_entry;
+		m->workers[i].mute = by_entry;
+	}
+	job_model_run(m, 50);
+	for (uint32_t i = 0; i < 2; i++) {
+		m->workers[i].entry_started_ms = 0;
+		m->workers[i].mute = false;
+	}
+	job_model_run(m, 8000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/*
+ * Guards against a second run of a task that the new incarnation of its worker
+ * runs already when the scheduler notices the restart.
+ */
+static void test_start_at_new_incarnation_is_kept(void)
+{
+	check_start_at_new_incarnation(MODEL_EXECUTED, false);
+	check_start_at_new_incarnation(MODEL_EXECUTED, true);
+	check_start_at_new_incarnation(MODEL_ANSWER_LOST, false);
+	check_start_at_new_incarnation(MODEL_ANSWER_LOST, true);
+}
+
+/*
+ * Guards against a start without an answer that the new incarnation executes
+ * after its first report, when the task has been placed elsewhere.
+ */
+static void test_start_under_way_at_restart_is_given_up(void)
+{
+	struct script script = {
+		.starts = { { .outcome = MODEL_LATE, .late_ms = 1500 } },
+	};
+	struct model *m = create_model(2, &script);
+	struct model_job *j = submit_task(m, 3000);
+
+	while (!script.start_count)
+		job_model_run(m, MODEL_STEP_MS);
+	m->workers[script.first_worker].started_wall_ms += 5000;
+	job_model_run(m, 10000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
 /* Guards against workers that refuse all stops and get one each round trip. */
 static void test_refused_stops_are_paced(void)
 {
@@ -466,6 +533,10 @@
 		  test_stored_task_is_not_started_at_draining_worker },
 		{ "answer to start does not confirm stop",
 		  test_answer_to_start_does_not_confirm_stop },
+		{ "start at new incarnation is kept",
+		  test_start_at_new_incarnation_is_kept },
+		{ "start under way at restart is given up",
+		  test_start_under_way_at_restart_is_given_up },
 		{ "refused stops are paced", test_refused_stops_are_paced },
 		{ "task halted by late order is resumed",
 		  test_task_halted_by_late_order_is_resumed },
