sched: no division in the update of a worker's room

What callers would see: nothing.

Cause: each placement round updates the rooms of all workers, 200 times a second; the ranks in them took three divisions of 64 bits a worker.

Change: the inverse of a worker's capacity is kept. A rank is now up to some millionths of the capacity too high, which the search allows for.

The checksums of orders are the same in jobs-scale, jobs-size, jobs-backlog and in the models of test-sched, test-sched-crash, test-sched-load, test-sched-estimate and test-sched-unanswered.

--- a/src/sched-index.c
+++ b/src/sched-index.c
@@ -32,12 +32,17 @@
 	return a / b - (a % b < 0);
 }
 
-int32_t room_rank(int64_t free_milli, uint32_t capacity_milli, uint32_t bonus)
+int32_t room_rank(int64_t free_milli, uint32_t inverse_cpu, uint32_t bonus)
 {
-	int64_t rank = -floor_div(-free_milli * (1 << RANK_BITS),
-				  (int64_t)capacity_milli + 1) +
-		       -floor_div(-(int64_t)bonus * (1 << RANK_BITS), THOUSAND);
+	int64_t rank;
 
+	if (free_milli < INT32_MIN)
+		free_milli = INT32_MIN;
+	rank = (free_milli * inverse_cpu >> (32 - RANK_BITS)) + 1;
+	/* The inverse is rounded down, by less than one. */
+	if (free_milli > 0)
+		rank += (free_milli >> (32 - RANK_BITS)) + 1;
+	rank += ((int64_t)bonus << RANK_BITS) / THOUSAND + 1;
 	return rank < INT32_MIN	  ? INT32_MIN
 	       : rank > INT32_MAX ? INT32_MAX
 				  : (int32_t)rank;
--- a/src/sched-index.h
+++ b/src/sched-index.h
@@ -61,7 +61,8 @@
  * Rank of a worker of which free_milli counts as free, with bonus added to its
  * score. With a bonus the demand must fit into free_milli.
  */
-int32_t room_rank(int64_t free_milli, uint32_t capacity_milli, uint32_t bonus);
+int32_t room_rank(int64_t free_milli, uint32_t inverse_cpu, uint32_t bonus);
+/* Stands for a division by a worker's capacity. */
 uint32_t room_inverse(uint32_t capacity_milli);
 
 /* A query for all workers that fit. */
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -148,6 +148,7 @@
 	struct resources used;	    /* CPU without best-effort tasks */
 	struct resources reserved;  /* for tasks that did not fit */
 	uint32_t service;	    /* handle of its service */
+	uint32_t inverse_cpu;	    /* room_inverse() of the capacity */
 	uint32_t service_milli;	    /* CPU of long-running tasks */
 	uint32_t best_effort_milli; /* CPU of best-effort tasks */
 	uint32_t first_task;
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -145,10 +145,10 @@
 		.accelerators =
 			left(w->capacity.accelerators, w->used.accelerators,
 			     w->reserved.accelerators),
-		.rank = room_rank(free_cpu(w), capacity_milli, 0),
-		.best_effort_rank = room_rank(best_effort, capacity_milli,
+		.rank = room_rank(free_cpu(w), w->inverse_cpu, 0),
+		.best_effort_rank = room_rank(best_effort, w->inverse_cpu,
 					      beside_services_bonus(w)),
-		.inverse_cpu = room_inverse(capacity_milli),
+		.inverse_cpu = w->inverse_cpu,
 	};
 
 	room_index_set(&s->rooms, worker, &room);
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -60,6 +60,7 @@
 	w->identity->next_in_bucket = *bucket;
 	*bucket = s->worker_count;
 	w->first_task = SCHED_NONE;
+	w->inverse_cpu = room_inverse(0);
 	w->last_failed_job = SCHED_NONE;
 	/* A predecessor can grant leases until its own lease ends. */
 	w->lease_end_us = s->created_us + lease_bound_us(s) +
@@ -216,6 +217,7 @@
 		 info->zone);
 	memcpy(w->identity->labels, info->labels, sizeof(w->identity->labels));
 	w->capacity = info->capacity;
+	w->inverse_cpu = room_inverse(w->capacity.cpu_milli);
 	if (!w->listed)
 		log_event(LOG_INFO, "worker-listed",
 			  "worker=%s service=%s zone=%s cpu=%u memory_mb=%u",
--- a/tests/test-sched-index.c
+++ b/tests/test-sched-index.c
@@ -52,9 +52,9 @@
 		.best_effort_milli = (int32_t)p->best_effort_milli,
 		.memory_mb = (int32_t)between(r, 0, 128000) - 1000,
 		.accelerators = (int32_t)between(r, 0, 2),
-		.rank = room_rank(p->free_milli, capacity, 0),
-		.best_effort_rank =
-			room_rank(p->best_effort_milli, capacity, p->bonus),
+		.rank = room_rank(p->free_milli, room_inverse(capacity), 0),
+		.best_effort_rank = room_rank(p->best_effort_milli,
+					      room_inverse(capacity), p->bonus),
 		.inverse_cpu = room_inverse(capacity),
 	};
 }
@@ -178,7 +178,7 @@
 
 	plain.capacity_milli = 32000;
 	plain.room.cpu_milli = 9000;
-	plain.room.rank = room_rank(9000, 32000, 0);
+	plain.room.rank = room_rank(9000, room_inverse(32000), 0);
 	plain.room.inverse_cpu = room_inverse(32000);
 	for (uint32_t i = 0; i < 100; i++) {
 		room_index_add(&x);
