job-workers: a renewed worker entry that is the same is not decoded

What callers would see: nothing.

Cause: each worker writes its entry about once a second, and each time the owner decoded it from JSON, although only its clock and its sequence number differ.

Change: a hash of the entry without the digits of these two members stands for it. An entry with the hash of the one before, of a worker that is listed and of which no other incarnation has reported since, is confirmed; all others, also those in which a member is absent, there twice or no plain number, are decoded as before. Placement becomes due as before.

test-jobs-node "renewed worker entries" renews an entry between drains, their ends and removals; it fails if the hash is not compared. test-decode compares hashes.

--- a/src/job-node.h
+++ b/src/job-node.h
@@ -94,7 +94,14 @@
 struct job_workers *job_workers_create(struct job_node *n, struct sched *s);
 void job_workers_destroy(struct job_workers *w);
 void job_workers_update_entry(struct job_workers *w,
-			      const struct job_worker_entry *e);
+			      const struct job_worker_entry *e,
+			      uint64_t fingerprint);
+/*
+ * Returns true if an entry with this fingerprint is the worker's present one.
+ * Otherwise the entry is to be decoded.
+ */
+bool job_workers_confirm_entry(struct job_workers *w, const char *id,
+			       uint64_t fingerprint);
 /* The platform no longer lists a worker. */
 void job_workers_mark_unlisted(struct job_workers *w, const char *id);
 /*
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -183,24 +183,30 @@
 static void on_worker_item(void *arg, const struct kv_item *item)
 {
 	struct job_owner *o = arg;
+	const struct job_platform *platform = o->node->platform;
+	const char *id = item->key + strlen(platform->worker_prefix);
 	struct job_worker_entry e;
+	uint64_t fingerprint;
 	struct error err;
 
 	if (!o->workers)
 		return;
 	if (item->deleted) {
-		job_workers_mark_unlisted(
-			o->workers,
-			item->key + strlen(o->node->platform->worker_prefix));
+		job_workers_mark_unlisted(o->workers, id);
 		return;
 	}
-	if (o->node->platform->decode_worker(item->key, item->value, item->len,
-					     &e, &err) < 0) {
+	fingerprint = platform->worker_fingerprint(item->value, item->len);
+	if (job_workers_confirm_entry(o->workers, id, fingerprint)) {
+		job_owner_schedule_tick(o);
+		return;
+	}
+	if (platform->decode_worker(item->key, item->value, item->len, &e,
+				    &err) < 0) {
 		log_event(LOG_INFO, "worker-entry-ignored",
 			  "key=%s reason=\"%s\"", item->key, err.message);
 		return;
 	}
-	job_workers_update_entry(o->workers, &e);
+	job_workers_update_entry(o->workers, &e, fingerprint);
 	job_owner_schedule_tick(o);
 }
 
--- a/src/job-platform.h
+++ b/src/job-platform.h
@@ -116,6 +116,8 @@
 	/* Returns 0, or -1 with err set if the entry names no usable worker. */
 	int (*decode_worker)(const char *key, const void *data, size_t len,
 			     struct job_worker_entry *out, struct error *err);
+	/* Entries of the same one, other than 0, decode to the same worker. */
+	uint64_t (*worker_fingerprint)(const void *data, size_t len);
 	struct kv *(*open_store)(struct event_base *base,
 				 const struct settings_address *address);
 };
--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -166,6 +166,8 @@
 /* Adds or updates a worker and returns its index. */
 uint32_t sched_update_worker(struct sched *s,
 			     const struct sched_worker_info *info);
+/* A worker's entry was read again and is the same. */
+void sched_worker_confirmed(struct sched *s);
 /* The platform no longer lists the worker. */
 void sched_worker_unlisted(struct sched *s, uint32_t worker, uint64_t now_us);
 uint32_t sched_find_worker(const struct sched *s, const char *id);
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -43,6 +43,8 @@
 	uint64_t ack_deadline_us; /* polls again then at the latest */
 	uint64_t last_end_seq;
 	uint64_t started_wall_ms;
+	uint64_t entry_fingerprint;	/* of the last entry */
+	uint64_t entry_started_wall_ms; /* as in the last entry */
 	uint64_t unresponsive_since_us; /* 0: responsive */
 	uint64_t reported_us;		/* when the last report was requested */
 	bool polling;
@@ -190,8 +192,24 @@
 	free_orders(orders);
 }
 
+bool job_workers_confirm_entry(struct job_workers *w, const char *id,
+			       uint64_t fingerprint)
+{
+	struct worker_link *l = find_link(w, sched_find_worker(w->sched, id));
+
+	/* A report of another incarnation may have come after the entry. */
+	if (!fingerprint || !l || !l->listed ||
+	    l->entry_fingerprint != fingerprint ||
+	    l->entry_started_wall_ms != l->started_wall_ms)
+		return false;
+	l->resync_unseen = false;
+	sched_worker_confirmed(w->sched);
+	return true;
+}
+
 void job_workers_update_entry(struct job_workers *w,
-			      const struct job_worker_entry *e)
+			      const struct job_worker_entry *e,
+			      uint64_t fingerprint)
 {
 	uint32_t worker = sched_update_worker(w->sched, &e->info);
 	struct worker_link *l = find_link(w, worker);
@@ -211,8 +229,11 @@
 		l->started_wall_ms = e->info.started_wall_ms;
 		l->verify_incarnation = true;
 		l->next_poll_us = 0;
+		w->idle_until_us[worker] = 0;
 		l->clock_ms = 0;
 	}
+	l->entry_fingerprint = fingerprint;
+	l->entry_started_wall_ms = e->info.started_wall_ms;
 	end_orders(w, orders);
 }
 
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -242,6 +242,11 @@
 	return i;
 }
 
+void sched_worker_confirmed(struct sched *s)
+{
+	s->placement_due = true;
+}
+
 void sched_worker_unlisted(struct sched *s, uint32_t worker, uint64_t now_us)
 {
 	struct sched_worker *w = &s->workers[worker];
--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -153,6 +153,50 @@
 	CU_ASSERT_FALSE(e.info.draining);
 }
 
+/* Guards against an entry that is taken for the previous one and is another. */
+static void test_worker_fingerprint(void)
+{
+	static const char *const same[] = {
+		"{\"state\":\"ready\",\"clock-ms\":1,\"sequence\":4}",
+		"{\"state\":\"ready\",\"clock-ms\":482113,\"sequence\":57}",
+		"{\"state\":\"ready\",\"clock-ms\":0,\"sequence\":0}",
+	};
+	static const char *const others[] = {
+		"{\"state\":\"draining\",\"clock-ms\":1,\"sequence\":4}",
+		"{\"state\":\"ready\",\"sequence\":4,\"clock-ms\":1}",
+		"{\"state\":\"ready\",\"clock-ms\":1,\"sequence\":4,"
+		"\"born\":2}",
+		"{\"state\":\"ready\",\"clock-ms\":1,\"sequence\":4.5}",
+		"{\"state\":\"ready\",\"clock-ms\":1,\"sequence\":4",
+	};
+	/* They are decoded each time. */
+	static const char *const unknown[] = {
+		"",
+		"{}",
+		"{\"state\":\"ready\",\"sequence\":4}",
+		"{\"state\":\"ready\",\"clock-ms\":4}",
+		"{\"clock-ms\":1,\"sequence\":4,\"sequence\":5}",
+		"{\"clock-ms\":1,\"sequence\":04}",
+		"{\"clock-ms\":1,\"sequence\":-4}",
+		"{\"clock-ms\":1,\"sequence\":\"4\"}",
+		"{\"clock-ms\":1,\"sequence\":9223372036854775808}",
+		"{\"clock-ms\":1,\"sequence\":",
+	};
+	uint64_t first = worker_fingerprint(same[0], strlen(same[0]));
+
+	CU_ASSERT_NOT_EQUAL(first, 0);
+	for (size_t i = 0; i < sizeof(same) / sizeof(*same); i++)
+		CU_ASSERT_EQUAL(worker_fingerprint(same[i], strlen(same[i])),
+				first);
+	for (size_t i = 0; i < sizeof(others) / sizeof(*others); i++)
+		CU_ASSERT_NOT_EQUAL(
+			worker_fingerprint(others[i], strlen(others[i])),
+			first);
+	for (size_t i = 0; i < sizeof(unknown) / sizeof(*unknown); i++)
+		CU_ASSERT_EQUAL(
+			worker_fingerprint(unknown[i], strlen(unknown[i])), 0);
+}
+
 static void test_malformed_workers(void)
 {
 	static const char *const texts[] = {
@@ -248,6 +292,7 @@
 		{ "malformed jobs", test_malformed_jobs },
 		{ "truncated", test_truncated },
 		{ "worker", test_worker },
+		{ "worker fingerprint", test_worker_fingerprint },
 		{ "malformed workers", test_malformed_workers },
 		{ "config", test_config },
 		{ "report", test_report },
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -4,6 +4,8 @@
 
 #include "buffer.h"
 #include "clock.h"
+#include "job-owner-internal.h"
+#include "sched-internal.h"
 #include "support-jobs-fixture.h"
 #include "support-unit.h"
 
@@ -475,6 +477,82 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/* Writes the first worker's entry again, as a heartbeat does. */
+static void renew_entry(struct jobs_fixture *f, const struct sched *s,
+			const char *entry, const char *state, int sequence)
+{
+	static const char ready[] = "\"state\":\"ready\"";
+	const char *state_at = strstr(entry, ready);
+	const char *rest = state_at + strlen(ready);
+	int rest_len = (int)(strstr(rest, "\"sequence\":") - rest);
+	char key[80], value[600];
+
+	snprintf(key, sizeof(key), "servers/%s", s->workers[0].identity->id);
+	snprintf(value, sizeof(value),
+		 "%.*s\"state\":\"%s\"%.*s\"sequence\":%d}",
+		 (int)(state_at - entry), entry, state, rest_len, rest,
+		 sequence);
+	jobs_platform_put(f->platform, key, value);
+}
+
+/* Waits until the first worker is in the given state. */
+static bool wait_for_worker(struct jobs_fixture *f, const struct sched *s,
+			    bool listed, bool draining)
+{
+	uint32_t polls = jobs_platform_worker_watch_polls(f->platform);
+
+	for (int i = 0; i < 100; i++) {
+		jobs_fixture_run(f, 20);
+		/* A change is read before the next poll is sent. */
+		if (jobs_platform_worker_watch_polls(f->platform) > polls &&
+		    s->workers[0].listed == listed &&
+		    s->workers[0].draining == draining)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Guards against an entry that is taken for the one before: a drain, its end
+ * and a removed entry must be seen among renewals.
+ */
+static void test_renewed_worker_entries(void)
+{
+	struct jobs_fixture f;
+	const struct sched *s;
+	char entry[600], key[80];
+	int owner;
+
+	jobs_fixture_set_up(&f);
+	jobs_fixture_set_queue_host(&f);
+	CU_ASSERT_EQUAL(
+		jobs_fixture_request(&f, 0, "POST", JOB_A_PATH, JOB_BODY), 200);
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_A_PATH, 3000));
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	s = job_owner_sched(f.entries[owner].node.owner);
+	snprintf(key, sizeof(key), "servers/%s", s->workers[0].identity->id);
+	snprintf(entry, sizeof(entry), "%s",
+		 jobs_platform_get(f.platform, key));
+	for (int i = 0; i < 2; i++) {
+		int sequence = 10 * i + 5;
+
+		renew_entry(&f, s, entry, "ready", sequence);
+		CU_ASSERT(wait_for_worker(&f, s, true, false));
+		renew_entry(&f, s, entry, "draining", sequence + 1);
+		CU_ASSERT(wait_for_worker(&f, s, true, true));
+		renew_entry(&f, s, entry, "draining", sequence + 2);
+		CU_ASSERT(wait_for_worker(&f, s, true, true));
+		renew_entry(&f, s, entry, "ready", sequence + 3);
+		CU_ASSERT(wait_for_worker(&f, s, true, false));
+		jobs_platform_delete(f.platform, key);
+		CU_ASSERT(wait_for_worker(&f, s, false, false));
+		renew_entry(&f, s, entry, "ready", sequence + 4);
+		CU_ASSERT(wait_for_worker(&f, s, true, false));
+	}
+	jobs_fixture_tear_down(&f);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -501,6 +579,7 @@
 		{ "malformed worker entries", test_malformed_worker_entries },
 		{ "worker changes batched", test_worker_changes_batched },
 		{ "readiness", test_readiness },
+		{ "renewed worker entries", test_renewed_worker_entries },
 	};
 
 	return RUN_SUITE("jobs-node", tests);
