--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -227,8 +227,7 @@
 	struct queue_estimate estimates[SCHED_ESTIMATES_MAX];
 	uint32_t estimate_count;
 	struct job *jobs;
-	/* By job: sched_tick() has nothing to do before; see sched_mark_dirty()
-	 */
+	/* By job: sched_tick() skips it before, unless it changes. */
 	uint64_t *job_due_wall_ms;
 	uint32_t *collected; /* indices of jobs, ascending */
 	uint32_t collected_count;
@@ -292,8 +291,7 @@
 			     struct occurrence *o);
 
 /* ---- sched-collect.c ---- */
-/* The job has changed: its record is to be stored, and sched_tick() reads it.
- */
+/* The job has changed: sched_tick() reads it, its record is to be stored. */
 void sched_mark_dirty(struct sched *s, struct job *j);
 void sched_clear_dirty(struct sched *s, struct job *j);
 /* The worker has reported ends that are not stored yet. */
