job-owner: the answer to a former lease's renewal concerns no later lease

An owner that stepped down and was elected again within 0.6 s stepped down once more, and scheduled nothing for another 0.3 s, if a renewal of its former lease was answered in between: its 404 was taken for the end of the new lease. A 200 would have moved the end of the new lease to 1.8 s after a renewal that may not have been executed. Class of fault: a confirmation taken from something else.

The answer to a renewal that was sent before stepping down is ignored, and the first renewal of the new lease waits for it (0.6 s at most of 1.8 s).

test-jobs-node, 'renewal of former lease' (the simulated store can hold one renewal), failed before with two elections instead of one and passes.

--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -111,6 +111,7 @@
 	uint64_t txn_count; /* committed or in flight, in this epoch */
 	uint64_t lease_id;
 	bool renewing;
+	bool renews_former_lease; /* of an ownership that has ended */
 	uint64_t renew_sent_us;
 	uint64_t renewed_us; /* when the last successful renewal was sent */
 	uint64_t next_renew_us;
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -119,7 +119,9 @@
 		  (unsigned long long)o->epoch,
 		  (unsigned long long)o->ownership_revision);
 	job_owner_load(o);
-	renew_lease(o);
+	o->next_renew_us = 0;
+	if (!o->renewing)
+		renew_lease(o);
 }
 
 static void on_seq_read(void *arg, const struct kv_reply *r)
@@ -191,6 +193,10 @@
 	uint64_t delay_us = OWNER_LEASE_RENEW_US;
 
 	o->renewing = false;
+	if (o->renews_former_lease) {
+		o->renews_former_lease = false;
+		return;
+	}
 	if (o->state < OWNER_LOADING)
 		return;
 	if (r->outcome == KV_OK) {
@@ -263,6 +269,7 @@
 	o->ownership_lost = false;
 	o->state = OWNER_FOLLOWER;
 	o->ownership_revision = 0;
+	o->renews_former_lease = o->renewing;
 	o->next_election_us = clock_now_us() + ELECTION_RETRY_US;
 	/* A successor doesn't have to wait until the lease expires. */
 	if (o->lease_id)
--- a/tests/support-jobs-internal.h
+++ b/tests/support-jobs-internal.h
@@ -122,6 +122,7 @@
 	uint32_t key_count;
 	struct store_lease leases[STORE_LEASES_MAX];
 	uint64_t lease_count;
+	struct evhttp_request *held_renewal;
 	struct store_watch watches[STORE_WATCHES_MAX];
 	uint32_t watch_count;
 	uint32_t worker_watch_polls;
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -28,6 +28,7 @@
 	bool lose_write_answers; /* writes are executed without an answer */
 	bool lose_order_answers; /* orders are executed without an answer */
 	bool compact_history;	 /* the next watch poll is answered with 410 */
+	bool hold_renewal;	 /* the next renewal waits for its release */
 	uint32_t unanswered_writes; /* counted while lose_write_answers */
 };
 
@@ -83,6 +84,8 @@
 /* Value of a key, valid until the next call, or NULL. */
 const char *jobs_platform_get(struct jobs_platform *p, const char *key);
 void jobs_platform_delete(struct jobs_platform *p, const char *key);
+/* Executes and answers the renewal that hold_renewal held; false: none is. */
+bool jobs_platform_release_renewal(struct jobs_platform *p);
 /* Revision of the store. */
 uint64_t jobs_platform_revision(const struct jobs_platform *p);
 /* Number of watch polls for worker entries. */
--- a/tests/support-jobs-store.c
+++ b/tests/support-jobs-store.c
@@ -406,6 +406,35 @@
 	jobs_reply(req, 200, json_pack("{s:i}", "ttl-ms", 2500));
 }
 
+static void on_held_close(struct evhttp_connection *c, void *arg)
+{
+	struct jobs_platform *p = arg;
+
+	(void)c;
+	p->held_renewal = NULL;
+}
+
+static void hold_renewal(struct jobs_platform *p, struct evhttp_request *req)
+{
+	p->faults.hold_renewal = false;
+	p->held_renewal = req;
+	evhttp_connection_set_closecb(evhttp_request_get_connection(req),
+				      on_held_close, p);
+}
+
+bool jobs_platform_release_renewal(struct jobs_platform *p)
+{
+	struct evhttp_request *req = p->held_renewal;
+
+	if (!req)
+		return false;
+	p->held_renewal = NULL;
+	evhttp_connection_set_closecb(evhttp_request_get_connection(req), NULL,
+				      NULL);
+	serve_lease_renew_or_end(p, req, evhttp_request_get_uri(req));
+	return true;
+}
+
 static void on_request(struct evhttp_request *req, void *arg)
 {
 	struct jobs_platform *p = arg;
@@ -421,6 +450,10 @@
 		jobs_reply(req, 503, NULL);
 		return;
 	}
+	if (p->faults.hold_renewal && strstr(uri, "/kv-keep/")) {
+		hold_renewal(p, req);
+		return;
+	}
 	evhttp_parse_query_str(query ? query + 1 : "", &keys);
 	if (strstr(uri, "/kv-key?"))
 		serve_key(p, req, &keys);
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -4,6 +4,7 @@
 
 #include "buffer.h"
 #include "clock.h"
+#include "counter.h"
 #include "job-owner-internal.h"
 #include "sched-internal.h"
 #include "support-jobs-fixture.h"
@@ -395,6 +396,37 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/*
+ * Guards against an owner that steps down, or counts on a lease, because of the
+ * answer to a renewal of the lease that it held when it was owner before.
+ */
+static void test_renewal_of_former_lease(void)
+{
+	struct jobs_fixture f = { .entry_count = 1 };
+	struct counter *elections;
+	bool released = false;
+
+	jobs_fixture_start(&f);
+	jobs_fixture_run(&f, 800);
+	CU_ASSERT_EQUAL_FATAL(jobs_fixture_owner(&f), 0);
+	elections = counter_get(COUNTER, "waxwing_elections_total", NULL);
+	jobs_platform_faults(f.platform)->hold_renewal = true;
+	while (jobs_platform_faults(f.platform)->hold_renewal)
+		jobs_fixture_run(&f, 5);
+	counter_set(elections, 0);
+	jobs_platform_delete(f.platform, JOB_OWNER_KEY);
+	for (int i = 0; i < 100 && !released; i++) {
+		jobs_fixture_run(&f, 5);
+		if (counter_value(elections) && jobs_fixture_owner(&f) == 0)
+			released = jobs_platform_release_renewal(f.platform);
+	}
+	CU_ASSERT(released);
+	jobs_fixture_run(&f, 1500);
+	CU_ASSERT_EQUAL(counter_value(elections), 1);
+	CU_ASSERT_EQUAL(jobs_fixture_owner(&f), 0);
+	jobs_fixture_tear_down(&f);
+}
+
 /* A malformed or older configuration is ignored. */
 static void test_older_config_ignored(void)
 {
@@ -575,6 +607,7 @@
 		{ "election after store outage",
 		  test_election_after_store_outage },
 		{ "ownership revoked", test_ownership_revoked },
+		{ "renewal of former lease", test_renewal_of_former_lease },
 		{ "older configuration ignored", test_older_config_ignored },
 		{ "malformed worker entries", test_malformed_worker_entries },
 		{ "worker changes batched", test_worker_changes_batched },
