sched: crashes under a start that was given up count

A start that is given up is stopped until the worker rejects its copies; a copy that was carried out before that and crashed the worker did not count, as a task that is being stopped was taken for one that had run for long. Where the worker comes back, other tasks that had just started there were suspected in its place.

A task that was stopped before its start was confirmed counts like one that is being started, until its stop is executed.

--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -50,6 +50,13 @@
 	       t->state == TASK_STOPPING || t->state == TASK_UNCONFIRMED;
 }
 
+/* Its run was known before the stop, or the stop is executed. */
+static bool ran_before_stop(const struct sched_task *t)
+{
+	return t->state == TASK_STOPPING &&
+	       (!t->stopped_at_start || t->confirmed);
+}
+
 /* How long the task is known to have run. */
 static uint64_t known_age_us(const struct sched_worker *w,
 			     const struct sched_task *t)
@@ -88,8 +95,7 @@
 
 	if (!may_have_run(t))
 		return SUSPICION_NONE;
-	/* A task that is being stopped has run before. */
-	if (t->state == TASK_STOPPING)
+	if (ran_before_stop(t))
 		return SUSPICION_ANY;
 	if (!age_us)
 		return SUSPICION_NEW;
@@ -218,7 +224,7 @@
 {
 	bool fails;
 
-	if (!may_have_run(t) || t->state == TASK_STOPPING)
+	if (!may_have_run(t) || ran_before_stop(t))
 		return false;
 	increment(&t->losses);
 	s->jobs[t->job].has_suspect = true;
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -80,10 +80,11 @@
 	uint8_t state;
 	uint8_t cpu_percent;	  /* limit ordered, or CPU_PERCENT_UNKNOWN */
 	uint8_t progress_percent; /* progress */
-	uint8_t unanswered; /* copies of the run's start without an answer,
-			       which may still be carried out */
-	bool confirmed;	    /* the worker confirmed the start or stop */
-	bool preempted;	    /* a service stopped for an urgent task */
+	uint8_t unanswered;    /* copies of the run's start without an answer,
+				  which may still be carried out */
+	bool confirmed;	       /* the worker confirmed the start or stop */
+	bool stopped_at_start; /* no answer had shown that the run began */
+	bool preempted;	       /* a service stopped for an urgent task */
 	bool throttle_unanswered; /* an order that may be carried out late */
 	uint32_t listed_in; /* number of the last report that lists the run */
 	uint32_t metric;
--- a/src/sched-stop.c
+++ b/src/sched-stop.c
@@ -19,6 +19,8 @@
 
 void sched_task_stop(struct sched *s, struct sched_task *t)
 {
+	if (t->state != TASK_STOPPING)
+		t->stopped_at_start = t->state == TASK_STARTING;
 	sched_task_set_state(s, t, TASK_STOPPING);
 	t->state_since_us = s->now_us;
 	t->confirmed = false;
--- a/tests/support-sched-orders.c
+++ b/tests/support-sched-orders.c
@@ -94,7 +94,9 @@
 	o->fate = m->fate(m, &o->order);
 	o->result = SCHED_OUTCOME_UNKNOWN;
 	o->answer_us = m->now_us + ANSWER_TIMEOUT_US;
-	sched_lease_granted(m->s, o->order.worker, m->now_us);
+	/* Stops and throttle orders carry no lease. */
+	if (o->order.type == SCHED_START)
+		sched_lease_granted(m->s, o->order.worker, m->now_us);
 	switch (o->fate.outcome) {
 	case MODEL_EXECUTED:
 		o->result = execute(m, o);
--- a/tests/test-sched-unanswered.c
+++ b/tests/test-sched-unanswered.c
@@ -420,6 +420,58 @@
 	job_model_free(m);
 }
 
+/* ---- crashes ---- */
+
+/* Half of the starts are late, the repetitions refused, all stops lost. */
+static struct model_fate late_and_refused(struct model *m,
+					  const struct sched_order *o)
+{
+	struct script *script = m->fate_arg;
+
+	if (o->type != SCHED_START)
+		return (struct model_fate){ .outcome = MODEL_LOST };
+	if (script->start_count++ % 2)
+		return (struct model_fate){ .outcome = MODEL_REFUSED,
+					    .result = SCHED_UNHEALTHY };
+	return (struct model_fate){ .outcome = MODEL_LATE, .late_ms = 600 };
+}
+
+/* Crashed workers never return, and the platform no longer lists them. */
+static void remove_crashed_workers(struct model *m)
+{
+	for (uint32_t i = 0; i < m->worker_count; i++) {
+		if (!m->workers[i].restarts_us)
+			continue;
+		m->workers[i].restarts_us = UINT64_MAX;
+		m->workers[i].entry_expired = true;
+	}
+}
+
+/*
+ * Guards against a task that crashes worker after worker, since its start had
+ * been given up before it was carried out and crashed the worker.
+ */
+static void test_crashes_by_given_up_starts_are_counted(void)
+{
+	struct script script = { .start_count = 0 };
+	struct model *m = create_model(16, &script);
+	struct model_job *j =
+		job_model_add_job(m, "urgent", 1, 1, CORES(2), GB(2), 5000);
+
+	m->fate = late_and_refused;
+	j->crashes_workers = true;
+	j->crash_after_ms = 50;
+	job_model_submit(m, j);
+	for (int i = 0; i < 1200; i++) {
+		job_model_run(m, 100);
+		remove_crashed_workers(m);
+	}
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_FAILED);
+	CU_ASSERT(j->crashes >= 2);
+	CU_ASSERT(j->crashes <= 5);
+	job_model_free(m);
+}
+
 /* ---- random orders ---- */
 
 struct disorder {
@@ -542,6 +594,8 @@
 		  test_task_halted_by_late_order_is_resumed },
 		{ "task resumed by late order is halted",
 		  test_task_resumed_by_late_order_is_halted },
+		{ "crashes by given-up starts are counted",
+		  test_crashes_by_given_up_starts_are_counted },
 		{ "late orders beside refusing workers",
 		  test_late_orders_beside_refusing_workers },
 	};
