job-peer: calls for the owner do not reach a former one

Callers could get answers of a process that had ceased to be the owner, or none for as long as it was gone: 504 or 503 for a GET. When the owner changed, connections were replaced unless a call was in flight on them; such a connection was used again later. Class of fault: an answer from something else than what was asked.

Each connection knows its address and is replaced before the next call.

test-job-intake, 'owner changes during call', failed before (the former owner was called again, no 200) and passes. Found by reading.

--- a/src/job-peer.c
+++ b/src/job-peer.c
@@ -28,6 +28,7 @@
 struct owner_call {
 	struct job_peer *peer;
 	struct http_conn *conn;
+	struct settings_address address; /* that conn leads to */
 	bool busy;
 	intake_fn *fn;
 	void *arg;
@@ -36,7 +37,6 @@
 struct job_peer {
 	struct job_node *node;
 	struct evhttp *server;
-	struct settings_address address; /* that calls are connected to */
 	struct owner_call calls[CONNECTIONS_MAX];
 };
 
@@ -102,16 +102,16 @@
 	return NULL;
 }
 
-static void close_idle_connections(struct job_peer *p)
+/* A connection to a former owner is replaced. */
+static void connect_call(struct owner_call *q,
+			 const struct settings_address *address)
 {
-	for (int i = 0; i < CONNECTIONS_MAX; i++) {
-		struct owner_call *q = &p->calls[i];
-
-		if (q->busy || !q->conn)
-			continue;
-		http_conn_free(q->conn);
-		q->conn = NULL;
-	}
+	if (q->conn && !memcmp(&q->address, address, sizeof(*address)))
+		return;
+	http_conn_free(q->conn);
+	q->address = *address;
+	q->conn = http_conn_create(q->peer->node->base, address->host,
+				   address->port);
 }
 
 bool job_peer_call_owner(struct job_peer *p, enum peer_call call,
@@ -126,16 +126,10 @@
 	if (!job_owner_address(p->node->owner, &address) ||
 	    job_owner_sched(p->node->owner))
 		return false;
-	if (memcmp(&address, &p->address, sizeof(address))) {
-		close_idle_connections(p);
-		p->address = address;
-	}
 	q = find_idle_call(p);
 	if (!q)
 		return false;
-	if (!q->conn)
-		q->conn = http_conn_create(p->node->base, address.host,
-					   address.port);
+	connect_call(q, &address);
 	q->busy = true;
 	q->fn = fn;
 	q->arg = arg;
--- a/tests/test-job-intake.c
+++ b/tests/test-job-intake.c
@@ -15,6 +15,7 @@
 	struct evhttp *server;
 	int status;
 	const char *body;
+	bool silent;
 	uint32_t calls;
 };
 
@@ -24,15 +25,20 @@
 	struct evbuffer *out = evbuffer_new();
 
 	o->calls++;
+	if (o->silent) {
+		evbuffer_free(out);
+		return;
+	}
 	evbuffer_add(out, o->body, strlen(o->body));
 	evhttp_send_reply(req, o->status, NULL, out);
 	evbuffer_free(out);
 }
 
-/* Both entry VMs take the server for the owner; the store refuses calls. */
-static void replace_owner(struct jobs_fixture *f, struct fake_owner *o)
+/* Both entry VMs take the server for the owner. */
+static void start_owner(struct jobs_fixture *f, struct fake_owner *o,
+			uint16_t port_offset)
 {
-	uint16_t port = (uint16_t)(jobs_fixture_port() + OWNER_PORT_OFFSET);
+	uint16_t port = (uint16_t)(jobs_fixture_port() + port_offset);
 	struct buffer value = BUFFER_INIT;
 
 	memset(o, 0, sizeof(*o));
@@ -44,6 +50,12 @@
 	jobs_platform_put(f->platform, JOB_OWNER_KEY, value.data);
 	buffer_free(&value);
 	jobs_fixture_run(f, 300);
+}
+
+/* As above, and the store refuses calls from then on. */
+static void replace_owner(struct jobs_fixture *f, struct fake_owner *o)
+{
+	start_owner(f, o, OWNER_PORT_OFFSET);
 	jobs_platform_faults(f->platform)->refuse = true;
 	jobs_fixture_run(f, 100);
 }
@@ -178,6 +190,46 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/*
+ * Guards against a call for the owner that reaches a former one, over the
+ * connection of a call that was in flight when the owner changed.
+ */
+static void test_owner_changes_during_call(void)
+{
+	struct fake_owner former, owner;
+	struct jobs_fixture f, other = { 0 };
+	struct http_conn *c;
+
+	jobs_fixture_set_up(&f);
+	jobs_fixture_set_queue_host(&f);
+	start_owner(&f, &former, OWNER_PORT_OFFSET);
+	former.silent = true;
+	f.status = 0;
+	http_conn_call(f.clients[0], "GET", "/forms/", NULL, NULL, 0, 4000,
+		       jobs_fixture_on_reply, &f);
+	jobs_fixture_run(&f, 50);
+	CU_ASSERT_EQUAL(former.calls, 1);
+	start_owner(&f, &owner, OWNER_PORT_OFFSET + 1);
+	owner.status = 200;
+	owner.body = "{\"outcome\":0,\"state\":0,\"waiting\":7}";
+	CU_ASSERT_EQUAL(f.status, 0);
+	c = http_conn_create(f.base, "127.0.0.1",
+			     (uint16_t)(jobs_fixture_entry_port(0) + 3));
+	http_conn_call(c, "GET", "/forms/", NULL, NULL, 0, 4000,
+		       jobs_fixture_on_reply, &other);
+	for (int i = 0; i < 200 && !(f.status && other.status); i++)
+		jobs_fixture_run(&f, 10);
+	CU_ASSERT_EQUAL(other.status, 200);
+	http_conn_free(c);
+	CU_ASSERT_EQUAL(jobs_fixture_request(&f, 0, "GET", "/forms/", NULL),
+			200);
+	CU_ASSERT_STRING_EQUAL(f.body, "{\"waiting\":7}");
+	CU_ASSERT_EQUAL(former.calls, 1);
+	evhttp_free(former.server);
+	evhttp_free(owner.server);
+	jobs_fixture_tear_down(&f);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -188,6 +240,7 @@
 		  test_cancellation_refused_after_unanswered_write },
 		{ "unreadable reply of owner", test_unreadable_reply_of_owner },
 		{ "refusal of owner", test_refusal_of_owner },
+		{ "owner changes during call", test_owner_changes_during_call },
 	};
 
 	return RUN_SUITE("job-intake", tests);
