workers: a clock that is set back shows a restart

Callers would see work that must run once run twice. A worker that was back under its id between two polls numbered its ends from 1 again, but the next poll acknowledged the ends up to the last one of the former incarnation. Ends of the new one were so forgotten unseen, and their tasks started again. Orders reach a new incarnation first if the poll waits: for up to 0.7 s while the end of a run is not stored. Class of fault: a number of a former incarnation used with the next.

The answer to an order tells nothing of a restart but the worker's clock, which starts anew. If it is over 5 s behind the last answer, nothing is acknowledged or ordered before a report.

Not covered: a worker that restarts within 5 s of its start, or whose orders to the new incarnation all lose their answers.

--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -23,6 +23,8 @@
 #define REFUSED_RETRY_US 100000u
 /* Several times the round trip to a worker in another zone. */
 #define ORDER_OVERDUE_US 60000u
+/* Responses on different connections overtake each other by less than this. */
+#define CLOCK_BACK_MS 5000u
 /* An unlisted, unresponsive worker is polled for this long. */
 #define UNLISTED_POLL_US 30000000u
 
@@ -279,6 +281,16 @@
 	l->clock_us = clock_now_us();
 }
 
+/*
+ * A restart sets the worker's clock back; nothing else in the answer to an
+ * order tells of it.
+ */
+static bool clock_went_back(const struct worker_link *l,
+			    const struct worker_response *a)
+{
+	return a->clock_ms && a->clock_ms + CLOCK_BACK_MS < l->clock_ms;
+}
+
 /* Handles what all responses share. Returns true if the worker responded. */
 static bool handle_response(struct worker_link *l,
 			    const struct worker_response *a)
@@ -288,6 +300,8 @@
 
 	switch (a->outcome) {
 	case WORKER_RESPONDED:
+		if (clock_went_back(l, a))
+			l->verify_incarnation = true;
 		update_clock(l, a);
 		return true;
 	case WORKER_FENCED:
--- a/tests/soak-jobs.c
+++ b/tests/soak-jobs.c
@@ -389,6 +389,10 @@
 		soak_report_violation(
 			s, "no task runs more than once", 0,
 			(int)jobs_platform_duplicate_runs(s->platform));
+	if (jobs_platform_unreported_ends(s->platform))
+		soak_report_violation(
+			s, "no end is acknowledged unseen", 0,
+			(int)jobs_platform_unreported_ends(s->platform));
 	soak_stop_all(s);
 	soak_check_logs(s);
 }
--- a/tests/support-jobs-internal.h
+++ b/tests/support-jobs-internal.h
@@ -80,8 +80,9 @@
 	char id[SIM_NAME_BYTES];
 	uint16_t port;
 	uint16_t reached_port;
-	uint32_t incarnation; /* from 0 on */
-	uint64_t born_ms;     /* as the worker reports it */
+	uint32_t incarnation;	  /* from 0 on */
+	uint64_t born_ms;	  /* as the worker reports it */
+	uint64_t clock_offset_ms; /* a restart sets its clock to 1 */
 	enum sim_life life;
 	uint64_t draining_since_us;
 	uint64_t leaves_us; /* end of draining */
@@ -100,6 +101,7 @@
 	uint64_t fencing_token;
 	uint64_t lease_end_ms; /* of the worker's clock */
 	uint64_t last_end_seq;
+	uint64_t reported_seq; /* last end that a report has named */
 	struct sim_task tasks[SIM_TASKS_MAX];
 	uint32_t task_count;
 	struct sim_end ended[SIM_TASKS_MAX];
@@ -134,6 +136,7 @@
 	uint32_t starts;
 	uint32_t duplicate_runs;
 	uint32_t starts_while_draining;
+	uint32_t unreported_ends;
 	uint32_t late_orders; /* in total */
 	char done[SIM_DONE_TASKS_MAX][SIM_NAME_BYTES];
 	uint32_t done_count;
@@ -144,7 +147,7 @@
 json_t *jobs_parse_body(struct evhttp_request *req);
 
 /* ---- support-jobs-worker.c ---- */
-uint64_t sim_clock_ms(void);
+uint64_t sim_clock_ms(const struct sim_worker *w);
 void sim_worker_on_request(struct evhttp_request *req, void *arg);
 /* All that runs ends, and what is known of former runs is forgotten. */
 void sim_worker_forget(struct sim_worker *w, const char *reason);
--- a/tests/support-jobs-life.c
+++ b/tests/support-jobs-life.c
@@ -88,6 +88,7 @@
 	w->restart_tried_us = 0;
 	w->incarnation++;
 	w->born_ms++;
+	w->clock_offset_ms = now / 1000 - 1;
 	w->life = SIM_READY;
 	if (w->restart_new_id)
 		snprintf(w->id, sizeof(w->id), "i-%u-%u", w->port,
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -16,7 +16,7 @@
  *	HTTP, on the event loop of the test. It counts violations: concurrent
  *	runs of a task, starts of tasks that had completed, and starts by
  *	orders that were sent to a worker long after its entry said that it
- *	drains.
+ *	drains, and ends that were acknowledged unseen.
  */
 
 #define PLATFORM_WORKERS_MAX 16
@@ -144,6 +144,8 @@
 uint32_t jobs_platform_duplicate_runs(const struct jobs_platform *p);
 /* Starts by orders that came over 2 s after their worker began to drain. */
 uint32_t jobs_platform_starts_while_draining(const struct jobs_platform *p);
+/* Ends that were acknowledged before a report had named them. */
+uint32_t jobs_platform_unreported_ends(const struct jobs_platform *p);
 uint64_t jobs_platform_fencing_token(const struct jobs_platform *p);
 
 #endif
--- a/tests/support-jobs-worker.c
+++ b/tests/support-jobs-worker.c
@@ -11,9 +11,14 @@
 /* The worker's drain-ms on the users' sites. */
 #define DRAIN_US 2000000u
 
-uint64_t sim_clock_ms(void)
+static uint64_t worker_clock_ms(const struct sim_worker *w, uint64_t now_us)
 {
-	return clock_now_us() / 1000;
+	return now_us / 1000 - w->clock_offset_ms;
+}
+
+uint64_t sim_clock_ms(const struct sim_worker *w)
+{
+	return worker_clock_ms(w, clock_now_us());
 }
 
 static void add_stale_run(struct sim_worker *w, const char *name, uint32_t run)
@@ -116,7 +121,7 @@
 	if (token < w->fencing_token) {
 		jobs_reply(req, 409,
 			   json_pack("{s:I,s:s}", "clock-ms",
-				     (json_int_t)sim_clock_ms(), "reason",
+				     (json_int_t)sim_clock_ms(w), "reason",
 				     "fence"));
 		return true;
 	}
@@ -129,8 +134,8 @@
 	uint64_t until =
 		(uint64_t)json_integer_value(json_object_get(body, "until-ms"));
 
-	if (until > sim_clock_ms() + 6000)
-		until = sim_clock_ms() + 6000;
+	if (until > sim_clock_ms(w) + 6000)
+		until = sim_clock_ms(w) + 6000;
 	if (until > w->lease_end_ms)
 		w->lease_end_ms = until;
 }
@@ -146,6 +151,7 @@
 	w->task_count = 0;
 	w->ended_count = 0;
 	w->last_end_seq = 0;
+	w->reported_seq = 0;
 	w->stale_run_count = 0;
 	w->fencing_token = 0;
 	w->lease_end_ms = 0;
@@ -153,14 +159,15 @@
 	w->poll = NULL;
 }
 
-static void reply_to_order(struct evhttp_request *req, int status,
+static void reply_to_order(const struct sim_worker *w,
+			   struct evhttp_request *req, int status,
 			   const char *reason)
 {
 	json_t *body;
 
 	if (!req)
 		return;
-	body = json_pack("{s:I}", "clock-ms", (json_int_t)sim_clock_ms());
+	body = json_pack("{s:I}", "clock-ms", (json_int_t)sim_clock_ms(w));
 	if (reason)
 		json_object_set_new(body, "reason", json_string(reason));
 	jobs_reply(req, status, body);
@@ -202,18 +209,18 @@
 		json_object_get(o->body, "until-ms"));
 	struct sim_task *t = find_task(w, name);
 
-	if (until <= sim_clock_ms()) {
-		reply_to_order(req, 409, "late");
+	if (until <= sim_clock_ms(w)) {
+		reply_to_order(w, req, 409, "late");
 		return;
 	}
 	extend_lease(w, o->body);
 	if (is_stale_run(w, name, run)) {
-		reply_to_order(req, 409, "old");
+		reply_to_order(w, req, 409, "old");
 		return;
 	}
 	if (w->task_count == SIM_TASKS_MAX ||
 	    ((!t || t->run != run) && sim_start_without_room(w, o))) {
-		reply_to_order(req, 409, "room");
+		reply_to_order(w, req, 409, "room");
 		return;
 	}
 	if (!t || t->run != run)
@@ -221,7 +228,7 @@
 	if (req && w->platform->faults.lose_order_answers)
 		jobs_withhold_answer(req);
 	else
-		reply_to_order(req, 200, NULL);
+		reply_to_order(w, req, 200, NULL);
 }
 
 static void execute_stop(struct sim_worker *w, const struct sim_order *o,
@@ -236,7 +243,7 @@
 		end_task(w, t, "stopped");
 	else
 		add_stale_run(w, name, run);
-	reply_to_order(req, 200, NULL);
+	reply_to_order(w, req, 200, NULL);
 }
 
 void sim_order_execute(struct sim_worker *w, const struct sim_order *o,
@@ -246,7 +253,7 @@
 		json_object_get(o->body, "fencing-token"));
 
 	if (token < w->fencing_token) {
-		reply_to_order(req, 409, "fence");
+		reply_to_order(w, req, 409, "fence");
 		return;
 	}
 	w->fencing_token = token;
@@ -255,13 +262,15 @@
 	else if (o->type == SIM_STOP)
 		execute_stop(w, o, req);
 	else
-		reply_to_order(req, 200, NULL);
+		reply_to_order(w, req, 200, NULL);
 }
 
 static void answer_poll(struct sim_worker *w)
 {
 	json_t *running = json_array(), *ended = json_array();
 
+	w->reported_seq = w->last_end_seq;
+
 	for (uint32_t i = 0; i < w->task_count; i++)
 		json_array_append_new(running,
 				      json_pack("[s,i,s,i,i]", w->tasks[i].name,
@@ -274,7 +283,7 @@
 				  w->ended[i].reason, ""));
 	jobs_reply(w->poll, 200,
 		   json_pack("{s:I,s:I,s:o,s:o}", "clock-ms",
-			     (json_int_t)sim_clock_ms(), "born",
+			     (json_int_t)sim_clock_ms(w), "born",
 			     (json_int_t)w->born_ms, "running", running,
 			     "ended", ended));
 	w->poll = NULL;
@@ -297,9 +306,14 @@
 	uint32_t kept = 0;
 
 	extend_lease(w, body);
-	for (uint32_t i = 0; i < w->ended_count; i++)
-		if (w->ended[i].seq > seen)
+	for (uint32_t i = 0; i < w->ended_count; i++) {
+		uint64_t seq = w->ended[i].seq;
+
+		if (seq > seen)
 			w->ended[kept++] = w->ended[i];
+		else
+			w->platform->unreported_ends += seq > w->reported_seq;
+	}
 	w->ended_count = kept;
 	w->poll = req;
 	w->poll_deadline_us = clock_now_us() + (uint64_t)wait * 1000;
@@ -351,14 +365,16 @@
 {
 	for (int n = 0; n < p->worker_count; n++) {
 		struct sim_worker *w = p->workers[n];
+		uint64_t clock_ms;
 
 		sim_worker_life_tick(w, now);
 		sim_late_orders_tick(w, now);
-		if (now / 1000 > w->lease_end_ms && w->lease_active)
+		clock_ms = worker_clock_ms(w, now);
+		if (clock_ms > w->lease_end_ms && w->lease_active)
 			forget_unacknowledged_ends(w);
-		w->lease_active = now / 1000 <= w->lease_end_ms;
+		w->lease_active = clock_ms <= w->lease_end_ms;
 		for (uint32_t i = w->task_count; i-- > 0;) {
-			if (now / 1000 > w->lease_end_ms)
+			if (clock_ms > w->lease_end_ms)
 				end_task(w, &w->tasks[i], "lapsed");
 			else if (now >= w->tasks[i].end_us)
 				end_task(w, &w->tasks[i], "done");
@@ -408,6 +424,11 @@
 	return p->duplicate_runs;
 }
 
+uint32_t jobs_platform_unreported_ends(const struct jobs_platform *p)
+{
+	return p->unreported_ends;
+}
+
 uint32_t jobs_platform_starts_while_draining(const struct jobs_platform *p)
 {
 	return p->starts_while_draining;
--- a/tests/test-jobs-orders.c
+++ b/tests/test-jobs-orders.c
@@ -6,6 +6,7 @@
 #include "support-unit.h"
 
 #define WORKERS 2
+#define JOB_C_PATH "/forms/00000000000000cc"
 #define LATE_MS 2000
 /* With so little CPU an owner calls no worker itself. */
 #define RELAYED_CPU_MILLI 1
@@ -68,6 +69,7 @@
 static void tear_down(struct jobs_fixture *f)
 {
 	CU_ASSERT_EQUAL(jobs_platform_starts_while_draining(f->platform), 0);
+	CU_ASSERT_EQUAL(jobs_platform_unreported_ends(f->platform), 0);
 	jobs_fixture_tear_down(f);
 }
 
@@ -217,6 +219,45 @@
 		check_restart(false, down_ms[i]);
 }
 
+/*
+ * Guards against ends of a new incarnation that are acknowledged unseen, with
+ * the number of the last end of the former one: their tasks would run again.
+ * The store is away, so that an end waits and the worker is not polled.
+ */
+static void test_restart_keeps_new_ends(void)
+{
+	struct worker_faults lost = { .lost_percent = 100 };
+	struct jobs_fixture f;
+	int worker;
+
+	set_up(&f, 150);
+	CU_ASSERT(jobs_platform_drain_worker(f.platform, 1, 60000));
+	jobs_fixture_run(&f, 300);
+	submit(&f, JOB_A_PATH, JOB_BODY);
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_A_PATH, 4000));
+	worker = wait_for_start_order(&f);
+	CU_ASSERT_EQUAL(worker, 0);
+	submit(&f, JOB_B_PATH, ONE_TASK);
+	for (int i = 0; i < 100 && !jobs_platform_running_tasks(f.platform);
+	     i++)
+		jobs_fixture_run(&f, 5);
+	jobs_platform_set_worker_faults(f.platform, worker, &lost);
+	submit(&f, JOB_C_PATH, ONE_TASK);
+	jobs_fixture_run(&f, 50);
+	jobs_platform_faults(f.platform)->unresponsive = true;
+	while (jobs_platform_running_tasks(f.platform))
+		jobs_fixture_run(&f, 5);
+	jobs_fixture_run(&f, 30);
+	jobs_platform_set_worker_faults(f.platform, worker, &no_faults);
+	CU_ASSERT(jobs_platform_crash_worker(f.platform, worker));
+	jobs_platform_restart_worker(f.platform, worker, false);
+	jobs_fixture_run(&f, 800);
+	jobs_platform_faults(f.platform)->unresponsive = false;
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_B_PATH, 8000));
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_C_PATH, 8000));
+	tear_down(&f);
+}
+
 /* As above, with a new id at the same address. */
 static void test_worker_comes_back_under_new_id(void)
 {
@@ -322,6 +363,7 @@
 		{ "worker leaves", test_worker_leaves },
 		{ "worker restarts with orders in flight",
 		  test_worker_restarts_with_orders_in_flight },
+		{ "restart keeps new ends", test_restart_keeps_new_ends },
 		{ "worker comes back under new id",
 		  test_worker_comes_back_under_new_id },
 		{ "orders lost through relays",
