tests: a worker whose address changes answers at both

'address changes during start' gave one worker the address of another. The simulated workers now answer calls for another id with 421, as the platform's do, so its tasks were taken back and the test waited in vain. The worker itself now listens on a second port; what is checked stays.

--- a/tests/support-jobs-life.c
+++ b/tests/support-jobs-life.c
@@ -98,6 +98,13 @@
 	put_entry(w);
 }
 
+bool jobs_platform_add_address(struct jobs_platform *p, int worker,
+			       uint16_t port)
+{
+	return !evhttp_bind_socket(p->workers[worker]->server, "127.0.0.1",
+				   port);
+}
+
 int jobs_platform_add_worker(struct jobs_platform *p, uint16_t port,
 			     uint16_t reached_port, uint32_t task_ms)
 {
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -100,6 +100,9 @@
  */
 int jobs_platform_add_worker(struct jobs_platform *p, uint16_t port,
 			     uint16_t reached_port, uint32_t task_ms);
+/* The worker listens on a further port. Returns false if that is in use. */
+bool jobs_platform_add_address(struct jobs_platform *p, int worker,
+			       uint16_t port);
 /* The worker stops answering; its tasks run until its lease expires. */
 void jobs_platform_set_unresponsive(struct jobs_platform *p, int worker,
 				    bool unresponsive);
--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -196,31 +196,32 @@
  */
 static void test_address_changes_during_start(void)
 {
-	char first[32], second[32], address[32], value[1024], *at;
+	uint16_t port = (uint16_t)(jobs_fixture_port() + 4);
+	char key[32], address[32], value[1024], *at;
 	struct jobs_fixture f;
 
 	jobs_fixture_set_up(&f);
 	jobs_fixture_set_queue_host(&f);
-	snprintf(first, sizeof(first), "servers/i-%d", jobs_fixture_port() + 4);
-	snprintf(second, sizeof(second), "servers/i-%d",
-		 jobs_fixture_port() + 5);
-	snprintf(address, sizeof(address), "127.0.0.1:%d",
-		 jobs_fixture_port() + 4);
+	/* Only the first worker is left, and gets a second address. */
+	snprintf(key, sizeof(key), "servers/i-%d", port + 1);
+	jobs_platform_set_unresponsive(f.platform, 1, true);
+	jobs_platform_delete(f.platform, key);
+	CU_ASSERT_TRUE_FATAL(
+		jobs_platform_add_address(f.platform, 0, port + 4));
+	snprintf(key, sizeof(key), "servers/i-%d", port);
+	snprintf(address, sizeof(address), "127.0.0.1:%d", port);
 	snprintf(value, sizeof(value), "%s",
-		 jobs_platform_get(f.platform, first));
+		 jobs_platform_get(f.platform, key));
 	at = strstr(value, address);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
-	/* The first worker will be reached where the second one was. */
-	at[strlen(address) - 1]++;
-	jobs_platform_set_unresponsive(f.platform, 1, true);
-	jobs_platform_delete(f.platform, second);
+	at[strlen(address) - 1] += 4;
 	jobs_fixture_run(&f, 4000);
 	jobs_platform_set_unresponsive(f.platform, 0, true);
 	CU_ASSERT_EQUAL(
 		jobs_fixture_request(&f, 0, "POST", JOB_A_PATH, JOB_BODY), 200);
 	jobs_fixture_run(&f, 150);
-	jobs_platform_set_unresponsive(f.platform, 1, false);
-	jobs_platform_put(f.platform, first, value);
+	jobs_platform_set_unresponsive(f.platform, 0, false);
+	jobs_platform_put(f.platform, key, value);
 	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_A_PATH, 8000));
 	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 5);
 	jobs_fixture_tear_down(&f);
