kv-follow: a full response is followed by a poll without delay

Workers renew their entries every 1.1 s, 2,727 changes a second there. Class of fault: a queue whose service rate has a bound that nobody compared with its arrival rate.

A response of 250 events or more is followed by the next poll at once, which allows 500 in each 80 ms.

test-kv-follow (new), 'keeps up with many changes', failed before (over one second of changes behind after 5 s) and passes.

--- a/src/kv-follow.c
+++ b/src/kv-follow.c
@@ -10,6 +10,11 @@
 
 #define RETRY_MIN_US 50000u
 #define RETRY_MAX_US 400000u
+/*
+ * A response with so many events is not worth a delay to batch more, and a
+ * response carries a limited number: more may be waiting already.
+ */
+#define BATCH_EVENTS_MAX 250u
 
 struct kv_follow {
 	struct kv *kv;
@@ -153,7 +158,8 @@
 	}
 	if (f->free_pending)
 		return;
-	if (f->synced && r->count && f->batch_delay_ms)
+	if (f->synced && r->count && r->count < BATCH_EVENTS_MAX &&
+	    f->batch_delay_ms)
 		schedule_poll(f);
 	else
 		send_request(f);
--- /dev/null
+++ b/tests/test-kv-follow.c
@@ -0,0 +1,135 @@
+#include <event2/event.h>
+#include <string.h>
+
+#include "clock.h"
+#include "kv-follow.h"
+#include "support-unit.h"
+
+/* Of the users' platform: events in a response, time that it takes. */
+#define EVENTS_MAX 500u
+#define RESPONSE_MS 80u
+/* Entries of 3,000 workers, each renewed every 1.1 s. */
+#define EVENTS_PER_S 2727u
+#define FOLLOWED_MS 5000u
+
+/* A store whose keys change at a constant rate; polls are answered later. */
+struct busy_store {
+	struct kv kv;
+	struct event_base *base;
+	struct event *answer;
+	kv_reply_fn *fn;
+	void *arg;
+	uint64_t since_us; /* when the changes began */
+	uint64_t told;	   /* revision of the last event sent */
+};
+
+static uint64_t newest(const struct busy_store *s)
+{
+	return (clock_now_us() - s->since_us) * EVENTS_PER_S / 1000000u;
+}
+
+static void on_answer(evutil_socket_t fd, short what, void *arg)
+{
+	static struct kv_item items[EVENTS_MAX];
+	struct busy_store *s = arg;
+	uint64_t count = newest(s) - s->told;
+	struct kv_reply r = { .outcome = KV_OK, .items = items };
+
+	(void)fd;
+	(void)what;
+	r.count = count > EVENTS_MAX ? EVENTS_MAX : count;
+	for (size_t i = 0; i < r.count; i++)
+		items[i] = (struct kv_item){ .key = "servers/w",
+					     .value = "",
+					     .revision = s->told + i + 1 };
+	s->told += r.count;
+	r.revision = s->told;
+	s->fn(s->arg, &r);
+}
+
+static void answer_later(struct busy_store *s, kv_reply_fn *fn, void *arg)
+{
+	static const struct timeval delay = { 0, RESPONSE_MS * 1000 };
+
+	s->fn = fn;
+	s->arg = arg;
+	evtimer_add(s->answer, &delay);
+}
+
+static void range(struct kv *kv, const char *prefix, const char *after,
+		  bool stale, kv_reply_fn *fn, void *arg)
+{
+	struct kv_reply r = { .outcome = KV_OK };
+
+	(void)kv;
+	(void)prefix;
+	(void)after;
+	(void)stale;
+	fn(arg, &r);
+}
+
+static struct kv_watch *watch(struct kv *kv, const char *prefix)
+{
+	(void)prefix;
+	return (struct kv_watch *)kv;
+}
+
+static void watch_poll(struct kv_watch *w, uint64_t after, uint32_t wait_ms,
+		       kv_reply_fn *fn, void *arg)
+{
+	(void)after;
+	(void)wait_ms;
+	answer_later((struct busy_store *)w, fn, arg);
+}
+
+static void watch_close(struct kv_watch *w)
+{
+	(void)w;
+}
+
+static void on_item(void *arg, const struct kv_item *item)
+{
+	(void)arg;
+	(void)item;
+}
+
+static const struct kv_follow_ops follow_ops = { .item = on_item };
+
+/*
+ * Guards against a follower that falls behind for good when more keys change
+ * between two polls than a response can carry: an owner of thousands of workers
+ * learnt seconds late that some of them drain.
+ */
+static void test_keeps_up_with_many_changes(void)
+{
+	static const struct kv_ops ops = { .range = range,
+					   .watch = watch,
+					   .watch_poll = watch_poll,
+					   .watch_close = watch_close };
+	static const struct timeval followed = { FOLLOWED_MS / 1000, 0 };
+	struct busy_store s = { .kv.ops = &ops };
+	struct kv_follow *f;
+
+	s.base = event_base_new();
+	s.answer = evtimer_new(s.base, on_answer, &s);
+	s.since_us = clock_now_us();
+	f = kv_follow_create(s.base, &s.kv, "servers/", 2000, 200, &follow_ops,
+			     NULL);
+	event_base_loopexit(s.base, &followed);
+	event_base_dispatch(s.base);
+	CU_ASSERT(s.told > 0);
+	CU_ASSERT(newest(&s) - s.told < EVENTS_PER_S);
+	kv_follow_free(f);
+	event_free(s.answer);
+	event_base_free(s.base);
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "keeps up with many changes",
+		  test_keeps_up_with_many_changes },
+	};
+
+	return RUN_SUITE("kv-follow", tests);
+}
