--- a/tests/itest-control.c
+++ b/tests/itest-control.c
@@ -267,7 +267,7 @@
 
 /*
  * Guards against a resumed process that never uses its seat again after slow
- * answers of the store, which the sheet, taken from a peer, doesn't wait for.
+ * answers of the store, which the sheet doesn't wait for.
  */
 static void test_pause_slow_store(void)
 {
