--- a/tests/test-kv-follow.c
+++ b/tests/test-kv-follow.c
@@ -20,7 +20,7 @@
 	kv_reply_fn *fn;
 	void *arg;
 	uint64_t since_us; /* when the changes began */
-	uint64_t told;	   /* revision of the last event sent */
+	uint64_t sent;	   /* revision of the last event sent */
 };
 
 static uint64_t newest(const struct busy_store *s)
@@ -32,7 +32,7 @@
 {
 	static struct kv_item items[EVENTS_MAX];
 	struct busy_store *s = arg;
-	uint64_t count = newest(s) - s->told;
+	uint64_t count = newest(s) - s->sent;
 	struct kv_reply r = { .outcome = KV_OK, .items = items };
 
 	(void)fd;
@@ -41,9 +41,9 @@
 	for (size_t i = 0; i < r.count; i++)
 		items[i] = (struct kv_item){ .key = "servers/w",
 					     .value = "",
-					     .revision = s->told + i + 1 };
-	s->told += r.count;
-	r.revision = s->told;
+					     .revision = s->sent + i + 1 };
+	s->sent += r.count;
+	r.revision = s->sent;
 	s->fn(s->arg, &r);
 }
 
@@ -117,8 +117,8 @@
 			     NULL);
 	event_base_loopexit(s.base, &followed);
 	event_base_dispatch(s.base);
-	CU_ASSERT(s.told > 0);
-	CU_ASSERT(newest(&s) - s.told < EVENTS_PER_S);
+	CU_ASSERT(s.sent > 0);
+	CU_ASSERT(newest(&s) - s.sent < EVENTS_PER_S);
 	kv_follow_free(f);
 	event_free(s.answer);
 	event_base_free(s.base);
