--- a/tests/support-jobs-fixture.c
+++ b/tests/support-jobs-fixture.c
@@ -46,18 +46,24 @@
 
 /*
  * Two processes whose ids fall on the same block must not share it, so the last
- * port of the block is kept bound until the process exits.
+ * port of the block is kept bound until the process exits. The other ports may
+ * belong to a cluster, whose ranges overlap with the blocks.
  */
 static bool claim_block(uint16_t first)
 {
 	int lock = bind_port((uint16_t)(first + PORT_BLOCK_SIZE - 1));
-	int store = lock < 0 ? -1 : bind_port(first);
+	bool free_ports = lock >= 0;
 
-	if (store >= 0)
-		close(store);
-	else if (lock >= 0)
+	for (int i = 0; free_ports && i < PORT_BLOCK_SIZE - 1; i++) {
+		int fd = bind_port((uint16_t)(first + i));
+
+		free_ports = fd >= 0;
+		if (fd >= 0)
+			close(fd);
+	}
+	if (lock >= 0 && !free_ports)
 		close(lock);
-	return store >= 0;
+	return free_ports;
 }
 
 uint16_t jobs_fixture_port(void)
