sched: waits of services log searches and the room beside services

Services of lost workers stay away; the logs could not tell whether no worker has room for them or no reservation is searched for. step-waits-for now says how many workers' services alone leave too little CPU, and how many searches for reservations the round has made.

No decision changes.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -405,6 +405,8 @@
 /* ---- sched-reserve.c ---- */
 /* Drops all reservations at the start of a placement round. */
 void sched_reserve_reset(struct sched *s);
+/* Searches that tasks of the step may use in one placement round. */
+uint32_t sched_reserve_searches_max(const struct job_step *step);
 /* Reserves resources for a task that fits nowhere against later tasks. */
 void sched_reserve(struct sched *s, const struct job *j, struct sched_task *t);
 
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -165,7 +165,7 @@
 	return best;
 }
 
-static uint32_t search_limit(const struct job_step *step)
+uint32_t sched_reserve_searches_max(const struct job_step *step)
 {
 	return step->long_running ? SEARCHES_MAX / SERVICES_DIVISOR
 				  : SEARCHES_MAX;
@@ -182,7 +182,8 @@
 	/* Another worker would waste the reservation so far. */
 	if (keeps && s->now_us < t->reserved_us + RESERVATION_OVERDUE_US)
 		return best;
-	if (s->reserve_searches >= search_limit(&j->spec.steps[t->step]))
+	if (s->reserve_searches >=
+	    sched_reserve_searches_max(&j->spec.steps[t->step]))
 		return best;
 	s->reserve_searches++;
 	if (!keeps) {
--- a/src/sched-wait-log.c
+++ b/src/sched-wait-log.c
@@ -15,6 +15,8 @@
 	uint32_t accelerators;
 	uint32_t reserved; /* has room, which is reserved for other tasks */
 	uint32_t at_max;   /* has the maximum of tasks of the step */
+	uint32_t
+		services; /* lacks CPU, also once its finite tasks have ended */
 };
 
 static void count_reason(const struct sched *s, const struct sched_worker *w,
@@ -37,12 +39,14 @@
 		r->at_max++;
 	else
 		r->reserved++;
+	r->services += w->service_milli + d->cpu_milli > w->capacity.cpu_milli;
 }
 
 /* Many batch steps wait in a burst; reasons are logged for services only. */
 static void log_reasons(struct sched *s, const struct job *j,
 			const struct sched_task *first)
 {
+	const struct job_step *step = &j->spec.steps[first->step];
 	struct wait_reasons r = { 0 };
 
 	for (uint32_t i = 0; i < s->worker_count; i++)
@@ -50,10 +54,12 @@
 			count_reason(s, &s->workers[i], j, first, &r);
 	log_event(LOG_INFO, "step-waits-for",
 		  "job=%s step=%u not_usable=%u no_memory=%u no_cpu=%u "
-		  "no_accelerator=%u at_max=%u reserved=%u reservations=%u/%u",
+		  "no_accelerator=%u at_max=%u reserved=%u services=%u "
+		  "reservations=%u/%u searches=%u/%u",
 		  j->spec.id, first->step, r.not_usable, r.memory, r.cpu,
-		  r.accelerators, r.at_max, r.reserved, s->reserved_count,
-		  s->reserved_max);
+		  r.accelerators, r.at_max, r.reserved, r.services,
+		  s->reserved_count, s->reserved_max, s->reserve_searches,
+		  sched_reserve_searches_max(step));
 }
 
 void sched_log_wait(struct sched *s, const struct job *j,
