sched: a reservation respects the limit of a step's tasks on one worker

A task of a step with such a limit could reserve room on a worker that already had as many of its tasks as allowed. The room there is free, so it was the earliest fit and was kept, round after round, while the task could be placed on none; where small tasks took each piece that became free it stayed away for good (LOST).

--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -136,6 +136,7 @@
 		return false;
 	w = &s->workers[t->reserved_on - 1];
 	return sched_worker_usable(s, w, j, step) &&
+	       sched_below_worker_max(s, w, t, step) &&
 	       earliest_fit_us(s, w, step) != UINT64_MAX;
 }
 
@@ -153,6 +154,7 @@
 
 		if (!may_ever_fit(w, step) ||
 		    !sched_worker_usable(s, w, j, step) ||
+		    !sched_below_worker_max(s, w, t, step) ||
 		    i == t->last_failed_worker)
 			continue;
 		at_us = earliest_fit_us(s, w, step);
--- a/tests/test-sched-services.c
+++ b/tests/test-sched-services.c
@@ -69,11 +69,48 @@
 	job_model_free(m);
 }
 
+/*
+ * Load pattern: small urgent tasks take each piece of CPU that becomes free on
+ * the one worker where a task of a service may run, the others have their task
+ * of the step and room. Guards against a reservation on one of those.
+ */
+static void test_reservation_respects_limit_of_tasks_on_worker(void)
+{
+	struct model *m = job_model_create(9, CORES(32), GB(64));
+	struct model_absences absences = { .longest_ms = 0 };
+	struct model_job *service, *urgent;
+
+	job_model_run(m, 100);
+	for (uint32_t i = 0; i < 600; i++) {
+		/* Worker 8 alone is in the second rack. */
+		urgent = job_model_add_job(m, "urgent", 1, 1, CORES(2), GB(1),
+					   500 + i * 37 % 900);
+		strcpy(urgent->spec.steps[0].label, "r1");
+		job_model_submit(m, urgent);
+	}
+	job_model_run(m, 200);
+	service = add_service(m, 8, CORES(15));
+	service->spec.steps[0].per_worker_max = 1;
+	job_model_submit(m, service);
+	job_model_run(m, 500);
+	CU_ASSERT_EQUAL(m->workers[0].run_count, 1);
+	job_model_lose_worker(m, &m->workers[0]);
+	for (uint32_t ms = 0; ms < 20000; ms += 100) {
+		job_model_run(m, 100);
+		job_model_observe_absences(m, service, &absences, 100);
+	}
+	printf("longest absence %u ms\n", absences.longest_ms);
+	CU_ASSERT(absences.longest_ms <= ABSENCE_MAX_MS);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
 		{ "services of lost workers come first",
 		  test_services_of_lost_workers_come_first },
+		{ "reservation respects limit of tasks on worker",
+		  test_reservation_respects_limit_of_tasks_on_worker },
 	};
 
 	return RUN_SUITE("sched-services", tests);
