sched: no service is stopped while as many are away as may be

The limit of one stopped task for two workers counted preempted tasks only. Each further stop adds a task to a queue that the room cannot serve.

The limit now counts all tasks of services that are away, whatever the cause. It is kept with each change of state.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -271,7 +271,7 @@
 	uint32_t reserve_searches; /* of this placement round */
 	uint32_t listed_count;	   /* listed workers in this round */
 	uint32_t preempt_cursor;   /* worker at which the next search begins */
-	uint32_t stopped_services; /* preempted tasks, not placed again yet */
+	uint32_t absent_services;  /* their tasks that wait, or are preempted */
 	uint32_t probations;	   /* tasks on probation */
 };
 
--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -20,8 +20,11 @@
 #define CHECKPOINT_LOSS_MS 600u
 /* Share of a service's absence that falls to one of the urgent tasks. */
 #define SERVICE_LOSS_MS 500u
-/* One stopped service task at a time for this many listed workers. */
-#define WORKERS_PER_STOPPED_SERVICE 2u
+/*
+ * No service is stopped while one of its kind is away for each so many listed
+ * workers, for whatever reason: it would wait behind those.
+ */
+#define WORKERS_PER_ABSENT_SERVICE 2u
 
 struct victim {
 	uint32_t task;
@@ -178,7 +181,6 @@
 
 		if (v->list[i].service) {
 			victim->preempted = true;
-			s->stopped_services++;
 			services++;
 		}
 		sched_task_stop(s, victim);
@@ -205,7 +207,7 @@
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	bool services = !step->long_running &&
-			s->stopped_services * WORKERS_PER_STOPPED_SERVICE <
+			s->absent_services * WORKERS_PER_ABSENT_SERVICE <
 				s->listed_count;
 	struct victims best = { .worker = SCHED_NONE };
 	/* Not worth it if more is lost than the task would use. */
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -34,6 +34,14 @@
 	return t->worker != SCHED_NONE;
 }
 
+/* Whether it is a task of a service that does not run and is to. */
+static bool is_absent_service(const struct sched *s, const struct sched_task *t)
+{
+	return (t->state == TASK_WAITING ||
+		(t->state == TASK_STOPPING && t->preempted)) &&
+	       sched_task_step(s, t)->long_running;
+}
+
 void sched_task_set_state(struct sched *s, struct sched_task *t,
 			  enum task_state state)
 {
@@ -41,12 +49,13 @@
 	bool waited = t->state == TASK_WAITING, waits = state == TASK_WAITING;
 	struct occurrence *o;
 
+	s->absent_services -= is_absent_service(s, t);
 	t->state = (uint8_t)state;
 	if (t->preempted && state != TASK_STOPPING && !waits) {
 		t->preempted = false;
 		t->stoppable_us = s->now_us + PREEMPTED_MIN_RUN_US;
-		s->stopped_services--;
 	}
+	s->absent_services += is_absent_service(s, t);
 	if (waited == waits)
 		return;
 	o = sched_find_occurrence(j, t->occurrence);
