sched: overdue services reserve room once all of them have been tried

Overdue services were placed and reserved room in one pass, longest absent first. Room that comes free in pieces was held for a larger task, for as long as the last batch task on that worker took, while smaller ones that fitted into a piece waited.

All overdue services are now tried before the first one reserves room, so none waits while there is room for it that another one only collects.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -351,6 +351,7 @@
 /* Expected result of a job, in order of placement. */
 enum deadline_class {
 	CLASS_OVERDUE_SERVICE, /* waits for longer than its users accept */
+	CLASS_OVERDUE_RESERVE, /* the same, may reserve room */
 	CLASS_ON_TIME,	       /* meets its objective, or is long-running */
 	CLASS_LATE,
 	CLASS_HOPELESS,
@@ -364,8 +365,8 @@
 
 /*
  * Lists the jobs with waiting tasks in the order of placement, a service with
- * overdue tasks twice: first for these, then for all. The caller frees the
- * list; returns its length.
+ * overdue tasks three times: to place these, to reserve room for them, and for
+ * all its tasks. The caller frees the list; returns its length.
  */
 uint32_t sched_list_candidates(struct sched *s, struct candidate **list);
 /* The overdue task of a step that follows in order; NULL: no more. */
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -19,6 +19,11 @@
 /* Of one that was stopped for urgent tasks; it may be placed after 3 s. */
 #define PREEMPTED_OVERDUE_US 6000000u
 
+/*
+ * In keys: overdue services reserve room once all of them have been tried, so
+ * that none waits while there is room for it that another one only collects.
+ */
+#define OVERDUE_RESERVE_KEY (1ull << 59)
 /* Lower priorities share the last place; the key has four bits for them. */
 #define PRIORITY_KEY_MAX 14u
 
@@ -122,7 +127,7 @@
 uint32_t sched_list_candidates(struct sched *s, struct candidate **out)
 {
 	struct candidate *list =
-		xcalloc(2 * (size_t)s->job_count + 1, sizeof(*list));
+		xcalloc(3 * (size_t)s->job_count + 1, sizeof(*list));
 	uint32_t n = 0;
 
 	s->backlog = 0;
@@ -141,12 +146,18 @@
 		if (!job_spec_long_running(&j->spec))
 			continue;
 		since_us = overdue_since_us(s, j);
-		if (since_us != UINT64_MAX)
-			list[n++] = (struct candidate){
-				.job = i,
-				.class = CLASS_OVERDUE_SERVICE,
-				.key = since_us,
-			};
+		if (since_us == UINT64_MAX)
+			continue;
+		list[n++] = (struct candidate){
+			.job = i,
+			.class = CLASS_OVERDUE_SERVICE,
+			.key = since_us,
+		};
+		list[n++] = (struct candidate){
+			.job = i,
+			.class = CLASS_OVERDUE_RESERVE,
+			.key = OVERDUE_RESERVE_KEY | since_us,
+		};
 	}
 	qsort(list, n, sizeof(*list), compare_candidates);
 	*out = list;
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -492,8 +492,22 @@
 	uint32_t unplaced; /* of the tasks that were tried */
 };
 
+/* Whether a task that fits nowhere may reserve room in this class. */
+static bool reserves(const struct sched_task *t, enum deadline_class class)
+{
+	switch (class) {
+	case CLASS_OVERDUE_SERVICE:
+		return false;
+	case CLASS_OVERDUE_RESERVE:
+	case CLASS_ON_TIME:
+		return true;
+	default:
+		return t->reserved_on != 0;
+	}
+}
+
 static void place_task(struct sched *s, struct job *j, struct sched_task *t,
-		       bool reserves, struct step_result *r)
+		       enum deadline_class class, struct step_result *r)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	bool probation = sched_needs_probation(t);
@@ -505,7 +519,7 @@
 	if (w == SCHED_NONE) {
 		/* The others of the step may fit. */
 		r->unplaced += !probation;
-		if ((reserves || t->reserved_on) && !waits_for_rack(s, step, t))
+		if (reserves(t, class) && !waits_for_rack(s, step, t))
 			sched_reserve(s, j, t);
 		return;
 	}
@@ -559,19 +573,18 @@
 	}
 	if (first->wait_logged_us && cannot_fit(s, j, step))
 		return;
-	if (class == CLASS_OVERDUE_SERVICE) {
+	if (class <= CLASS_OVERDUE_RESERVE) {
 		struct sched_task *t = NULL;
 
 		while ((t = sched_next_overdue(s, first, step->count, t)))
-			place_task(s, j, t, true, &r);
+			place_task(s, j, t, class, &r);
 	} else {
 		for (uint32_t i = 0;
 		     i < step->count && (!r.unplaced || may_reserve(s, step));
 		     i++)
 			if (first[i].state == TASK_WAITING &&
 			    s->now_us >= first[i].retry_us)
-				place_task(s, j, &first[i],
-					   class == CLASS_ON_TIME, &r);
+				place_task(s, j, &first[i], class, &r);
 	}
 	if (!r.placed && !r.unplaced)
 		return;
@@ -580,7 +593,7 @@
 	if (r.placed) {
 		first->wait_logged_us = 0;
 		log_step_placement(s, j, &r, waiting);
-	} else {
+	} else if (class != CLASS_OVERDUE_SERVICE) {
 		sched_log_wait(s, j, first, waiting);
 	}
 }
--- a/tests/test-sched-services.c
+++ b/tests/test-sched-services.c
@@ -157,6 +157,40 @@
 	job_model_free(m);
 }
 
+/*
+ * Load pattern: room for a large task of a service comes free in pieces,
+ * seconds apart. Guards against a smaller service that waits meanwhile although
+ * it fits into a piece.
+ */
+static void test_room_reserved_for_service_serves_smaller_one(void)
+{
+	struct model *m = job_model_create(8, CORES(32), GB(64));
+	struct model_absences absences = { .longest_ms = 0 };
+	struct model_job *small;
+
+	job_model_run(m, 100);
+	job_model_submit(m, add_service(m, 7, CORES(32)));
+	job_model_run(m, 100);
+	job_model_submit(m, add_service(m, 1, CORES(24)));
+	job_model_submit(
+		m, job_model_add_job(m, "urgent", 1, 1, CORES(4), GB(1), 2000));
+	job_model_submit(m, job_model_add_job(m, "urgent", 1, 1, CORES(4),
+					      GB(1), 15000));
+	job_model_run(m, 100);
+	CU_ASSERT_EQUAL(job_model_running(m), 10);
+	job_model_submit(m, add_service(m, 1, CORES(8)));
+	job_model_run(m, 100);
+	small = add_service(m, 1, CORES(3));
+	job_model_submit(m, small);
+	for (uint32_t ms = 0; ms < 20000; ms += 100) {
+		job_model_run(m, 100);
+		job_model_observe_absences(m, small, &absences, 100);
+	}
+	printf("longest absence %u ms\n", absences.longest_ms);
+	CU_ASSERT(absences.longest_ms <= ABSENCE_MAX_MS);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -168,6 +202,8 @@
 		  test_no_service_is_stopped_while_many_are_away },
 		{ "reservation respects limit of tasks on worker",
 		  test_reservation_respects_limit_of_tasks_on_worker },
+		{ "room reserved for service serves smaller one",
+		  test_room_reserved_for_service_serves_smaller_one },
 	};
 
 	return RUN_SUITE("sched-services", tests);
