sched: services on silent workers count as away before others are stopped

A fifth of the workers was gone at 3.5 s and known to be silent at once, but their service tasks counted as away only when their leases were over, at 10 s. By then 150 more had been stopped, whose room had gone to other services.

The limit of services that are away now includes those on silent workers.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -152,7 +152,8 @@
 	struct resources reserved;  /* for tasks that did not fit */
 	uint32_t service;	    /* handle of its service */
 	uint32_t inverse_cpu;	    /* room_inverse() of the capacity */
-	uint32_t service_milli;	    /* CPU of long-running tasks */
+	uint32_t service_milli;	    /* CPU of long-running tasks ... */
+	uint32_t service_tasks;	    /* ... and their number */
 	uint32_t best_effort_milli; /* CPU of best-effort tasks */
 	uint32_t first_task;
 	uint64_t quarantine_end_us;
@@ -272,6 +273,7 @@
 	uint32_t listed_count;	   /* listed workers in this round */
 	uint32_t preempt_cursor;   /* worker at which the next search begins */
 	uint32_t absent_services;  /* their tasks that wait, or are preempted */
+	uint32_t silent_services;  /* ... on silent workers, in this round */
 	uint32_t probations;	   /* tasks on probation */
 };
 
--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -21,8 +21,9 @@
 /* Share of a service's absence that falls to one of the urgent tasks. */
 #define SERVICE_LOSS_MS 500u
 /*
- * No service is stopped while one of its kind is away for each so many listed
- * workers, for whatever reason: it would wait behind those.
+ * At most one task of a service is away for this many listed workers before no
+ * other is stopped. Those on silent workers count: if these are gone, the tasks
+ * that were stopped wait behind them.
  */
 #define WORKERS_PER_ABSENT_SERVICE 2u
 
@@ -206,9 +207,9 @@
 		       const struct sched_task *t, bool *read)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
+	uint32_t absent = s->absent_services + s->silent_services;
 	bool services = !step->long_running &&
-			s->absent_services * WORKERS_PER_ABSENT_SERVICE <
-				s->listed_count;
+			absent * WORKERS_PER_ABSENT_SERVICE < s->listed_count;
 	struct victims best = { .worker = SCHED_NONE };
 	/* Not worth it if more is lost than the task would use. */
 	uint64_t least =
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -110,9 +110,14 @@
 	s->reserved_count = 0;
 	s->reserve_searches = 0;
 	s->listed_count = 0;
+	s->silent_services = 0;
 	for (uint32_t i = 0; i < s->worker_count; i++) {
-		s->workers[i].reserved = (struct resources){ 0 };
-		s->listed_count += s->workers[i].listed;
+		struct sched_worker *w = &s->workers[i];
+
+		w->reserved = (struct resources){ 0 };
+		s->listed_count += w->listed;
+		if (!w->responsive)
+			s->silent_services += w->service_tasks;
 	}
 	s->reserved_max = s->listed_count / RESERVED_WORKERS_DIVISOR;
 }
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -156,8 +156,10 @@
 		w->best_effort_milli += (uint32_t)cpu;
 	} else {
 		w->used.cpu_milli += (uint32_t)cpu;
-		if (step->long_running)
+		if (step->long_running) {
 			w->service_milli += (uint32_t)cpu;
+			w->service_tasks += (uint32_t)sign;
+		}
 	}
 	sched_update_room(s, t->worker);
 }
--- a/tests/test-sched-services.c
+++ b/tests/test-sched-services.c
@@ -157,6 +157,30 @@
 	job_model_free(m);
 }
 
+/*
+ * Load pattern: a burst of urgent jobs comes while a part of the workers is
+ * silent. Guards against services that are stopped for it, and then wait behind
+ * those of the silent workers, which are gone.
+ */
+static void test_no_service_is_stopped_while_workers_are_silent(void)
+{
+	struct model *m = job_model_create(16, CORES(32), GB(64));
+	struct model_absences absences = { .longest_ms = 0 };
+	struct model_job *service;
+
+	job_model_run(m, 100);
+	service = add_service(m, 80, CORES(6));
+	job_model_submit(m, service);
+	job_model_run(m, 2000);
+	CU_ASSERT_EQUAL(job_model_running(m), 80);
+	for (uint32_t i = 0; i < 4; i++)
+		job_model_lose_worker(m, &m->workers[i]);
+	job_model_run(m, 1000);
+	run_under_urgent_load(m, 4000, 300, CORES(12), service, &absences);
+	CU_ASSERT_EQUAL(m->stops, 0);
+	job_model_free(m);
+}
+
 /*
  * Load pattern: room for a large task of a service comes free in pieces,
  * seconds apart. Guards against a smaller service that waits meanwhile although
@@ -200,6 +224,8 @@
 		  test_services_of_lost_workers_come_first },
 		{ "no service is stopped while many are away",
 		  test_no_service_is_stopped_while_many_are_away },
+		{ "no service is stopped while workers are silent",
+		  test_no_service_is_stopped_while_workers_are_silent },
 		{ "reservation respects limit of tasks on worker",
 		  test_reservation_respects_limit_of_tasks_on_worker },
 		{ "room reserved for service serves smaller one",
