sched: searches that read no tasks are limited, too

The scheduler used up a processor where thousands of tasks waited that no worker has room for (890 workers, 10,000 urgent tasks with a label that none has: 8,409 ms of CPU in a second; larger than any worker: 526 ms). Since a search that reads no tasks of workers is not counted, so each waiting task passed over all workers in each round.

The room and the workers do not change for the better within a round, so the other tasks of a step whose search found no worker with room do not search again. A limit holds for the steps together.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -270,6 +270,7 @@
 	uint32_t reserved_count;   /* reservations of this placement round */
 	uint32_t reserved_max;	   /* limit of reserved_count */
 	uint32_t reserve_searches; /* of this placement round */
+	uint32_t blank_searches;   /* ... that read no tasks of workers */
 	uint32_t listed_count;	   /* listed workers in this round */
 	uint32_t preempt_cursor;   /* worker at which the next search begins */
 	uint32_t absent_services;  /* their tasks that wait, or are preempted */
@@ -412,8 +413,11 @@
 void sched_reserve_reset(struct sched *s);
 /* Searches that tasks of the step may use in one placement round. */
 uint32_t sched_reserve_searches_max(const struct job_step *step);
-/* Reserves resources for a task that fits nowhere against later tasks. */
-void sched_reserve(struct sched *s, const struct job *j, struct sched_task *t);
+/*
+ * Reserves resources for a task that fits nowhere against later tasks. Returns
+ * false if no other task of its step can find a worker in this round either.
+ */
+bool sched_reserve(struct sched *s, const struct job *j, struct sched_task *t);
 
 /* ---- sched-preempt.c ---- */
 /*
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -490,6 +490,7 @@
 	const struct sched_task *last_placed;
 	uint32_t placed;
 	uint32_t unplaced; /* of the tasks that were tried */
+	bool no_room;	   /* nor will any worker have room */
 };
 
 /* Whether a task that fits nowhere may reserve room in this class. */
@@ -519,8 +520,9 @@
 	if (w == SCHED_NONE) {
 		/* The others of the step may fit. */
 		r->unplaced += !probation;
-		if (reserves(t, class) && !waits_for_rack(s, step, t))
-			sched_reserve(s, j, t);
+		if (reserves(t, class) && !waits_for_rack(s, step, t) &&
+		    (t->reserved_on || !r->no_room))
+			r->no_room = !sched_reserve(s, j, t) || r->no_room;
 		return;
 	}
 	sched_task_place(s, t, w);
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -20,6 +20,11 @@
  * CPU on all, this shows without reading any.
  */
 #define SEARCHES_MAX 8u
+/*
+ * Searches in one placement round that read no tasks of workers. They still
+ * pass over all workers.
+ */
+#define BLANK_SEARCHES_MAX 64u
 /* Services use this part of the reservations and searches at most. */
 #define SERVICES_DIVISOR 2u
 /* An urgent task that would wait longer stops other tasks. */
@@ -109,6 +114,7 @@
 {
 	s->reserved_count = 0;
 	s->reserve_searches = 0;
+	s->blank_searches = 0;
 	s->listed_count = 0;
 	s->silent_services = 0;
 	for (uint32_t i = 0; i < s->worker_count; i++) {
@@ -176,8 +182,9 @@
 				  : SEARCHES_MAX;
 }
 
+/* Sets blank if no worker can have room, which holds for the whole step. */
 static uint32_t choose_reservation(struct sched *s, const struct job *j,
-				   struct sched_task *t)
+				   struct sched_task *t, bool *blank)
 {
 	bool keeps = keeps_reservation(s, j, t);
 	uint32_t best = keeps ? t->reserved_on - 1 : SCHED_NONE;
@@ -188,8 +195,9 @@
 	/* Another worker would waste the reservation so far. */
 	if (keeps && s->now_us < t->reserved_us + RESERVATION_OVERDUE_US)
 		return best;
-	if (s->reserve_searches >=
-	    sched_reserve_searches_max(&j->spec.steps[t->step]))
+	if (s->blank_searches >= BLANK_SEARCHES_MAX ||
+	    s->reserve_searches >=
+		    sched_reserve_searches_max(&j->spec.steps[t->step]))
 		return best;
 	if (!keeps)
 		best = find_earliest_fit(s, j, t, &at_us, &read);
@@ -200,6 +208,8 @@
 	}
 	preempted = sched_preempt(s, j, t, &read);
 	s->reserve_searches += read;
+	s->blank_searches += !read;
+	*blank = !read && !keeps && t->last_failed_worker == SCHED_NONE;
 	if (preempted == SCHED_NONE)
 		return best;
 	/* Counts from the stops on. */
@@ -207,20 +217,21 @@
 	return preempted;
 }
 
-void sched_reserve(struct sched *s, const struct job *j, struct sched_task *t)
+bool sched_reserve(struct sched *s, const struct job *j, struct sched_task *t)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	uint32_t max = s->reserved_max;
+	bool blank = false;
 	uint32_t best;
 
 	/* Overdue services come first in order. */
 	if (step->long_running)
 		max = (max + SERVICES_DIVISOR - 1) / SERVICES_DIVISOR;
 	if (s->reserved_count >= max || step->best_effort)
-		return;
-	best = choose_reservation(s, j, t);
+		return true;
+	best = choose_reservation(s, j, t, &blank);
 	if (best == SCHED_NONE)
-		return;
+		return !blank;
 	if (t->reserved_on != best + 1)
 		t->reserved_us = s->now_us;
 	t->reserved_on = best + 1;
@@ -229,4 +240,5 @@
 	s->workers[best].reserved.accelerators += step->demand.accelerators;
 	s->reserved_count++;
 	sched_update_room(s, best);
+	return true;
 }
