sched: services that were never placed do not stop preemption

Urgent jobs got no room beside services while another service waited that no worker can hold: eight such tasks on 16 workers ended all preemption, for good. Since the limit of services that are away counts all that wait.

It now counts those that have run: a stop adds to their queue. Tasks that ran and fit on no worker that is left still count.

test-sched-review, 'service that fits nowhere stops no preemption': no urgent job in time and no stop without the change, all six with it.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -87,6 +87,7 @@
 	bool confirmed;	       /* the worker confirmed the start or stop */
 	bool stopped_at_start; /* no answer had shown that the run began */
 	bool preempted;	       /* a service stopped for an urgent task */
+	bool counted_absent;   /* in absent_services */
 	bool throttle_unanswered; /* an order that may be carried out late */
 	uint32_t listed_in; /* number of the last report that lists the run */
 	uint32_t metric;
@@ -273,9 +274,10 @@
 	uint32_t blank_searches;   /* ... that read no tasks of workers */
 	uint32_t listed_count;	   /* listed workers in this round */
 	uint32_t preempt_cursor;   /* worker at which the next search begins */
-	uint32_t absent_services;  /* their tasks that wait, or are preempted */
-	uint32_t silent_services;  /* ... on silent workers, in this round */
-	uint32_t probations;	   /* tasks on probation */
+	/* Tasks of services that have run and wait, or are preempted ... */
+	uint32_t absent_services;
+	uint32_t silent_services; /* ... or on silent workers, in this round */
+	uint32_t probations;	  /* tasks on probation */
 };
 
 /* ---- sched.c ---- */
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -448,8 +448,8 @@
 		return true;
 	while (placed--) {
 		sched_task_release(s, &first[placed]);
-		sched_task_set_state(s, &first[placed], TASK_WAITING);
 		first[placed].run = run;
+		sched_task_set_state(s, &first[placed], TASK_WAITING);
 	}
 	return false;
 }
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -34,12 +34,24 @@
 	return t->worker != SCHED_NONE;
 }
 
-/* Whether it is a task of a service that does not run and is to. */
+/*
+ * Whether it is a task of a service that has run, does not run and is to. One
+ * that was never placed may be larger than any worker.
+ */
 static bool is_absent_service(const struct sched *s, const struct sched_task *t)
 {
 	return (t->state == TASK_WAITING ||
 		(t->state == TASK_STOPPING && t->preempted)) &&
-	       sched_task_step(s, t)->long_running;
+	       t->run && sched_task_step(s, t)->long_running;
+}
+
+/* The run number may have changed since the task was counted. */
+static void count_absence(struct sched *s, struct sched_task *t)
+{
+	bool absent = is_absent_service(s, t);
+
+	s->absent_services += (uint32_t)absent - t->counted_absent;
+	t->counted_absent = absent;
 }
 
 void sched_task_set_state(struct sched *s, struct sched_task *t,
@@ -49,13 +61,12 @@
 	bool waited = t->state == TASK_WAITING, waits = state == TASK_WAITING;
 	struct occurrence *o;
 
-	s->absent_services -= is_absent_service(s, t);
 	t->state = (uint8_t)state;
 	if (t->preempted && state != TASK_STOPPING && !waits) {
 		t->preempted = false;
 		t->stoppable_us = s->now_us + PREEMPTED_MIN_RUN_US;
 	}
-	s->absent_services += is_absent_service(s, t);
+	count_absence(s, t);
 	if (waited == waits)
 		return;
 	o = sched_find_occurrence(j, t->occurrence);
