sched: a run of a service that ends as done begins an absence

A task of a service whose run ended as 'done' counted as absent since an earlier absence, so it came first at once, before others that had been away for longer. It had been taken off its worker before it was queued again, and begin_absence() reads the worker.

Queueing takes it off the worker, so nothing has to do so before.

test-sched-review, 'absence begins with the end of a run', fails without the change.

--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -316,12 +316,12 @@
 
 	s->stats.ends_done++;
 	sched_estimate_run(s, t);
-	sched_task_release(s, t);
-	sched_mark_dirty(s, j);
 	if (step->long_running && j->state < SCHED_JOB_COMPLETED) {
 		sched_task_requeue(s, t, 0);
 		return;
 	}
+	sched_task_release(s, t);
+	sched_mark_dirty(s, j);
 	set_state(s, t, TASK_DONE);
 	o->tasks_left[t->step]--;
 	if (step->gang)
