sched: restored services that wait come first

A task of a lost worker waited for 3 s more after a change of the owner: the successor took it as absent since it had loaded the record. Before such tasks came first at once, as their wait counted from 0.

The record tells that the task has run and is on no worker, but not since when; it has waited under the predecessor and for the change. It now comes first.

test-sched-review, 'services that wait come first after a change of owner': 11 tasks wait anew without the change, none with it.

--- a/src/sched.c
+++ b/src/sched.c
@@ -310,7 +310,9 @@
 			if (ready && s->tasks[n].state == TASK_BLOCKED) {
 				sched_task_set_state(s, &s->tasks[n],
 						     TASK_WAITING);
-				s->tasks[n].absent_since_us = s->now_us;
+				/* Restored: its absence began at some time. */
+				s->tasks[n].absent_since_us =
+					s->tasks[n].run ? 0 : s->now_us;
 			}
 	}
 	s->placement_due = true;
