sched: a start that was given up does not end an absence

A service whose start was lost and then refused waited for its turn anew, each time: its absence began with the stop that gives the start up, although it had not run.

begin_absence() now leaves out stops of starts that no answer had confirmed. If such a start did become a run, its task comes first earlier than it need.

test-sched-review, 'start that was given up does not end absence', fails without the change.

--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -224,8 +224,8 @@
 {
 	const struct sched_worker *w = &s->workers[t->worker];
 
-	if (t->state != TASK_RUNNING && t->state != TASK_STOPPING &&
-	    t->state != TASK_UNCONFIRMED)
+	if (t->state != TASK_RUNNING && t->state != TASK_UNCONFIRMED &&
+	    (t->state != TASK_STOPPING || t->stopped_at_start))
 		return;
 	t->absent_since_us = w->responsive ? s->now_us : w->heard_us;
 	if (t->absent_since_us < s->created_us)
