sched: no search reads workers that are too small for the task

Workers whose capacity is less than the demand are passed over, so that such a search reads none and is not counted. Memory that other services hold for good is not covered.

--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -161,7 +161,9 @@
 		const struct sched_worker *w = &s->workers[i];
 		uint64_t at_us;
 
-		if (!sched_worker_usable(s, w, j, step) ||
+		if (w->capacity.memory_mb < step->demand.memory_mb ||
+		    w->capacity.accelerators < step->demand.accelerators ||
+		    !sched_worker_usable(s, w, j, step) ||
 		    !sched_below_worker_max(s, w, t, step) ||
 		    i == t->last_failed_worker)
 			continue;
