sched: a try to place a gang does not end its wait for a rack

A gang that prefers one rack, but fits in none, was never placed, though two racks had room for it: its wait for the rack counted from the last try, which had placed some members and taken them back.

Members that are taken back keep the beginning of their wait.

test-sched-review, 'gang that fits in no rack is placed', fails without the change, as on.

--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -429,6 +429,7 @@
 		     const char *rack)
 {
 	const struct job_step *step = &j->spec.steps[first->step];
+	uint64_t since_us = first->state_since_us;
 	uint32_t placed = 0, run = 0;
 
 	for (uint32_t i = 0; i < step->count; i++)
@@ -450,6 +451,8 @@
 		sched_task_release(s, &first[placed]);
 		first[placed].run = run;
 		sched_task_set_state(s, &first[placed], TASK_WAITING);
+		/* The try does not end the wait for a rack. */
+		first[placed].state_since_us = since_us;
 	}
 	return false;
 }
