sched: a site with fewer than eight workers has a reservation, too

A service of 12 cores that was lost on a site of seven workers stayed away for as long as small urgent tasks took each piece of CPU (LOST). The limit, an eighth of the listed workers, was rounded down to none; with it went all stops for urgent tasks, as these are searched for with a reservation.

The limit is rounded up.

test-sched-review, 'services reserve on few workers': away for 19,300 ms without the change, 6,400 ms with it.

--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -10,8 +10,8 @@
  */
 
 /*
- * At most one reservation for that many listed workers, because reservations
- * leave cores idle; see docs/notes/platform.md.
+ * At most one reservation for that many listed workers, or part of as many,
+ * because reservations leave cores idle; see docs/notes/platform.md.
  */
 #define RESERVED_WORKERS_DIVISOR 8u
 /*
@@ -125,7 +125,8 @@
 		if (!w->responsive)
 			s->silent_services += w->service_tasks;
 	}
-	s->reserved_max = s->listed_count / RESERVED_WORKERS_DIVISOR;
+	s->reserved_max = (s->listed_count + RESERVED_WORKERS_DIVISOR - 1) /
+			  RESERVED_WORKERS_DIVISOR;
 }
 
 /* Whether the task can keep the worker of its previous reservation. */
