sched: the wait of a task that was never placed begins when it may be

A task that prefers a rack was placed on another one at once, although it may wait for half of its estimate, and a batch task beside services that it disturbs without the wait of 1.5 s. The waits count from the last change of state, and sched_unblock() changed it without its time, so that they counted from 0.

It now sets the time as well.

test-sched-review, 'first placement waits for the rack', fails without the change.

--- a/src/sched.c
+++ b/src/sched.c
@@ -313,6 +313,7 @@
 				/* Restored: its absence began at some time. */
 				s->tasks[n].absent_since_us =
 					s->tasks[n].run ? 0 : s->now_us;
+				s->tasks[n].state_since_us = s->now_us;
 			}
 	}
 	s->placement_due = true;
