tests: a reservation for the far future holds up others

The case before this one gave room that the larger service could take, so that its failure did not show the fault. Now long tasks leave 16 cores on all workers and the larger service needs 18.

--- a/tests/test-sched-review.c
+++ b/tests/test-sched-review.c
@@ -289,26 +289,21 @@
 
 /*
  * Load pattern: urgent jobs stop services, then small ones take each piece of
- * CPU that becomes free, while another service has waited for longer, with
- * long tasks on all workers if these have CPU. Returns the longest absence.
+ * CPU that becomes free, while another service has waited for longer. Returns
+ * the longest absence.
  */
-static uint32_t absence_beside(struct model_job *(*add_other)(struct model *),
-			       uint32_t services, uint32_t long_milli)
+static uint32_t absence_beside(struct model_job *(*add_other)(struct model *))
 {
 	struct model *m = job_model_create(16, CORES(32), GB(64));
 	struct model_absences absences = { .longest_ms = 0 };
 	struct model_job *service;
 
 	job_model_run(m, 100);
-	if (long_milli)
-		job_model_submit(m,
-				 job_model_add_job(m, "urgent", 1, 16,
-						   long_milli, GB(1), 600000));
 	job_model_run(m, 500);
-	service = add_service(m, services, CORES(6));
+	service = add_service(m, 80, CORES(6));
 	job_model_submit(m, service);
 	job_model_run(m, 2000);
-	CU_ASSERT_EQUAL(job_model_running(m), services + !!long_milli * 16);
+	CU_ASSERT_EQUAL(job_model_running(m), 80);
 	if (add_other)
 		job_model_submit(m, add_other(m));
 	job_model_run(m, 4000);
@@ -333,13 +328,47 @@
  */
 static void test_services_with_too_much_memory_hold_up_no_others(void)
 {
-	CU_ASSERT(absence_beside(NULL, 80, 0) <= ABSENCE_MAX_MS);
-	CU_ASSERT(absence_beside(add_too_much_memory, 80, 0) <= ABSENCE_MAX_MS);
+	CU_ASSERT(absence_beside(NULL) <= ABSENCE_MAX_MS);
+	CU_ASSERT(absence_beside(add_too_much_memory) <= ABSENCE_MAX_MS);
+}
+
+static bool lose_if_service(struct model *m, struct model_worker *w)
+{
+	for (uint32_t k = 0; k < w->run_count; k++)
+		if (w->runs[k].long_running) {
+			job_model_lose_worker(m, w);
+			return true;
+		}
+	return false;
 }
 
-static struct model_job *add_larger_service(struct model *m)
+/*
+ * Long tasks on all workers, beside which a task of a service fits; half of
+ * the workers have room for these. Larger ones fit beside no long task.
+ */
+static uint32_t absence_beside_larger(uint32_t larger)
 {
-	return add_service(m, 1, CORES(8));
+	struct model *m = job_model_create(16, CORES(32), GB(64));
+	struct model_absences absences = { .longest_ms = 0 };
+	struct model_job *service;
+	uint32_t lost = 0;
+
+	job_model_run(m, 100);
+	job_model_submit(m, job_model_add_job(m, "urgent", 1, 16, CORES(16),
+					      GB(1), 600000));
+	job_model_run(m, 500);
+	service = add_service(m, 8, CORES(14));
+	job_model_submit(m, service);
+	job_model_run(m, 2000);
+	CU_ASSERT_EQUAL(job_model_running(m), 24);
+	if (larger)
+		job_model_submit(m, add_service(m, larger, CORES(18)));
+	run_under_urgent_load(m, 3000, 100, CORES(2), service, &absences);
+	for (uint32_t i = 0; i < 16; i++)
+		lost += !lost && lose_if_service(m, &m->workers[i]);
+	run_under_urgent_load(m, 25000, 100, CORES(2), service, &absences);
+	job_model_free(m);
+	return absences.longest_ms;
 }
 
 /*
@@ -348,9 +377,9 @@
  */
 static void test_reservation_for_far_future_holds_up_no_others(void)
 {
-	CU_ASSERT(absence_beside(NULL, 64, CORES(6)) <= ABSENCE_MAX_MS);
-	CU_ASSERT(absence_beside(add_larger_service, 64, CORES(6)) <=
-		  ABSENCE_MAX_MS);
+	CU_ASSERT(absence_beside_larger(0) <= ABSENCE_MAX_MS);
+	CU_ASSERT(absence_beside_larger(1) <= ABSENCE_MAX_MS);
+	CU_ASSERT(absence_beside_larger(5) <= ABSENCE_MAX_MS);
 }
 
 static struct model_job *add_unknown_label(struct model *m)
@@ -363,7 +392,7 @@
 
 static void test_services_with_unknown_label_hold_up_no_others(void)
 {
-	CU_ASSERT(absence_beside(add_unknown_label, 80, 0) <= ABSENCE_MAX_MS);
+	CU_ASSERT(absence_beside(add_unknown_label) <= ABSENCE_MAX_MS);
 }
 
 static uint32_t absence_of_lost_service(uint32_t workers, bool gang)
@@ -386,13 +415,7 @@
 		job_model_run(m, 100);
 		job_model_observe_absences(m, service, &absences, 100);
 		for (uint32_t i = 0; t > 2000 && !lost && i < workers; i++)
-			for (uint32_t k = 0; k < m->workers[i].run_count; k++)
-				if (m->workers[i].runs[k].long_running) {
-					job_model_lose_worker(m,
-							      &m->workers[i]);
-					lost++;
-					break;
-				}
+			lost += lose_if_service(m, &m->workers[i]);
 	}
 	printf("lost %u workers, longest absence %u ms\n", lost,
 	       absences.longest_ms);
