sched: a service reserves only room that becomes free soon

A service reserves no room that is expected later than 6 s from now; a search that finds none holds for the other tasks of its step. Four such steps can still use up the searches of a round.

--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -29,6 +29,8 @@
 #define SERVICES_DIVISOR 2u
 /* An urgent task that would wait longer stops other tasks. */
 #define PREEMPT_WAIT_US 150000u
+/* A service reserves no room that becomes free later: others need it first. */
+#define SERVICE_HORIZON_US 6000000u
 /* Run times are estimates: a reservation may stay unused for longer. */
 #define RESERVATION_OVERDUE_US 350000u
 /* Tasks considered on a worker; further ones are assumed not to end. */
@@ -129,19 +131,28 @@
 			  RESERVED_WORKERS_DIVISOR;
 }
 
+static bool too_far(const struct sched *s, const struct job_step *step,
+		    uint64_t at_us)
+{
+	return step->long_running && at_us > s->now_us + SERVICE_HORIZON_US;
+}
+
 /* Whether the task can keep the worker of its previous reservation. */
 static bool keeps_reservation(const struct sched *s, const struct job *j,
 			      const struct sched_task *t)
 {
 	const struct job_step *step = &j->spec.steps[t->step];
 	const struct sched_worker *w;
+	uint64_t at_us;
 
 	if (!t->reserved_on)
 		return false;
 	w = &s->workers[t->reserved_on - 1];
-	return sched_worker_usable(s, w, j, step) &&
-	       sched_below_worker_max(s, w, t, step) &&
-	       earliest_fit_us(s, w, step) != UINT64_MAX;
+	if (!sched_worker_usable(s, w, j, step) ||
+	    !sched_below_worker_max(s, w, t, step))
+		return false;
+	at_us = earliest_fit_us(s, w, step);
+	return at_us != UINT64_MAX && !too_far(s, step, at_us);
 }
 
 /*
@@ -170,7 +181,7 @@
 			continue;
 		*read = true;
 		at_us = earliest_fit_us(s, w, step);
-		if (at_us >= earliest)
+		if (at_us >= earliest || too_far(s, step, at_us))
 			continue;
 		earliest = at_us;
 		best = i;
@@ -185,10 +196,11 @@
 				  : SEARCHES_MAX;
 }
 
-/* Sets blank if no worker can have room, which holds for the whole step. */
+/* Sets blank if no worker can have room; the whole step need not search. */
 static uint32_t choose_reservation(struct sched *s, const struct job *j,
 				   struct sched_task *t, bool *blank)
 {
+	const struct job_step *step = &j->spec.steps[t->step];
 	bool keeps = keeps_reservation(s, j, t);
 	uint32_t best = keeps ? t->reserved_on - 1 : SCHED_NONE;
 	uint32_t preempted;
@@ -199,8 +211,7 @@
 	if (keeps && s->now_us < t->reserved_us + RESERVATION_OVERDUE_US)
 		return best;
 	if (s->blank_searches >= BLANK_SEARCHES_MAX ||
-	    s->reserve_searches >=
-		    sched_reserve_searches_max(&j->spec.steps[t->step]))
+	    s->reserve_searches >= sched_reserve_searches_max(step))
 		return best;
 	if (!keeps)
 		best = find_earliest_fit(s, j, t, &at_us, &read);
@@ -212,7 +223,8 @@
 	preempted = sched_preempt(s, j, t, &read);
 	s->reserve_searches += read;
 	s->blank_searches += !read;
-	*blank = !read && !keeps && t->last_failed_worker == SCHED_NONE;
+	*blank = (!read || (step->long_running && best == SCHED_NONE)) &&
+		 !keeps && t->last_failed_worker == SCHED_NONE;
 	if (preempted == SCHED_NONE)
 		return best;
 	/* Counts from the stops on. */
