--- a/tests/test-sched-review.c
+++ b/tests/test-sched-review.c
@@ -549,6 +549,32 @@
 	job_model_free(m);
 }
 
+/*
+ * Guards against finite tasks that come before more urgent ones because their
+ * job has a service, too.
+ */
+static void test_finite_tasks_beside_service_do_not_come_first(void)
+{
+	struct model *m = job_model_create(10, CORES(32), GB(64));
+	struct model_job *mixed, *urgent;
+
+	job_model_run(m, 100);
+	job_model_submit(m, job_model_add_job(m, "urgent", 1, 160, CORES(2),
+					      GB(1), 1000));
+	job_model_run(m, 500);
+	mixed = job_model_add_job(m, "batch", 2, 150, CORES(2), GB(1), 2000);
+	mixed->spec.steps[0].count = 1;
+	mixed->spec.steps[0].long_running = true;
+	mixed->spec.steps[1].depends_on = 0;
+	mixed->work_ms[0] = -1;
+	job_model_submit(m, mixed);
+	urgent = job_model_add_job(m, "urgent", 1, 150, CORES(2), GB(1), 500);
+	job_model_submit(m, urgent);
+	job_model_run(m, 1500);
+	CU_ASSERT_EQUAL(job_model_state(m, urgent), SCHED_JOB_COMPLETED);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -574,6 +600,8 @@
 		  test_gang_of_services_comes_back },
 		{ "reservation for the far future holds up no others",
 		  test_reservation_for_far_future_holds_up_no_others },
+		{ "finite tasks beside a service do not come first",
+		  test_finite_tasks_beside_service_do_not_come_first },
 		{ "services reserve on few workers",
 		  test_services_reserve_on_few_workers },
 		{ "tasks that fit nowhere cost little",
