sched: only tasks of services come first once they are overdue

A batch job that also has a service had its finite tasks placed before urgent jobs, in the class of overdue services: that class did not ask which step of the job a task belongs to. One that was never placed is overdue at once.

test-sched-review, 'finite tasks beside a service do not come first', fails without the change.

--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -48,7 +48,8 @@
 static bool overdue(const struct sched *s, const struct sched_task *t)
 {
 	return t->state == TASK_WAITING && s->now_us >= t->retry_us &&
-	       s->now_us >= overdue_at_us(t);
+	       s->now_us >= overdue_at_us(t) &&
+	       sched_task_step(s, t)->long_running;
 }
 
 /* The overdue tasks of a step are placed in this order: longest absence first.
