--- a/tests/test-sched-review.c
+++ b/tests/test-sched-review.c
@@ -575,6 +575,33 @@
 	job_model_free(m);
 }
 
+/*
+ * Load pattern: 'no service is stopped while many are away', but before the
+ * leases of the lost workers are over. Guards against a limit that does not
+ * count tasks on silent workers.
+ */
+static void test_no_service_is_stopped_while_workers_are_silent(void)
+{
+	struct model *m = job_model_create(16, CORES(32), GB(64));
+	struct model_absences absences = { .longest_ms = 0 };
+	struct model_job *service;
+	uint32_t stops;
+
+	job_model_run(m, 100);
+	service = add_service(m, 80, CORES(6));
+	job_model_submit(m, service);
+	job_model_run(m, 2000);
+	CU_ASSERT_EQUAL(job_model_running(m), 80);
+	for (uint32_t i = 0; i < 4; i++)
+		job_model_lose_worker(m, &m->workers[i]);
+	/* They are known to be silent after 0.4 s. */
+	job_model_run(m, 500);
+	stops = m->stops;
+	run_under_urgent_load(m, 5000, 300, CORES(12), service, &absences);
+	CU_ASSERT_EQUAL(m->stops, stops);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -602,6 +629,8 @@
 		  test_reservation_for_far_future_holds_up_no_others },
 		{ "finite tasks beside a service do not come first",
 		  test_finite_tasks_beside_service_do_not_come_first },
+		{ "no service is stopped while workers are silent",
+		  test_no_service_is_stopped_while_workers_are_silent },
 		{ "services reserve on few workers",
 		  test_services_reserve_on_few_workers },
 		{ "tasks that fit nowhere cost little",
