owner: a successor knows when the leases of silent workers are over

The owner waits 6.42 s from its last grant; a successor does not know when that was and waited 10.7 s from its own election.

The owner now stores under owner/silent which workers are silent and how long their leases last at most. Each entry VM follows the key and adds that time to the time of receipt, which is later than the record. The successor uses the record of the direct predecessor only, reads it once more after its election, and takes the earlier end.

That bound holds because a recorded worker gets no lease, in polls or with starts, from when the record is built until one without the worker is known to be stored. With that rule taken out of job-workers.c, the tests "no lease before record is stored" and "worker that was back while store was away" fail, the latter with a task that runs twice.

--- a/src/job-node.h
+++ b/src/job-node.h
@@ -17,6 +17,7 @@
  *	in/ID/x		its cancellation
  *	run/ID		its progress record, written by the owner
  *	owner/lead	address of the owner; bound to the owner's lease
+ *	owner/silent	silent workers and when their leases are over
  *	pairs		interference model of the scheduler
  *	seq		epoch of the owner and number of its last transaction
  */
@@ -26,6 +27,7 @@
 #define JOB_PROGRESS_PREFIX JOB_PREFIX "run/"
 #define JOB_OWNER_PREFIX JOB_PREFIX "owner/"
 #define JOB_OWNER_KEY JOB_OWNER_PREFIX "lead"
+#define JOB_SILENT_KEY JOB_OWNER_PREFIX "silent"
 #define JOB_SEQ_KEY JOB_PREFIX "seq"
 #define JOB_PAIRS_KEY JOB_PREFIX "pairs"
 #define JOB_CANCEL_SUFFIX "/x"
--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -3,6 +3,7 @@
 
 #include "counter.h"
 #include "job-node.h"
+#include "job-silent.h"
 
 /*
  * NAME
@@ -10,7 +11,8 @@
  *
  * DESCRIPTION
  *	job-owner.c elects the owner and renews its lease. job-owner-store.c
- *	loads the stored jobs and commits changed records. Every transaction of
+ *	loads the stored jobs and commits changed records. job-owner-silent.c
+ *	reads and writes the record of silent workers. Every transaction of
  *	an owner expects the revision of its owner key and of its previous
  *	transaction, so a delayed transaction, or one of a former owner, has no
  *	effect.
@@ -30,7 +32,7 @@
  * Worker leases are renewed for this long after the owner's own lease: with the
  * last poll up to 2 s before its end and leases of 6 s, tasks run on through an
  * outage of the store of 5.5 s and the election after it. A successor waits
- * this long, too.
+ * this long, too, for workers that its predecessor has not recorded as silent.
  */
 #define WORKER_LEASE_GRACE_MS 2500u
 /* Staggers the candidates, so that usually only one of them writes. */
@@ -61,9 +63,19 @@
 /* Interval at which the interference model is stored for a successor. */
 #define PAIRS_INTERVAL_US 3000000u
 #define STATUS_INTERVAL_US 5000000u
+/*
+ * No worker is recorded as silent if the last successful renewal was sent
+ * longer ago: its leases would not be renewed until the store is back.
+ */
+#define SILENT_STORE_AGE_MAX_US 1000000u
+/* Delay before the record of silent workers is read again. */
+#define SILENT_RETRY_US 150000u
 /* Delay before a transaction that the store refused is repeated. */
 #define COMMIT_RETRY_US 150000u
-/* The two expected keys, the sequence and the pairs take four entries. */
+/*
+ * The two expected keys, the sequence, the pairs and the silent workers take
+ * five entries.
+ */
 #define COMMIT_RECORDS_MAX (KV_TXN_ENTRIES_MAX - 5)
 
 enum owner_state {
@@ -82,6 +94,14 @@
 	size_t remove_count;
 	char seq[48];
 	bool has_records; /* contains progress records of the scheduler */
+	bool has_silent;  /* contains the record of silent workers */
+};
+
+/* A call to the store. Its reply is ignored if the owner stepped down since. */
+struct owner_store_call {
+	struct owner_store_call *next;
+	struct job_owner *owner;
+	uint32_t load_generation;
 };
 
 struct job_owner {
@@ -117,6 +137,13 @@
 	uint64_t next_renew_us;
 	uint64_t next_status_us;
 	uint64_t next_pairs_us;
+	/* The record of silent workers, as followed. */
+	struct silent_notes silent;
+	bool silent_unseen; /* not seen yet in the current read of the keys */
+	/* Of the predecessor's record; valid while this process is owner. */
+	bool silent_read;    /* read since the election */
+	bool silent_reading; /* requested, no reply yet */
+	uint64_t next_silent_us;
 	struct sched *sched;
 	struct job_workers *workers;
 	struct kv_follow *spec_follow;
@@ -139,6 +166,8 @@
 /* ---- job-owner-store.c ---- */
 void job_owner_load(struct job_owner *o);
 void job_owner_unload(struct job_owner *o);
+struct owner_store_call *owner_store_call_begin(struct job_owner *o);
+void owner_store_call_end(struct owner_store_call *c);
 /* Frees the calls in flight; the store must not reply to them any more. */
 void job_owner_drop_calls(struct job_owner *o);
 void job_owner_apply_config(struct job_owner *o);
@@ -146,4 +175,20 @@
 void job_owner_process(struct job_owner *o, uint64_t now);
 void ignore_reply(void *arg, const struct kv_reply *r);
 
+/* ---- job-owner-silent.c ---- */
+/* The record was received, or deleted; also called while following. */
+void job_owner_silent_item(struct job_owner *o, const struct kv_item *item);
+/*
+ * After the election: reads the record, which no predecessor can change any
+ * more, as what was followed may be older.
+ */
+void job_owner_silent_load(struct job_owner *o);
+/* Repeats a read that failed. */
+void job_owner_silent_tick(struct job_owner *o, uint64_t now);
+/* Limits the leases of workers, once both the jobs and the record are read. */
+void job_owner_silent_apply(struct job_owner *o);
+/* Whether the record has to be stored. */
+bool job_owner_silent_due(const struct job_owner *o, uint64_t now);
+void job_owner_silent_add(struct job_owner *o, struct commit *c, uint64_t now);
+
 #endif
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -9,16 +9,9 @@
 #include "log.h"
 #include "worker-path.h"
 
-/* A call to the store. Its reply is ignored if the owner stepped down since. */
-struct owner_store_call {
-	struct owner_store_call *next;
-	struct job_owner *owner;
-	uint32_t load_generation;
-};
-
 static void load_progress(struct job_owner *o);
 
-static struct owner_store_call *begin_call(struct job_owner *o)
+struct owner_store_call *owner_store_call_begin(struct job_owner *o)
 {
 	struct owner_store_call *c = xcalloc(1, sizeof(*c));
 
@@ -29,7 +22,7 @@
 	return c;
 }
 
-static void end_call(struct owner_store_call *c)
+void owner_store_call_end(struct owner_store_call *c)
 {
 	struct owner_store_call **link = &c->owner->calls;
 
@@ -42,7 +35,7 @@
 void job_owner_drop_calls(struct job_owner *o)
 {
 	while (o->calls)
-		end_call(o->calls);
+		owner_store_call_end(o->calls);
 }
 
 void ignore_reply(void *arg, const struct kv_reply *r)
@@ -239,6 +232,7 @@
 	o->worker_follow = kv_follow_create(
 		n->base, n->kv, n->platform->worker_prefix, WORKER_WATCH_MS,
 		WORKER_WATCH_BATCH_MS, &worker_follow_ops, o);
+	job_owner_silent_apply(o);
 	sched_stats(o->sched, &st);
 	log_event(LOG_INFO, "owner-acting", "epoch=%llu jobs_open=%u",
 		  (unsigned long long)o->epoch, st.jobs_open);
@@ -253,7 +247,7 @@
 		       o->state == OWNER_LOADING;
 	struct error err;
 
-	end_call(c);
+	owner_store_call_end(c);
 	if (!current)
 		return;
 	if (r->outcome != KV_OK) {
@@ -279,7 +273,7 @@
 
 static void load_progress(struct job_owner *o)
 {
-	struct owner_store_call *c = begin_call(o);
+	struct owner_store_call *c = owner_store_call_begin(o);
 
 	o->node->kv->ops->range(o->node->kv, JOB_PROGRESS_PREFIX,
 				o->progress_cursor, false, on_progress, c);
@@ -291,7 +285,7 @@
 	struct job_owner *o = c->owner;
 	bool current = c->load_generation == o->load_generation && o->sched;
 
-	end_call(c);
+	owner_store_call_end(c);
 	if (!current || r->outcome == KV_NOT_FOUND)
 		return;
 	if (r->outcome != KV_OK || !r->count ||
@@ -303,7 +297,7 @@
 
 static void load_pairs(struct job_owner *o)
 {
-	struct owner_store_call *c = begin_call(o);
+	struct owner_store_call *c = owner_store_call_begin(o);
 
 	o->next_pairs_us = clock_now_us() + PAIRS_INTERVAL_US;
 	o->node->kv->ops->get(o->node->kv, JOB_PAIRS_KEY, on_pairs, c);
@@ -328,6 +322,7 @@
 	o->sched = sched_create(&sched_ops, o, &settings, clock_now_us());
 	job_owner_apply_config(o);
 	load_pairs(o);
+	job_owner_silent_load(o);
 	o->spec_follow =
 		kv_follow_create(n->base, n->kv, JOB_SPEC_PREFIX, SPEC_WATCH_MS,
 				 0, &spec_follow_ops, o);
@@ -431,17 +426,20 @@
 	c->set_count++;
 }
 
-static struct commit *build_commit(struct job_owner *o)
+static struct commit *build_commit(struct job_owner *o, bool silent,
+				   uint64_t now)
 {
 	struct commit *c = xcalloc(1, sizeof(*c));
 	size_t len;
 
 	sched_collect(o->sched, COMMIT_RECORDS_MAX, add_record, c);
 	add_removes(o, c);
-	if (!c->set_count && !c->remove_count) {
+	if (!c->set_count && !c->remove_count && !silent) {
 		free(c);
 		return NULL;
 	}
+	if (silent)
+		job_owner_silent_add(o, c, now);
 	add_pairs(o, c);
 	o->txn_count++;
 	len = (size_t)snprintf(c->seq, sizeof(c->seq), "%llu %llu",
@@ -457,12 +455,15 @@
 static void commit_done(struct job_owner *o, uint64_t revision)
 {
 	bool records = o->commit->has_records;
+	bool silent = o->commit->has_silent;
 
 	o->seq_revision = revision;
 	counter_add(o->commits, 1);
 	free_commit(o);
 	if (records)
 		sched_stored(o->sched, true, clock_now_us());
+	if (silent)
+		sched_silent_stored(o->sched);
 	job_owner_schedule_tick(o);
 }
 
@@ -490,7 +491,7 @@
 	struct job_owner *o = c->owner;
 	bool current = c->load_generation == o->load_generation && o->commit;
 
-	end_call(c);
+	owner_store_call_end(c);
 	if (!current)
 		return;
 	o->commit_in_flight = false;
@@ -513,7 +514,7 @@
 
 static void send_commit(struct job_owner *o)
 {
-	struct owner_store_call *call = begin_call(o);
+	struct owner_store_call *call = owner_store_call_begin(o);
 	struct commit *c = o->commit;
 	struct kv_condition expect[2] = { { JOB_OWNER_KEY,
 					    o->ownership_revision },
@@ -563,11 +564,17 @@
 
 void job_owner_process(struct job_owner *o, uint64_t now)
 {
+	bool silent;
+
 	log_status(o, now);
+	job_owner_silent_tick(o, now);
 	sched_tick(o->sched, now, wall_ms());
-	if (!o->commit && !o->resigned &&
-	    (sched_has_changes(o->sched) || o->expired_job_count))
-		o->commit = build_commit(o);
+	if (!o->commit && !o->resigned) {
+		silent = job_owner_silent_due(o, now);
+		if (silent || sched_has_changes(o->sched) ||
+		    o->expired_job_count)
+			o->commit = build_commit(o, silent, now);
+	}
 	if (o->commit && !o->commit_in_flight && now >= o->next_commit_us)
 		send_commit(o);
 	relay_hub_tick(o->node->relay_hub, now);
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -21,6 +21,7 @@
 	struct job_owner *o = arg;
 
 	o->owner_unseen = true;
+	o->silent_unseen = true;
 }
 
 static void on_owner_item(void *arg, const struct kv_item *item)
@@ -28,6 +29,10 @@
 	struct job_owner *o = arg;
 	unsigned port, relay_port = 0;
 
+	if (!strcmp(item->key, JOB_SILENT_KEY)) {
+		o->silent_unseen = false;
+		job_owner_silent_item(o, item);
+	}
 	if (strcmp(item->key, JOB_OWNER_KEY))
 		return;
 	o->owner_unseen = false;
@@ -57,6 +62,8 @@
 {
 	struct job_owner *o = arg;
 
+	if (o->silent_unseen)
+		silent_notes_clear(&o->silent);
 	if (!o->owner_unseen)
 		return;
 	if (o->owner_known)
@@ -411,6 +418,7 @@
 	job_owner_unload(o);
 	job_owner_drop_calls(o);
 	kv_follow_free(o->owner_follow);
+	silent_notes_clear(&o->silent);
 	event_free(o->tick_event);
 	event_free(o->tick_timer);
 	free(o);
--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -186,6 +186,35 @@
 void sched_worker_dead(struct sched *s, uint32_t worker, uint64_t now_us);
 /* Called before a lease, or an order that carries one, is sent. */
 void sched_lease_granted(struct sched *s, uint32_t worker, uint64_t now_us);
+
+/*
+ * Silent workers are recorded in the store with the time until all their leases
+ * are over, so that a successor of this owner need not wait longer. A recorded
+ * worker gets no lease from the collection of the record until one without the
+ * worker is stored: the caller grants none while sched_lease_withheld() is
+ * true. One record is in transit at a time.
+ */
+
+/*
+ * Returns whether the record is to be collected and stored. add: workers may be
+ * added to it; otherwise they may only leave it.
+ */
+bool sched_silent_changed(struct sched *s, uint64_t now_us, bool add);
+/* Returns false if the record has no room for the worker. */
+typedef bool sched_silent_fn(void *arg, const char *id, uint32_t left_ms);
+void sched_silent_collect(struct sched *s, uint64_t now_us, bool add,
+			  sched_silent_fn *fn, void *arg);
+/* The record that was collected last is durable. */
+void sched_silent_stored(struct sched *s);
+/* Whether neither polls nor starts may carry a lease to the worker. */
+bool sched_lease_withheld(const struct sched *s, uint32_t worker);
+/*
+ * All leases that predecessors granted to the worker are over at end_us. No
+ * effect if the worker is unknown, has reported to this owner, or its leases
+ * are known to be over earlier. Returns whether it had an effect.
+ */
+bool sched_limit_lease(struct sched *s, const char *id, uint64_t end_us);
+
 void sched_order_result(struct sched *s, const struct sched_order *o,
 			enum sched_result result, uint64_t now_us);
 /* Whether an order is still valid; called right before it is sent. */
--- /dev/null
+++ b/src/job-silent.c
@@ -0,0 +1,140 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "job-silent.h"
+#include "pack.h"
+
+#define RECORD_FORMAT 1
+#define RECORD_ELEMENTS 3
+#define ROW_ELEMENTS 2
+/* Bytes of a row besides the worker's id, at most. */
+#define ROW_OVERHEAD 8u
+/* Clock drift between the owner and this process. */
+#define CLOCK_DRIFT_PERCENT 2u
+/* More than any lease and any wait for a predecessor's. */
+#define LEFT_MS_MAX 60000u
+
+struct record_rows {
+	struct buffer rows;
+	msgpack_packer pk;
+	uint32_t count;
+};
+
+static bool add_row(void *arg, const char *id, uint32_t left_ms)
+{
+	struct record_rows *r = arg;
+
+	if (r->rows.len + strlen(id) + ROW_OVERHEAD > SILENT_RECORD_BYTES_MAX ||
+	    left_ms > LEFT_MS_MAX)
+		return false;
+	msgpack_pack_array(&r->pk, ROW_ELEMENTS);
+	pack_str(&r->pk, id);
+	msgpack_pack_uint32(&r->pk, left_ms);
+	r->count++;
+	return true;
+}
+
+uint32_t silent_record_build(struct sched *s, uint64_t epoch, uint64_t now_us,
+			     bool add, struct buffer *out)
+{
+	struct record_rows r = { .rows = BUFFER_INIT };
+	msgpack_packer pk;
+
+	pack_init(&r.pk, &r.rows);
+	sched_silent_collect(s, now_us, add, add_row, &r);
+	pack_init(&pk, out);
+	msgpack_pack_array(&pk, RECORD_ELEMENTS);
+	msgpack_pack_uint32(&pk, RECORD_FORMAT);
+	msgpack_pack_uint64(&pk, epoch);
+	msgpack_pack_array(&pk, r.count);
+	buffer_append(out, r.rows.data, r.rows.len);
+	buffer_free(&r.rows);
+	return r.count;
+}
+
+void silent_notes_clear(struct silent_notes *n)
+{
+	free(n->list);
+	memset(n, 0, sizeof(*n));
+}
+
+static bool is_uint(const msgpack_object *o)
+{
+	return o->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+}
+
+static bool is_array(const msgpack_object *o, uint32_t elements)
+{
+	return o->type == MSGPACK_OBJECT_ARRAY && o->via.array.size >= elements;
+}
+
+static bool decode_row(struct silent_note *note, const msgpack_object *o,
+		       uint64_t now_us)
+{
+	const msgpack_object *e;
+
+	if (!is_array(o, ROW_ELEMENTS))
+		return false;
+	e = o->via.array.ptr;
+	if (!pack_copy_str(&e[0], note->id, sizeof(note->id)) ||
+	    !is_uint(&e[1]) || e[1].via.u64 > LEFT_MS_MAX)
+		return false;
+	note->end_us = now_us + e[1].via.u64 * 10 * (100 + CLOCK_DRIFT_PERCENT);
+	return true;
+}
+
+static bool decode_record(struct silent_notes *n, const msgpack_object *o,
+			  uint64_t now_us)
+{
+	const msgpack_object *e, *rows;
+
+	if (!is_array(o, RECORD_ELEMENTS))
+		return false;
+	e = o->via.array.ptr;
+	if (!is_uint(&e[0]) || e[0].via.u64 != RECORD_FORMAT ||
+	    !is_uint(&e[1]) || !is_array(&e[2], 0))
+		return false;
+	rows = e[2].via.array.ptr;
+	n->epoch = e[1].via.u64;
+	n->count = e[2].via.array.size;
+	n->list = xcalloc(n->count + 1, sizeof(*n->list));
+	for (uint32_t i = 0; i < n->count; i++)
+		if (!decode_row(&n->list[i], &rows[i], now_us))
+			return false;
+	return true;
+}
+
+int silent_notes_update(struct silent_notes *n, uint64_t revision,
+			const void *data, size_t len, uint64_t now_us,
+			struct error *err)
+{
+	msgpack_unpacked u;
+	int result = 0;
+
+	if (revision == n->revision)
+		return 0;
+	silent_notes_clear(n);
+	if (!pack_unpack(&u, data, len) || !decode_record(n, &u.data, now_us)) {
+		silent_notes_clear(n);
+		error_set(err, ERROR_LAYER_STORE, SILENT_RECORD_INVALID,
+			  "malformed record of silent workers");
+		result = -1;
+	}
+	n->revision = revision;
+	msgpack_unpacked_destroy(&u);
+	return result;
+}
+
+uint32_t silent_notes_apply(const struct silent_notes *n, struct sched *s,
+			    uint64_t epoch)
+{
+	uint32_t applied = 0;
+
+	if (!n->epoch || n->epoch + 1 != epoch)
+		return 0;
+	for (uint32_t i = 0; i < n->count; i++)
+		applied +=
+			sched_limit_lease(s, n->list[i].id, n->list[i].end_us);
+	return applied;
+}
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -19,6 +19,8 @@
 /* Polls again after this time even if the last run ends aren't stored yet. */
 #define ACK_TIMEOUT_US 700000u
 #define UNRESPONSIVE_RETRY_US 300000u
+/* Longest delay of a report while the worker's leases may not be renewed. */
+#define WITHHELD_WAIT_MS 100u
 /* A worker that refused a poll answers; it is polled again after this time. */
 #define REFUSED_RETRY_US 100000u
 /* Several times the round trip to a worker in another zone. */
@@ -389,7 +391,8 @@
 {
 	const struct job_node *n = l->workers->node;
 
-	if (!l->clock_ms || now >= job_owner_renewal_end_us(n->owner))
+	if (!l->clock_ms || now >= job_owner_renewal_end_us(n->owner) ||
+	    sched_lease_withheld(l->workers->sched, l->worker))
 		return false;
 	return !l->verify_incarnation ||
 	       (l->poll_refused &&
@@ -413,6 +416,9 @@
 		q.acknowledged_seq =
 			sched_acknowledged_seq(w->sched, l->worker);
 		q.wait_ms = sched_report_wait_ms(w->sched, l->worker);
+		if (sched_lease_withheld(w->sched, l->worker) &&
+		    q.wait_ms > WITHHELD_WAIT_MS)
+			q.wait_ms = WITHHELD_WAIT_MS;
 	}
 	l->poll_sent_us = now;
 	l->polling = true;
@@ -467,6 +473,9 @@
 {
 	if (l->verify_incarnation || !l->clock_ms || l->unresponsive_since_us)
 		return false;
+	if (o->type == SCHED_START &&
+	    sched_lease_withheld(l->workers->sched, l->worker))
+		return false;
 	return now < order_deadline_us(l, o);
 }
 
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -16,6 +16,7 @@
  *	sched-task.c	tasks
  *	sched-stop.c	stops, and starts that are given up
  *	sched-worker.c	reports and leases
+ *	sched-silent.c	silent workers, recorded for a successor
  *	sched-order.c	order of placement
  *	sched-place.c	placement
  *	sched-index.c	workers by free capacity
@@ -181,6 +182,9 @@
 	bool ending;		    /* listed in s->ending */
 	uint64_t heard_us;	    /* when the last report was requested */
 	uint64_t lease_end_us;	    /* all leases have expired by then */
+	uint64_t granted_us;	    /* last lease of this owner; 0: none */
+	uint64_t silent_since_us;   /* unless it is responsive */
+	uint8_t recorded;	    /* SILENT_COLLECTED, SILENT_STORED */
 	uint64_t last_action_us;    /* last halt, resume or migration of a batch
 				       task */
 	uint64_t observed_us;	    /* last update of the interference model */
@@ -254,7 +258,11 @@
 	uint32_t worker_buckets[WORKER_BUCKETS]; /* by hash of the id */
 	struct room_index rooms; /* of the current placement round */
 	uint32_t worker_count;
-	uint64_t lease_check_us; /* no lease of a silent worker ends before */
+	uint64_t lease_check_us;  /* no lease of a silent worker ends before */
+	uint64_t silent_check_us; /* silent workers are looked for then */
+	uint32_t silent_left_out; /* the record had no room for them */
+	bool silent_returned;	  /* a recorded worker has reported */
+	bool silent_changed;	  /* the record no longer has the latest ends */
 	uint64_t created_us;
 	uint64_t now_us;
 	uint64_t wall_ms;
@@ -352,6 +360,14 @@
 void sched_worker_record_end(struct sched *s, struct sched_worker *w,
 			     const struct sched_task *t, enum sched_end how);
 
+/* No lease of a silent worker ends before the next check; updates its time. */
+void sched_check_lease_at(struct sched *s, uint64_t lease_end_us);
+
+/* ---- sched-silent.c ---- */
+/* The worker is in the record that was collected last, or in the stored one. */
+#define SILENT_COLLECTED 1u
+#define SILENT_STORED 2u
+
 /* ---- sched-order.c ---- */
 /* Expected result of a job, in order of placement. */
 enum deadline_class {
--- /dev/null
+++ b/src/sched-silent.c
@@ -0,0 +1,116 @@
+#include <string.h>
+
+#include "sched-internal.h"
+
+/* A worker is recorded once it has been silent for this long. */
+#define SILENT_US 300000u
+/* The same of one that has not reported to this owner yet. */
+#define SILENT_UNHEARD_US 1500000u
+/* Kept in the record after its leases, while its tasks are stored as lost. */
+#define SILENT_KEEP_US 3000000u
+#define SILENT_ADD_INTERVAL_US 200000u
+/* Interval at which silent workers are looked for. */
+#define SILENT_CHECK_US 50000u
+
+/*
+ * When a worker may be recorded. A worker that refuses polls is unresponsive,
+ * too, but its leases are renewed.
+ */
+static uint64_t record_due_us(const struct sched *s,
+			      const struct sched_worker *w)
+{
+	uint64_t granted_us = w->granted_us + SILENT_US;
+	uint64_t due_us =
+		w->silent_since_us + (w->silent_since_us == s->created_us
+					      ? SILENT_UNHEARD_US
+					      : SILENT_US);
+
+	return due_us > granted_us ? due_us : granted_us;
+}
+
+static bool is_recordable(const struct sched *s, const struct sched_worker *w,
+			  uint64_t now_us, bool add)
+{
+	if (w->responsive)
+		return false;
+	if (w->recorded)
+		return w->first_task != SCHED_NONE ||
+		       now_us < w->lease_end_us + SILENT_KEEP_US;
+	return add && w->first_task != SCHED_NONE &&
+	       now_us >= record_due_us(s, w);
+}
+
+bool sched_silent_changed(struct sched *s, uint64_t now_us, bool add)
+{
+	uint32_t n = 0;
+
+	if (s->silent_returned)
+		return true;
+	if (!add || now_us < s->silent_check_us)
+		return false;
+	s->silent_check_us = now_us + SILENT_CHECK_US;
+	for (uint32_t i = 0; i < s->worker_count; i++)
+		n += !s->workers[i].recorded &&
+		     is_recordable(s, &s->workers[i], now_us, true);
+	return s->silent_changed || n > s->silent_left_out;
+}
+
+void sched_silent_collect(struct sched *s, uint64_t now_us, bool add,
+			  sched_silent_fn *fn, void *arg)
+{
+	s->silent_returned = false;
+	s->silent_left_out = 0;
+	if (add) {
+		s->silent_changed = false;
+		s->silent_check_us = now_us + SILENT_ADD_INTERVAL_US;
+	}
+	for (uint32_t i = 0; i < s->worker_count; i++) {
+		struct sched_worker *w = &s->workers[i];
+		uint64_t left_us =
+			w->lease_end_us > now_us ? w->lease_end_us - now_us : 0;
+
+		w->recorded &= (uint8_t)~SILENT_COLLECTED;
+		if (!is_recordable(s, w, now_us, add))
+			continue;
+		if (fn(arg, w->identity->id, (uint32_t)(left_us / 1000 + 1)))
+			w->recorded |= SILENT_COLLECTED;
+		else
+			s->silent_left_out++;
+	}
+}
+
+void sched_silent_stored(struct sched *s)
+{
+	for (uint32_t i = 0; i < s->worker_count; i++) {
+		struct sched_worker *w = &s->workers[i];
+
+		w->recorded = w->recorded & SILENT_COLLECTED
+				      ? SILENT_COLLECTED | SILENT_STORED
+				      : 0;
+	}
+}
+
+bool sched_lease_withheld(const struct sched *s, uint32_t worker)
+{
+	return s->workers[worker].recorded;
+}
+
+bool sched_limit_lease(struct sched *s, const char *id, uint64_t end_us)
+{
+	uint32_t i = sched_find_worker(s, id);
+	struct sched_worker *w;
+
+	if (i == SCHED_NONE)
+		return false;
+	w = &s->workers[i];
+	if (w->responsive || w->heard_us || w->granted_us ||
+	    end_us >= w->lease_end_us)
+		return false;
+	w->lease_end_us = end_us;
+	/* A predecessor has waited for its report already. */
+	w->silent_since_us = 0;
+	s->silent_changed = s->silent_changed || w->first_task != SCHED_NONE;
+	s->silent_check_us = 0;
+	sched_check_lease_at(s, end_us);
+	return true;
+}
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -34,7 +34,7 @@
 	return i;
 }
 
-static void check_lease_at(struct sched *s, uint64_t lease_end_us)
+void sched_check_lease_at(struct sched *s, uint64_t lease_end_us)
 {
 	if (lease_end_us < s->lease_check_us)
 		s->lease_check_us = lease_end_us;
@@ -62,10 +62,14 @@
 	w->first_task = SCHED_NONE;
 	w->inverse_cpu = room_inverse(0);
 	w->last_failed_job = SCHED_NONE;
-	/* A predecessor can grant leases until its own lease ends. */
+	w->silent_since_us = s->created_us;
+	/*
+	 * A predecessor can grant leases until its own lease ends; what it has
+	 * recorded of a silent worker lowers this (sched_limit_lease()).
+	 */
 	w->lease_end_us = s->created_us + lease_bound_us(s) +
 			  s->settings.takeover_wait_ms * 1000ull;
-	check_lease_at(s, w->lease_end_us);
+	sched_check_lease_at(s, w->lease_end_us);
 	return s->worker_count++;
 }
 
@@ -267,8 +271,10 @@
 		log_event(LOG_INFO, "worker-silent", "worker=%s listed=%d",
 			  s->workers[worker].identity->id,
 			  s->workers[worker].listed);
+	if (s->workers[worker].responsive)
+		s->workers[worker].silent_since_us = now_us;
 	s->workers[worker].responsive = false;
-	check_lease_at(s, s->workers[worker].lease_end_us);
+	sched_check_lease_at(s, s->workers[worker].lease_end_us);
 }
 
 void sched_worker_dead(struct sched *s, uint32_t worker, uint64_t now_us)
@@ -282,6 +288,7 @@
 {
 	uint64_t end = now_us + lease_bound_us(s);
 
+	s->workers[worker].granted_us = now_us;
 	if (end > s->workers[worker].lease_end_us)
 		s->workers[worker].lease_end_us = end;
 }
@@ -453,6 +460,9 @@
 			  r->running_count, r->ended_count);
 		s->placement_due = true;
 	}
+	/* Its leases are renewed once a record without it is stored. */
+	if (w->recorded & SILENT_COLLECTED)
+		s->silent_returned = true;
 	if (!s->collecting && !sched_has_changes(s))
 		w->ends_stored = w->ends_seen;
 	sched_control_interference(s, worker);
@@ -476,6 +486,6 @@
 		if (s->now_us > w->lease_end_us)
 			requeue_lost_tasks(s, w, LOSS_LEASE_OVER, "lease-over");
 		else
-			check_lease_at(s, w->lease_end_us);
+			sched_check_lease_at(s, w->lease_end_us);
 	}
 }
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -106,6 +106,8 @@
 /* The worker stops answering; its tasks run until its lease expires. */
 void jobs_platform_set_unresponsive(struct jobs_platform *p, int worker,
 				    bool unresponsive);
+/* Time until the worker's lease ends; 0: it has ended. */
+uint64_t jobs_platform_lease_left_ms(const struct jobs_platform *p, int worker);
 
 /* Seed of the draws of worker faults. */
 void jobs_platform_seed(struct jobs_platform *p, uint64_t seed);
--- a/tests/support-jobs-worker.c
+++ b/tests/support-jobs-worker.c
@@ -385,6 +385,14 @@
 	}
 }
 
+uint64_t jobs_platform_lease_left_ms(const struct jobs_platform *p, int worker)
+{
+	const struct sim_worker *w = p->workers[worker];
+	uint64_t now = sim_clock_ms(w);
+
+	return w->lease_end_ms > now ? w->lease_end_ms - now : 0;
+}
+
 void jobs_platform_set_unresponsive(struct jobs_platform *p, int worker,
 				    bool unresponsive)
 {
--- /dev/null
+++ b/tests/test-jobs-silent.c
@@ -0,0 +1,268 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "clock.h"
+#include "support-jobs-fixture.h"
+#include "support-unit.h"
+
+#define WORKERS 2
+/* With so little CPU an owner calls no worker itself. */
+#define RELAYED_CPU_MILLI 1
+#define RELAYED_SETTLE_MS 2200
+
+/*
+ * A lease lasts 6 s; 2% and 0.3 s for the worker's clock and delays, 2% for
+ * those of the two owners. The rest is the next poll, tick and placement.
+ */
+#define BACK_MAX_MS 7000u
+#define SERVICE                                                             \
+	"{\"specification\":\"lasts\",\"steps\":[{\"count\":1,\"cpu\":100," \
+	"\"long-running\":true,\"target-ms\":0}]}"
+
+static void set_up(struct jobs_fixture *f, bool relayed)
+{
+	memset(f, 0, sizeof(*f));
+	f->entry_count = relayed ? 3 : 2;
+	f->start_interval_ms = relayed ? 0 : 400;
+	for (int i = 0; relayed && i < f->entry_count; i++) {
+		f->cpu_milli[i] = RELAYED_CPU_MILLI;
+		f->relays[i] = true;
+	}
+	jobs_fixture_start(f);
+	if (relayed)
+		jobs_fixture_run(f, RELAYED_SETTLE_MS);
+	jobs_fixture_set_queue_host(f);
+}
+
+/* Starts a service of one task and returns the worker that runs it. */
+static int run_service(struct jobs_fixture *f)
+{
+	CU_ASSERT_EQUAL_FATAL(
+		jobs_fixture_request(f, 0, "POST", JOB_A_PATH, SERVICE), 200);
+	for (int t = 0; t < 300; t++) {
+		for (int i = 0; i < WORKERS; i++)
+			if (jobs_platform_worker_tasks(f->platform, i)) {
+				/* Let a report list it. */
+				jobs_fixture_run(f, 2500);
+				return i;
+			}
+		jobs_fixture_run(f, 10);
+	}
+	CU_FAIL_FATAL("the service does not run");
+	return 0;
+}
+
+/*
+ * Waits until the silent worker is recorded: a poll without an answer is given
+ * up within 2.8 s, the next one within 0.8 s.
+ */
+static void wait_for_record(struct jobs_fixture *f)
+{
+	uint64_t end = clock_now_us() + 4000000;
+
+	while (clock_now_us() < end) {
+		if (jobs_platform_get(f->platform, JOB_SILENT_KEY))
+			return;
+		jobs_fixture_run(f, 10);
+	}
+	CU_FAIL("the worker is not recorded");
+}
+
+static void wait_for_starts(struct jobs_fixture *f, uint32_t starts,
+			    uint32_t max_ms)
+{
+	uint64_t end = clock_now_us() + max_ms * 1000ull;
+
+	while (jobs_platform_starts(f->platform) < starts &&
+	       clock_now_us() < end)
+		jobs_fixture_run(f, 10);
+}
+
+enum owner_loss { KILLED, RESIGNS, REVOKED };
+
+struct loss {
+	enum owner_loss owner;
+	bool crash;   /* of the worker; otherwise it runs on without answers */
+	bool relayed; /* the owner calls workers through relays */
+};
+
+static void check_worker_and_owner_lost(struct loss loss)
+{
+	struct jobs_fixture f;
+	uint64_t lost_us;
+	int owner, worker;
+	uint32_t ms;
+
+	set_up(&f, loss.relayed);
+	worker = run_service(&f);
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	if (!loss.crash)
+		jobs_platform_set_unresponsive(f.platform, worker, true);
+	else if (!jobs_platform_crash_worker(f.platform, worker))
+		CU_FAIL("the worker cannot crash");
+	lost_us = clock_now_us();
+	wait_for_record(&f);
+	if (loss.owner == KILLED)
+		jobs_fixture_stop_entry(&f, owner);
+	else if (loss.owner == RESIGNS)
+		job_owner_resign(f.entries[owner].node.owner);
+	else
+		jobs_platform_delete(f.platform, JOB_OWNER_KEY);
+	wait_for_starts(&f, 2, 16000);
+	ms = (uint32_t)(clock_now_us() - lost_us) / 1000;
+	printf("owner=%d crash=%d relayed=%d: back after %u ms\n", loss.owner,
+	       loss.crash, loss.relayed, ms);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 2);
+	CU_ASSERT(ms <= BACK_MAX_MS);
+	jobs_fixture_tear_down(&f);
+}
+
+/*
+ * Guards against services of a lost worker that stay away for 14 s because its
+ * owner is lost, too. The worker runs on until its lease ends, so that the
+ * fixture sees a start that comes too early.
+ */
+static void test_worker_and_owner_lost(void)
+{
+	check_worker_and_owner_lost((struct loss){ .owner = KILLED });
+	check_worker_and_owner_lost((struct loss){ .owner = RESIGNS });
+	check_worker_and_owner_lost((struct loss){ .owner = REVOKED });
+	check_worker_and_owner_lost(
+		(struct loss){ .owner = KILLED, .crash = true });
+}
+
+static void test_worker_and_owner_lost_with_relays(void)
+{
+	check_worker_and_owner_lost(
+		(struct loss){ .owner = KILLED, .relayed = true });
+}
+
+/* A call to the store, or a poll, that had no answer is repeated in 1.2 s. */
+static void wait_for_lease(struct jobs_fixture *f, int worker)
+{
+	uint64_t end = clock_now_us() + 1500000;
+
+	while (clock_now_us() < end) {
+		if (jobs_platform_lease_left_ms(f->platform, worker) > 5000)
+			return;
+		jobs_fixture_run(f, 10);
+	}
+	CU_FAIL("the lease is not renewed");
+}
+
+/*
+ * Guards against a lease for a worker that a stored record takes for silent:
+ * while the store is away nobody can learn that it is not. When the store is
+ * back, the leases are renewed.
+ */
+static void test_no_lease_before_record_is_stored(void)
+{
+	struct jobs_fixture f;
+	uint64_t left_ms;
+	int worker;
+
+	set_up(&f, false);
+	worker = run_service(&f);
+	jobs_platform_set_unresponsive(f.platform, worker, true);
+	wait_for_record(&f);
+	left_ms = jobs_platform_lease_left_ms(f.platform, worker);
+	jobs_platform_faults(f.platform)->unresponsive = true;
+	jobs_platform_set_unresponsive(f.platform, worker, false);
+	/* An unanswered poll is repeated after 1.1 s. */
+	jobs_fixture_run(&f, 1200);
+	CU_ASSERT(jobs_platform_lease_left_ms(f.platform, worker) < left_ms);
+	jobs_platform_faults(f.platform)->unresponsive = false;
+	wait_for_lease(&f, worker);
+	/* Also later, and without a second run. */
+	jobs_fixture_run(&f, 7000);
+	CU_ASSERT_EQUAL(jobs_platform_worker_tasks(f.platform, worker), 1);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 1);
+	jobs_fixture_tear_down(&f);
+}
+
+/* With the store, such a worker gets leases again. */
+static void test_leases_resume(void)
+{
+	struct jobs_fixture f;
+	int worker;
+
+	set_up(&f, false);
+	worker = run_service(&f);
+	jobs_platform_set_unresponsive(f.platform, worker, true);
+	wait_for_record(&f);
+	jobs_platform_set_unresponsive(f.platform, worker, false);
+	wait_for_lease(&f, worker);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 1);
+	jobs_fixture_tear_down(&f);
+}
+
+/*
+ * Guards against a second run: a recorded worker answers its owner for a while
+ * that cannot store it, then both are lost, and the successor goes by the
+ * record.
+ */
+static void test_worker_that_was_back_while_store_was_away(void)
+{
+	struct jobs_fixture f;
+	int owner, worker;
+
+	set_up(&f, false);
+	worker = run_service(&f);
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	jobs_platform_set_unresponsive(f.platform, worker, true);
+	wait_for_record(&f);
+	jobs_platform_faults(f.platform)->unresponsive = true;
+	jobs_platform_set_unresponsive(f.platform, worker, false);
+	jobs_fixture_run(&f, 1500);
+	jobs_platform_set_unresponsive(f.platform, worker, true);
+	jobs_fixture_stop_entry(&f, owner);
+	jobs_platform_faults(f.platform)->unresponsive = false;
+	wait_for_starts(&f, 2, 16000);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 2);
+	jobs_fixture_tear_down(&f);
+}
+
+/* A record that cannot be read, or is removed, changes no more than the wait.
+ */
+static void test_malformed_record(void)
+{
+	struct jobs_fixture f;
+	int owner;
+
+	set_up(&f, false);
+	run_service(&f);
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	jobs_platform_put(f.platform, JOB_SILENT_KEY, "no record");
+	jobs_fixture_run(&f, 100);
+	jobs_platform_delete(f.platform, JOB_SILENT_KEY);
+	jobs_fixture_run(&f, 100);
+	jobs_platform_put(f.platform, JOB_SILENT_KEY, "no record");
+	jobs_platform_faults(f.platform)->compact_history = true;
+	jobs_fixture_run(&f, 300);
+	jobs_fixture_stop_entry(&f, owner);
+	jobs_fixture_run(&f, 4000);
+	CU_ASSERT_EQUAL(jobs_fixture_owner(&f), !owner);
+	CU_ASSERT_EQUAL(jobs_platform_running_tasks(f.platform), 1);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 1);
+	jobs_fixture_tear_down(&f);
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "worker and owner lost", test_worker_and_owner_lost },
+		{ "worker and owner lost with relays",
+		  test_worker_and_owner_lost_with_relays },
+		{ "no lease before record is stored",
+		  test_no_lease_before_record_is_stored },
+		{ "leases resume", test_leases_resume },
+		{ "worker that was back while store was away",
+		  test_worker_that_was_back_while_store_was_away },
+		{ "malformed record", test_malformed_record },
+	};
+
+	return RUN_SUITE("jobs-silent", tests);
+}
--- a/tests/test-sched-worker.c
+++ b/tests/test-sched-worker.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "job-silent.h"
 #include "support-sched.h"
 #include "support-unit.h"
 
@@ -51,11 +52,311 @@
 	job_model_free(m);
 }
 
+/* Starts a service task and makes its worker silent for good. */
+static struct model_worker *lose_service(struct model *m)
+{
+	struct model_job *j;
+
+	job_model_run(m, 100);
+	j = job_model_add_job(m, "urgent", 1, 1, CORES(2), GB(2), -1);
+	j->spec.steps[0].long_running = true;
+	job_model_submit(m, j);
+	job_model_run(m, 500);
+	for (uint32_t i = 0; i < m->worker_count; i++) {
+		if (!m->workers[i].run_count)
+			continue;
+		m->workers[i].unresponsive = true;
+		m->workers[i].entry_expired = true;
+		return &m->workers[i];
+	}
+	CU_FAIL_FATAL("the service does not run");
+	return NULL;
+}
+
+/* Time until the task runs on another worker, at most max_ms. */
+static uint32_t wait_until_back(struct model *m,
+				const struct model_worker *lost,
+				uint32_t max_ms)
+{
+	for (uint32_t ms = 0; ms < max_ms; ms += 10) {
+		for (uint32_t i = 0; i < m->worker_count; i++)
+			if (&m->workers[i] != lost && m->workers[i].run_count)
+				return ms;
+		job_model_run(m, 10);
+	}
+	return max_ms;
+}
+
+static bool note_left(void *arg, const char *id, uint32_t left_ms)
+{
+	(void)id;
+	*(uint32_t *)arg = left_ms;
+	return true;
+}
+
+static bool no_room(void *arg, const char *id, uint32_t left_ms)
+{
+	(void)id;
+	(void)left_ms;
+	++*(uint32_t *)arg;
+	return false;
+}
+
+#define LEASE_MS 6420u /* with slack */
+#define TAKEOVER_MS 3000u
+
+/*
+ * Guards against services of a lost worker that stay away because a successor
+ * waits for leases that its predecessor knew to end sooner.
+ */
+static void test_successor_waits_as_long_as_predecessor(void)
+{
+	struct model *m = job_model_create(3, CORES(16), GB(64));
+	struct model_worker *lost = lose_service(m);
+	uint64_t lost_us = m->now_us;
+	uint32_t left_ms = 0, back_ms;
+
+	job_model_run(m, 1000);
+	CU_ASSERT_FATAL(sched_silent_changed(m->s, m->now_us, true));
+	sched_silent_collect(m->s, m->now_us, true, note_left, &left_ms);
+	CU_ASSERT(left_ms && left_ms <= LEASE_MS - 1000 + 2);
+	sched_silent_stored(m->s);
+	job_model_run(m, 1500);
+	job_model_fail_over(m);
+	CU_ASSERT(sched_limit_lease(m->s, lost->id,
+				    m->now_us + left_ms * 1000 - 1500000));
+	back_ms = wait_until_back(m, lost, 20000);
+	printf("back after %llu ms\n",
+	       (unsigned long long)(m->now_us - lost_us) / 1000);
+	CU_ASSERT((m->now_us - lost_us) / 1000 <= LEASE_MS + 200);
+	CU_ASSERT(back_ms + 1500 + 50 >= left_ms);
+	CU_ASSERT_EQUAL(m->faults.duplicate_runs, 0);
+	job_model_free(m);
+}
+
+/* Without a record the bound is that of a predecessor of which nothing is
+ * known. */
+static void test_successor_without_record_waits(void)
+{
+	struct model *m = job_model_create(3, CORES(16), GB(64));
+	struct model_worker *lost = lose_service(m);
+
+	job_model_run(m, 1000);
+	job_model_fail_over(m);
+	/* A later end than the bound is no news. */
+	CU_ASSERT_FALSE(
+		sched_limit_lease(m->s, lost->id, m->now_us + 20000000));
+	CU_ASSERT_FALSE(sched_limit_lease(m->s, "unknown", m->now_us));
+	CU_ASSERT(wait_until_back(m, lost, 20000) >= LEASE_MS + TAKEOVER_MS);
+	CU_ASSERT_EQUAL(m->faults.duplicate_runs, 0);
+	job_model_free(m);
+}
+
+/* Leases of this owner are not limited by what a predecessor recorded. */
+static void test_record_is_void_after_report(void)
+{
+	struct model *m = job_model_create(3, CORES(16), GB(64));
+	struct model_worker *w = lose_service(m);
+
+	job_model_run(m, 1000);
+	job_model_fail_over(m);
+	w->unresponsive = false;
+	w->entry_expired = false;
+	job_model_run(m, 200);
+	CU_ASSERT_FALSE(sched_limit_lease(m->s, w->id, m->now_us));
+	w->unresponsive = true;
+	job_model_run(m, 50);
+	CU_ASSERT_FALSE(sched_limit_lease(m->s, w->id, m->now_us));
+	CU_ASSERT(wait_until_back(m, w, 20000) >= 5800);
+	CU_ASSERT_EQUAL(m->faults.duplicate_runs, 0);
+	job_model_free(m);
+}
+
+/*
+ * Guards against leases of a worker that a stored record, or one that may still
+ * be stored, takes for silent.
+ */
+static void test_leases_withheld_until_record_without_worker(void)
+{
+	struct model *m = job_model_create(3, CORES(16), GB(64));
+	struct model_worker *w = lose_service(m);
+	uint32_t left_ms = 0;
+
+	job_model_run(m, 100);
+	CU_ASSERT_FALSE(sched_silent_changed(m->s, m->now_us, true));
+	job_model_run(m, 700);
+	CU_ASSERT_FALSE(sched_silent_changed(m->s, m->now_us, false));
+	CU_ASSERT(sched_silent_changed(m->s, m->now_us, true));
+	CU_ASSERT_FALSE(sched_lease_withheld(m->s, w->handle));
+	sched_silent_collect(m->s, m->now_us, true, note_left, &left_ms);
+	CU_ASSERT(left_ms);
+	CU_ASSERT(sched_lease_withheld(m->s, w->handle));
+	job_model_run(m, 300);
+	CU_ASSERT_FALSE(sched_silent_changed(m->s, m->now_us, true));
+	/* It reports before the record is stored. */
+	w->unresponsive = false;
+	w->entry_expired = false;
+	job_model_run(m, 200);
+	CU_ASSERT(sched_lease_withheld(m->s, w->handle));
+	sched_silent_stored(m->s);
+	CU_ASSERT(sched_lease_withheld(m->s, w->handle));
+	/* Due though no worker may be added. */
+	CU_ASSERT(sched_silent_changed(m->s, m->now_us, false));
+	left_ms = 0;
+	sched_silent_collect(m->s, m->now_us, false, note_left, &left_ms);
+	CU_ASSERT_EQUAL(left_ms, 0);
+	CU_ASSERT(sched_lease_withheld(m->s, w->handle));
+	job_model_run(m, 200);
+	CU_ASSERT(sched_lease_withheld(m->s, w->handle));
+	sched_silent_stored(m->s);
+	CU_ASSERT_FALSE(sched_lease_withheld(m->s, w->handle));
+	CU_ASSERT_FALSE(sched_silent_changed(m->s, m->now_us, true));
+	job_model_free(m);
+}
+
+/* A worker without room in the record gets leases, and causes no new records.
+ */
+static void test_full_record_leaves_workers_out(void)
+{
+	struct model *m = job_model_create(3, CORES(16), GB(64));
+	struct model_worker *w = lose_service(m);
+	uint32_t calls = 0;
+
+	job_model_run(m, 1000);
+	CU_ASSERT(sched_silent_changed(m->s, m->now_us, true));
+	sched_silent_collect(m->s, m->now_us, true, no_room, &calls);
+	CU_ASSERT_EQUAL(calls, 1);
+	sched_silent_stored(m->s);
+	CU_ASSERT_FALSE(sched_lease_withheld(m->s, w->handle));
+	job_model_run(m, 500);
+	CU_ASSERT_FALSE(sched_silent_changed(m->s, m->now_us, true));
+	job_model_free(m);
+}
+
+/* A successor records what it took over, and what it waits for itself. */
+static void test_successor_records_at_once(void)
+{
+	struct model *m = job_model_create(3, CORES(16), GB(64));
+	struct model_worker *w = lose_service(m);
+	uint32_t left_ms = 0;
+
+	job_model_run(m, 1000);
+	job_model_fail_over(m);
+	job_model_run(m, 100);
+	CU_ASSERT_FALSE(sched_silent_changed(m->s, m->now_us, true));
+	CU_ASSERT(sched_limit_lease(m->s, w->id, m->now_us + 4000000));
+	CU_ASSERT(sched_silent_changed(m->s, m->now_us, true));
+	sched_silent_collect(m->s, m->now_us, true, note_left, &left_ms);
+	CU_ASSERT(left_ms >= 4000 && left_ms <= 4001);
+	job_model_fail_over(m);
+	job_model_run(m, 2000);
+	CU_ASSERT(sched_silent_changed(m->s, m->now_us, true));
+	left_ms = 0;
+	sched_silent_collect(m->s, m->now_us, true, note_left, &left_ms);
+	CU_ASSERT(left_ms > LEASE_MS + TAKEOVER_MS - 2100);
+	CU_ASSERT(left_ms <= LEASE_MS + TAKEOVER_MS - 1900);
+	job_model_free(m);
+}
+
+#define RECORD_EPOCH 7u
+
+static bool update(struct silent_notes *n, uint64_t revision, const void *data,
+		   size_t len, uint64_t now_us)
+{
+	struct error err;
+
+	return !silent_notes_update(n, revision, data, len, now_us, &err);
+}
+
+/* The stored record, from an owner to the scheduler of its successor. */
+static void test_record_of_direct_predecessor(void)
+{
+	struct model *m = job_model_create(3, CORES(16), GB(64));
+	struct model_worker *lost = lose_service(m);
+	struct silent_notes n = { .revision = 0 };
+	struct buffer b = BUFFER_INIT;
+	uint64_t received_us;
+
+	job_model_run(m, 1000);
+	CU_ASSERT_EQUAL(
+		silent_record_build(m->s, RECORD_EPOCH, m->now_us, true, &b),
+		1);
+	received_us = m->now_us + 100000;
+	CU_ASSERT_FATAL(update(&n, 5, b.data, b.len, received_us));
+	CU_ASSERT_EQUAL_FATAL(n.count, 1);
+	CU_ASSERT_EQUAL(n.epoch, RECORD_EPOCH);
+	CU_ASSERT_STRING_EQUAL(n.list[0].id, lost->id);
+	CU_ASSERT(n.list[0].end_us > received_us + 5000000);
+	CU_ASSERT(n.list[0].end_us < received_us + 5600000);
+	/* Read again later, it is not newer. */
+	received_us = n.list[0].end_us;
+	CU_ASSERT(update(&n, 5, b.data, b.len, m->now_us + 9000000));
+	CU_ASSERT_EQUAL(n.list[0].end_us, received_us);
+	job_model_fail_over(m);
+	CU_ASSERT_EQUAL(silent_notes_apply(&n, m->s, RECORD_EPOCH), 0);
+	CU_ASSERT_EQUAL(silent_notes_apply(&n, m->s, RECORD_EPOCH + 2), 0);
+	CU_ASSERT_EQUAL(silent_notes_apply(&n, m->s, RECORD_EPOCH + 1), 1);
+	CU_ASSERT_EQUAL(silent_notes_apply(&n, m->s, RECORD_EPOCH + 1), 0);
+	silent_notes_clear(&n);
+	CU_ASSERT_EQUAL(silent_notes_apply(&n, m->s, 1), 0);
+	buffer_free(&b);
+	job_model_free(m);
+}
+
+/* A record that cannot be read limits nothing. */
+static void test_malformed_records(void)
+{
+	static const struct {
+		const char *data;
+		size_t len;
+	} bad[] = {
+		{ "", 0 },
+		{ "x", 1 },
+		{ "\x93\x01\x07", 3 },		    /* cut off */
+		{ "\x92\x01\x07", 3 },		    /* no rows */
+		{ "\x93\x02\x07\x90", 4 },	    /* another format */
+		{ "\x93\x01\xa1w\x90", 5 },	    /* the epoch is a text */
+		{ "\x93\x01\x07\x07", 4 },	    /* no array of rows */
+		{ "\x93\x01\x07\x91\x07", 5 },	    /* no row */
+		{ "\x93\x01\x07\x91\x91\xa1w", 7 }, /* no time */
+		{ "\x93\x01\x07\x91\x92\x05\x05", 7 },
+		{ "\x93\x01\x07\x91\x92\xa1w\xff", 8 }, /* negative */
+		/* More than a minute. */
+		{ "\x93\x01\x07\x91\x92\xa1w\xce\xff\xff\xff\xff", 12 },
+	};
+	static const char good[] = "\x93\x01\x07\x91\x92\xa1w\x05";
+	struct silent_notes n = { .revision = 0 };
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		CU_ASSERT(update(&n, 100, good, sizeof(good) - 1, 1000));
+		CU_ASSERT_EQUAL(n.count, 1);
+		CU_ASSERT_FALSE(
+			update(&n, 101 + i, bad[i].data, bad[i].len, 1000));
+		CU_ASSERT_EQUAL(n.count, 0);
+		CU_ASSERT_EQUAL(n.epoch, 0);
+	}
+	silent_notes_clear(&n);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
 		{ "report from before restart",
 		  test_report_from_before_restart },
+		{ "successor waits as long as predecessor",
+		  test_successor_waits_as_long_as_predecessor },
+		{ "successor without record waits",
+		  test_successor_without_record_waits },
+		{ "record is void after report",
+		  test_record_is_void_after_report },
+		{ "leases withheld until record without worker",
+		  test_leases_withheld_until_record_without_worker },
+		{ "full record leaves workers out",
+		  test_full_record_leaves_workers_out },
+		{ "successor records at once", test_successor_records_at_once },
+		{ "record of direct predecessor",
+		  test_record_of_direct_predecessor },
+		{ "malformed records", test_malformed_records },
 	};
 
 	return RUN_SUITE("sched-worker", tests);
