job explain: what a service waits for, in words

step-waits-for has the workers whose services alone leave too little CPU and the searches for reservations of the round; waxwingctl job explain printed them as fields only. It now says that no worker has CPU beside its services (or how many lack it) and that the searches are used up.

test-job-waits 'what a service waits for' checks both texts, the case where only some workers lack CPU, one with neither, and that the last line of a wait counts.

--- a/src/job-waits.c
+++ b/src/job-waits.c
@@ -27,6 +27,9 @@
 	/* of a step */
 	unsigned long waiting, backlog;
 	char reasons[TEXT_BYTES];
+	unsigned long workers;	 /* of the service */
+	unsigned long crowded;	 /* of these, without CPU beside services */
+	bool searches_exhausted; /* for reservations, in the last round */
 	struct rival *rivals;
 	size_t rival_count;
 	unsigned long placed;
@@ -186,11 +189,25 @@
 
 static void add_reasons(struct job_waits *w, const char *text)
 {
+	/* Each worker is counted by exactly one of these. */
+	static const char *const exclusive[] = { "not_usable", "no_memory",
+						 "no_cpu",     "no_accelerator",
+						 "at_max",     "reserved" };
 	struct wait *item = find_step(w, (unsigned)get_number(text, "step"));
 	const char *reasons = strstr(text, "not_usable=");
+	char searches[NAME_BYTES];
+	unsigned long used, max;
 
-	if (item && reasons)
-		snprintf(item->reasons, sizeof(item->reasons), "%s", reasons);
+	if (!item || !reasons)
+		return;
+	snprintf(item->reasons, sizeof(item->reasons), "%s", reasons);
+	item->workers = 0;
+	for (size_t i = 0; i < sizeof(exclusive) / sizeof(exclusive[0]); i++)
+		item->workers += get_number(text, exclusive[i]);
+	item->crowded = get_number(text, "services");
+	get_text(text, "searches", searches, sizeof(searches));
+	item->searches_exhausted =
+		sscanf(searches, "%lu/%lu", &used, &max) == 2 && used >= max;
 }
 
 static void add_placement(struct job_waits *w, double time_s, const char *text)
@@ -406,6 +423,14 @@
 			item->placed, item->rival_count, top->placed, top->job);
 	if (item->reasons[0])
 		fprintf(out, "; workers: %s", item->reasons);
+	if (item->crowded && item->crowded == item->workers)
+		fprintf(out, "; no CPU beside the services of any worker");
+	else if (item->crowded)
+		fprintf(out,
+			"; no CPU beside the services of %lu of %lu workers",
+			item->crowded, item->workers);
+	if (item->searches_exhausted)
+		fprintf(out, "; searches for reservations used up");
 }
 
 size_t job_waits_count(const struct job_waits *w)
--- a/src/job-waits.h
+++ b/src/job-waits.h
@@ -15,7 +15,9 @@
  *
  *	step	from step-waits until step-placed leaves none waiting: for how
  *		long, how many tasks of other jobs were placed meanwhile, and
- *		of a service, how many workers are ruled out by what
+ *		of a service, how many workers are ruled out by what,
+ *		whether CPU is free beside their services, and whether the
+ *		searches for reservations are used up
  *	task	a start without an answer (order-lost) or refused by its worker
  *		(order-refused), the calls to that worker that a relay lost or
  *		did not send, and the task's next event
--- a/tests/test-job-waits.c
+++ b/tests/test-job-waits.c
@@ -92,6 +92,52 @@
 		      "no_memory=0 no_cpu=5\n");
 }
 
+/*
+ * Guards against a service that fits beside the services of no worker, or finds
+ * no search for a reservation left, without a word that says so; the last line
+ * of a wait counts.
+ */
+static void test_service_reasons(void)
+{
+	static const struct event events[] = {
+		{ 101, "event=step-waits job=" JOB " step=0 waiting=2 "
+		       "backlog=2" },
+		{ 101, "event=step-waits-for job=" JOB " step=0 not_usable=1 "
+		       "no_memory=0 no_cpu=4 no_accelerator=0 at_max=0 "
+		       "reserved=0 services=2 reservations=1/2 searches=4/4" },
+		{ 101, "event=step-waits job=" JOB " step=1 waiting=1 "
+		       "backlog=2" },
+		{ 101, "event=step-waits-for job=" JOB " step=1 not_usable=1 "
+		       "no_memory=1 no_cpu=1 no_accelerator=1 at_max=1 "
+		       "reserved=1 services=5 reservations=2/2 searches=3/4" },
+		{ 101, "event=step-waits job=" JOB " step=2 waiting=1 "
+		       "backlog=2" },
+		{ 101, "event=step-waits-for job=" JOB " step=2 not_usable=0 "
+		       "no_memory=0 no_cpu=6 no_accelerator=0 at_max=0 "
+		       "reserved=0 services=0 reservations=2/2 searches=0/4" },
+		{ 103, "event=step-waits-for job=" JOB " step=0 not_usable=1 "
+		       "no_memory=0 no_cpu=5 no_accelerator=0 at_max=0 "
+		       "reserved=0 services=6 reservations=0/2 searches=4/4" },
+		{ 0, NULL },
+	};
+
+	check(events,
+	      "    +1.000 s  for 2.000 s or more: step 0, 2 tasks without a "
+	      "worker, backlog 2; workers: not_usable=1 no_memory=0 no_cpu=5 "
+	      "no_accelerator=0 at_max=0 reserved=0 services=6 "
+	      "reservations=0/2 searches=4/4; no CPU beside the services of "
+	      "any worker; searches for reservations used up\n"
+	      "    +1.000 s  for 2.000 s or more: step 1, 1 tasks without a "
+	      "worker, backlog 2; workers: not_usable=1 no_memory=1 no_cpu=1 "
+	      "no_accelerator=1 at_max=1 reserved=1 services=5 "
+	      "reservations=2/2 searches=3/4; no CPU beside the services of 5 "
+	      "of 6 workers\n"
+	      "    +1.000 s  for 2.000 s or more: step 2, 1 tasks without a "
+	      "worker, backlog 2; workers: not_usable=0 no_memory=0 no_cpu=6 "
+	      "no_accelerator=0 at_max=0 reserved=0 services=0 "
+	      "reservations=2/2 searches=0/4\n");
+}
+
 /* Guards against orders of other tasks and jobs that count for a task. */
 static void test_unanswered_start(void)
 {
@@ -164,6 +210,7 @@
 	static const struct unit_test tests[] = {
 		{ "step waits until all its tasks are placed", test_step },
 		{ "service still waits", test_service_waits },
+		{ "what a service waits for", test_service_reasons },
 		{ "start without an answer", test_unanswered_start },
 		{ "ends of waits", test_ends },
 	};
