tests: a jobs fixture prints its requests if a check fails

test-jobs-node 'unresponsive store' failed once and nothing told which statuses it got. After a failed check the fixture prints the requests of the test: when they were sent, to which entry VM, which VM was the owner, the status, how long it took, and the longest pause of the event loop since the request before, which tells a paused process from a slow answer. No check or bound changes.

--- a/tests/support-jobs-fixture.c
+++ b/tests/support-jobs-fixture.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "clock.h"
 #include "log.h"
 #include "support-jobs-fixture.h"
 #include "support-unit.h"
@@ -109,18 +110,70 @@
 	event_base_dispatch(f->base);
 }
 
+static void record_request(struct jobs_fixture *f, int entry,
+			   const char *method, const char *path, int owner,
+			   uint64_t sent_us)
+{
+	struct fixture_request *last =
+		f->request_count ? &f->requests[(f->request_count - 1) %
+						JOBS_FIXTURE_REQUESTS]
+				 : NULL;
+	struct fixture_request r = { .entry = entry,
+				     .owner = owner,
+				     .status = f->status,
+				     .sent_us = sent_us - f->start_us,
+				     .took_us = clock_now_us() - sent_us };
+
+	r.pause_us = jobs_platform_longest_pause_us(f->platform);
+	snprintf(r.method, sizeof(r.method), "%s", method);
+	snprintf(r.path, sizeof(r.path), "%s", path);
+	snprintf(r.body, sizeof(r.body), "%.*s", (int)sizeof(r.body) - 1,
+		 f->body);
+	if (last && last->entry == entry && last->status == r.status &&
+	    !strcmp(last->method, r.method) && !strcmp(last->path, r.path) &&
+	    !strcmp(last->body, r.body)) {
+		last->repeats++;
+		if (last->pause_us < r.pause_us)
+			last->pause_us = r.pause_us;
+	} else {
+		f->requests[f->request_count++ % JOBS_FIXTURE_REQUESTS] = r;
+	}
+}
+
+static void print_requests(const struct jobs_fixture *f)
+{
+	uint32_t i = f->request_count > JOBS_FIXTURE_REQUESTS
+			     ? f->request_count - JOBS_FIXTURE_REQUESTS
+			     : 0;
+
+	for (; i < f->request_count; i++) {
+		const struct fixture_request *r =
+			&f->requests[i % JOBS_FIXTURE_REQUESTS];
+
+		printf("\n  at %.3f s: %s %s to entry %d (owner %d): %d "
+		       "after %.3f s, \"%s\", pause %.3f s, %u repeats",
+		       (double)r->sent_us / 1e6, r->method, r->path, r->entry,
+		       r->owner, r->status, (double)r->took_us / 1e6, r->body,
+		       (double)r->pause_us / 1e6, r->repeats);
+	}
+}
+
 int jobs_fixture_request(struct jobs_fixture *f, int entry, const char *method,
 			 const char *path, const char *body)
 {
 	static const struct http_header headers[] = {
 		{ "X-Deadline-Remaining", "3000" }, { NULL, NULL }
 	};
+	uint64_t sent_us = clock_now_us();
+	int owner = jobs_fixture_owner(f);
 
 	f->status = 0;
+	f->body[0] = '\0';
 	http_conn_call(f->clients[entry], method, path, headers, body,
 		       body ? strlen(body) : 0, 4000, jobs_fixture_on_reply, f);
 	for (int i = 0; i < 400 && !f->status; i++)
 		jobs_fixture_run(f, 10);
+	record_request(f, entry, method, path, owner, sent_us);
 	return f->status;
 }
 
@@ -170,6 +223,8 @@
 	uint16_t worker_port =
 		(uint16_t)(jobs_fixture_port() + WORKER_PORT_OFFSET);
 
+	f->failures_before = CU_get_number_of_failures();
+	f->start_us = clock_now_us();
 	log_set_level(getenv("WAXWING_TEST_LOG") ? LOG_DEBUG : LOG_ERROR);
 	if (!f->base)
 		f->base = event_base_new();
@@ -206,6 +261,8 @@
 		http_conn_free(f->clients[i]);
 	jobs_fixture_run(f, 50);
 	CU_ASSERT_EQUAL(jobs_platform_duplicate_runs(f->platform), 0);
+	if (CU_get_number_of_failures() > f->failures_before)
+		print_requests(f);
 	jobs_platform_free(f->platform);
 	event_base_free(f->base);
 }
--- a/tests/support-jobs-fixture.h
+++ b/tests/support-jobs-fixture.h
@@ -17,6 +17,7 @@
  */
 
 #define JOBS_FIXTURE_ENTRIES_MAX 3
+#define JOBS_FIXTURE_REQUESTS 32
 
 #define JOB_A_PATH "/forms/00000000000000aa"
 #define JOB_B_PATH "/forms/00000000000000bb"
@@ -34,6 +35,20 @@
 	struct ingress *ingress; /* NULL: not running */
 };
 
+/* A request; those that follow it and are answered alike are only counted. */
+struct fixture_request {
+	char method[8];
+	char path[64];
+	int entry;
+	int owner; /* when it was sent */
+	int status;
+	char body[64];
+	uint64_t sent_us; /* after the start of the fixture */
+	uint64_t took_us;
+	uint64_t pause_us; /* of the event loop, since the request before */
+	uint32_t repeats;
+};
+
 struct jobs_fixture {
 	struct event_base *base;
 	struct jobs_platform *platform;
@@ -47,6 +62,11 @@
 	uint32_t task_ms;
 	int status; /* of the last response; 0: none yet, -1: none arrived */
 	char body[256];
+	/* The last requests, which are printed if a check of the test fails. */
+	struct fixture_request requests[JOBS_FIXTURE_REQUESTS];
+	uint32_t request_count;
+	unsigned failures_before;
+	uint64_t start_us;
 };
 
 /* First port of this process. */
@@ -58,7 +78,10 @@
 void jobs_fixture_set_up(struct jobs_fixture *f);
 /* Starts what f describes; f->base may exist. */
 void jobs_fixture_start(struct jobs_fixture *f);
-/* Checks that no task ran twice and frees everything. */
+/*
+ * Checks that no task ran twice and frees everything. Prints the requests if a
+ * check has failed since the start.
+ */
 void jobs_fixture_tear_down(struct jobs_fixture *f);
 void jobs_fixture_start_entry(struct jobs_fixture *f, int i);
 /* Like a killed process, does not release its lease: it expires. */
--- a/tests/support-jobs-internal.h
+++ b/tests/support-jobs-internal.h
@@ -128,6 +128,8 @@
 	struct store_watch watches[STORE_WATCHES_MAX];
 	uint32_t watch_count;
 	uint32_t worker_watch_polls;
+	uint64_t last_tick_us;
+	uint64_t longest_pause_us;
 	uint64_t revision;
 	char value_buffer[65536];
 	struct sim_worker *workers[PLATFORM_WORKERS_MAX];
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -90,6 +90,11 @@
 uint64_t jobs_platform_revision(const struct jobs_platform *p);
 /* Number of watch polls for worker entries. */
 uint32_t jobs_platform_worker_watch_polls(const struct jobs_platform *p);
+/*
+ * Longest time between two ticks of the platform, which are 10 ms apart on a
+ * machine that is not overloaded, since the last call.
+ */
+uint64_t jobs_platform_longest_pause_us(struct jobs_platform *p);
 uint32_t jobs_platform_count_keys(const struct jobs_platform *p,
 				  const char *prefix);
 
--- a/tests/support-jobs-store.c
+++ b/tests/support-jobs-store.c
@@ -111,6 +111,14 @@
 	return p->worker_watch_polls;
 }
 
+uint64_t jobs_platform_longest_pause_us(struct jobs_platform *p)
+{
+	uint64_t pause_us = p->longest_pause_us;
+
+	p->longest_pause_us = 0;
+	return pause_us;
+}
+
 uint32_t jobs_platform_count_keys(const struct jobs_platform *p,
 				  const char *prefix)
 {
@@ -479,6 +487,9 @@
 
 	(void)fd;
 	(void)what;
+	if (p->last_tick_us && now - p->last_tick_us > p->longest_pause_us)
+		p->longest_pause_us = now - p->last_tick_us;
+	p->last_tick_us = now;
 	for (int i = 0; i < STORE_LEASES_MAX; i++)
 		if (p->leases[i].id && now > p->leases[i].expires_us)
 			end_lease(p, &p->leases[i]);
