tests: a pause does not use up the wait for the queue's configuration

test-jobs-node 'unresponsive store' failed once beside load: the first submission was not answered 504, the second not 503. The fixture ran the event loop for 300 ms after it had written the configuration. If the process is paused for longer meanwhile, the time is over when it goes on, before the configuration has arrived; the store then becomes unresponsive, so it never does, and both submissions are answered 404.

The statuses of the run that failed beside load are not known, so that this was its cause is likely, not shown.

The 300 ms are now 30 turns of 10 ms, so that a pause uses up one of them. The bound stays, and that the configuration is in force is now checked on every entry VM.

--- a/tests/support-jobs-fixture.c
+++ b/tests/support-jobs-fixture.c
@@ -292,7 +292,13 @@
 	at = strstr(config, "\"version\":7");
 	at[strlen("\"version\":")] = '8';
 	jobs_platform_put(f->platform, "op/config", config);
-	jobs_fixture_run(f, 300);
+	/* If the process is paused, most of the 300 ms are still left. */
+	for (int i = 0; i < 30; i++)
+		jobs_fixture_run(f, 10);
+	for (int i = 0; i < f->entry_count; i++)
+		if (f->entries[i].ingress)
+			CU_ASSERT(f->entries[i].node.config &&
+				  f->entries[i].node.config->version == 8);
 }
 
 int jobs_fixture_owner(const struct jobs_fixture *f)
