test-jobs-node: the unresponsive store is seen through the owner

'unresponsive store' expects 503 for the second submission, and asked the first entry VM. If the other one is the owner, the second submission is forwarded to it; it does not answer in 500 ms and may have stored the job, so that 504 is right.

The test now waits until there is an owner and asks that one; the statuses and the bound of 0.6 s stay.

--- a/tests/test-jobs-node.c
+++ b/tests/test-jobs-node.c
@@ -301,21 +301,30 @@
 
 /*
  * While the store is unresponsive, the first submission has an unknown outcome
- * (504) and the next, with the circuit breaker open, is refused quickly.
+ * (504) and the next, with the circuit breaker open, is refused quickly. The
+ * owner is asked: another VM would forward the second one to the owner, which
+ * may have stored it (504).
  */
 static void test_unresponsive_store(void)
 {
 	struct jobs_fixture f;
 	uint64_t start_us;
+	int owner;
 
 	jobs_fixture_set_up(&f);
 	jobs_fixture_set_queue_host(&f);
+	for (int i = 0; i < 300 && jobs_fixture_owner(&f) < 0; i++)
+		jobs_fixture_run(&f, 10);
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
 	jobs_platform_faults(f.platform)->unresponsive = true;
 	CU_ASSERT_EQUAL(
-		jobs_fixture_request(&f, 0, "POST", JOB_A_PATH, JOB_BODY), 504);
+		jobs_fixture_request(&f, owner, "POST", JOB_A_PATH, JOB_BODY),
+		504);
 	start_us = clock_now_us();
 	CU_ASSERT_EQUAL(
-		jobs_fixture_request(&f, 0, "POST", JOB_B_PATH, JOB_BODY), 503);
+		jobs_fixture_request(&f, owner, "POST", JOB_B_PATH, JOB_BODY),
+		503);
 	CU_ASSERT(clock_now_us() - start_us < 600000);
 	CU_ASSERT_EQUAL(jobs_platform_count_keys(f.platform, "waxwing/in/"), 0);
 	jobs_platform_faults(f.platform)->unresponsive = false;
