platform: an entry of another writer names no worker

An entry in the store with a port out of range, a number at the edge of 32 bits, members that are missing or of another type, or a key that is no id was taken for a worker. The owner then called an address that the entry does not name ("10.1.2.3:" is port 8140 after it has wrapped around), gave a host such as 999.1.1.1 to the resolver, counted on room that nobody has, or passed an id with line breaks to libevent, which leaves the header out that names the worker, so that any worker would accept the call.

sscanf() with %u accepts signs, blanks, text that follows, and wraps. Members that may be absent (an accelerator, the time of start, those that nothing depends on) may stay absent.

--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -1,4 +1,5 @@
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -221,6 +222,234 @@
 				-1);
 }
 
+/* A worker entry with one member replaced; NULL leaves it out. */
+static int decode_changed(const char *key, const char *member, const char *text,
+			  struct job_worker_entry *e)
+{
+	json_t *root = json_loads(WORKER_JSON, 0, NULL), *object = root;
+	const char *dot = strchr(member, '.');
+	struct error err;
+	char *data;
+	int ret;
+
+	if (dot) {
+		object = json_object_get(root, "capacity");
+		member = dot + 1;
+	}
+	if (text)
+		json_object_set_new(object, member,
+				    json_loads(text, JSON_DECODE_ANY, NULL));
+	else
+		json_object_del(object, member);
+	data = json_dumps(root, JSON_COMPACT);
+	ret = decode_worker(key, data, strlen(data), e, &err);
+	free(data);
+	json_decref(root);
+	return ret;
+}
+
+struct changed_member {
+	const char *member;
+	const char *text;
+};
+
+static void check_changed(const struct changed_member *list, size_t count,
+			  int expected)
+{
+	struct job_worker_entry e;
+
+	for (size_t i = 0; i < count; i++) {
+		int ret = decode_changed("servers/i-1", list[i].member,
+					 list[i].text, &e);
+
+		if (ret != expected)
+			printf("%s: %s\n", list[i].member,
+			       list[i].text ? list[i].text : "absent");
+		CU_ASSERT_EQUAL(ret, expected);
+	}
+}
+
+/*
+ * Guards against calls to an address that the entry does not name: a port out
+ * of range wraps around, and a host that is no address is given to the
+ * resolver, which blocks the process.
+ */
+static void test_worker_addresses(void)
+{
+	static const struct changed_member odd[] = {
+		{ "address", NULL },
+		{ "address", "5" },
+		{ "address", "\"\"" },
+		{ "address", "\"10.1.2.3\"" },
+		{ "address", "\"10.1.2.3:\"" },
+		{ "address", "\":8140\"" },
+		{ "address", "\"10.1.2.3:0\"" },
+		{ "address", "\"10.1.2.3:65536\"" },
+		{ "address", "\"10.1.2.3:4294975436\"" },
+		{ "address", "\"10.1.2.3:18446744073709559756\"" },
+		{ "address", "\"10.1.2.3:-4294959156\"" },
+		{ "address", "\"10.1.2.3:+8140\"" },
+		{ "address", "\"10.1.2.3: 8140\"" },
+		{ "address", "\"10.1.2.3:8140x\"" },
+		{ "address", "\"10.1.2.3:8140 \"" },
+		{ "address", "\"10.1.2.3:08140\"" },
+		{ "address", "\" 10.1.2.3:8140\"" },
+		{ "address", "\"999.1.1.1:8140\"" },
+		{ "address", "\"10.1.2:8140\"" },
+		{ "address", "\"10.1.2.3.4:8140\"" },
+		{ "address", "\"...:8140\"" },
+		{ "address", "\"name.example:8140\"" },
+		{ "address", "\"[::1]:8140\"" },
+	};
+	static const struct changed_member sound[] = {
+		{ "address", "\"10.1.2.3:1\"" },
+		{ "address", "\"255.255.255.254:65535\"" },
+	};
+
+	check_changed(odd, sizeof(odd) / sizeof(*odd), -1);
+	check_changed(sound, sizeof(sound) / sizeof(*sound), 0);
+}
+
+/* Guards against room that a worker does not have, or that overflows. */
+static void test_worker_capacities(void)
+{
+	static const struct changed_member odd[] = {
+		{ "capacity", NULL },
+		{ "capacity", "null" },
+		{ "capacity", "16000" },
+		{ "capacity", "[16000,32768,0]" },
+		{ "capacity", "{}" },
+		{ "capacity.cpu", NULL },
+		{ "capacity.cpu", "-1" },
+		{ "capacity.cpu", "0.5" },
+		{ "capacity.cpu", "\"16000\"" },
+		{ "capacity.cpu", "4294967295" },
+		{ "capacity.cpu", "4294967296" },
+		{ "capacity.cpu", "2147483648" },
+		{ "capacity.cpu", "1e300" },
+		{ "capacity.memory-request-mb", NULL },
+		{ "capacity.memory-request-mb", "4294967295" },
+		{ "capacity.memory-request-mb", "true" },
+		{ "capacity.gpu", "4294967295" },
+		{ "capacity.gpu", "-2" },
+		{ "capacity.gpu", "[]" },
+	};
+	static const struct changed_member sound[] = {
+		{ "capacity.gpu", NULL },
+		{ "capacity.gpu", "8" },
+		{ "capacity.cpu", "500" },
+		{ "capacity.cpu", "1024000" },
+		{ "capacity.memory-request-mb", "16777216" },
+	};
+
+	check_changed(odd, sizeof(odd) / sizeof(*odd), -1);
+	check_changed(sound, sizeof(sound) / sizeof(*sound), 0);
+}
+
+/* Guards against an entry of another writer that is taken for a worker. */
+static void test_worker_other_members(void)
+{
+	static const struct changed_member odd[] = {
+		{ "service", NULL },
+		{ "service", "\"\"" },
+		{ "service", "\"a\\nb\"" },
+		{ "zone", NULL },
+		{ "zone", "7" },
+		{ "zone", "\"k\\u007f\"" },
+		{ "state", NULL },
+		{ "state", "\"READY\"" },
+		{ "state", "true" },
+		{ "labels", NULL },
+		{ "labels", "null" },
+		{ "labels", "\"a\"" },
+		{ "labels", "{}" },
+		{ "labels", "[\"a\",5]" },
+		{ "labels", "[[\"a\"],\"r1-3\"]" },
+		{ "labels", "[\"a\",\"r1-3\",null]" },
+		{ "labels", "[\"a\",\"0123456789012345678901234567890123456789"
+			    "012345678901234567890123\"]" },
+		{ "labels", "[\"a\",\"b\",\"c\",\"d\",\"e\"]" },
+		{ "born", "1778284019000.5" },
+		{ "born", "-1" },
+		{ "born", "1e18" },
+		{ "born", "\"1778284019000\"" },
+		{ "slots", "\"8\"" },
+		{ "sequence", "[]" },
+		{ "version", "1" },
+		{ "clock-ms", "\"now\"" },
+		{ "cold-remaining-ms", "{}" },
+		{ "drain-remaining-ms", "\"soon\"" },
+	};
+	static const struct changed_member sound[] = {
+		{ "born", NULL },
+		{ "born", "1778284019000" },
+		{ "state", "\"draining\"" },
+		{ "slots", NULL },
+		{ "sequence", NULL },
+		{ "cold-remaining-ms", NULL },
+		{ "clock-ms", NULL },
+		{ "zone", "\"kad\u0131k\u00f6y\"" },
+		{ "drain-remaining-ms", "1500" },
+		{ "drain-remaining-ms", "-5" },
+		{ "not-on-the-page", "[1]" },
+	};
+
+	check_changed(odd, sizeof(odd) / sizeof(*odd), -1);
+	check_changed(sound, sizeof(sound) / sizeof(*sound), 0);
+}
+
+/*
+ * Guards against an id that breaks the header that names the worker, which
+ * would leave the header out, or a log line.
+ */
+static void test_worker_keys(void)
+{
+	static const char *const odd[] = {
+		"",
+		"servers",
+		"servers/",
+		"other/i-1",
+		"servers/i 1",
+		"servers/i-1\r\nX-Fencing-Token: 1",
+		"servers/i\"1",
+		"servers/i\\1",
+		"servers/i\t1",
+		"servers/\x7f",
+		"servers/\xc3\xb6",
+		"servers/0123456789012345678901234567890123456789"
+		"012345678901234567890123",
+	};
+	struct job_worker_entry e;
+
+	for (size_t i = 0; i < sizeof(odd) / sizeof(*odd); i++)
+		CU_ASSERT_EQUAL(decode_changed(odd[i], "gpu", NULL, &e), -1);
+	CU_ASSERT_EQUAL(decode_changed("servers/i-93919c7632", "gpu", NULL, &e),
+			0);
+	CU_ASSERT_EQUAL(decode_changed("servers/A.b_c:9/d", "gpu", NULL, &e),
+			0);
+}
+
+/* Arrays nested so deeply that a decoder that recurses freely would end. */
+static void test_deeply_nested(void)
+{
+	enum { DEPTH = 200000 };
+	static const char begin[] = "{\"capacity\":";
+	char *text = xcalloc(1, sizeof(begin) + DEPTH * 2 + 2);
+	struct job_worker_entry e;
+	struct job_spec s = { .text = NULL };
+	struct error err;
+
+	strcpy(text, begin);
+	memset(text + strlen(begin), '[', DEPTH);
+	memset(text + strlen(begin) + DEPTH, ']', DEPTH);
+	strcat(text, "}");
+	CU_ASSERT_EQUAL(
+		decode_worker("servers/i-1", text, strlen(text), &e, &err), -1);
+	CU_ASSERT_EQUAL(decode_job(text, strlen(text), &s, &err), -1);
+	job_spec_free(&s);
+	free(text);
+}
+
 static void test_config(void)
 {
 	struct job_config c;
@@ -294,6 +523,11 @@
 		{ "worker", test_worker },
 		{ "worker fingerprint", test_worker_fingerprint },
 		{ "malformed workers", test_malformed_workers },
+		{ "worker addresses", test_worker_addresses },
+		{ "worker capacities", test_worker_capacities },
+		{ "other members of workers", test_worker_other_members },
+		{ "worker keys", test_worker_keys },
+		{ "deeply nested", test_deeply_nested },
 		{ "config", test_config },
 		{ "report", test_report },
 		{ "malformed reports", test_malformed_reports },
