sched: a worker's score is defined for every capacity

With a capacity of thousandths of a core the scores of workers were divided by 0: x86-64 ends the process, with each process that becomes owner next (not run: tried on arm64 only, which yields 0, so that the worker counted as full). The room for best-effort tasks there read as negative.

The capacity plus one was computed in 32 bits and wrapped around, and the room was cast to 32 bits. The sums are now of 64 bits, the room is limited to what fits, and the shares of CPU of the interference model add in floating point.

test-sched-worker: "largest capacity" (4 of 4 scores; on arm64, they read as without a division) and "room of largest capacity" failed before.

--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -266,7 +266,7 @@
 			      const struct sched_worker *w)
 {
 	int64_t score = -((int64_t)w->used.cpu_milli + w->best_effort_milli) *
-			1000 / (w->capacity.cpu_milli + 1);
+			1000 / ((int64_t)w->capacity.cpu_milli + 1);
 
 	score -= (int64_t)count_new(s, w) * PENALTY_NEW_TASK;
 	if (s->wall_ms < w->started_wall_ms + RESTARTED_MS)
--- a/src/sched-interference.c
+++ b/src/sched-interference.c
@@ -72,7 +72,7 @@
 			continue;
 		loads[n].image = step->image_handle;
 		loads[n].cpu_share =
-			(float)cpu / (float)(w->capacity.cpu_milli + 1);
+			(float)cpu / ((float)w->capacity.cpu_milli + 1);
 		n++;
 	}
 	return n;
@@ -167,7 +167,7 @@
 	struct pair_load load = {
 		.image = step->image_handle,
 		.cpu_share = (float)step->demand.cpu_milli /
-			     (float)(w->capacity.cpu_milli + 1),
+			     ((float)w->capacity.cpu_milli + 1),
 	};
 	float least_headroom = 1;
 
@@ -258,7 +258,7 @@
 			continue;
 		load.cpu_share = (float)step->demand.cpu_milli *
 				 (float)effective_cpu_percent(t) / 100.0f /
-				 (float)(w->capacity.cpu_milli + 1);
+				 ((float)w->capacity.cpu_milli + 1);
 		value = pair_model_slowdown(&s->pairs, service->image_handle,
 					    &load);
 		if (value > *slowdown) {
@@ -341,7 +341,7 @@
 		struct sched_task *t = &s->tasks[i];
 		const struct job_step *step = sched_task_step(s, t);
 		float cpu_share = (float)step->demand.cpu_milli /
-				  (float)(w->capacity.cpu_milli + 1);
+				  ((float)w->capacity.cpu_milli + 1);
 		float headroom, slope_max;
 
 		if (!step->best_effort || t->state != TASK_RUNNING ||
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -107,15 +107,18 @@
 	       w->best_effort_milli;
 }
 
-static int32_t left(uint32_t capacity, uint32_t used, uint32_t reserved)
+static int32_t clamp_room(int64_t n)
 {
-	int64_t n = (int64_t)capacity - used - reserved;
-
 	return n < INT32_MIN   ? INT32_MIN
 	       : n > INT32_MAX ? INT32_MAX
 			       : (int32_t)n;
 }
 
+static int32_t left(uint32_t capacity, uint32_t used, uint32_t reserved)
+{
+	return clamp_room((int64_t)capacity - used - reserved);
+}
+
 /* CPU that counts as free in the score of a task that is not best-effort. */
 static int64_t free_cpu(const struct sched_worker *w)
 {
@@ -141,7 +144,7 @@
 					w->reserved.cpu_milli),
 		.best_effort_milli = w->over_target_since_us
 					     ? INT32_MIN
-					     : (int32_t)best_effort,
+					     : clamp_room(best_effort),
 		.memory_mb = left(w->capacity.memory_mb, w->used.memory_mb,
 				  w->reserved.memory_mb),
 		.accelerators =
@@ -185,7 +188,7 @@
 			   const struct job_step *step,
 			   const struct sched_task *t)
 {
-	int64_t capacity_milli = w->capacity.cpu_milli + 1;
+	int64_t capacity_milli = (int64_t)w->capacity.cpu_milli + 1;
 	int64_t need = step->demand.cpu_milli;
 	bool has_service, same_image;
 
--- a/tests/test-sched-worker.c
+++ b/tests/test-sched-worker.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "job-silent.h"
+#include "sched-internal.h"
 #include "support-sched.h"
 #include "support-unit.h"
 
@@ -338,6 +339,50 @@
 	silent_notes_clear(&n);
 }
 
+/*
+ * Guards against a score that is divided by a capacity that has wrapped to 0,
+ * which ends the process on x86-64, and against room that has turned negative.
+ */
+static void test_largest_capacity(void)
+{
+	static const struct sched s = { .wall_ms = 1000000000 };
+	struct sched_worker w = { .capacity = { UINT32_MAX, UINT32_MAX,
+						UINT32_MAX },
+				  .used = { .cpu_milli = UINT32_MAX / 2 },
+				  .first_task = SCHED_NONE };
+	struct job_step plain = { .count = 1 };
+	struct job_step best_effort = { .count = 1, .best_effort = true };
+	struct job_step service = { .count = 1, .long_running = true };
+	int64_t other;
+
+	CU_ASSERT_EQUAL(sched_worker_score(&s, &w, &plain, NULL), 500);
+	CU_ASSERT_EQUAL(sched_worker_score(&s, &w, &best_effort, NULL), 500);
+	other = sched_worker_score(&s, &w, &service, NULL);
+	w.used.cpu_milli = 0;
+	CU_ASSERT_EQUAL(other - sched_worker_score(&s, &w, &service, NULL),
+			499);
+	w.used.cpu_milli = UINT32_MAX / 2;
+	CU_ASSERT_EQUAL(sched_probation_score(&s, &w), -499);
+}
+
+/* As above, of the room of a worker, which the index keeps in 32 bits. */
+static void test_room_of_largest_capacity(void)
+{
+	struct model *m = job_model_create(1, UINT32_MAX, UINT32_MAX);
+	struct model_job *j;
+
+	job_model_run(m, 100);
+	CU_ASSERT_EQUAL(m->s->rooms.rooms[0].cpu_milli, INT32_MAX);
+	CU_ASSERT_EQUAL(m->s->rooms.rooms[0].best_effort_milli, INT32_MAX);
+	CU_ASSERT_EQUAL(m->s->rooms.rooms[0].memory_mb, INT32_MAX);
+	j = job_model_add_job(m, "urgent", 1, 4, CORES(2), GB(2), 300);
+	j->spec.steps[0].best_effort = true;
+	job_model_submit(m, j);
+	job_model_run(m, 2000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -357,6 +402,8 @@
 		{ "record of direct predecessor",
 		  test_record_of_direct_predecessor },
 		{ "malformed records", test_malformed_records },
+		{ "largest capacity", test_largest_capacity },
+		{ "room of largest capacity", test_room_of_largest_capacity },
 	};
 
 	return RUN_SUITE("sched-worker", tests);
