jobs: a worker whose entry has become odd gets no further tasks

When another writer replaced a worker's entry by one that names no worker, what followed depended on how the owner learnt of it. In an event of the watch the entry was left aside and the former one stayed in force, so that tasks were started at a worker that the store no longer named. In a full read, as after a change of owner, the worker counted as unlisted.

An entry that cannot be decoded now has the effect of a removed one in both cases. An unlisted worker that answers is polled on, so that its leases are renewed and what runs there goes on; the next sound entry lists it again.

test-jobs-entries, "odd entry in watch" and "unreadable entry in watch": tasks were started at the worker before. "odd entry in full read" passed. All three check that a task of 9 s at that worker, with leases of 6 s, ends there and is not started again.

--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -197,6 +197,7 @@
 				    &err) < 0) {
 		log_event(LOG_INFO, "worker-entry-ignored",
 			  "key=%s reason=\"%s\"", item->key, err.message);
+		job_workers_mark_unlisted(o->workers, id);
 		return;
 	}
 	job_workers_update_entry(o->workers, &e, fingerprint);
--- /dev/null
+++ b/tests/test-jobs-entries.c
@@ -0,0 +1,126 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "support-jobs-fixture.h"
+#include "support-unit.h"
+
+/*
+ * Entries of workers that another writer has left or changed in the store.
+ */
+
+#define WORKERS 2
+/* Lasts longer than a lease, which is 6 s. */
+#define LONG_TASK_MS 9000
+#define ENTRY_BYTES 1024
+
+#define ONE_TASK                                               \
+	"{\"specification\":\"text\",\"steps\":[{\"count\":1," \
+	"\"cpu\":1000,\"memory-request-mb\":100,\"estimated-ms\":100}]}"
+/* More than one worker has CPU for. */
+#define MANY_TASKS                                              \
+	"{\"specification\":\"text\",\"steps\":[{\"count\":20," \
+	"\"cpu\":1000,\"memory-request-mb\":100,\"estimated-ms\":100}]}"
+
+static void set_up(struct jobs_fixture *f, uint32_t task_ms)
+{
+	memset(f, 0, sizeof(*f));
+	f->entry_count = 2;
+	f->start_interval_ms = 400;
+	f->task_ms = task_ms;
+	jobs_fixture_start(f);
+	jobs_fixture_set_queue_host(f);
+}
+
+static void submit(struct jobs_fixture *f, const char *path, const char *body)
+{
+	CU_ASSERT_EQUAL_FATAL(jobs_fixture_request(f, 0, "POST", path, body),
+			      200);
+}
+
+static int wait_for_start_order(struct jobs_fixture *f)
+{
+	for (int t = 0; t < 200; t++) {
+		for (int i = 0; i < WORKERS; i++)
+			if (jobs_platform_start_orders(f->platform, i))
+				return i;
+		jobs_fixture_run(f, 10);
+	}
+	CU_FAIL_FATAL("no start was ordered");
+	return 0;
+}
+
+static void worker_key(int worker, char *key, size_t size)
+{
+	snprintf(key, size, "servers/i-%d", jobs_fixture_port() + 4 + worker);
+}
+
+/* Another writer puts text in the place of a worker's entry. */
+static void replace_entry(struct jobs_fixture *f, int worker, const char *text,
+			  bool in_full_read)
+{
+	char key[64];
+
+	worker_key(worker, key, sizeof(key));
+	jobs_platform_put(f->platform, key, text);
+	jobs_platform_faults(f->platform)->compact_history = in_full_read;
+	if (in_full_read)
+		jobs_platform_put(f->platform, "servers/other", "{}");
+	jobs_fixture_run(f, 700);
+}
+
+/*
+ * While a worker's entry is odd no further task is started there. What runs
+ * there goes on past its lease, and is not started again elsewhere.
+ */
+static void check_replaced_entry(const char *odd, bool in_full_read)
+{
+	struct jobs_fixture f;
+	char key[64], entry[ENTRY_BYTES];
+	int worker;
+
+	set_up(&f, LONG_TASK_MS);
+	submit(&f, JOB_A_PATH, ONE_TASK);
+	worker = wait_for_start_order(&f);
+	worker_key(worker, key, sizeof(key));
+	snprintf(entry, sizeof(entry), "%s",
+		 jobs_platform_get(f.platform, key));
+	replace_entry(&f, worker, odd, in_full_read);
+	submit(&f, JOB_B_PATH, MANY_TASKS);
+	jobs_fixture_run(&f, 500);
+	CU_ASSERT_EQUAL(jobs_platform_start_orders(f.platform, worker), 1);
+	CU_ASSERT_EQUAL(jobs_platform_worker_tasks(f.platform, !worker), 16);
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_A_PATH, 10000));
+	CU_ASSERT_EQUAL(jobs_platform_start_orders(f.platform, worker), 1);
+	jobs_platform_put(f.platform, key, entry);
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_B_PATH, 20000));
+	CU_ASSERT(jobs_platform_start_orders(f.platform, worker) > 1);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 21);
+	jobs_fixture_tear_down(&f);
+}
+
+static void test_odd_entry_in_watch(void)
+{
+	check_replaced_entry("{\"capacity\":[[[[]]]]}", false);
+}
+
+static void test_unreadable_entry_in_watch(void)
+{
+	check_replaced_entry("\x01\x02 no json", false);
+}
+
+/* A full read of all entries has the same effect as an event. */
+static void test_odd_entry_in_full_read(void)
+{
+	check_replaced_entry("{\"capacity\":[[[[]]]]}", true);
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "odd entry in watch", test_odd_entry_in_watch },
+		{ "unreadable entry in watch", test_unreadable_entry_in_watch },
+		{ "odd entry in full read", test_odd_entry_in_full_read },
+	};
+
+	return RUN_SUITE("jobs-entries", tests);
+}
