jobs: odd entries in the store share one log line a second

Each odd entry was logged each time that it was written. Entries are written anew every second, so that some hundred of them reach the limit of 1,000 lines a second, and lines about other matters are left out.

worker-entry-ignored now comes once a second at most, names one entry, and tells in entries= how often entries were ignored since the last line.

--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -70,6 +70,7 @@
 #define SILENT_STORE_AGE_MAX_US 1000000u
 /* Delay before the record of silent workers is read again. */
 #define SILENT_RETRY_US 150000u
+#define IGNORED_LOG_INTERVAL_US 1000000u
 /* Delay before a transaction that the store refused is repeated. */
 #define COMMIT_RETRY_US 150000u
 /*
@@ -136,6 +137,8 @@
 	uint64_t renewed_us; /* when the last successful renewal was sent */
 	uint64_t next_renew_us;
 	uint64_t next_status_us;
+	uint64_t next_ignored_log_us;
+	uint32_t entries_ignored; /* since the last line about them */
 	uint64_t next_pairs_us;
 	/* The record of silent workers, as followed. */
 	struct silent_notes silent;
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -173,6 +173,25 @@
 		job_workers_resync(o->workers, true);
 }
 
+/*
+ * Entries are rewritten each second. One line a second names one of those that
+ * name no worker, with their number since the last line.
+ */
+static void log_ignored_entry(struct job_owner *o, const char *key,
+			      const char *reason)
+{
+	uint64_t now = clock_now_us();
+
+	o->entries_ignored++;
+	if (now < o->next_ignored_log_us)
+		return;
+	log_event(LOG_INFO, "worker-entry-ignored",
+		  "key=%s reason=\"%s\" entries=%u", key, reason,
+		  o->entries_ignored);
+	o->next_ignored_log_us = now + IGNORED_LOG_INTERVAL_US;
+	o->entries_ignored = 0;
+}
+
 static void on_worker_item(void *arg, const struct kv_item *item)
 {
 	struct job_owner *o = arg;
@@ -195,8 +214,7 @@
 	}
 	if (platform->decode_worker(item->key, item->value, item->len, &e,
 				    &err) < 0) {
-		log_event(LOG_INFO, "worker-entry-ignored",
-			  "key=%s reason=\"%s\"", item->key, err.message);
+		log_ignored_entry(o, item->key, err.message);
 		job_workers_mark_unlisted(o->workers, id);
 		return;
 	}
--- a/tests/test-jobs-entries.c
+++ b/tests/test-jobs-entries.c
@@ -1,6 +1,9 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "log.h"
 #include "support-jobs-fixture.h"
 #include "support-unit.h"
 
@@ -114,12 +117,63 @@
 	check_replaced_entry("{\"capacity\":[[[[]]]]}", true);
 }
 
+/* Counts the lines with the text that are written to the file. */
+static int count_lines(FILE *file, const char *text)
+{
+	char line[2048];
+	int n = 0;
+
+	rewind(file);
+	while (fgets(line, sizeof(line), file))
+		n += strstr(line, text) != NULL;
+	return n;
+}
+
+/*
+ * Load pattern: 100 odd entries, each written anew five times a second for 2 s.
+ * Guards against a log that they fill, beside which other lines are left out.
+ */
+static void test_odd_entries_share_log_lines(void)
+{
+	FILE *file = tmpfile();
+	struct jobs_fixture f;
+	int saved, lines;
+	char key[64];
+
+	set_up(&f, 100);
+	fflush(stdout);
+	saved = dup(STDOUT_FILENO);
+	dup2(fileno(file), STDOUT_FILENO);
+	log_set_level(LOG_INFO);
+	for (int i = 0; i < 1000; i++) {
+		snprintf(key, sizeof(key), "servers/odd-%d", i % 100);
+		jobs_platform_put(f.platform, key, "{}");
+		if (i % 100 == 99)
+			jobs_fixture_run(&f, 200);
+	}
+	log_set_level(LOG_ERROR);
+	fflush(stdout);
+	dup2(saved, STDOUT_FILENO);
+	close(saved);
+	lines = count_lines(file, "event=worker-entry-ignored");
+	fclose(file);
+	/* One a second. */
+	CU_ASSERT(lines >= 1);
+	CU_ASSERT(lines <= 3);
+	printf("lines=%d\n", lines);
+	submit(&f, JOB_A_PATH, JOB_BODY);
+	CU_ASSERT(jobs_fixture_wait_completed(&f, 0, JOB_A_PATH, 4000));
+	jobs_fixture_tear_down(&f);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
 		{ "odd entry in watch", test_odd_entry_in_watch },
 		{ "unreadable entry in watch", test_unreadable_entry_in_watch },
 		{ "odd entry in full read", test_odd_entry_in_full_read },
+		{ "odd entries share log lines",
+		  test_odd_entries_share_log_lines },
 	};
 
 	return RUN_SUITE("jobs-entries", tests);
