--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -177,6 +177,9 @@
 		"{\"clock-ms\":1,\"sequence\":\"4\"}",
 		"{\"clock-ms\":1,\"sequence\":9223372036854775808}",
 		"{\"clock-ms\":1,\"sequence\":",
+		/* Such a number may be out of range. */
+		"{\"clock-ms\":1,\"sequence\":1e308}",
+		"{\"clock-ms\":1e308,\"sequence\":1}",
 	};
 	uint64_t first = worker_fingerprint(same[0], strlen(same[0]));
 
