platform: a page of the store begins after the key that ended the last

One key of another writer could keep a process from reading a list of the store: the owner, from the workers' entries and the submitted jobs. A page asks for what follows the last key of the page before. A key there with a blank, "#" or a line break made a request that cannot be served, repeated for ever; one with "&", "%" or "+" named another key, so that entries were left out or read again; one of 200 bytes, the longest, was cut and read again.

Keys were put into the query as they were, and their buffers had no room for the NUL.

--- a/src/kv.h
+++ b/src/kv.h
@@ -29,7 +29,7 @@
  */
 
 #define KV_TXN_ENTRIES_MAX 32
-#define KV_KEY_BYTES 200
+#define KV_KEY_BYTES 201 /* with the NUL */
 
 enum kv_outcome {
 	KV_OK,
--- /dev/null
+++ b/tests/test-kv-http.c
@@ -0,0 +1,148 @@
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+#include "kv-follow.h"
+#include "kv-http.h"
+#include "log.h"
+#include "support-jobs-fixture.h"
+#include "support-unit.h"
+
+#define SEEN_MAX 64
+#define PREFIX "servers/"
+
+/* The keys that a follower has passed on, in their order. */
+struct seen {
+	char *keys[SEEN_MAX];
+	char *values[SEEN_MAX];
+	int count;
+	bool ended;
+};
+
+static void on_item(void *arg, const struct kv_item *item)
+{
+	struct seen *s = arg;
+
+	CU_ASSERT_FATAL(s->count < SEEN_MAX);
+	s->keys[s->count] = xstrdup(item->key);
+	s->values[s->count++] = xstrdup(item->deleted ? "-" : item->value);
+}
+
+static void on_end(void *arg)
+{
+	struct seen *s = arg;
+
+	s->ended = true;
+}
+
+static const struct kv_follow_ops ops = { .item = on_item, .end = on_end };
+
+static void run(struct event_base *base, uint32_t ms)
+{
+	struct timeval tv = { ms / 1000, ms % 1000 * 1000 };
+
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+}
+
+/* Follows the store at the port for a time. */
+static void follow(struct event_base *base, uint16_t port, uint32_t ms,
+		   struct seen *s)
+{
+	struct settings_address address = { .host = "127.0.0.1", .port = port };
+	struct kv *kv = kv_http_create(base, &address);
+	struct kv_follow *f =
+		kv_follow_create(base, kv, PREFIX, 2000, 0, &ops, s);
+
+	run(base, ms);
+	kv_follow_free(f);
+	run(base, 50);
+	kv->ops->destroy(kv);
+	run(base, 50);
+}
+
+static void seen_free(struct seen *s)
+{
+	for (int i = 0; i < s->count; i++) {
+		free(s->keys[i]);
+		free(s->values[i]);
+	}
+}
+
+/*
+ * Guards against a page that is asked for after another key than the last one:
+ * entries are left out or read twice, or the store refuses the request, again
+ * and again. The simulated store returns pages of three keys.
+ */
+static void test_odd_keys_at_ends_of_pages(void)
+{
+	static const char *const odd[] = {
+		"a b",	  "a&after=z", "a%5a", "a%", "a+", "a#b",
+		"a\r\nb", "a\"",       "a\\",  "a?", "a=", "\xc3\xb6",
+	};
+	enum { PAGES = sizeof(odd) / sizeof(*odd) };
+	struct event_base *base = event_base_new();
+	uint16_t port = jobs_fixture_port();
+	struct jobs_platform *p = jobs_platform_create(base, port);
+	char expected[PAGES * 3][40];
+	struct seen s = { .count = 0 };
+	int n = 0;
+
+	for (int i = 0; i < PAGES; i++) {
+		snprintf(expected[n++], sizeof(expected[0]), PREFIX "%c1",
+			 'A' + i);
+		snprintf(expected[n++], sizeof(expected[0]), PREFIX "%c2",
+			 'A' + i);
+		snprintf(expected[n++], sizeof(expected[0]), PREFIX "%c3%s",
+			 'A' + i, odd[i]);
+	}
+	for (int i = 0; i < n; i++)
+		jobs_platform_put(p, expected[i], "{}");
+	follow(base, port, 500, &s);
+	CU_ASSERT(s.ended);
+	CU_ASSERT_EQUAL(s.count, n);
+	for (int i = 0; i < n && i < s.count; i++)
+		CU_ASSERT_STRING_EQUAL(s.keys[i], expected[i]);
+	seen_free(&s);
+	jobs_platform_free(p);
+	event_base_free(base);
+}
+
+/* A key of 200 bytes that ends a page. */
+static void test_longest_key_at_end_of_page(void)
+{
+	struct event_base *base = event_base_new();
+	uint16_t port = jobs_fixture_port();
+	struct jobs_platform *p = jobs_platform_create(base, port);
+	struct seen s = { .count = 0 };
+	char key[201];
+
+	snprintf(key, sizeof(key), "%0200d", 0);
+	memcpy(key, PREFIX, strlen(PREFIX));
+	key[strlen(PREFIX)] = 'c';
+	jobs_platform_put(p, PREFIX "a", "{}");
+	jobs_platform_put(p, PREFIX "b", "{}");
+	jobs_platform_put(p, key, "{}");
+	jobs_platform_put(p, PREFIX "d", "{}");
+	follow(base, port, 300, &s);
+	CU_ASSERT(s.ended);
+	CU_ASSERT_EQUAL(s.count, 4);
+	CU_ASSERT_STRING_EQUAL(s.keys[s.count - 1], PREFIX "d");
+	seen_free(&s);
+	jobs_platform_free(p);
+	event_base_free(base);
+}
+
+int main(void)
+{
+	static const struct unit_test tests[] = {
+		{ "odd keys at ends of pages", test_odd_keys_at_ends_of_pages },
+		{ "longest key at end of page",
+		  test_longest_key_at_end_of_page },
+	};
+
+	log_set_level(LOG_ERROR);
+	return RUN_SUITE("kv-http", tests);
+}
