--- a/src/kv-follow.c
+++ b/src/kv-follow.c
@@ -1,6 +1,7 @@
 #include <event2/event.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "backoff.h"
 #include "buffer.h"
@@ -92,6 +93,14 @@
 	free(f);
 }
 
+/* Readers take what follows the prefix from the keys. */
+static void pass_items(struct kv_follow *f, const struct kv_reply *r)
+{
+	for (size_t i = 0; i < r->count; i++)
+		if (!strncmp(r->items[i].key, f->prefix, strlen(f->prefix)))
+			f->ops->item(f->arg, &r->items[i]);
+}
+
 static void handle_page(struct kv_follow *f, const struct kv_reply *r)
 {
 	f->range_latency_us = clock_now_us() - f->requested_us;
@@ -106,8 +115,7 @@
 		if (f->ops->begin)
 			f->ops->begin(f->arg);
 	}
-	for (size_t i = 0; i < r->count; i++)
-		f->ops->item(f->arg, &r->items[i]);
+	pass_items(f, r);
 	if (r->more && r->count) {
 		snprintf(f->page_after, sizeof(f->page_after), "%s",
 			 r->items[r->count - 1].key);
@@ -141,8 +149,7 @@
 {
 	switch (r->outcome) {
 	case KV_OK:
-		for (size_t i = 0; i < r->count; i++)
-			f->ops->item(f->arg, &r->items[i]);
+		pass_items(f, r);
 		if (r->revision > f->revision)
 			f->revision = r->revision;
 		mark_confirmed(f);
--- a/tests/test-kv-http.c
+++ b/tests/test-kv-http.c
@@ -1,4 +1,6 @@
+#include <event2/buffer.h>
 #include <event2/event.h>
+#include <event2/http.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -135,12 +137,98 @@
 	event_base_free(base);
 }
 
+/* ---- odd items ---- */
+
+#define ODD_ITEMS                                                      \
+	"5,null,[[]],{},{\"value\":\"e30=\"},{\"key\":7,\"value\":"    \
+	"\"e30=\"},{\"key\":null},{\"key\":\"other\",\"value\":"       \
+	"\"e30=\"},{\"key\":\"serv\",\"deleted\":true},{\"key\":\"\"," \
+	"\"value\":\"e30=\"},{\"key\":\"servers/c\\u0000d\","          \
+	"\"value\":\"e30=\"},"
+#define SOUND_ITEM(key) \
+	"{\"key\":\"" PREFIX key "\",\"value\":\"e30=\",\"revision\":5}"
+
+/* A store with one page of items and one event response. */
+struct odd_store {
+	int ranges;
+	int polls;
+};
+
+static void reply(struct evhttp_request *req, const char *body)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	evbuffer_add(out, body, strlen(body));
+	evhttp_send_reply(req, 200, NULL, out);
+	evbuffer_free(out);
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	struct odd_store *s = arg;
+
+	if (strstr(evhttp_request_get_uri(req), "/kv-range")) {
+		s->ranges++;
+		reply(req,
+		      "{\"items\":[" ODD_ITEMS
+		      "{\"key\":\"servers/a\",\"value\":9},"
+		      "{\"key\":\"servers/b\",\"value\":\"*\\u00ff=\"},"
+		      "{\"key\":\"servers/e\",\"value\":\"e30\"},"
+		      "{\"key\":\"servers/f\",\"value\":[[[]]],"
+		      "\"revision\":\"x\",\"lease\":-1}," SOUND_ITEM(
+			      "g") "],\"has-more\":false,\"current-rev\":9}");
+		return;
+	}
+	if (s->polls++)
+		return;
+	reply(req, "{\"events\":[" ODD_ITEMS SOUND_ITEM(
+			   "h") "],\"current-rev\":10}");
+}
+
+static bool has_key(const struct seen *s, const char *key)
+{
+	for (int i = 0; i < s->count; i++)
+		if (!strcmp(s->keys[i], key))
+			return true;
+	return false;
+}
+
+/*
+ * Guards against items without a key of the prefix that are passed on, whose
+ * readers take what follows the prefix, and against one item that keeps the
+ * others from being read.
+ */
+static void test_odd_items(void)
+{
+	struct event_base *base = event_base_new();
+	struct evhttp *server = evhttp_new(base);
+	uint16_t port = jobs_fixture_port();
+	struct odd_store store = { .ranges = 0 };
+	struct seen s = { .count = 0 };
+
+	evhttp_set_gencb(server, on_request, &store);
+	CU_ASSERT_EQUAL_FATAL(evhttp_bind_socket(server, "127.0.0.1", port), 0);
+	follow(base, port, 500, &s);
+	CU_ASSERT(s.ended);
+	CU_ASSERT_EQUAL(store.ranges, 1);
+	CU_ASSERT_EQUAL(store.polls, 2);
+	for (int i = 0; i < s.count; i++)
+		CU_ASSERT(!strncmp(s.keys[i], PREFIX, strlen(PREFIX)));
+	CU_ASSERT_FALSE(has_key(&s, "servers/c"));
+	CU_ASSERT(has_key(&s, "servers/g"));
+	CU_ASSERT(has_key(&s, "servers/h"));
+	seen_free(&s);
+	evhttp_free(server);
+	event_base_free(base);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
 		{ "odd keys at ends of pages", test_odd_keys_at_ends_of_pages },
 		{ "longest key at end of page",
 		  test_longest_key_at_end_of_page },
+		{ "odd items", test_odd_items },
 	};
 
 	log_set_level(LOG_ERROR);
