log: control characters in values are replaced

A line break in a value began a line of its own: a key of another writer in the store, which worker-entry-ignored names, could add any event to the log. Control characters are now written as "?".

test-log, "control characters are replaced": two lines before, one now.

--- a/src/log.c
+++ b/src/log.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <pthread.h>
@@ -112,6 +113,10 @@
 	n += vsnprintf(line + n, sizeof(line) - (size_t)n - 1, fmt, ap);
 	if (n > (int)sizeof(line) - 2)
 		n = (int)sizeof(line) - 2;
+	/* Values may come from others: a line break would begin a line. */
+	for (int i = 0; i < n; i++)
+		if (iscntrl((unsigned char)line[i]))
+			line[i] = '?';
 	line[n++] = '\n';
 	return write(STDOUT_FILENO, line, (size_t)n) >= 0 || errno != EAGAIN;
 }
--- a/src/log.h
+++ b/src/log.h
@@ -38,6 +38,7 @@
  */
 void log_set_rate_limit(unsigned lines_per_s);
 
+/* Control characters, as in values of others, are written as "?". */
 void log_event(enum log_level level, const char *event, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/tests/test-log.c
+++ b/tests/test-log.c
@@ -177,9 +177,26 @@
 	CU_ASSERT(log_event_is_known("job-ended at=1", 9));
 }
 
+/* Guards against text of others, as a key of the store, that forges a line. */
+static void test_control_characters_are_replaced(void)
+{
+	static struct capture c;
+
+	capture_begin(&c);
+	log_event(LOG_INFO, "sample", "key=%s",
+		  "a\nts=1 event=forged\r\t\x1b[2J\x7f\xc3\xb6");
+	capture_read(&c);
+	capture_end(&c);
+	CU_ASSERT_EQUAL_FATAL(c.count, 1);
+	CU_ASSERT_PTR_NOT_NULL(
+		strstr(c.lines[0], "key=a?ts=1 event=forged???[2J?\xc3\xb6"));
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
+		{ "control characters are replaced",
+		  test_control_characters_are_replaced },
 		{ "lines above the rate limit are counted",
 		  test_lines_above_the_rate_limit_are_counted },
 		{ "a full pipe drops lines", test_a_full_pipe_drops_lines },
