sched: a demand near 2^32 does not seem to fit

Beside what is used the demand wrapped around in 32 bits, and seemed to fit once other tasks had ended. The sums are now of 64 bits, as are those of the logged reasons for waiting and of the least disturbed worker.

test-sched-worker, "largest demand": one worker of 40 was reserved before.

--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -262,7 +262,7 @@
 
 		if (!sched_worker_usable(s, w, j, step) || w->probations ||
 		    w->over_target_since_us ||
-		    w->used.memory_mb + step->demand.memory_mb >
+		    (uint64_t)w->used.memory_mb + step->demand.memory_mb >
 			    w->capacity.memory_mb ||
 		    !sched_below_worker_max(s, w, t, step))
 			continue;
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -61,15 +61,19 @@
 			    const struct resources *freed,
 			    const struct job_step *step)
 {
-	return w->used.cpu_milli + w->reserved.cpu_milli +
-			       step->demand.cpu_milli <=
-		       w->capacity.cpu_milli + freed->cpu_milli &&
-	       w->used.memory_mb + w->reserved.memory_mb +
-			       step->demand.memory_mb <=
-		       w->capacity.memory_mb + freed->memory_mb &&
-	       w->used.accelerators + w->reserved.accelerators +
-			       step->demand.accelerators <=
-		       w->capacity.accelerators + freed->accelerators;
+	const struct resources *used = &w->used, *reserved = &w->reserved;
+	const struct resources *has = &w->capacity, *need = &step->demand;
+
+	/* In 64 bits, as a job may demand any number. */
+	return (uint64_t)used->cpu_milli + reserved->cpu_milli +
+			       need->cpu_milli <=
+		       (uint64_t)has->cpu_milli + freed->cpu_milli &&
+	       (uint64_t)used->memory_mb + reserved->memory_mb +
+			       need->memory_mb <=
+		       (uint64_t)has->memory_mb + freed->memory_mb &&
+	       (uint64_t)used->accelerators + reserved->accelerators +
+			       need->accelerators <=
+		       (uint64_t)has->accelerators + freed->accelerators;
 }
 
 /* Expected time at which a task of the step fits; UINT64_MAX: unknown. */
--- a/src/sched-wait-log.c
+++ b/src/sched-wait-log.c
@@ -28,18 +28,21 @@
 
 	if (!sched_worker_usable(s, w, j, step))
 		r->not_usable++;
-	else if (w->used.memory_mb + d->memory_mb > w->capacity.memory_mb)
+	else if ((uint64_t)w->used.memory_mb + d->memory_mb >
+		 w->capacity.memory_mb)
 		r->memory++;
-	else if (w->used.cpu_milli + d->cpu_milli > w->capacity.cpu_milli)
+	else if ((uint64_t)w->used.cpu_milli + d->cpu_milli >
+		 w->capacity.cpu_milli)
 		r->cpu++;
-	else if (w->used.accelerators + d->accelerators >
+	else if ((uint64_t)w->used.accelerators + d->accelerators >
 		 w->capacity.accelerators)
 		r->accelerators++;
 	else if (!sched_below_worker_max(s, w, t, step))
 		r->at_max++;
 	else
 		r->reserved++;
-	r->services += w->service_milli + d->cpu_milli > w->capacity.cpu_milli;
+	r->services += (uint64_t)w->service_milli + d->cpu_milli >
+		       w->capacity.cpu_milli;
 }
 
 /* Many batch steps wait in a burst; reasons are logged for services only. */
--- a/tests/test-sched-worker.c
+++ b/tests/test-sched-worker.c
@@ -383,6 +383,32 @@
 	job_model_free(m);
 }
 
+/*
+ * Guards against a demand that wraps around and seems to fit: a worker would be
+ * reserved for a task that never fits there.
+ */
+static void test_largest_demand(void)
+{
+	struct model *m = job_model_create(40, CORES(16), GB(64));
+	struct model_job *huge, *running, *small;
+
+	job_model_run(m, 100);
+	running = job_model_add_job(m, "urgent", 1, 40, CORES(1), GB(1), 60000);
+	job_model_submit(m, running);
+	job_model_run(m, 200);
+	huge = job_model_add_job(m, "urgent", 1, 8, CORES(1), UINT32_MAX, 300);
+	job_model_submit(m, huge);
+	job_model_run(m, 8000);
+	for (uint32_t i = 0; i < m->worker_count; i++)
+		CU_ASSERT_EQUAL(m->s->workers[i].reserved.cpu_milli, 0);
+	small = job_model_add_job(m, "urgent", 1, 64, CORES(1), GB(1), 300);
+	job_model_submit(m, small);
+	job_model_run(m, 1000);
+	CU_ASSERT_EQUAL(job_model_state(m, small), SCHED_JOB_COMPLETED);
+	CU_ASSERT_EQUAL(job_model_state(m, huge), SCHED_JOB_QUEUED);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -403,6 +429,7 @@
 		  test_record_of_direct_predecessor },
 		{ "malformed records", test_malformed_records },
 		{ "largest capacity", test_largest_capacity },
+		{ "largest demand", test_largest_demand },
 		{ "room of largest capacity", test_room_of_largest_capacity },
 	};
 
