--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -19,6 +19,7 @@
  *	sched-silent.c	silent workers, recorded for a successor
  *	sched-order.c	order of placement
  *	sched-place.c	placement
+ *	sched-gang.c	tasks that are placed together
  *	sched-index.c	workers by free capacity
  *	sched-reserve.c	reservations
  *	sched-preempt.c	urgent jobs that stop other tasks
@@ -425,6 +426,12 @@
 bool sched_worker_usable(const struct sched *s, const struct sched_worker *w,
 			 const struct job *j, const struct job_step *step);
 
+/* ---- sched-gang.c ---- */
+/* Longest wait of a step for the rack that it prefers. */
+uint64_t sched_rack_wait_us(const struct job_step *step);
+/* Places all members of a gang, or none. */
+void sched_place_gang(struct sched *s, struct job *j, struct sched_task *first);
+
 /* ---- sched-wait-log.c ---- */
 /*
  * Logs that tasks of a step fit nowhere; of a service, also the number of
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -9,11 +9,6 @@
  * files of the deployments. Use beyond it slows down batch tasks.
  */
 #define SERVICE_CPU_USE_PERCENT 45u
-/*
- * Longest wait for the rack of the data, in percent of the step's estimate. On
- * another rack the step takes remote-factor times as long.
- */
-#define RACK_WAIT_PERCENT 50u
 
 /* Preferences in thousandths of a worker's CPU, see score(). */
 #define SCORE_SAME_IMAGE 4000
@@ -394,8 +389,7 @@
 			   const struct sched_task *t)
 {
 	return *step->rack &&
-	       s->now_us < t->state_since_us + step->estimate_ms * 10ull *
-						       RACK_WAIT_PERCENT;
+	       s->now_us < t->state_since_us + sched_rack_wait_us(step);
 }
 
 /* A task that may wait for its probation runs beside others at once if not. */
@@ -427,70 +421,6 @@
 	return choose_any_rack(s, j, t);
 }
 
-/* Places all members or none; returns whether it placed them. */
-static bool try_gang(struct sched *s, struct job *j, struct sched_task *first,
-		     const char *rack)
-{
-	const struct job_step *step = &j->spec.steps[first->step];
-	uint64_t since_us = first->state_since_us;
-	uint32_t placed = 0, run = 0;
-
-	for (uint32_t i = 0; i < step->count; i++)
-		if (first[i].run > run)
-			run = first[i].run;
-	for (; placed < step->count; placed++) {
-		/* Members start together: none can run without the others. */
-		uint32_t w =
-			sched_best_worker(s, j, &first[placed], rack, true);
-
-		if (w == SCHED_NONE)
-			break;
-		first[placed].run = run;
-		sched_task_place(s, &first[placed], w);
-	}
-	if (placed == step->count)
-		return true;
-	while (placed--) {
-		sched_task_release(s, &first[placed]);
-		first[placed].run = run;
-		sched_task_set_state(s, &first[placed], TASK_WAITING);
-		/* The try does not end the wait for a rack. */
-		first[placed].state_since_us = since_us;
-	}
-	return false;
-}
-
-static void place_gang(struct sched *s, struct job *j, struct sched_task *first)
-{
-	const struct job_step *step = &j->spec.steps[first->step];
-	char checkpoint[SCHED_CHECKPOINT_BYTES] = "";
-
-	for (uint32_t i = 0; i < step->count; i++) {
-		if (first[i].state != TASK_WAITING ||
-		    s->now_us < first[i].retry_us)
-			return;
-		/* All members resume from the checkpoint of the longest run. */
-		if (strcmp(first[i].checkpoint, checkpoint) > 0)
-			memcpy(checkpoint, first[i].checkpoint,
-			       sizeof(checkpoint));
-	}
-	for (uint32_t i = 0; i < step->count; i++)
-		memcpy(first[i].checkpoint, checkpoint, sizeof(checkpoint));
-	if (*step->rack && try_gang(s, j, first, step->rack))
-		return;
-	if (step->same_rack)
-		for (uint32_t i = 0; i < s->worker_count; i++) {
-			const char *rack = s->workers[i].identity->labels[1];
-
-			if (*rack && try_gang(s, j, first, rack))
-				return;
-		}
-	if (s->now_us >= first->state_since_us + step->estimate_ms * 10ull *
-							 RACK_WAIT_PERCENT ||
-	    (!step->same_rack && !*step->rack))
-		try_gang(s, j, first, NULL);
-}
-
 /* What a placement round did with the tasks of one step. */
 struct step_result {
 	const struct sched_task *last_placed;
@@ -576,7 +506,7 @@
 	uint32_t waiting;
 
 	if (step->gang) {
-		place_gang(s, j, first);
+		sched_place_gang(s, j, first);
 		return;
 	}
 	if (first->wait_logged_us && cannot_fit(s, j, step))
