platform: labels beyond the known ones do not make an entry odd

An entry of a worker with more than four labels was refused as a whole, so that on a deployment whose workers have more all of them would stay unused. Before the further labels were left out, and they are again; the kind and the rack come first. A label of another type still makes the entry odd. test-decode: the row moves from the odd to the sound entries, a row with a label of another type takes its place.

--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -366,7 +366,7 @@
 		{ "labels", "[\"a\",\"r1-3\",null]" },
 		{ "labels", "[\"a\",\"0123456789012345678901234567890123456789"
 			    "012345678901234567890123\"]" },
-		{ "labels", "[\"a\",\"b\",\"c\",\"d\",\"e\"]" },
+		{ "labels", "[\"a\",\"b\",\"c\",7,\"e\"]" },
 		{ "born", "1778284019000.5" },
 		{ "born", "-1" },
 		{ "born", "1e18" },
@@ -379,6 +379,7 @@
 		{ "drain-remaining-ms", "\"soon\"" },
 	};
 	static const struct changed_member sound[] = {
+		{ "labels", "[\"a\",\"b\",\"c\",\"d\",\"e\"]" },
 		{ "born", NULL },
 		{ "born", "1778284019000" },
 		{ "state", "\"draining\"" },
