--- a/tests/test-decode-report.c
+++ b/tests/test-decode-report.c
@@ -181,10 +181,35 @@
 	}
 }
 
+/* Guards against a lease until a time that a clock out of range gives. */
+static void test_clocks_of_workers(void)
+{
+	static const char *const odd[] = {
+		"{}",
+		"{\"clock-ms\":null}",
+		"{\"clock-ms\":\"482113\"}",
+		"{\"clock-ms\":-1}",
+		"{\"clock-ms\":482113.5}",
+		"{\"clock-ms\":9e18}",
+		"{\"clock-ms\":1e300}",
+	};
+	json_t *root = json_loads("{\"clock-ms\":482113}", 0, NULL);
+
+	CU_ASSERT_EQUAL(decode_worker_clock(root), 482113);
+	json_decref(root);
+	for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+		root = json_loads(odd[i], 0, NULL);
+		CU_ASSERT_PTR_NOT_NULL(root);
+		CU_ASSERT_EQUAL(decode_worker_clock(root), 0);
+		json_decref(root);
+	}
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
 		{ "report", test_report },
+		{ "clocks of workers", test_clocks_of_workers },
 		{ "malformed reports", test_malformed_reports },
 		{ "odd rows in reports", test_odd_rows_in_reports },
 		{ "long reports", test_long_reports },
