test-jobs-silent: a worker that is listed has not crashed

Fails: a successor takes tasks of a listed, silent worker for possibly crashed ones if the leases in its predecessor's record are over before it has read the workers.

--- a/tests/test-jobs-silent.c
+++ b/tests/test-jobs-silent.c
@@ -1,7 +1,9 @@
+#include <event2/event.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "clock.h"
+#include "sched-internal.h"
 #include "support-jobs-fixture.h"
 #include "support-unit.h"
 
@@ -224,6 +226,47 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/*
+ * Guards against a loss that counts against the task, as if it might have
+ * crashed its worker: the leases are over before the successor has read which
+ * workers are listed. This one is listed all the time.
+ */
+static void test_listed_worker_has_not_crashed(void)
+{
+	struct jobs_fixture f;
+	const struct sched *s;
+	int owner, worker;
+	uint64_t end;
+
+	set_up(&f, false);
+	worker = run_service(&f);
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	jobs_platform_set_unresponsive(f.platform, worker, true);
+	wait_for_record(&f);
+	/* The next owner is elected more than 1 s after this one is killed. */
+	while (jobs_platform_lease_left_ms(f.platform, worker) > 200)
+		jobs_fixture_run(&f, 10);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 1);
+	jobs_fixture_stop_entry(&f, owner);
+	end = clock_now_us() + 4000000;
+	while (!job_owner_sched(f.entries[!owner].node.owner) &&
+	       clock_now_us() < end)
+		event_base_loop(f.base, EVLOOP_ONCE);
+	/* The read of the workers, just requested, takes some time. */
+	jobs_platform_faults(f.platform)->unresponsive = true;
+	jobs_fixture_run(&f, 50);
+	jobs_platform_faults(f.platform)->unresponsive = false;
+	wait_for_starts(&f, 2, 16000);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 2);
+	s = job_owner_sched(f.entries[!owner].node.owner);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(s);
+	CU_ASSERT_EQUAL_FATAL(s->job_count, 1);
+	CU_ASSERT_EQUAL(s->tasks[s->jobs[0].occurrences[0].first_task].losses,
+			0);
+	jobs_fixture_tear_down(&f);
+}
+
 /* A record that cannot be read, or is removed, changes no more than the wait.
  */
 static void test_malformed_record(void)
@@ -261,6 +304,8 @@
 		{ "leases resume", test_leases_resume },
 		{ "worker that was back while store was away",
 		  test_worker_that_was_back_while_store_was_away },
+		{ "listed worker has not crashed",
+		  test_listed_worker_has_not_crashed },
 		{ "malformed record", test_malformed_record },
 	};
 
