--- a/tests/test-sched-worker.c
+++ b/tests/test-sched-worker.c
@@ -304,6 +304,29 @@
 	job_model_free(m);
 }
 
+/*
+ * Guards against the end of a lease by an earlier record, in which the same
+ * worker's leases were over sooner: a watch can tell of it after the latest one
+ * has been read.
+ */
+static void test_older_record_comes_late(void)
+{
+	static const char old[] = "\x93\x01\x07\x91\x92\xa1w\x05";
+	static const char latest[] = "\x93\x01\x07\x90";
+	struct silent_notes n = { .revision = 0 };
+
+	CU_ASSERT(update(&n, 9, latest, sizeof(latest) - 1, 1000));
+	CU_ASSERT_EQUAL(n.count, 0);
+	CU_ASSERT(update(&n, 8, old, sizeof(old) - 1, 2000));
+	CU_ASSERT_EQUAL(n.count, 0);
+	CU_ASSERT_EQUAL(n.revision, 9);
+	CU_ASSERT_EQUAL(n.epoch, RECORD_EPOCH);
+	/* The later one still counts. */
+	CU_ASSERT(update(&n, 10, old, sizeof(old) - 1, 3000));
+	CU_ASSERT_EQUAL(n.count, 1);
+	silent_notes_clear(&n);
+}
+
 /* A record that cannot be read limits nothing. */
 static void test_malformed_records(void)
 {
@@ -427,6 +450,7 @@
 		{ "successor records at once", test_successor_records_at_once },
 		{ "record of direct predecessor",
 		  test_record_of_direct_predecessor },
+		{ "older record comes late", test_older_record_comes_late },
 		{ "malformed records", test_malformed_records },
 		{ "largest capacity", test_largest_capacity },
 		{ "largest demand", test_largest_demand },
