owner: a silent worker is not taken for one that is gone

After the loss of an owner, tasks of a worker that was silent but listed were counted as lost by a possible crash: such a task runs on probation after three of these, and its job fails after five.

The leases in the record of the former owner can be over when its successor begins to act, and the first tick then came before the workers were read. They are now limited once the workers are read. Nothing is placed before, so no task comes back later.

test-jobs-silent, 'listed worker has not crashed': one loss without the change, none with it.

--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -152,6 +152,7 @@
 	struct kv_follow *spec_follow;
 	struct kv_follow *worker_follow;
 	bool specs_loaded;
+	bool workers_read; /* all entries, since the election */
 	char progress_cursor[KV_KEY_BYTES]; /* key of the last record loaded */
 	char **pending_cancels;		    /* job ids, seen before the job */
 	size_t pending_cancel_count;
@@ -188,7 +189,10 @@
 void job_owner_silent_load(struct job_owner *o);
 /* Repeats a read that failed. */
 void job_owner_silent_tick(struct job_owner *o, uint64_t now);
-/* Limits the leases of workers, once both the jobs and the record are read. */
+/*
+ * Limits the leases of workers, once the jobs, the workers and the record are
+ * read. Before, a worker that is only silent is not told from one that is gone.
+ */
 void job_owner_silent_apply(struct job_owner *o);
 /* Whether the record has to be stored. */
 bool job_owner_silent_due(const struct job_owner *o, uint64_t now);
--- a/src/job-owner-silent.c
+++ b/src/job-owner-silent.c
@@ -34,8 +34,7 @@
 		job_owner_silent_item(o, &r->items[0]);
 	else
 		silent_notes_clear(&o->silent);
-	if (o->state == OWNER_ACTIVE)
-		job_owner_silent_apply(o);
+	job_owner_silent_apply(o);
 }
 
 static void request_record(struct job_owner *o)
@@ -62,7 +61,7 @@
 {
 	uint32_t n;
 
-	if (!o->silent_read)
+	if (!o->silent_read || !o->workers_read)
 		return;
 	n = silent_notes_apply(&o->silent, o->sched, o->epoch);
 	if (!n)
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -226,8 +226,13 @@
 {
 	struct job_owner *o = arg;
 
-	if (o->workers)
-		job_workers_resync(o->workers, false);
+	if (!o->workers)
+		return;
+	job_workers_resync(o->workers, false);
+	if (o->workers_read)
+		return;
+	o->workers_read = true;
+	job_owner_silent_apply(o);
 }
 
 static const struct kv_follow_ops worker_follow_ops = {
@@ -251,7 +256,6 @@
 	o->worker_follow = kv_follow_create(
 		n->base, n->kv, n->platform->worker_prefix, WORKER_WATCH_MS,
 		WORKER_WATCH_BATCH_MS, &worker_follow_ops, o);
-	job_owner_silent_apply(o);
 	sched_stats(o->sched, &st);
 	log_event(LOG_INFO, "owner-acting", "epoch=%llu jobs_open=%u",
 		  (unsigned long long)o->epoch, st.jobs_open);
@@ -338,6 +342,7 @@
 	relay_hub_open(n->relay_hub);
 	o->progress_cursor[0] = '\0';
 	o->specs_loaded = false;
+	o->workers_read = false;
 	o->sched = sched_create(&sched_ops, o, &settings, clock_now_us());
 	job_owner_apply_config(o);
 	load_pairs(o);
