owner: an older record of silent workers does not replace the latest

The watch can tell of a record after a later one has been read at the election. Until the workers are read, the older one would apply: a worker that it lists may have got leases since, and its tasks would be placed elsewhere while they run.

Earlier revisions are now ignored, except if the read after the election names a lower one, as of a store that was set up anew; then the notes start afresh.

test-sched-worker, 'older record comes late', fails without the change. 'malformed records' went back to a revision after each value; it now counts up, with the same values and checks.

--- a/src/job-owner-silent.c
+++ b/src/job-owner-silent.c
@@ -30,10 +30,12 @@
 	if (r->outcome != KV_OK && r->outcome != KV_NOT_FOUND)
 		return;
 	o->silent_read = true;
+	/* A lower revision is that of a store that was set up anew. */
+	if (r->outcome != KV_OK || !r->count ||
+	    r->items[0].revision < o->silent.revision)
+		silent_notes_clear(&o->silent);
 	if (r->outcome == KV_OK && r->count)
 		job_owner_silent_item(o, &r->items[0]);
-	else
-		silent_notes_clear(&o->silent);
 	job_owner_silent_apply(o);
 }
 
--- a/src/job-silent.c
+++ b/src/job-silent.c
@@ -112,7 +112,7 @@
 	msgpack_unpacked u;
 	int result = 0;
 
-	if (revision == n->revision)
+	if (revision <= n->revision)
 		return 0;
 	silent_notes_clear(n);
 	if (!pack_unpack(&u, data, len) || !decode_record(n, &u.data, now_us)) {
