--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -270,7 +270,9 @@
 	bool collecting;
 	bool placement_due; /* a change may allow a placement */
 	uint64_t last_placement_us;
-	uint64_t last_overdue_us;  /* last round for overdue services */
+	uint64_t last_overdue_us;	  /* last round for overdue services */
+	struct sched_task **overdue_list; /* of the last step listed */
+	uint32_t overdue_capacity;
 	uint32_t overdue_services; /* jobs with overdue tasks at the last round
 				      for all */
 	uint32_t backlog;	   /* waiting tasks at the last round */
@@ -396,10 +398,12 @@
 uint32_t sched_list_candidates(struct sched *s, struct candidate **list);
 /* As above, but only services with overdue tasks, and only for these. */
 uint32_t sched_list_overdue(const struct sched *s, struct candidate **list);
-/* The overdue task of a step that follows in order; NULL: no more. */
-struct sched_task *sched_next_overdue(const struct sched *s,
-				      struct sched_task *first, uint32_t count,
-				      const struct sched_task *previous);
+/*
+ * Lists the overdue tasks of a step, the longest absent first, until the next
+ * call; returns their number.
+ */
+uint32_t sched_overdue_tasks(struct sched *s, struct sched_task *first,
+			     uint32_t count, struct sched_task ***list);
 
 /* ---- sched-place.c ---- */
 void sched_place(struct sched *s);
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 
+#include "buffer.h"
 #include "sched-internal.h"
 
 /*
@@ -52,31 +53,35 @@
 	       sched_task_step(s, t)->long_running;
 }
 
-/* The overdue tasks of a step are placed in this order: longest absence first.
- */
-static bool overdue_before(const struct sched_task *a,
-			   const struct sched_task *b)
+/* The longest absent first. */
+static int compare_overdue(const void *a, const void *b)
 {
-	return a->absent_since_us != b->absent_since_us
-		       ? a->absent_since_us < b->absent_since_us
-		       : a->index < b->index;
+	const struct sched_task *x = *(struct sched_task *const *)a;
+	const struct sched_task *y = *(struct sched_task *const *)b;
+
+	if (x->absent_since_us != y->absent_since_us)
+		return x->absent_since_us < y->absent_since_us ? -1 : 1;
+	return x->index < y->index ? -1 : x->index > y->index;
 }
 
-struct sched_task *sched_next_overdue(const struct sched *s,
-				      struct sched_task *first, uint32_t count,
-				      const struct sched_task *previous)
+uint32_t sched_overdue_tasks(struct sched *s, struct sched_task *first,
+			     uint32_t count, struct sched_task ***list)
 {
-	struct sched_task *next = NULL;
-
-	for (uint32_t i = 0; i < count; i++) {
-		struct sched_task *t = &first[i];
+	uint32_t n = 0;
 
-		if (overdue(s, t) &&
-		    (!previous || overdue_before(previous, t)) &&
-		    (!next || overdue_before(t, next)))
-			next = t;
+	if (count > s->overdue_capacity) {
+		s->overdue_capacity = count;
+		s->overdue_list = xrealloc(s->overdue_list,
+					   count * sizeof(*s->overdue_list));
 	}
-	return next;
+	for (uint32_t i = 0; i < count; i++)
+		if (overdue(s, &first[i]))
+			s->overdue_list[n++] = &first[i];
+	if (n > 1)
+		qsort(s->overdue_list, n, sizeof(*s->overdue_list),
+		      compare_overdue);
+	*list = s->overdue_list;
+	return n;
 }
 
 /* Since when the longest absent of the overdue tasks is; UINT64_MAX: none. */
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -512,10 +512,11 @@
 	if (first->wait_logged_us && cannot_fit(s, j, step))
 		return;
 	if (class <= CLASS_OVERDUE_RESERVE) {
-		struct sched_task *t = NULL;
+		struct sched_task **list;
+		uint32_t n = sched_overdue_tasks(s, first, step->count, &list);
 
-		while ((t = sched_next_overdue(s, first, step->count, t)))
-			place_task(s, j, t, class, &r);
+		for (uint32_t i = 0; i < n; i++)
+			place_task(s, j, list[i], class, &r);
 	} else {
 		for (uint32_t i = 0;
 		     i < step->count && (!r.unplaced || may_reserve(s, step));
--- a/src/sched.c
+++ b/src/sched.c
@@ -70,6 +70,7 @@
 	free(s->tasks);
 	free(s->free_blocks);
 	free(s->stop_retries);
+	free(s->overdue_list);
 	for (uint32_t i = 0; i < s->worker_count; i++)
 		free(s->workers[i].identity);
 	free(s->workers);
--- a/tests/test-sched-reserve.c
+++ b/tests/test-sched-reserve.c
@@ -226,10 +226,11 @@
 	job_model_run(m, 500);
 	for (uint32_t i = 0; i < m->s->task_count; i++) {
 		const struct sched_task *t = &m->s->tasks[i];
+		struct sched_task **list;
 
 		late += t->state == TASK_WAITING && t->run &&
 			sched_task_step(m->s, t)->long_running &&
-			!sched_next_overdue(m->s, &m->s->tasks[i], 1, NULL);
+			!sched_overdue_tasks(m->s, &m->s->tasks[i], 1, &list);
 	}
 	printf("%u tasks wait that do not come first\n", late);
 	CU_ASSERT_EQUAL(late, 0);
