sched: no service is stopped while others wait in vain

Some 100 services of lost workers still found no room then; fewer were away than may be, so that stops had begun again.

No service is stopped for urgent tasks while more tasks of services that have run are overdue than there may be reservations: what is stopped then is in the same queue 6 s later.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -270,7 +270,8 @@
 	bool collecting;
 	bool placement_due; /* a change may allow a placement */
 	uint64_t last_placement_us;
-	uint64_t last_overdue_us;	  /* last round for overdue services */
+	uint64_t last_overdue_us; /* last round for overdue services */
+	uint32_t overdue_ran;	  /* overdue tasks that ran, at that round */
 	struct sched_task **overdue_list; /* of the last step listed */
 	uint32_t overdue_capacity;
 	uint32_t overdue_services; /* jobs with overdue tasks at the last round
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -84,8 +84,12 @@
 	return n;
 }
 
-/* Since when the longest absent of the overdue tasks is; UINT64_MAX: none. */
-static uint64_t overdue_since_us(const struct sched *s, const struct job *j)
+/*
+ * Since when the longest absent of the overdue tasks is; UINT64_MAX: none is.
+ * Adds to ran the number of those that have run.
+ */
+static uint64_t overdue_since_us(const struct sched *s, const struct job *j,
+				 uint32_t *ran)
 {
 	uint32_t count = job_spec_task_count(&j->spec);
 	uint64_t since_us = UINT64_MAX;
@@ -95,7 +99,10 @@
 			const struct sched_task *t =
 				&s->tasks[j->occurrences[i].first_task + k];
 
-			if (t->absent_since_us < since_us && overdue(s, t))
+			if (!overdue(s, t))
+				continue;
+			*ran += t->run > 0;
+			if (t->absent_since_us < since_us)
 				since_us = t->absent_since_us;
 		}
 	return since_us;
@@ -132,9 +139,9 @@
 
 /* Adds a service twice if it has overdue tasks; returns the new length. */
 static uint32_t add_overdue(const struct sched *s, uint32_t job,
-			    struct candidate *list, uint32_t n)
+			    struct candidate *list, uint32_t n, uint32_t *ran)
 {
-	uint64_t since_us = overdue_since_us(s, &s->jobs[job]);
+	uint64_t since_us = overdue_since_us(s, &s->jobs[job], ran);
 
 	if (since_us == UINT64_MAX)
 		return n;
@@ -160,12 +167,12 @@
 {
 	struct candidate *list =
 		xcalloc(2 * (size_t)s->job_count + 1, sizeof(*list));
-	uint32_t n = 0;
+	uint32_t n = 0, ran = 0;
 
 	for (uint32_t i = 0; i < s->job_count; i++)
 		if (has_waiting_tasks(&s->jobs[i]) &&
 		    job_spec_long_running(&s->jobs[i].spec))
-			n = add_overdue(s, i, list, n);
+			n = add_overdue(s, i, list, n, &ran);
 	qsort(list, n, sizeof(*list), compare_candidates);
 	*out = list;
 	return n;
@@ -179,6 +186,7 @@
 
 	s->backlog = 0;
 	s->overdue_services = 0;
+	s->overdue_ran = 0;
 	for (uint32_t i = 0; i < s->job_count; i++) {
 		const struct job *j = &s->jobs[i];
 		enum deadline_class class;
@@ -194,7 +202,7 @@
 		if (!job_spec_long_running(&j->spec))
 			continue;
 		before = n;
-		n = add_overdue(s, i, list, n);
+		n = add_overdue(s, i, list, n, &s->overdue_ran);
 		s->overdue_services += n > before;
 	}
 	qsort(list, n, sizeof(*list), compare_candidates);
--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -23,7 +23,8 @@
 /*
  * At most one task of a service is away for this many listed workers before no
  * other is stopped. Those on silent workers count: if these are gone, the tasks
- * that were stopped wait behind them.
+ * that were stopped wait behind them. Nor is one stopped while more are overdue
+ * than reservations can bring back.
  */
 #define WORKERS_PER_ABSENT_SERVICE 2u
 
@@ -209,7 +210,8 @@
 	const struct job_step *step = &j->spec.steps[t->step];
 	uint32_t absent = s->absent_services + s->silent_services;
 	bool services = !step->long_running &&
-			absent * WORKERS_PER_ABSENT_SERVICE < s->listed_count;
+			absent * WORKERS_PER_ABSENT_SERVICE < s->listed_count &&
+			s->overdue_ran <= s->reserved_max;
 	struct victims best = { .worker = SCHED_NONE };
 	/* Not worth it if more is lost than the task would use. */
 	uint64_t least =
--- a/tests/test-sched-services.c
+++ b/tests/test-sched-services.c
@@ -159,6 +159,34 @@
 	job_model_free(m);
 }
 
+/*
+ * Load pattern: services fill the workers that are left after a loss; fewer are
+ * away than may be, but none of them comes back. Guards against others that are
+ * stopped for urgent tasks, and wait as long.
+ */
+static void test_no_service_is_stopped_while_others_wait_in_vain(void)
+{
+	struct model *m = job_model_create(40, CORES(32), GB(64));
+	struct model_absences absences = { .longest_ms = 0 };
+	struct model_job *service;
+	uint32_t stops;
+
+	job_model_run(m, 100);
+	for (uint32_t i = 0; i < 3; i++)
+		job_model_submit(m, add_service(m, 40, CORES(6)));
+	service = add_service(m, 80, CORES(6));
+	job_model_submit(m, service);
+	job_model_run(m, 2000);
+	CU_ASSERT_EQUAL(job_model_running(m), 200);
+	for (uint32_t i = 0; i < 3; i++)
+		job_model_lose_worker(m, &m->workers[i]);
+	job_model_run(m, 10000);
+	stops = m->stops;
+	run_under_urgent_load(m, 10000, 300, CORES(12), service, &absences);
+	CU_ASSERT_EQUAL(m->stops, stops);
+	job_model_free(m);
+}
+
 /*
  * Load pattern: a burst of urgent jobs comes while a part of the workers is
  * silent. Guards against services that are stopped for it, and then wait behind
@@ -309,6 +337,8 @@
 		  test_services_of_lost_workers_come_first },
 		{ "no service is stopped while many are away",
 		  test_no_service_is_stopped_while_many_are_away },
+		{ "no service is stopped while others wait in vain",
+		  test_no_service_is_stopped_while_others_wait_in_vain },
 		{ "no service is stopped while workers are silent",
 		  test_no_service_is_stopped_while_workers_are_silent },
 		{ "reservation respects limit of tasks on worker",
