--- a/src/pack.c
+++ b/src/pack.c
@@ -34,7 +34,9 @@
 {
 	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size)
 		return false;
-	memcpy(out, o->via.str.ptr, o->via.str.size);
+	/* An empty string may have no pointer. */
+	if (o->via.str.size)
+		memcpy(out, o->via.str.ptr, o->via.str.size);
 	out[o->via.str.size] = '\0';
 	return true;
 }
