--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -191,7 +191,7 @@
 void job_owner_silent_tick(struct job_owner *o, uint64_t now);
 /*
  * Limits the leases of workers, once the jobs, the workers and the record are
- * read. Before, a worker that is only silent is not told from one that is gone.
+ * read: the list of workers distinguishes a silent one from one that is gone.
  */
 void job_owner_silent_apply(struct job_owner *o);
 /* Whether the record has to be stored. */
--- a/src/job-silent.h
+++ b/src/job-silent.h
@@ -45,8 +45,9 @@
 
 /*
  * Replaces the notes by the record with the given revision, received at now_us.
- * The same revision again, or an earlier one, has no effect: a watch can tell
- * of it later than a read. Returns 0, or -1 with err set and the notes empty.
+ * The same revision again, or an earlier one, has no effect: a watch can
+ * deliver it later than a read. Returns 0, or -1 with err set and the notes
+ * empty.
  */
 int silent_notes_update(struct silent_notes *n, uint64_t revision,
 			const void *data, size_t len, uint64_t now_us,
--- a/tests/test-sched-services.c
+++ b/tests/test-sched-services.c
@@ -163,7 +163,7 @@
  * away than may be, but none of them comes back. Guards against others that are
  * stopped for urgent tasks, and wait as long.
  */
-static void test_no_service_is_stopped_while_others_wait_in_vain(void)
+static void test_no_service_is_stopped_while_others_find_no_room(void)
 {
 	struct model *m = job_model_create(40, CORES(32), GB(64));
 	struct model_absences absences = { .longest_ms = 0 };
@@ -300,8 +300,8 @@
 		  test_services_of_lost_workers_come_first },
 		{ "no service is stopped while many are away",
 		  test_no_service_is_stopped_while_many_are_away },
-		{ "no service is stopped while others wait in vain",
-		  test_no_service_is_stopped_while_others_wait_in_vain },
+		{ "no service is stopped while others find no room",
+		  test_no_service_is_stopped_while_others_find_no_room },
 		{ "no service is stopped while workers are silent",
 		  test_no_service_is_stopped_while_workers_are_silent },
 		{ "reservation respects limit of tasks on worker",
--- a/tests/test-sched-worker.c
+++ b/tests/test-sched-worker.c
@@ -306,7 +306,7 @@
 
 /*
  * Guards against the end of a lease by an earlier record, in which the same
- * worker's leases were over sooner: a watch can tell of it after the latest one
+ * worker's leases were over sooner: a watch can deliver it after the latest one
  * has been read.
  */
 static void test_older_record_comes_late(void)
