sched: jobs of a removed queue go on after a change of the owner

Cause: only the owner's memory held the policy of a removed queue. A successor, which reads a configuration without it, fell back on no service and on one attempt. The same fallback met a job that an entry VM accepted before it received the configuration without the queue.

Change: the policy at acceptance is stored with the specification, as a last element that earlier versions ignore. Records without it neither start nor give up tasks until the queue is known; the limit of attempts is checked then. An owner thus never needs more than the job's own record and the present configuration.

--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -77,7 +77,7 @@
 void job_owner_apply_config(struct job_owner *o)
 {
 	const struct job_config *c = o->node->config;
-	struct sched_queue *queues;
+	struct queue_policy *queues;
 	struct sched_policy p;
 
 	if (!c)
--- a/src/job-platform.h
+++ b/src/job-platform.h
@@ -25,7 +25,7 @@
  */
 
 struct job_queue {
-	struct sched_queue policy;
+	struct queue_policy policy;
 	char host[128];
 	char prefix[128]; /* of the path; the job id follows */
 };
--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -36,17 +36,8 @@
 #define SCHED_CHECKPOINT_BYTES 64
 #define SCHED_TASK_NAME_BYTES 64
 
-struct sched_queue {
-	char name[JOB_NAME_BYTES];
-	char service[JOB_NAME_BYTES]; /* its workers run the tasks */
-	uint32_t priority;	      /* 0: highest */
-	uint32_t attempts_max;
-	double stretch; /* allowed multiple of the critical path */
-	uint32_t target_latency_ms;
-};
-
 struct sched_policy {
-	const struct sched_queue *queues;
+	const struct queue_policy *queues;
 	size_t queue_count;
 };
 
@@ -146,7 +137,10 @@
 			   uint64_t now_us);
 void sched_destroy(struct sched *s);
 
-/* Copies p. Jobs of queues that p doesn't contain keep their last policy. */
+/*
+ * Copies p. Jobs of queues that p doesn't contain keep their last policy; to
+ * jobs that this owner has not seen with one applies that of their acceptance.
+ */
 void sched_set_policy(struct sched *s, const struct sched_policy *p);
 
 /* Takes ownership of the contents of spec. Returns false if the id exists. */
--- a/src/job-spec.c
+++ b/src/job-spec.c
@@ -6,7 +6,8 @@
 #include "pack.h"
 
 /* Elements of the stored arrays. */
-#define JOB_ELEMENTS 9
+#define JOB_ELEMENTS 10
+#define POLICY_ELEMENTS 5
 #define STEP_ELEMENTS 13
 
 enum step_flag {
@@ -133,6 +134,16 @@
 	pack_str(pk, step->image);
 }
 
+static void pack_policy(msgpack_packer *pk, const struct queue_policy *p)
+{
+	msgpack_pack_array(pk, POLICY_ELEMENTS);
+	pack_str(pk, p->service);
+	msgpack_pack_uint32(pk, p->priority);
+	msgpack_pack_uint32(pk, p->attempts_max);
+	msgpack_pack_double(pk, p->stretch);
+	msgpack_pack_uint32(pk, p->target_latency_ms);
+}
+
 void job_spec_encode(const struct job_spec *s, struct buffer *out)
 {
 	msgpack_packer pk;
@@ -150,6 +161,7 @@
 	msgpack_pack_array(&pk, s->step_count);
 	for (uint32_t i = 0; i < s->step_count; i++)
 		pack_step(&pk, &s->steps[i]);
+	pack_policy(&pk, &s->policy);
 }
 
 /* Reads the elements of an array in sequence; failed is sticky. */
@@ -195,6 +207,13 @@
 		r->failed = true;
 }
 
+static double read_double(struct reader *r)
+{
+	const msgpack_object *o = next_element(r, MSGPACK_OBJECT_FLOAT64);
+
+	return o ? o->via.f64 : 0;
+}
+
 static char *read_text(struct reader *r)
 {
 	const msgpack_object *o = next_element(r, MSGPACK_OBJECT_STR);
@@ -244,6 +263,18 @@
 	return !r.failed;
 }
 
+static bool read_policy(const msgpack_object *o, struct queue_policy *p)
+{
+	struct reader r = read_array(o);
+
+	read_name(&r, p->service, sizeof(p->service));
+	p->priority = read_u32(&r);
+	p->attempts_max = read_u32(&r);
+	p->stretch = read_double(&r);
+	p->target_latency_ms = read_u32(&r);
+	return !r.failed;
+}
+
 static int read_job(struct job_spec *s, const msgpack_object *o,
 		    struct error *err)
 {
@@ -267,6 +298,10 @@
 	for (uint32_t i = 0; i < s->step_count; i++)
 		if (!read_step(&steps->via.array.ptr[i], &s->steps[i]))
 			return invalid(err, "a stored step is malformed");
+	memcpy(s->policy.name, s->queue, sizeof(s->policy.name));
+	if (r.left &&
+	    !read_policy(next_element(&r, MSGPACK_OBJECT_ARRAY), &s->policy))
+		return invalid(err, "a stored policy is malformed");
 	return job_spec_check(s, err);
 }
 
--- a/src/job-spec.h
+++ b/src/job-spec.h
@@ -17,6 +17,10 @@
  *	rejects one that can never run. It is stored as a msgpack array that
  *	begins with JOB_SPEC_FORMAT.
  *
+ *	The policy of the queue is stored with it: the configuration may have
+ *	dropped the queue when a new owner loads the job. Records of earlier
+ *	versions end before the policy, and these versions ignore it.
+ *
  * ERRORS
  *	Layer ERROR_LAYER_CORE, code JOB_SPEC_INVALID.
  *
@@ -61,9 +65,20 @@
 	bool best_effort;  /* uses CPU that other tasks leave idle */
 };
 
+struct queue_policy {
+	char name[JOB_NAME_BYTES];
+	char service[JOB_NAME_BYTES]; /* its workers run the tasks */
+	uint32_t priority;	      /* 0: highest */
+	uint32_t attempts_max;
+	double stretch; /* allowed multiple of the critical path */
+	uint32_t target_latency_ms;
+};
+
 struct job_spec {
 	char id[JOB_ID_BYTES];
 	char queue[JOB_NAME_BYTES];
+	/* Of the queue, at acceptance. No service: unknown (old records). */
+	struct queue_policy policy;
 	uint64_t accepted_wall_ms;
 	char *text;
 	uint32_t repetitions; /* 0: runs once, immediately */
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -113,9 +113,9 @@
 
 struct job {
 	struct job_spec spec;
-	struct sched_queue queue; /* copy of the queue's policy */
-	uint32_t service;	  /* handle of the queue's service */
-	uint32_t estimate;	  /* of the queue, in the table of estimates */
+	struct queue_policy queue; /* copy of the queue's policy */
+	uint32_t service;	   /* handle of the queue's service */
+	uint32_t estimate;	   /* of the queue, in the table of estimates */
 	uint32_t longest_run_ms[JOB_STEPS_MAX]; /* of the tasks done so far */
 	uint32_t step_ms[JOB_STEPS_MAX]; /* duration of steps; 0: not done */
 	struct occurrence *occurrences;
@@ -230,8 +230,9 @@
 	const struct sched_ops *ops;
 	void *arg;
 	struct sched_settings settings;
-	struct sched_queue *queues;
+	struct queue_policy *queues;
 	size_t queue_count;
+	bool attempts_unchecked; /* since the policy changed or jobs loaded */
 	char (*services)[JOB_NAME_BYTES]; /* names by handle */
 	uint32_t service_count;
 	struct queue_estimate estimates[SCHED_ESTIMATES_MAX];
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -206,6 +206,7 @@
 				"progress record of job %s is malformed", id);
 	msgpack_unpacked_destroy(&u);
 	sched_clear_dirty(s, j);
+	s->attempts_unchecked = true;
 	return ret;
 }
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -92,8 +92,8 @@
 	return s->service_count++;
 }
 
-static const struct sched_queue *find_queue(const struct sched *s,
-					    const char *name)
+static const struct queue_policy *find_queue(const struct sched *s,
+					     const char *name)
 {
 	for (size_t i = 0; i < s->queue_count; i++)
 		if (!strcmp(s->queues[i].name, name))
@@ -103,8 +103,10 @@
 
 static void apply_queue(struct sched *s, struct job *j)
 {
-	const struct sched_queue *q = find_queue(s, j->spec.queue);
+	const struct queue_policy *q = find_queue(s, j->spec.queue);
 
+	if (!q && !*j->queue.name && *j->spec.policy.service)
+		q = &j->spec.policy;
 	j->service = sched_service(s, q ? q->service : j->queue.service);
 	if (!q)
 		return;
@@ -122,6 +124,7 @@
 	for (uint32_t i = 0; i < s->job_count; i++)
 		if (s->jobs[i].used)
 			apply_queue(s, &s->jobs[i]);
+	s->attempts_unchecked = true;
 	s->placement_due = true;
 }
 
@@ -191,8 +194,9 @@
 	memset(spec, 0, sizeof(*spec));
 	j->next_in_bucket = s->buckets[bucket];
 	s->buckets[bucket] = sched_job_index(s, j);
+	/* Until a policy is known no task starts or is given up. */
 	j->queue.stretch = 1;
-	j->queue.attempts_max = 1;
+	j->queue.attempts_max = UINT32_MAX;
 	apply_queue(s, j);
 	for (uint32_t i = 0; i < j->spec.step_count; i++)
 		j->spec.steps[i].image_handle =
@@ -407,6 +411,38 @@
 	sched_mark_dirty(s, j);
 }
 
+static bool is_out_of_attempts(const struct sched *s, const struct job *j,
+			       const struct occurrence *o)
+{
+	uint32_t n = job_spec_task_count(&j->spec);
+
+	for (uint32_t i = 0; i < n; i++) {
+		const struct sched_task *t = &s->tasks[o->first_task + i];
+
+		if (t->state != TASK_DONE &&
+		    t->failures >= j->queue.attempts_max &&
+		    !sched_task_step(s, t)->long_running)
+			return true;
+	}
+	return false;
+}
+
+/* Failures may have been counted while the limit was not known. */
+static void check_attempts(struct sched *s)
+{
+	if (!s->attempts_unchecked)
+		return;
+	s->attempts_unchecked = false;
+	for (uint32_t i = 0; i < s->job_count; i++) {
+		struct job *j = &s->jobs[i];
+
+		for (uint32_t k = 0; j->used && k < j->occurrence_count; k++)
+			if (j->occurrences[k].used &&
+			    is_out_of_attempts(s, j, &j->occurrences[k]))
+				sched_end_job(s, j, SCHED_JOB_FAILED);
+	}
+}
+
 void sched_cancel(struct sched *s, const char *id, uint64_t now_us,
 		  uint64_t wall_ms)
 {
@@ -511,6 +547,7 @@
 
 	s->now_us = now_us;
 	s->wall_ms = wall_ms;
+	check_attempts(s);
 	sched_workers_tick(s);
 	sched_stops_tick(s);
 	for (uint32_t i = 0; i < s->job_count; i++) {
--- a/tests/bench-scale.c
+++ b/tests/bench-scale.c
@@ -382,7 +382,7 @@
 {
 	static const struct sched_ops ops = { .order = on_order,
 					      .forget = on_forget };
-	static const struct sched_queue queues[] = {
+	static const struct queue_policy queues[] = {
 		{ "urgent", "svc", 0, 4, 1.5, 300 },
 		{ "service", "svc", 0, 2, 2.2, 2500 },
 		{ "batch", "svc", 2, 2, 2.0, 1000 },
--- a/tests/support-sched.c
+++ b/tests/support-sched.c
@@ -243,13 +243,14 @@
 	free(m);
 }
 
+static const struct queue_policy queues[] = {
+	{ "urgent", "svc", 0, 4, 1.5, 300 },
+	{ "batch", "svc", 2, 3, 2.0, 1000 },
+};
+
 void job_model_policy(struct model *m)
 {
-	static const struct sched_queue queues[] = {
-		{ "urgent", "svc", 0, 4, 1.5, 300 },
-		{ "batch", "svc", 2, 3, 2.0, 1000 },
-	};
-	struct sched_policy p = { queues, 2 };
+	struct sched_policy p = { queues, m->batch_dropped ? 1 : 2 };
 
 	sched_set_policy(m->s, &p);
 }
@@ -263,6 +264,7 @@
 
 	snprintf(j->spec.id, sizeof(j->spec.id), "%016x", m->job_count);
 	snprintf(j->spec.queue, sizeof(j->spec.queue), "%s", queue);
+	j->spec.policy = queues[strcmp(queue, queues[0].name) != 0];
 	j->spec.text = xstrdup("text");
 	j->spec.step_count = steps;
 	j->spec.steps = xcalloc(steps, sizeof(*j->spec.steps));
--- a/tests/support-sched.h
+++ b/tests/support-sched.h
@@ -129,6 +129,7 @@
 	struct model_job *jobs;
 	uint32_t job_count;
 	bool store_down;
+	bool batch_dropped;	 /* job_model_policy() leaves out "batch" */
 	uint32_t store_delay_ms; /* until a record is stored */
 	uint64_t stored_us;	 /* when the one in transit is; 0: none */
 	uint32_t stop_ms;	 /* how long a stop takes */
--- a/tests/test-job-spec.c
+++ b/tests/test-job-spec.c
@@ -10,6 +10,7 @@
 	struct job_spec s = {
 		.id = "5c0e7a21d94b36f8",
 		.queue = "forms",
+		.policy = { "forms", "helper", 2, 3, 1.5, 300 },
 		.accepted_wall_ms = 1778284019000,
 		.text = (char *)"text",
 		.step_count = 3,
@@ -42,10 +43,39 @@
 	CU_ASSERT_EQUAL(t.accepted_wall_ms, s.accepted_wall_ms);
 	CU_ASSERT_EQUAL(t.step_count, 3);
 	CU_ASSERT_EQUAL(memcmp(t.steps, s.steps, sizeof(steps)), 0);
+	CU_ASSERT_STRING_EQUAL(t.policy.name, s.queue);
+	CU_ASSERT_STRING_EQUAL(t.policy.service, "helper");
+	CU_ASSERT_EQUAL(t.policy.priority, 2);
+	CU_ASSERT_EQUAL(t.policy.attempts_max, 3);
+	CU_ASSERT_EQUAL(t.policy.stretch, 1.5);
+	CU_ASSERT_EQUAL(t.policy.target_latency_ms, 300);
 	job_spec_free(&t);
 	buffer_free(&b);
 }
 
+/* Records of earlier versions have no policy. */
+static void test_form_without_policy(void)
+{
+	/* format, id, queue, accepted, text, repetitions, 2 times, steps */
+	static const char record[] = "\x99\x01\xb0"
+				     "5c0e7a21d94b36f8"
+				     "\xa5"
+				     "forms"
+				     "\x01\xa4"
+				     "text"
+				     "\x00\x00\x00\x91"
+				     "\x9d\x01\x00\x00\x00\x00\x00\x00\x00"
+				     "\x00\x00\xa0\xa0\xa0";
+	struct job_spec s;
+	struct error err;
+
+	CU_ASSERT_EQUAL_FATAL(
+		job_spec_decode(&s, record, sizeof(record) - 1, &err), 0);
+	CU_ASSERT_EQUAL(s.step_count, 1);
+	CU_ASSERT_STRING_EQUAL(s.policy.service, "");
+	job_spec_free(&s);
+}
+
 /* Truncated records and records of a newer format are rejected. */
 static void test_truncated_form(void)
 {
@@ -115,6 +145,7 @@
 	static const struct unit_test tests[] = {
 		{ "stored form", test_stored_form },
 		{ "truncated record", test_truncated_form },
+		{ "record without policy", test_form_without_policy },
 		{ "check", test_check },
 		{ "ids", test_ids },
 		{ "chain", test_critical_path },
--- a/tests/test-sched-index.c
+++ b/tests/test-sched-index.c
@@ -321,8 +321,8 @@
 {
 	static const struct sched_ops ops = { .order = on_order,
 					      .forget = on_forget };
-	static const struct sched_queue queue = { "urgent", "svc", 0,
-						  4,	    1.5,   300 };
+	static const struct queue_policy queue = { "urgent", "svc", 0,
+						   4,	     1.5,   300 };
 	static const struct sched_settings settings = { .lease_max_ms = 6000 };
 	struct sched_policy policy = { &queue, 1 };
 	struct rng rng = { .state = SEED };
