job-owner: a process that replaces its VM's former owner waits less

Cause: the new process knows that the former one has exited, yet waited as if it could renew leases up to 4.3 s after the election.

Change: it counts from the beginning of its candidacy. An owner before the killed one could still grant leases for 4.3 s after the election that followed it; so each owner records once that this time is over, and without that record the long wait holds. All leases were then granted before the candidacy, and last 6.42 s at most.

The record of silent workers now exists without one; tests that waited for its key wait for the worker's id in it.

--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -35,6 +35,11 @@
  * this long, too, for workers that its predecessor has not recorded as silent.
  */
 #define WORKER_LEASE_GRACE_MS 2500u
+/*
+ * After the election a predecessor may grant leases for this long: it need not
+ * know that its own lease was revoked.
+ */
+#define TAKEOVER_WAIT_MS (OWNER_LEASE_TTL_MS + WORKER_LEASE_GRACE_MS)
 /* Staggers the candidates, so that usually only one of them writes. */
 #define ELECTION_JITTER_US 30000u
 /* A VM in a zone far from the store waits some 100 ms longer. */
@@ -98,6 +103,7 @@
 	char seq[48];
 	bool has_records; /* contains progress records of the scheduler */
 	bool has_silent;  /* contains the record of silent workers */
+	bool settled;	  /* that record is */
 };
 
 /* A call to the store. Its reply is ignored if the owner stepped down since. */
@@ -126,11 +132,13 @@
 	uint64_t owner_key_revision;
 	/* Owner key that a candidacy replaces; 0: the key must not exist. */
 	uint64_t claim_expected_revision;
+	uint64_t claimed_us; /* when the candidacy began */
 	uint64_t owner_absent_since_us;
 	uint64_t election_jitter_us;
 	uint64_t next_election_us;
 	/* Valid while this process is candidate or owner. */
 	uint64_t epoch;
+	uint64_t elected_us;
 	uint64_t ownership_revision;
 	uint64_t seq_revision;
 	uint64_t txn_count; /* committed or in flight, in this epoch */
@@ -149,6 +157,7 @@
 	bool silent_unseen; /* not seen yet in the current read of the keys */
 	/* Of the predecessor's record; valid while this process is owner. */
 	bool silent_read;    /* read since the election */
+	bool settled_stored; /* in the record of this owner */
 	bool silent_reading; /* requested, no reply yet */
 	uint64_t next_silent_us;
 	struct sched *sched;
--- a/src/job-owner-silent.c
+++ b/src/job-owner-silent.c
@@ -66,6 +66,10 @@
 	if (!o->silent_read || !o->workers_read)
 		return;
 	n = silent_notes_apply(&o->silent, o->sched, o->epoch);
+	/* The predecessor was a process of this VM, which has exited. */
+	if (o->claim_expected_revision)
+		n += silent_notes_apply_dead(&o->silent, o->sched, o->epoch,
+					     o->claimed_us);
 	if (!n)
 		return;
 	log_event(LOG_INFO, "silent-taken-over", "epoch=%llu workers=%u",
@@ -73,25 +77,37 @@
 	job_owner_schedule_tick(o);
 }
 
+/* Whether no predecessor can grant a lease any more. */
+static bool is_settled(const struct job_owner *o, uint64_t now)
+{
+	return now >= o->elected_us + TAKEOVER_WAIT_MS * 1000u;
+}
+
 bool job_owner_silent_due(const struct job_owner *o, uint64_t now)
 {
-	return sched_silent_changed(
-		o->sched, now, now < o->renewed_us + SILENT_STORE_AGE_MAX_US);
+	bool add = now < o->renewed_us + SILENT_STORE_AGE_MAX_US;
+
+	return (add && !o->settled_stored && is_settled(o, now)) ||
+	       sched_silent_changed(o->sched, now, add);
 }
 
 void job_owner_silent_add(struct job_owner *o, struct commit *c, uint64_t now)
 {
-	bool add = now < o->renewed_us + SILENT_STORE_AGE_MAX_US;
+	enum silent_record type =
+		o->handover_us ? SILENT_RECORD_LAST
+		: now < o->renewed_us + SILENT_STORE_AGE_MAX_US
+			? SILENT_RECORD_ADD
+			: SILENT_RECORD_REMOVE;
 	struct kv_set *set = &c->sets[c->set_count];
 	struct buffer b = BUFFER_INIT;
 	uint32_t n;
 
-	if (o->handover_us)
-		n = silent_record_build_last(o->sched, o->epoch, now, &b);
-	else
-		n = silent_record_build(o->sched, o->epoch, now, add, &b);
-	log_event(LOG_INFO, "silent-recorded", "epoch=%llu workers=%u last=%d",
-		  (unsigned long long)o->epoch, n, o->handover_us != 0);
+	c->settled = is_settled(o, now);
+	n = silent_record_build(o->sched, o->epoch, now, type, c->settled, &b);
+	log_event(LOG_INFO, "silent-recorded",
+		  "epoch=%llu workers=%u last=%d settled=%d",
+		  (unsigned long long)o->epoch, n, type == SILENT_RECORD_LAST,
+		  c->settled);
 	set->key = JOB_SILENT_KEY;
 	set->value = buffer_detach(&b, &set->len);
 	c->set_count++;
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -334,7 +334,7 @@
 			(uint32_t)(n->settings->jobs.lease_max_us / 1000),
 		.status_retention_s =
 			(uint32_t)(n->settings->jobs.status_keep_us / 1000000),
-		.takeover_wait_ms = OWNER_LEASE_TTL_MS + WORKER_LEASE_GRACE_MS,
+		.takeover_wait_ms = TAKEOVER_WAIT_MS,
 	};
 
 	o->state = OWNER_LOADING;
@@ -343,7 +343,9 @@
 	o->progress_cursor[0] = '\0';
 	o->specs_loaded = false;
 	o->workers_read = false;
-	o->sched = sched_create(&sched_ops, o, &settings, clock_now_us());
+	o->settled_stored = false;
+	o->elected_us = clock_now_us();
+	o->sched = sched_create(&sched_ops, o, &settings, o->elected_us);
 	job_owner_apply_config(o);
 	load_pairs(o);
 	job_owner_silent_load(o);
@@ -487,6 +489,7 @@
 	bool records = o->commit->has_records;
 	bool silent = o->commit->has_silent;
 
+	o->settled_stored = o->settled_stored || o->commit->settled;
 	o->seq_revision = revision;
 	counter_add(o->commits, 1);
 	free_commit(o);
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -369,6 +369,7 @@
 	if (may_start_election(o, now)) {
 		o->claim_expected_revision =
 			o->owner_known ? o->owner_key_revision : 0;
+		o->claimed_us = now;
 		start_election(o);
 	}
 	if (o->state >= OWNER_LOADING && !o->renewing &&
--- a/src/job-silent.c
+++ b/src/job-silent.c
@@ -6,8 +6,8 @@
 #include "pack.h"
 
 #define RECORD_FORMAT 1
-#define RECORD_ELEMENTS 3
-#define LAST_RECORD_ELEMENTS 4
+#define RECORD_ELEMENTS 5
+#define RECORD_ELEMENTS_MIN 3
 #define ROW_ELEMENTS 2
 /* Bytes of a row besides the worker's id, at most. */
 #define ROW_OVERHEAD 8u
@@ -36,41 +36,35 @@
 	return true;
 }
 
-static void pack_record(msgpack_packer *pk, uint32_t elements, uint64_t epoch,
-			struct record_rows *r, struct buffer *out)
-{
-	pack_init(pk, out);
-	msgpack_pack_array(pk, elements);
-	msgpack_pack_uint32(pk, RECORD_FORMAT);
-	msgpack_pack_uint64(pk, epoch);
-	msgpack_pack_array(pk, r->count);
-	buffer_append(out, r->rows.data, r->rows.len);
-	buffer_free(&r->rows);
-}
-
 uint32_t silent_record_build(struct sched *s, uint64_t epoch, uint64_t now_us,
-			     bool add, struct buffer *out)
+			     enum silent_record type, bool settled,
+			     struct buffer *out)
 {
 	struct record_rows r = { .rows = BUFFER_INIT };
+	uint32_t others_ms = 0;
 	msgpack_packer pk;
 
 	pack_init(&r.pk, &r.rows);
-	sched_silent_collect(s, now_us, add, add_row, &r);
-	pack_record(&pk, RECORD_ELEMENTS, epoch, &r, out);
-	return r.count;
-}
-
-uint32_t silent_record_build_last(struct sched *s, uint64_t epoch,
-				  uint64_t now_us, struct buffer *out)
-{
-	struct record_rows r = { .rows = BUFFER_INIT };
-	msgpack_packer pk;
-	uint32_t others_ms;
-
-	pack_init(&r.pk, &r.rows);
-	others_ms = sched_silent_collect_last(s, now_us, add_row, &r);
-	pack_record(&pk, LAST_RECORD_ELEMENTS, epoch, &r, out);
-	msgpack_pack_uint32(&pk, others_ms);
+	if (type == SILENT_RECORD_LAST)
+		others_ms = sched_silent_collect_last(s, now_us, add_row, &r);
+	else
+		sched_silent_collect(s, now_us, type == SILENT_RECORD_ADD,
+				     add_row, &r);
+	pack_init(&pk, out);
+	msgpack_pack_array(&pk, RECORD_ELEMENTS);
+	msgpack_pack_uint32(&pk, RECORD_FORMAT);
+	msgpack_pack_uint64(&pk, epoch);
+	msgpack_pack_array(&pk, r.count);
+	buffer_append(out, r.rows.data, r.rows.len);
+	if (type == SILENT_RECORD_LAST)
+		msgpack_pack_uint32(&pk, others_ms);
+	else
+		msgpack_pack_nil(&pk);
+	if (settled)
+		msgpack_pack_true(&pk);
+	else
+		msgpack_pack_false(&pk);
+	buffer_free(&r.rows);
 	return r.count;
 }
 
@@ -117,7 +111,7 @@
 {
 	const msgpack_object *e, *rows;
 
-	if (!is_array(o, RECORD_ELEMENTS))
+	if (!is_array(o, RECORD_ELEMENTS_MIN))
 		return false;
 	e = o->via.array.ptr;
 	if (!is_uint(&e[0]) || e[0].via.u64 != RECORD_FORMAT ||
@@ -130,7 +124,10 @@
 	for (uint32_t i = 0; i < n->count; i++)
 		if (!decode_row(&n->list[i], &rows[i], now_us))
 			return false;
-	return !is_array(o, LAST_RECORD_ELEMENTS) ||
+	if (!is_array(o, RECORD_ELEMENTS))
+		return true;
+	n->settled = e[4].type == MSGPACK_OBJECT_BOOLEAN && e[4].via.boolean;
+	return e[3].type == MSGPACK_OBJECT_NIL ||
 	       decode_end(&e[3], now_us, &n->others_end_us);
 }
 
@@ -169,3 +166,12 @@
 		applied += sched_limit_other_leases(s, n->others_end_us);
 	return applied;
 }
+
+uint32_t silent_notes_apply_dead(const struct silent_notes *n, struct sched *s,
+				 uint64_t epoch, uint64_t granted_us)
+{
+	if (!n->epoch || n->epoch + 1 != epoch || !n->settled)
+		return 0;
+	return sched_limit_other_leases(s,
+					granted_us + sched_lease_bound_us(s));
+}
--- a/src/job-silent.h
+++ b/src/job-silent.h
@@ -19,8 +19,11 @@
  *	it does not name are over.
  *
  *	The value is a msgpack array [format, epoch of the owner,
- *	[[worker id, time left in ms], ...]], and in a last record the time left
- *	of the other workers. Elements after the known ones are ignored.
+ *	[[worker id, time left in ms], ...], time left of the other workers,
+ *	settled]. The time left of the others is nil unless it is a last record.
+ *	A record is settled if no lease of an earlier owner can be granted any
+ *	more. Elements after the known ones are ignored, and earlier versions
+ *	write and read the first three.
  *
  * ERRORS
  *	silent_notes_update() returns -1 for a malformed value, with err set to
@@ -40,17 +43,21 @@
 	uint64_t revision;	/* of the record in the store; 0: none */
 	uint64_t epoch;		/* of the owner that wrote it */
 	uint64_t others_end_us; /* of a last record; 0: it is not one */
+	bool settled;
 	struct silent_note *list;
 	uint32_t count;
 };
 
+enum silent_record {
+	SILENT_RECORD_REMOVE, /* workers may only leave it */
+	SILENT_RECORD_ADD,
+	SILENT_RECORD_LAST, /* the owner grants no lease any more */
+};
+
 /* Collects the record of the owner with this epoch; returns its workers. */
 uint32_t silent_record_build(struct sched *s, uint64_t epoch, uint64_t now_us,
-			     bool add, struct buffer *out);
-
-/* The same for the last record of an owner, which grants no lease any more. */
-uint32_t silent_record_build_last(struct sched *s, uint64_t epoch,
-				  uint64_t now_us, struct buffer *out);
+			     enum silent_record type, bool settled,
+			     struct buffer *out);
 
 /*
  * Replaces the notes by the record with the given revision, received at now_us.
@@ -71,4 +78,12 @@
 uint32_t silent_notes_apply(const struct silent_notes *n, struct sched *s,
 			    uint64_t epoch);
 
+/*
+ * Limits the leases of all workers that the record does not name, if no owner
+ * has granted one after granted_us and the record of the owner before this one
+ * is settled. Returns the same as above.
+ */
+uint32_t silent_notes_apply_dead(const struct silent_notes *n, struct sched *s,
+				 uint64_t epoch, uint64_t granted_us);
+
 #endif
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -14,7 +14,7 @@
 /* A stop takes 0.2 s; one without effect is ordered again after this time. */
 #define STOP_RETRY_US 1000000u
 
-static uint64_t lease_bound_us(const struct sched *s)
+uint64_t sched_lease_bound_us(const struct sched *s)
 {
 	return s->settings.lease_max_ms * 10ull * (100u + CLOCK_DRIFT_PERCENT) +
 	       LEASE_DELAY_US;
@@ -67,7 +67,7 @@
 	 * A predecessor can grant leases until its own lease ends; what it has
 	 * recorded of a silent worker lowers this (sched_limit_lease()).
 	 */
-	w->lease_end_us = s->created_us + lease_bound_us(s) +
+	w->lease_end_us = s->created_us + sched_lease_bound_us(s) +
 			  s->settings.takeover_wait_ms * 1000ull;
 	sched_check_lease_at(s, w->lease_end_us);
 	return s->worker_count++;
@@ -286,7 +286,7 @@
 
 void sched_lease_granted(struct sched *s, uint32_t worker, uint64_t now_us)
 {
-	uint64_t end = now_us + lease_bound_us(s);
+	uint64_t end = now_us + sched_lease_bound_us(s);
 
 	s->workers[worker].granted_us = now_us;
 	if (end > s->workers[worker].lease_end_us)
@@ -453,8 +453,8 @@
 	if (!w->responsive) {
 		w->responsive = true;
 		/* From now on the worker rejects a predecessor's token. */
-		if (w->lease_end_us > now_us + lease_bound_us(s))
-			w->lease_end_us = now_us + lease_bound_us(s);
+		if (w->lease_end_us > now_us + sched_lease_bound_us(s))
+			w->lease_end_us = now_us + sched_lease_bound_us(s);
 		log_event(LOG_INFO, "worker-reports",
 			  "worker=%s running=%zu ended=%zu", w->identity->id,
 			  r->running_count, r->ended_count);
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -144,6 +144,7 @@
 /* Orders to start a task that the worker has received. */
 uint32_t jobs_platform_start_orders(const struct jobs_platform *p, int worker);
 uint32_t jobs_platform_worker_tasks(const struct jobs_platform *p, int worker);
+const char *jobs_platform_worker_id(const struct jobs_platform *p, int worker);
 
 uint32_t jobs_platform_running_tasks(const struct jobs_platform *p);
 void jobs_platform_list_running(const struct jobs_platform *p,
--- a/tests/support-jobs-worker.c
+++ b/tests/support-jobs-worker.c
@@ -404,6 +404,11 @@
 	return p->workers[worker]->task_count;
 }
 
+const char *jobs_platform_worker_id(const struct jobs_platform *p, int worker)
+{
+	return p->workers[worker]->id;
+}
+
 uint32_t jobs_platform_running_tasks(const struct jobs_platform *p)
 {
 	uint32_t n = 0;
--- a/tests/test-jobs-silent.c
+++ b/tests/test-jobs-silent.c
@@ -58,12 +58,15 @@
  * Waits until the silent worker is recorded: a poll without an answer is given
  * up within 2.8 s, the next one within 0.8 s.
  */
-static void wait_for_record(struct jobs_fixture *f)
+static void wait_for_record(struct jobs_fixture *f, int worker)
 {
+	const char *id = jobs_platform_worker_id(f->platform, worker);
 	uint64_t end = clock_now_us() + 4000000;
+	const char *record;
 
 	while (clock_now_us() < end) {
-		if (jobs_platform_get(f->platform, JOB_SILENT_KEY))
+		record = jobs_platform_get(f->platform, JOB_SILENT_KEY);
+		if (record && strstr(record, id))
 			return;
 		jobs_fixture_run(f, 10);
 	}
@@ -104,7 +107,7 @@
 	else if (!jobs_platform_crash_worker(f.platform, worker))
 		CU_FAIL("the worker cannot crash");
 	lost_us = clock_now_us();
-	wait_for_record(&f);
+	wait_for_record(&f, worker);
 	if (loss.owner == KILLED)
 		jobs_fixture_stop_entry(&f, owner);
 	else if (loss.owner == RESIGNS)
@@ -220,6 +223,39 @@
 		.owners = 2, .after_ms = 100, .between_ms = 500 });
 }
 
+/*
+ * Guards against services that stay away because the owner is killed a moment
+ * after their worker is lost, and is back at once: the former process grants no
+ * lease any more.
+ */
+static void test_worker_lost_before_owner_restarts(void)
+{
+	struct jobs_fixture f;
+	uint64_t lost_us;
+	int owner, worker;
+	uint32_t ms;
+
+	set_up(&f, false);
+	worker = run_service(&f);
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	/* Until the owner's predecessors can grant nothing. */
+	jobs_fixture_run(&f, 3000);
+	jobs_platform_set_unresponsive(f.platform, worker, true);
+	lost_us = clock_now_us();
+	jobs_fixture_run(&f, 200);
+	jobs_fixture_stop_entry(&f, owner);
+	jobs_fixture_run(&f, 500);
+	jobs_fixture_start_entry(&f, owner);
+	wait_for_starts(&f, 2, 16000);
+	ms = (uint32_t)(clock_now_us() - lost_us) / 1000;
+	printf("back after %u ms\n", ms);
+	CU_ASSERT_EQUAL(jobs_fixture_owner(&f), owner);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 2);
+	CU_ASSERT(ms <= BACK_MAX_MS);
+	jobs_fixture_tear_down(&f);
+}
+
 /* A call to the store, or a poll, that had no answer is repeated in 1.2 s. */
 static void wait_for_lease(struct jobs_fixture *f, int worker)
 {
@@ -247,7 +283,7 @@
 	set_up(&f, false);
 	worker = run_service(&f);
 	jobs_platform_set_unresponsive(f.platform, worker, true);
-	wait_for_record(&f);
+	wait_for_record(&f, worker);
 	left_ms = jobs_platform_lease_left_ms(f.platform, worker);
 	jobs_platform_faults(f.platform)->unresponsive = true;
 	jobs_platform_set_unresponsive(f.platform, worker, false);
@@ -272,7 +308,7 @@
 	set_up(&f, false);
 	worker = run_service(&f);
 	jobs_platform_set_unresponsive(f.platform, worker, true);
-	wait_for_record(&f);
+	wait_for_record(&f, worker);
 	jobs_platform_set_unresponsive(f.platform, worker, false);
 	wait_for_lease(&f, worker);
 	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 1);
@@ -294,7 +330,7 @@
 	owner = jobs_fixture_owner(&f);
 	CU_ASSERT_FATAL(owner >= 0);
 	jobs_platform_set_unresponsive(f.platform, worker, true);
-	wait_for_record(&f);
+	wait_for_record(&f, worker);
 	jobs_platform_faults(f.platform)->unresponsive = true;
 	jobs_platform_set_unresponsive(f.platform, worker, false);
 	jobs_fixture_run(&f, 1500);
@@ -323,7 +359,7 @@
 	owner = jobs_fixture_owner(&f);
 	CU_ASSERT_FATAL(owner >= 0);
 	jobs_platform_set_unresponsive(f.platform, worker, true);
-	wait_for_record(&f);
+	wait_for_record(&f, worker);
 	/* The next owner is elected more than 1 s after this one is killed. */
 	while (jobs_platform_lease_left_ms(f.platform, worker) > 200)
 		jobs_fixture_run(&f, 10);
@@ -381,6 +417,8 @@
 		  test_worker_and_owner_lost_with_relays },
 		{ "worker lost at planned stop",
 		  test_worker_lost_at_planned_stop },
+		{ "worker lost before owner restarts",
+		  test_worker_lost_before_owner_restarts },
 		{ "no lease before record is stored",
 		  test_no_lease_before_record_is_stored },
 		{ "leases resume", test_leases_resume },
--- a/tests/test-sched-worker.c
+++ b/tests/test-sched-worker.c
@@ -279,9 +279,9 @@
 	uint64_t received_us;
 
 	job_model_run(m, 1000);
-	CU_ASSERT_EQUAL(
-		silent_record_build(m->s, RECORD_EPOCH, m->now_us, true, &b),
-		1);
+	CU_ASSERT_EQUAL(silent_record_build(m->s, RECORD_EPOCH, m->now_us,
+					    SILENT_RECORD_ADD, false, &b),
+			1);
 	received_us = m->now_us + 100000;
 	CU_ASSERT_FATAL(update(&n, 5, b.data, b.len, received_us));
 	CU_ASSERT_EQUAL_FATAL(n.count, 1);
@@ -342,12 +342,13 @@
 
 	other = lost == &m->workers[0] ? &m->workers[1] : &m->workers[0];
 	job_model_run(m, 50);
-	CU_ASSERT_EQUAL(
-		silent_record_build(m->s, RECORD_EPOCH, m->now_us, true, &b),
-		0);
+	CU_ASSERT_EQUAL(silent_record_build(m->s, RECORD_EPOCH, m->now_us,
+					    SILENT_RECORD_ADD, false, &b),
+			0);
 	b.len = 0;
-	CU_ASSERT_EQUAL(
-		silent_record_build_last(m->s, RECORD_EPOCH, m->now_us, &b), 1);
+	CU_ASSERT_EQUAL(silent_record_build(m->s, RECORD_EPOCH, m->now_us,
+					    SILENT_RECORD_LAST, false, &b),
+			1);
 	received_us = m->now_us + 20000;
 	CU_ASSERT_FATAL(update(&n, 5, b.data, b.len, received_us));
 	/* All leases: 6 s on a clock that runs 2% slow, and the delay. */
@@ -373,6 +374,50 @@
 	job_model_free(m);
 }
 
+/*
+ * Guards against a lease that is taken as over too early after the owner before
+ * was killed: by one before that, while it may still grant leases, or by an
+ * owner of which there is no record.
+ */
+static void test_record_of_dead_predecessor(void)
+{
+	struct model *m = job_model_create(3, CORES(16), GB(64));
+	struct model_worker *lost = lose_service(m);
+	struct silent_notes n = { .revision = 0 };
+	struct buffer b = BUFFER_INIT;
+	uint64_t granted_us, long_us;
+
+	job_model_run(m, 50);
+	for (int settled = 0; settled < 2; settled++) {
+		b.len = 0;
+		silent_record_build(m->s, RECORD_EPOCH, m->now_us,
+				    SILENT_RECORD_ADD, settled, &b);
+		CU_ASSERT_FATAL(update(&n, 5 + (uint64_t)settled, b.data, b.len,
+				       m->now_us));
+		CU_ASSERT_EQUAL(n.count, 0);
+		CU_ASSERT_EQUAL(n.others_end_us, 0);
+		CU_ASSERT_EQUAL(n.settled, settled);
+		job_model_fail_over(m);
+		job_model_run(m, 1000);
+		granted_us = m->now_us - 1500000;
+		long_us = m->s->workers[lost->handle].lease_end_us;
+		CU_ASSERT_EQUAL(silent_notes_apply(&n, m->s, RECORD_EPOCH + 1),
+				0);
+		CU_ASSERT_EQUAL(silent_notes_apply_dead(
+					&n, m->s, RECORD_EPOCH + 2, granted_us),
+				0);
+		CU_ASSERT_EQUAL(silent_notes_apply_dead(
+					&n, m->s, RECORD_EPOCH + 1, granted_us),
+				settled);
+		CU_ASSERT_EQUAL(m->s->workers[lost->handle].lease_end_us,
+				settled ? granted_us + LEASE_MS * 1000u
+					: long_us);
+	}
+	silent_notes_clear(&n);
+	buffer_free(&b);
+	job_model_free(m);
+}
+
 /* A record that cannot be read limits nothing. */
 static void test_malformed_records(void)
 {
@@ -498,6 +543,8 @@
 		{ "record of direct predecessor",
 		  test_record_of_direct_predecessor },
 		{ "last record", test_last_record },
+		{ "record of dead predecessor",
+		  test_record_of_dead_predecessor },
 		{ "older record comes late", test_older_record_comes_late },
 		{ "malformed records", test_malformed_records },
 		{ "largest capacity", test_largest_capacity },
