--- a/tests/support-jobs-fixture.c
+++ b/tests/support-jobs-fixture.c
@@ -177,11 +177,10 @@
 	return f->status;
 }
 
-void jobs_fixture_start_entry(struct jobs_fixture *f, int i)
+void jobs_fixture_entry_settings(struct jobs_fixture *f, int i)
 {
 	struct jobs_fixture_entry *e = &f->entries[i];
 	uint16_t port = jobs_fixture_entry_port(i);
-	struct error err;
 
 	settings_defaults(&e->settings);
 	if (f->cpu_milli[i])
@@ -202,6 +201,14 @@
 		e->settings.jobs.relays = e->settings.jobs.peers;
 		e->settings.jobs.relays.port = jobs_fixture_relay_port(i);
 	}
+}
+
+void jobs_fixture_start_entry(struct jobs_fixture *f, int i)
+{
+	struct jobs_fixture_entry *e = &f->entries[i];
+	struct error err;
+
+	jobs_fixture_entry_settings(f, i);
 	memset(&e->node, 0, sizeof(e->node));
 	e->node.settings = &e->settings;
 	e->node.platform = &adapter_platform;
--- a/tests/support-jobs-fixture.h
+++ b/tests/support-jobs-fixture.h
@@ -83,6 +83,8 @@
  * check has failed since the start.
  */
 void jobs_fixture_tear_down(struct jobs_fixture *f);
+/* Sets the settings of an entry VM, which need not be started here. */
+void jobs_fixture_entry_settings(struct jobs_fixture *f, int i);
 void jobs_fixture_start_entry(struct jobs_fixture *f, int i);
 /* Like a killed process, does not release its lease: it expires. */
 void jobs_fixture_stop_entry(struct jobs_fixture *f, int i);
