sched: batch work is allowed again beside services close to their target

Cause: a worker left the state "above the target" only below 80%.

Change: after 3 s between the two batch work is allowed, and limited tasks are resumed that leave the service below its target. The wait doubles, up to 24 s, if the target is exceeded soon after.

Evidence: test-sched "batch work starts near target" and "halted batch tasks resume near target" failed before.

--- a/src/sched-interference.c
+++ b/src/sched-interference.c
@@ -23,6 +23,13 @@
 #define TARGET_EXCEEDED_PERCENT 100u
 /* Tail latency in percent of the target below which batch tasks resume. */
 #define TARGET_SAFE_PERCENT 80u
+/*
+ * Between the two, batch work is allowed after this time. It doubles, up to the
+ * maximum, each time that the target is exceeded soon after that.
+ */
+#define NEAR_TARGET_WAIT_MS 3000u
+#define NEAR_TARGET_WAIT_MAX_MS 24000u
+#define NEAR_TARGET_RELAPSE_US 10000000u
 /* Expected tail latency is kept below this ratio of the target ... */
 #define TAIL_LIMIT_RATIO 0.9f
 /* ... for a service with this multiple of its mean load. */
@@ -367,6 +374,72 @@
 	}
 }
 
+/* Resumes one limited task with which the service stays below its target. */
+static void resume_near_target(struct sched *s, struct sched_worker *w,
+			       const struct job_step *service, uint32_t tail)
+{
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker) {
+		struct sched_task *t = &s->tasks[i];
+		const struct job_step *step = sched_task_step(s, t);
+		struct pair_load load = {
+			.image = step->image_handle,
+			.cpu_share = (float)step->demand.cpu_milli /
+				     ((float)w->capacity.cpu_milli + 1),
+		};
+
+		if (!step->best_effort || t->state != TASK_RUNNING ||
+		    t->cpu_percent == 100)
+			continue;
+		if ((float)tail * (1 + pair_model_slowdown(
+					       &s->pairs, service->image_handle,
+					       &load)) >
+		    TARGET_EXCEEDED_PERCENT)
+			continue;
+		set_cpu_percent(s, t, 100);
+		return;
+	}
+}
+
+/*
+ * A service may stay close to its target for good. Batch work is then allowed
+ * after a while, as long as that does not bring the service above its target.
+ */
+static void control_near_target(struct sched *s, struct sched_worker *w,
+				const struct job_step *service, uint32_t tail)
+{
+	uint32_t wait_ms = w->near_target_wait_ms ? w->near_target_wait_ms
+						  : NEAR_TARGET_WAIT_MS;
+
+	if (!w->near_target_since_us)
+		w->near_target_since_us = s->now_us;
+	if (s->now_us < w->near_target_since_us + wait_ms * 1000ull)
+		return;
+	if (w->over_target_since_us) {
+		w->over_target_since_us = 0;
+		w->near_target_end_us = s->now_us;
+		s->placement_due = true;
+	}
+	if (s->now_us < w->last_action_us + ACTION_INTERVAL_US)
+		return;
+	w->last_action_us = s->now_us;
+	resume_near_target(s, w, service, tail);
+}
+
+static void begin_over_target(struct sched *s, struct sched_worker *w)
+{
+	uint32_t wait_ms = w->near_target_wait_ms ? w->near_target_wait_ms
+						  : NEAR_TARGET_WAIT_MS;
+
+	w->over_target_since_us = s->now_us;
+	if (!w->near_target_end_us ||
+	    s->now_us >= w->near_target_end_us + NEAR_TARGET_RELAPSE_US)
+		return;
+	w->near_target_wait_ms = wait_ms * 2 > NEAR_TARGET_WAIT_MAX_MS
+					 ? NEAR_TARGET_WAIT_MAX_MS
+					 : wait_ms * 2;
+}
+
 uint32_t sched_report_wait_ms(const struct sched *s, uint32_t worker)
 {
 	const struct sched_worker *w = &s->workers[worker];
@@ -400,18 +473,23 @@
 	observe_interference(s, w);
 	service = worst_service(s, w, &tail);
 	w->tail_percent = tail;
-	if (tail <= TARGET_EXCEEDED_PERCENT) {
-		if (tail < TARGET_SAFE_PERCENT)
-			w->over_target_since_us = 0;
-		if (tail < TARGET_SAFE_PERCENT &&
-		    s->now_us >= w->last_action_us + ACTION_INTERVAL_US) {
+	if (tail < TARGET_SAFE_PERCENT) {
+		w->over_target_since_us = 0;
+		w->near_target_since_us = 0;
+		w->near_target_wait_ms = 0;
+		if (s->now_us >= w->last_action_us + ACTION_INTERVAL_US) {
 			w->last_action_us = s->now_us;
 			resume_one_task(s, w);
 		}
 		return;
 	}
+	if (tail <= TARGET_EXCEEDED_PERCENT) {
+		control_near_target(s, w, service, tail);
+		return;
+	}
+	w->near_target_since_us = 0;
 	if (!w->over_target_since_us)
-		w->over_target_since_us = s->now_us;
+		begin_over_target(s, w);
 	if (s->now_us >= w->over_target_since_us + HALT_AFTER_US) {
 		halt_batch_tasks(s, w);
 		return;
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -162,6 +162,11 @@
 	uint64_t quarantine_end_us;
 	uint64_t full_until_us; /* a start was refused: no placement until */
 	uint64_t over_target_since_us; /* service above target; 0: none */
+	/* Tail latency is close to the target, not above; 0: it is not. */
+	uint64_t near_target_since_us;
+	uint32_t
+		near_target_wait_ms; /* until batch work is allowed; 0: least */
+	uint64_t near_target_end_us; /* when it was allowed last */
 	bool listed;
 	bool draining;
 	bool responsive;      /* has answered the last request for a report */
--- a/tests/support-sched.c
+++ b/tests/support-sched.c
@@ -334,7 +334,8 @@
 				    r->cpu_milli * r->cpu_percent / 100.0 /
 				    w->capacity.cpu_milli;
 	}
-	return BASELINE_TAIL_MS * (1 + slowdown);
+	return BASELINE_TAIL_MS * (1 + slowdown) *
+	       (m->service_load ? m->service_load : 1);
 }
 
 void job_model_report(struct model *m, struct model_worker *w)
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -383,6 +383,114 @@
 	job_model_free(m);
 }
 
+/* Fills all workers with a service at 20 ms, 91% of its target. */
+static struct model *create_near_target(void)
+{
+	struct model *m = job_model_create(4, CORES(32), GB(128));
+	struct model_job *j =
+		job_model_add_job(m, "urgent", 1, 4, CORES(20), GB(8), 60000);
+
+	j->spec.steps[0].long_running = true;
+	j->spec.steps[0].target_ms = 22;
+	strcpy(j->spec.steps[0].image, "forms");
+	job_model_run(m, 100);
+	job_model_submit(m, j);
+	job_model_run(m, 3000);
+	return m;
+}
+
+static void run_burst(struct model *m)
+{
+	m->service_load = 2;
+	job_model_run(m, 3500);
+	m->service_load = 1;
+}
+
+static struct model_job *add_batch(struct model *m, const char *image,
+				   uint32_t count, double work_ms)
+{
+	struct model_job *j = job_model_add_job(m, "batch", 1, count, CORES(4),
+						GB(4), work_ms);
+
+	j->spec.steps[0].best_effort = true;
+	strcpy(j->spec.steps[0].image, image);
+	job_model_submit(m, j);
+	return j;
+}
+
+/*
+ * Guards against batch work that never starts because a service was above its
+ * target once and stays close to it.
+ */
+static void test_batch_work_starts_near_target(void)
+{
+	struct model *m = create_near_target();
+	struct model_job *j;
+
+	run_burst(m);
+	job_model_run(m, 6000);
+	j = add_batch(m, "light", 2, 2000);
+	job_model_run(m, 10000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against batch tasks that stay halted there. */
+static void test_halted_batch_tasks_resume_near_target(void)
+{
+	struct model *m = create_near_target();
+	struct model_job *j = add_batch(m, "light", 1, 6000);
+
+	job_model_run(m, 5000);
+	run_burst(m);
+	job_model_run(m, 15000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_COMPLETED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/*
+ * Guards against batch tasks that are resumed and halted again and again, or
+ * keep a service above its target: with them it is at 127%.
+ */
+static double heavy_batch(const char *service, const char *batch)
+{
+	(void)service;
+	return strcmp(batch, "heavy") ? 0 : 3.2;
+}
+
+static uint64_t changes_in_a_minute(bool burst)
+{
+	struct model *m = create_near_target();
+	struct sched_stats st;
+	uint64_t changes;
+
+	m->slope = heavy_batch;
+	if (burst)
+		run_burst(m);
+	job_model_run(m, 1000);
+	add_batch(m, "heavy", 8, 30000);
+	job_model_run(m, 60000);
+	sched_stats(m->s, &st);
+	changes = st.throttles + m->stops;
+	expect_no_faults(m);
+	job_model_free(m);
+	return changes;
+}
+
+static void test_no_flapping_near_target(void)
+{
+	uint64_t without = changes_in_a_minute(false);
+	uint64_t with = changes_in_a_minute(true);
+
+	printf("changes in a minute: %llu, after a burst %llu\n",
+	       (unsigned long long)without, (unsigned long long)with);
+	/* Waits of 3, 6, 12, 24 and 24 s on four workers. */
+	CU_ASSERT(without <= 20);
+	CU_ASSERT(with <= 20);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -410,6 +518,11 @@
 		{ "disturbing batch tasks are migrated",
 		  test_disturbing_batch_tasks_are_migrated },
 		{ "halted batch tasks resume", test_halted_batch_tasks_resume },
+		{ "batch work starts near target",
+		  test_batch_work_starts_near_target },
+		{ "halted batch tasks resume near target",
+		  test_halted_batch_tasks_resume_near_target },
+		{ "no flapping near target", test_no_flapping_near_target },
 	};
 
 	return RUN_SUITE("sched", tests);
