sched: jobs that fail everywhere do not put all workers on trial

Cause: failures of three jobs quarantine a worker, which is then on trial until a task is done there. Jobs that fail on each worker put all of them on trial at once, and a long task kept the trial going.

Change: if nothing of a job is done and it has failed on two workers, its failures on others count against the job. A trial ends 4 s after the quarantine; the next failure of another job still quarantines the worker at once.

Evidence: test-sched "hopeless jobs leave workers in use" and "trial ends by time" failed before.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -111,6 +111,12 @@
 	bool used;
 };
 
+/*
+ * If nothing of a job is done, its failures on more workers than these count
+ * against the job.
+ */
+#define JOB_FAILED_WORKERS_MAX 2
+
 struct job {
 	struct job_spec spec;
 	struct queue_policy queue; /* copy of the queue's policy */
@@ -129,8 +135,12 @@
 	bool used;
 	bool started;	  /* a task was started */
 	bool has_suspect; /* a worker crashed under a task */
-	bool dirty;	  /* changed since its record was collected */
-	bool collected;	  /* its record is being stored */
+	bool has_done;	  /* a task was done since the owner was elected */
+	/* Workers on which a task has failed, the first ones. */
+	uint32_t failed_on[JOB_FAILED_WORKERS_MAX];
+	uint32_t failed_on_count;
+	bool dirty;	/* changed since its record was collected */
+	bool collected; /* its record is being stored */
 };
 
 #define SERVICE_IMAGES_MAX 8
@@ -169,8 +179,9 @@
 	uint64_t near_target_end_us; /* when it was allowed last */
 	bool listed;
 	bool draining;
-	bool responsive;      /* has answered the last request for a report */
-	bool on_trial;	      /* after quarantine: one finite task at a time */
+	bool responsive; /* has answered the last request for a report */
+	/* For a time after quarantine: one finite task at once. */
+	bool on_trial;
 	bool has_unknown_run; /* takes room that is not counted as used */
 	uint8_t probations;   /* tasks on probation: no other is placed */
 	bool headrooms_valid; /* else recomputed on use */
@@ -371,6 +382,7 @@
 /* Returns the worker's index; adds it if only a stored record names it. */
 uint32_t sched_worker_add(struct sched *s, const char *id);
 void sched_workers_tick(struct sched *s);
+bool sched_worker_on_trial(const struct sched *s, const struct sched_worker *w);
 void sched_worker_record_end(struct sched *s, struct sched_worker *w,
 			     const struct sched_task *t, enum sched_end how);
 
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -87,7 +87,8 @@
 {
 	if (w->service != j->service || !available(s, w))
 		return false;
-	if (w->on_trial && !step->long_running && has_finite_task(s, w))
+	if (sched_worker_on_trial(s, w) && !step->long_running &&
+	    has_finite_task(s, w))
 		return false;
 	return has_label(w, step->label);
 }
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -11,6 +11,8 @@
 /* Consecutive failures of different jobs that quarantine a worker. */
 #define QUARANTINE_FAILURES 3u
 #define QUARANTINE_US 4000000u
+/* The trial ends this long after quarantine, if no task was done before. */
+#define TRIAL_US 4000000u
 /* A stop takes 0.2 s; one without effect is ordered again after this time. */
 #define STOP_RETRY_US 1000000u
 
@@ -298,6 +300,25 @@
 	return s->workers[worker].ends_stored;
 }
 
+/* Notes that a task of the job failed on the worker. */
+static bool fails_everywhere(struct job *j, uint32_t worker)
+{
+	if (j->has_done)
+		return false;
+	for (uint32_t i = 0; i < j->failed_on_count; i++)
+		if (j->failed_on[i] == worker)
+			return false;
+	if (j->failed_on_count == JOB_FAILED_WORKERS_MAX)
+		return true;
+	j->failed_on[j->failed_on_count++] = worker;
+	return false;
+}
+
+bool sched_worker_on_trial(const struct sched *s, const struct sched_worker *w)
+{
+	return w->on_trial && s->now_us < w->quarantine_end_us + TRIAL_US;
+}
+
 void sched_worker_record_end(struct sched *s, struct sched_worker *w,
 			     const struct sched_task *t, enum sched_end reason)
 {
@@ -305,9 +326,12 @@
 		w->failures = 0;
 		w->last_failed_job = SCHED_NONE;
 		w->on_trial = false;
+		s->jobs[t->job].has_done = true;
 		return;
 	}
-	if (reason != SCHED_END_FAILED || w->last_failed_job == t->job)
+	if (reason != SCHED_END_FAILED ||
+	    fails_everywhere(&s->jobs[t->job], t->worker) ||
+	    w->last_failed_job == t->job)
 		return;
 	w->last_failed_job = t->job;
 	if (++w->failures < QUARANTINE_FAILURES)
--- a/tests/support-sched.c
+++ b/tests/support-sched.c
@@ -399,6 +399,14 @@
 	}
 }
 
+static bool always_fails(struct model *m, const struct model_run *r)
+{
+	uint32_t step;
+	const struct model_job *j = job_of(m, r->task, &step);
+
+	return j && j->fails;
+}
+
 /* Advances tasks by a step; best-effort tasks share what others leave. */
 static void run_tasks(struct model *m, struct model_worker *w)
 {
@@ -427,7 +435,9 @@
 		if (w->failing && r->done_ms > 20)
 			end_run(m, w, r, SCHED_END_FAILED);
 		else if (r->left_ms <= 0)
-			end_run(m, w, r, SCHED_END_DONE);
+			end_run(m, w, r,
+				always_fails(m, r) ? SCHED_END_FAILED
+						   : SCHED_END_DONE);
 	}
 }
 
--- a/tests/support-sched.h
+++ b/tests/support-sched.h
@@ -82,6 +82,7 @@
 	uint64_t submitted_ms;
 	uint64_t completed_ms; /* as reported by the scheduler; 0: not yet */
 	bool refused;
+	bool fails; /* each run fails when its work is done */
 	/* The task with this index in step 0 crashes its workers. */
 	bool crashes_workers;
 	uint32_t crash_index;
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -190,6 +190,74 @@
 	job_model_free(m);
 }
 
+/* The jobs are not submitted; all their runs fail. */
+static struct model *create_hopeless(uint32_t workers, struct model_job *j[3])
+{
+	struct model *m = job_model_create(workers, CORES(32), GB(64));
+
+	job_model_run(m, 100);
+	for (int i = 0; i < 3; i++) {
+		j[i] = job_model_add_job(m, "urgent", 1, 4, CORES(1), GB(1),
+					 150);
+		j[i]->spec.steps[0].per_worker_max = 1;
+		j[i]->fails = true;
+	}
+	return m;
+}
+
+/*
+ * Guards against jobs that fail everywhere and put all workers on trial: then
+ * nothing starts until a task that lasts for long has ended.
+ */
+static void test_hopeless_jobs_leave_workers_in_use(void)
+{
+	struct model_job *hopeless[3], *j[40];
+	struct model *m = create_hopeless(4, hopeless);
+	uint32_t running;
+
+	for (int i = 0; i < 12; i++)
+		job_model_submit(m, job_model_add_job(m, "batch", 1, 1,
+						      CORES(1), GB(1), 40000));
+	job_model_run(m, 500);
+	for (int i = 0; i < 3; i++)
+		job_model_submit(m, hopeless[i]);
+	job_model_run(m, 1500);
+	for (int i = 0; i < 40; i++) {
+		j[i] = job_model_add_job(m, "batch", 1, 1, CORES(1), GB(1),
+					 40000);
+		job_model_submit(m, j[i]);
+	}
+	job_model_run(m, 1000);
+	running = job_model_running(m);
+	CU_ASSERT(running >= 52);
+	for (int i = 0; i < 3; i++)
+		CU_ASSERT_EQUAL(job_model_state(m, hopeless[i]),
+				SCHED_JOB_FAILED);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
+/* Guards against a trial that goes on as long as a task that has outlived it.
+ */
+static void test_trial_ends_by_time(void)
+{
+	struct model_job *hopeless[3];
+	struct model *m = create_hopeless(1, hopeless);
+
+	job_model_submit(
+		m, job_model_add_job(m, "batch", 1, 1, CORES(1), GB(1), 60000));
+	for (int i = 0; i < 3; i++)
+		job_model_submit(m, hopeless[i]);
+	job_model_run(m, 6000);
+	for (int i = 0; i < 10; i++)
+		job_model_submit(m, job_model_add_job(m, "batch", 1, 1,
+						      CORES(1), GB(1), 40000));
+	job_model_run(m, 10000);
+	CU_ASSERT_EQUAL(job_model_running(m), 11);
+	expect_no_faults(m);
+	job_model_free(m);
+}
+
 /*
  * After quarantine a worker gets one finite task at a time. Guards against
  * long-running tasks that block it, or are blocked by it.
@@ -507,6 +575,9 @@
 		{ "no start without store", test_no_start_without_store },
 		{ "failing worker is quarantined",
 		  test_failing_worker_is_quarantined },
+		{ "hopeless jobs leave workers in use",
+		  test_hopeless_jobs_leave_workers_in_use },
+		{ "trial ends by time", test_trial_ends_by_time },
 		{ "worker with services leaves quarantine",
 		  test_worker_with_services_leaves_quarantine },
 		{ "attempts are limited", test_attempts_are_limited },
