--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -215,10 +215,13 @@
  * are known to be over earlier. Returns whether it had an effect.
  */
 bool sched_limit_lease(struct sched *s, const char *id, uint64_t end_us);
+/*
+ * The same for all workers for which sched_limit_lease() has not been called.
+ * Returns the number of workers on which it had an effect.
+ */
+uint32_t sched_limit_other_leases(struct sched *s, uint64_t end_us);
 /* The longest time from the grant of a lease until it is over. */
 uint64_t sched_lease_bound_us(const struct sched *s);
-/* The same of all workers for which that function has not been called. */
-uint32_t sched_limit_other_leases(struct sched *s, uint64_t end_us);
 
 void sched_order_result(struct sched *s, const struct sched_order *o,
 			enum sched_result result, uint64_t now_us);
