--- a/src/job-owner-silent.c
+++ b/src/job-owner-silent.c
@@ -68,8 +68,8 @@
 	n = silent_notes_apply(&o->silent, o->sched, o->epoch);
 	/* The predecessor was a process of this VM, which has exited. */
 	if (o->claim_expected_revision)
-		n += silent_notes_apply_dead(&o->silent, o->sched, o->epoch,
-					     o->claimed_us);
+		n += silent_notes_apply_exited(&o->silent, o->sched, o->epoch,
+					       o->claimed_us);
 	if (!n)
 		return;
 	log_event(LOG_INFO, "silent-taken-over", "epoch=%llu workers=%u",
--- a/src/job-silent.c
+++ b/src/job-silent.c
@@ -167,8 +167,9 @@
 	return applied;
 }
 
-uint32_t silent_notes_apply_dead(const struct silent_notes *n, struct sched *s,
-				 uint64_t epoch, uint64_t granted_us)
+uint32_t silent_notes_apply_exited(const struct silent_notes *n,
+				   struct sched *s, uint64_t epoch,
+				   uint64_t granted_us)
 {
 	if (!n->epoch || n->epoch + 1 != epoch || !n->settled)
 		return 0;
--- a/src/job-silent.h
+++ b/src/job-silent.h
@@ -83,7 +83,8 @@
  * has granted one after granted_us and the record of the owner before this one
  * is settled. Returns the same as above.
  */
-uint32_t silent_notes_apply_dead(const struct silent_notes *n, struct sched *s,
-				 uint64_t epoch, uint64_t granted_us);
+uint32_t silent_notes_apply_exited(const struct silent_notes *n,
+				   struct sched *s, uint64_t epoch,
+				   uint64_t granted_us);
 
 #endif
--- a/src/sched-interference.c
+++ b/src/sched-interference.c
@@ -417,7 +417,7 @@
 		return;
 	if (w->over_target_since_us) {
 		w->over_target_since_us = 0;
-		w->near_target_end_us = s->now_us;
+		w->near_target_allowed_us = s->now_us;
 		s->placement_due = true;
 	}
 	if (s->now_us < w->last_action_us + ACTION_INTERVAL_US)
@@ -432,8 +432,8 @@
 						  : NEAR_TARGET_WAIT_MS;
 
 	w->over_target_since_us = s->now_us;
-	if (!w->near_target_end_us ||
-	    s->now_us >= w->near_target_end_us + NEAR_TARGET_RELAPSE_US)
+	if (!w->near_target_allowed_us ||
+	    s->now_us >= w->near_target_allowed_us + NEAR_TARGET_RELAPSE_US)
 		return;
 	w->near_target_wait_ms = wait_ms * 2 > NEAR_TARGET_WAIT_MAX_MS
 					 ? NEAR_TARGET_WAIT_MAX_MS
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -176,7 +176,7 @@
 	uint64_t near_target_since_us;
 	uint32_t
 		near_target_wait_ms; /* until batch work is allowed; 0: least */
-	uint64_t near_target_end_us; /* when it was allowed last */
+	uint64_t near_target_allowed_us; /* when it was allowed last */
 	bool listed;
 	bool draining;
 	bool responsive; /* has answered the last request for a report */
--- a/tests/test-sched-worker.c
+++ b/tests/test-sched-worker.c
@@ -403,10 +403,10 @@
 		long_us = m->s->workers[lost->handle].lease_end_us;
 		CU_ASSERT_EQUAL(silent_notes_apply(&n, m->s, RECORD_EPOCH + 1),
 				0);
-		CU_ASSERT_EQUAL(silent_notes_apply_dead(
+		CU_ASSERT_EQUAL(silent_notes_apply_exited(
 					&n, m->s, RECORD_EPOCH + 2, granted_us),
 				0);
-		CU_ASSERT_EQUAL(silent_notes_apply_dead(
+		CU_ASSERT_EQUAL(silent_notes_apply_exited(
 					&n, m->s, RECORD_EPOCH + 1, granted_us),
 				settled);
 		CU_ASSERT_EQUAL(m->s->workers[lost->handle].lease_end_us,
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -518,10 +518,7 @@
 	job_model_free(m);
 }
 
-/*
- * Guards against batch tasks that are resumed and halted again and again, or
- * keep a service above its target: with them it is at 127%.
- */
+/* Takes a service at 91% of its target to 127%. */
 static double heavy_batch(const char *service, const char *batch)
 {
 	(void)service;
@@ -547,6 +544,10 @@
 	return changes;
 }
 
+/*
+ * Guards against batch tasks that are placed and stopped, or resumed and
+ * halted, again and again.
+ */
 static void test_no_flapping_near_target(void)
 {
 	uint64_t without = changes_in_a_minute(false);
