--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -166,6 +166,17 @@
 	       s->now_us < w->heard_us + s->settings.lease_max_ms * 1000ull;
 }
 
+static void log_loss(const struct sched *s, const struct sched_task *t,
+		     const char *why)
+{
+	log_event(LOG_INFO, "task-run-lost",
+		  "job=%s step=%u index=%u run=%u worker=%s why=%s crashes=%u "
+		  "suspicions=%u losses=%u",
+		  s->jobs[t->job].spec.id, t->step, t->index, t->run,
+		  s->workers[t->worker].identity->id, why, t->crashes,
+		  t->suspicions, t->losses);
+}
+
 static void log_suspect(const struct sched *s, const struct sched_task *t,
 			uint64_t age_us, bool sole, bool fails)
 {
@@ -206,10 +217,13 @@
 	for (uint32_t i = w->first_task; i != SCHED_NONE;
 	     i = s->tasks[i].next_on_worker) {
 		struct sched_task *t = &s->tasks[i];
+		bool ran;
 
 		if (!may_have_run(t) || outlived(w, t))
 			continue;
-		increment(ran_at_crash(s, w, t) ? &t->crashes : &t->losses);
+		ran = ran_at_crash(s, w, t);
+		increment(ran ? &t->crashes : &t->losses);
+		log_loss(s, t, ran ? "crashed" : "restarted");
 		s->jobs[t->job].has_suspect = true;
 		extend(&t->lost_age_us, known_age_us(w, t));
 		sched_mark_dirty(s, &s->jobs[t->job]);
@@ -220,13 +234,15 @@
 	return failed_job;
 }
 
-bool sched_crash_possible(struct sched *s, struct sched_task *t)
+bool sched_crash_possible(struct sched *s, struct sched_task *t,
+			  const char *why)
 {
 	bool fails;
 
 	if (!may_have_run(t) || ran_before_stop(t))
 		return false;
 	increment(&t->losses);
+	log_loss(s, t, why);
 	s->jobs[t->job].has_suspect = true;
 	sched_mark_dirty(s, &s->jobs[t->job]);
 	fails = lost_runs(t) >= LOST_RUNS_MAX;
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -545,9 +545,10 @@
 uint32_t sched_crash_observed(struct sched *s, const struct sched_worker *w);
 /*
  * The task's run is gone for an unknown reason, so its worker may have crashed.
- * Returns whether the job must fail.
+ * why: for the log. Returns whether the job must fail.
  */
-bool sched_crash_possible(struct sched *s, struct sched_task *t);
+bool sched_crash_possible(struct sched *s, struct sched_task *t,
+			  const char *why);
 /* Delay of the next start of a task whose run was lost. */
 uint32_t sched_crash_delay_ms(const struct sched_task *t);
 /* Whether no other task should start beside the task. */
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -99,7 +99,7 @@
 		struct sched_task *t = &s->tasks[w->first_task];
 
 		if (loss == LOSS_LEASE_OVER && !w->listed && !w->draining &&
-		    sched_crash_possible(s, t))
+		    sched_crash_possible(s, t, reason))
 			failed_job = t->job;
 		sched_task_requeue(s, t, sched_crash_delay_ms(t));
 		n++;
@@ -424,7 +424,8 @@
 			  "task=%s run=%u worker=%s state=%u unanswered=%u",
 			  name, t->run, w->identity->id, t->state,
 			  t->unanswered);
-		if (t->state == TASK_UNCONFIRMED && sched_crash_possible(s, t))
+		if (t->state == TASK_UNCONFIRMED &&
+		    sched_crash_possible(s, t, "absent"))
 			failed_job = t->job;
 		sched_task_requeue(s, t, sched_crash_delay_ms(t));
 	}
