sched: silence of workers alone fails no job

Cause: a run that is over with the leases of a silent, unlisted worker counted like a crash under its task, and five in a row failed the job. Nothing took the count back when the worker returned as it was.

Change: such a run is kept in a table (sched-lost.c) until its worker's fate is known. The same incarnation returns: the loss is taken back. Another one, or another id at its address: it is confirmed. A new owner, which may have no address of the worker, goes by whether a worker has started about then. Five lost runs fail a job only if two are crashes or confirmed (the rule for a task under which two runners have crashed), so a task that crashes its workers is still given up, also if that is seen only 20 s later. A finite task whose worker falls silent with the start unanswered counts as before.

--- a/src/log-events.c
+++ b/src/log-events.c
@@ -119,6 +119,7 @@
 	"task-end-unknown",
 	"task-ended",
 	"task-given-up",
+	"task-loss-resolved",
 	"task-run-lost",
 	"task-stray",
 	"task-suspected",
--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -25,7 +25,10 @@
 #define SUSPICIONS_MAX 3u
 /* The platform lets a job fail after this many crashes under its task. */
 #define CRASHES_MIN 2u
-/* It allows five starts; known or not, so many lost runs fail the job. */
+/*
+ * It allows five starts. So many lost runs fail the job if enough of their
+ * workers restarted: others may have been silent only.
+ */
 #define LOST_RUNS_MAX 5u
 /* Lost runs after which a task is on probation whatever else ran there. */
 #define LOST_RUNS_PROBATION 3u
@@ -72,6 +75,12 @@
 	return t->crashes + t->losses;
 }
 
+static bool is_out_of_starts(const struct sched_task *t)
+{
+	return lost_runs(t) >= LOST_RUNS_MAX &&
+	       t->crashes + t->restarts >= CRASHES_MIN;
+}
+
 /* Run time after which a crash has another cause than the task. */
 static uint64_t survival_us(const struct sched_task *t)
 {
@@ -166,15 +175,21 @@
 	       s->now_us < w->heard_us + s->settings.lease_max_ms * 1000ull;
 }
 
+static const char *worker_id(const struct sched *s, const struct sched_task *t)
+{
+	return t->worker == SCHED_NONE ? "-"
+				       : s->workers[t->worker].identity->id;
+}
+
 static void log_loss(const struct sched *s, const struct sched_task *t,
 		     const char *why)
 {
 	log_event(LOG_INFO, "task-run-lost",
 		  "job=%s step=%u index=%u run=%u worker=%s why=%s crashes=%u "
-		  "suspicions=%u losses=%u",
+		  "suspicions=%u losses=%u restarts=%u",
 		  s->jobs[t->job].spec.id, t->step, t->index, t->run,
-		  s->workers[t->worker].identity->id, why, t->crashes,
-		  t->suspicions, t->losses);
+		  worker_id(s, t), why, t->crashes, t->suspicions, t->losses,
+		  t->restarts);
 }
 
 static void log_suspect(const struct sched *s, const struct sched_task *t,
@@ -183,11 +198,12 @@
 	log_event(fails ? LOG_WARNING : LOG_INFO,
 		  fails ? "task-given-up" : "task-suspected",
 		  "job=%s step=%u index=%u run=%u worker=%s age_ms=%llu "
-		  "crashes=%u suspicions=%u losses=%u probation=%d sole=%d",
+		  "crashes=%u suspicions=%u losses=%u restarts=%u "
+		  "probation=%d sole=%d",
 		  s->jobs[t->job].spec.id, t->step, t->index, t->run,
-		  s->workers[t->worker].identity->id,
-		  (unsigned long long)age_us / 1000, t->crashes, t->suspicions,
-		  t->losses, t->on_probation, sole);
+		  worker_id(s, t), (unsigned long long)age_us / 1000,
+		  t->crashes, t->suspicions, t->losses, t->restarts,
+		  t->on_probation, sole);
 }
 
 /* sole: no other task is as likely. Returns whether the job fails. */
@@ -202,8 +218,7 @@
 		   (sole && t->on_probation &&
 		    (t->suspicions >= SUSPICIONS_PROBATION_MAX ||
 		     lost_runs(t) > LOST_RUNS_PROBATION));
-	fails = (decisive && t->crashes >= CRASHES_MIN) ||
-		lost_runs(t) >= LOST_RUNS_MAX;
+	fails = (decisive && t->crashes >= CRASHES_MIN) || is_out_of_starts(t);
 	extend(&t->suspect_age_us, age_us);
 	log_suspect(s, t, age_us, sole, fails);
 	return fails;
@@ -222,7 +237,12 @@
 		if (!may_have_run(t) || outlived(w, t))
 			continue;
 		ran = ran_at_crash(s, w, t);
-		increment(ran ? &t->crashes : &t->losses);
+		if (ran) {
+			increment(&t->crashes);
+		} else {
+			increment(&t->losses);
+			increment(&t->restarts);
+		}
 		log_loss(s, t, ran ? "crashed" : "restarted");
 		s->jobs[t->job].has_suspect = true;
 		extend(&t->lost_age_us, known_age_us(w, t));
@@ -234,21 +254,44 @@
 	return failed_job;
 }
 
-bool sched_crash_possible(struct sched *s, struct sched_task *t,
+bool sched_crash_possible(struct sched *s, struct sched_task *t, bool restarted,
 			  const char *why)
 {
-	bool fails;
-
-	if (!may_have_run(t) || ran_before_stop(t))
-		return false;
 	increment(&t->losses);
+	if (restarted)
+		increment(&t->restarts);
 	log_loss(s, t, why);
 	s->jobs[t->job].has_suspect = true;
 	sched_mark_dirty(s, &s->jobs[t->job]);
-	fails = lost_runs(t) >= LOST_RUNS_MAX;
-	if (fails)
-		log_suspect(s, t, 0, false, true);
-	return fails;
+	if (!is_out_of_starts(t))
+		return false;
+	log_suspect(s, t, 0, false, true);
+	return true;
+}
+
+bool sched_crash_confirmed(struct sched *s, struct sched_task *t)
+{
+	increment(&t->restarts);
+	sched_mark_dirty(s, &s->jobs[t->job]);
+	if (!is_out_of_starts(t))
+		return false;
+	log_suspect(s, t, 0, false, true);
+	return true;
+}
+
+void sched_crash_disproved(struct sched *s, struct sched_task *t,
+			   bool restarted)
+{
+	t->losses -= t->losses > 0;
+	t->restarts -= restarted && t->restarts > 0;
+	sched_mark_dirty(s, &s->jobs[t->job]);
+	if (!sched_needs_probation(t))
+		sched_end_probation(s, t);
+}
+
+bool sched_may_have_run(const struct sched_task *t)
+{
+	return may_have_run(t) && !ran_before_stop(t);
 }
 
 uint32_t sched_crash_delay_ms(const struct sched_task *t)
@@ -325,5 +368,7 @@
 		return;
 	t->crashes = 0;
 	t->losses = 0;
+	t->restarts = 0;
 	t->lost_age_us = 0;
+	t->survived_run = t->run;
 }
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -25,6 +25,7 @@
  *	sched-reserve.c	reservations
  *	sched-preempt.c	urgent jobs that stop other tasks
  *	sched-crash.c	tasks that crash their workers
+ *	sched-lost.c	runs lost on silent workers
  *	sched-estimate.c	run times and objectives
  *	sched-interference.c	batch tasks beside services
  *	sched-wait-log.c	why tasks wait
@@ -59,13 +60,16 @@
 	uint16_t step;
 	uint16_t failures;
 	/* Since a run that outlived the crashes before it: */
-	uint8_t crashes;     /* of workers on which it is known to have run */
-	uint8_t suspicions;  /* crashes that it may have caused */
-	uint8_t losses;	     /* runs that are gone for an unknown reason */
-	bool on_probation;   /* its worker starts no other task */
-	uint32_t index;	     /* in the step */
-	uint32_t run;	     /* number of the last run; 0: none */
-	uint32_t failed_run; /* of a gang: the last failed run */
+	uint8_t crashes;       /* of workers on which it is known to have run */
+	uint8_t suspicions;    /* crashes that it may have caused */
+	uint8_t losses;	       /* runs that are gone for an unknown reason */
+	uint8_t restarts;      /* of these: of workers that have restarted */
+	bool on_probation;     /* its worker starts no other task */
+	uint32_t index;	       /* in the step */
+	uint32_t run;	       /* number of the last run; 0: none */
+	uint32_t failed_run;   /* of a gang: the last failed run */
+	uint32_t survived_run; /* the last that outlived the crashes before */
+	uint32_t incarnation;  /* tag of its worker's, at the last start */
 	uint32_t worker;
 	uint32_t last_failed_worker; /* worker of the last failure */
 	uint32_t reserved_on;	     /* index + 1 of the worker; 0: none */
@@ -205,6 +209,8 @@
 	uint64_t silent_since_us;   /* unless it is responsive */
 	uint8_t recorded;	    /* SILENT_COLLECTED, SILENT_STORED */
 	bool lease_recorded;	/* a predecessor's record contains the worker */
+	uint32_t lost_runs;	/* in the table of lost runs */
+	bool start_noted;	/* by sched_lost_tick() */
 	uint64_t tasks_lost_us; /* its tasks were taken back; 0: not yet */
 	uint64_t last_action_us; /* last halt, resume or migration of a batch
 				    task */
@@ -324,6 +330,10 @@
 	uint32_t absent_services;
 	uint32_t silent_services; /* ... or on silent workers, in this round */
 	uint32_t probations;	  /* tasks on probation */
+	struct lost_run *lost_runs; /* sched-lost.h */
+	uint32_t lost_run_count;
+	uint32_t lost_run_capacity;
+	uint64_t lost_check_us; /* next sched_lost_tick() */
 };
 
 /* ---- sched.c ---- */
@@ -543,12 +553,21 @@
  * certain.
  */
 uint32_t sched_crash_observed(struct sched *s, const struct sched_worker *w);
+/* Whether the task's run may have been under way on its worker. */
+bool sched_may_have_run(const struct sched_task *t);
 /*
- * The task's run is gone for an unknown reason, so its worker may have crashed.
- * why: for the log. Returns whether the job must fail.
+ * The task's run is gone for an unknown reason. restarted: its worker is gone,
+ * too, so that the task may have crashed it; otherwise it is silent. why: for
+ * the log. Returns whether the job must fail.
  */
-bool sched_crash_possible(struct sched *s, struct sched_task *t,
+bool sched_crash_possible(struct sched *s, struct sched_task *t, bool restarted,
 			  const char *why);
+/* A silent worker has restarted after all. Returns whether the job must fail.
+ */
+bool sched_crash_confirmed(struct sched *s, struct sched_task *t);
+/* A loss that was counted, restarted or not, was no crash. */
+void sched_crash_disproved(struct sched *s, struct sched_task *t,
+			   bool restarted);
 /* Delay of the next start of a task whose run was lost. */
 uint32_t sched_crash_delay_ms(const struct sched_task *t);
 /* Whether no other task should start beside the task. */
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -3,14 +3,16 @@
 
 #include "pack.h"
 #include "sched-internal.h"
+#include "sched-lost.h"
 
 /*
  * [format, state, ended_wall_ms, started, next occurrence,
  *  [[number, [task, ...]], ...]]
  * A task is nil if it was never placed, true if it is done, else
  * [run, counts, worker id or nil, checkpoint]. The lower 16 bits of the counts
- * are failures, all that earlier versions read; then crashes, suspicions and
- * losses in 5 bits each.
+ * are failures, all that the first versions read; then crashes, suspicions,
+ * losses and restarts in 5 bits each, one bit being left out. 5960e2e and
+ * before write no restarts.
  */
 #define RECORD_FORMAT 1
 #define RECORD_ELEMENTS 6
@@ -19,6 +21,18 @@
 #define CRASHES_SHIFT 16
 #define SUSPICIONS_SHIFT 21
 #define LOSSES_SHIFT 26
+#define RESTARTS_SHIFT 32
+
+static uint64_t pack_counts(const struct sched_task *t)
+{
+	uint64_t counts = (uint64_t)t->failures |
+			  (uint64_t)t->crashes << CRASHES_SHIFT |
+			  (uint64_t)t->suspicions << SUSPICIONS_SHIFT |
+			  (uint64_t)t->losses << LOSSES_SHIFT |
+			  (uint64_t)t->restarts << RESTARTS_SHIFT;
+
+	return counts;
+}
 
 static void pack_task(msgpack_packer *pk, const struct sched *s,
 		      const struct sched_task *t)
@@ -33,11 +47,7 @@
 	}
 	msgpack_pack_array(pk, TASK_ELEMENTS);
 	msgpack_pack_uint32(pk, t->run);
-	msgpack_pack_uint32(pk, (uint32_t)t->losses << LOSSES_SHIFT |
-					(uint32_t)t->suspicions
-						<< SUSPICIONS_SHIFT |
-					(uint32_t)t->crashes << CRASHES_SHIFT |
-					t->failures);
+	msgpack_pack_uint64(pk, pack_counts(t));
 	if (t->worker == SCHED_NONE)
 		msgpack_pack_nil(pk);
 	else
@@ -126,10 +136,14 @@
 	t->crashes = crash_count(&e[1], CRASHES_SHIFT);
 	t->suspicions = crash_count(&e[1], SUSPICIONS_SHIFT);
 	t->losses = crash_count(&e[1], LOSSES_SHIFT);
+	t->restarts = crash_count(&e[1], RESTARTS_SHIFT);
 	j->has_suspect = j->has_suspect || t->crashes || t->losses;
 	if (j->state >= SCHED_JOB_COMPLETED)
 		t->state = TASK_DROPPED;
-	return restore_worker(s, t, &e[2]);
+	if (!restore_worker(s, t, &e[2]))
+		return false;
+	sched_lost_inherited(s, t);
+	return true;
 }
 
 static bool restore_occurrence(struct sched *s, struct job *j,
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -5,6 +5,7 @@
 #include "latency.h"
 #include "log.h"
 #include "sched-internal.h"
+#include "sched-lost.h"
 
 /*
  * A service that was stopped for urgent tasks leaves them its room for this
@@ -182,6 +183,7 @@
 
 	t->worker = worker;
 	t->run++;
+	t->incarnation = sched_incarnation_tag(w->started_wall_ms);
 	t->confirmed = false;
 	t->unanswered = 0;
 	t->listed_in = 0;
@@ -263,6 +265,8 @@
 
 void sched_task_start(struct sched *s, struct sched_task *t)
 {
+	t->incarnation =
+		sched_incarnation_tag(s->workers[t->worker].started_wall_ms);
 	set_state(s, t, TASK_STARTING);
 	s->stats.starts++;
 	sched_task_order(s, t, SCHED_START);
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -4,6 +4,7 @@
 
 #include "log.h"
 #include "sched-internal.h"
+#include "sched-lost.h"
 
 /* Allows for a worker's clock that runs 2% slow, and for network delay. */
 #define CLOCK_DRIFT_PERCENT 2u
@@ -99,7 +100,7 @@
 		struct sched_task *t = &s->tasks[w->first_task];
 
 		if (loss == LOSS_LEASE_OVER && !w->listed && !w->draining &&
-		    sched_crash_possible(s, t, reason))
+		    sched_lost_silent(s, t))
 			failed_job = t->job;
 		sched_task_requeue(s, t, sched_crash_delay_ms(t));
 		n++;
@@ -253,6 +254,8 @@
 	if (info->started_wall_ms > w->announced_wall_ms) {
 		w->announced_wall_ms = info->started_wall_ms;
 		w->announced_us = s->now_us;
+		w->start_noted = false;
+		sched_lost_resolve(s, i, info->started_wall_ms);
 	}
 	/* Only a report tells what a new incarnation runs. */
 	if (!w->started_wall_ms)
@@ -297,6 +300,7 @@
 	sched_worker_unresponsive(s, worker, now_us);
 	s->workers[worker].report_number++;
 	requeue_lost_tasks(s, &s->workers[worker], LOSS_CRASHED, "dead");
+	sched_lost_resolve(s, worker, 0);
 }
 
 void sched_lease_granted(struct sched *s, uint32_t worker, uint64_t now_us)
@@ -382,6 +386,8 @@
 		return;
 	}
 	t->listed_in = s->workers[worker].report_number;
+	t->incarnation =
+		sched_incarnation_tag(s->workers[worker].started_wall_ms);
 	sched_task_checkpoint(s, t, run->checkpoint);
 	t->progress_percent = (uint8_t)run->progress_percent;
 	t->metric = run->metric;
@@ -424,8 +430,7 @@
 			  "task=%s run=%u worker=%s state=%u unanswered=%u",
 			  name, t->run, w->identity->id, t->state,
 			  t->unanswered);
-		if (t->state == TASK_UNCONFIRMED &&
-		    sched_crash_possible(s, t, "absent"))
+		if (t->state == TASK_UNCONFIRMED && sched_lost_absent(s, t))
 			failed_job = t->job;
 		sched_task_requeue(s, t, sched_crash_delay_ms(t));
 	}
@@ -474,6 +479,8 @@
 		return false;
 	}
 	w->report_number++;
+	if (r->started_wall_ms)
+		sched_lost_resolve(s, worker, r->started_wall_ms);
 	if (r->started_wall_ms && r->started_wall_ms != w->started_wall_ms)
 		handle_restart(s, worker, r);
 	if (!w->heard_us)
--- a/src/sched.c
+++ b/src/sched.c
@@ -5,6 +5,7 @@
 #include "latency.h"
 #include "log.h"
 #include "sched-internal.h"
+#include "sched-lost.h"
 
 /* Shortest time between placement rounds, to handle ends in batches. */
 #define PLACEMENT_INTERVAL_US 5000u
@@ -67,6 +68,7 @@
 	free(s->job_due_wall_ms);
 	free(s->collected);
 	free(s->ending);
+	free(s->lost_runs);
 	free(s->tasks);
 	free(s->free_blocks);
 	free(s->stop_retries);
@@ -549,6 +551,7 @@
 	s->wall_ms = wall_ms;
 	check_attempts(s);
 	sched_workers_tick(s);
+	sched_lost_tick(s);
 	sched_stops_tick(s);
 	for (uint32_t i = 0; i < s->job_count; i++) {
 		if (wall_ms < s->job_due_wall_ms[i])
--- a/tests/support-sched.h
+++ b/tests/support-sched.h
@@ -73,9 +73,10 @@
 	uint64_t lease_end_us;
 	uint64_t reported_us;
 	bool changed;
-	uint64_t over_since_us; /* a service exceeds its target */
-	uint64_t restarts_us;	/* after a crash; 0: it runs */
-	uint64_t noticed_us;	/* until then it is not known to be silent */
+	uint64_t over_since_us;	 /* a service exceeds its target */
+	uint64_t restarts_us;	 /* after a crash; 0: it runs */
+	uint64_t heard_again_us; /* not heard before, though restarted */
+	uint64_t noticed_us;	 /* until then it is not known to be silent */
 };
 
 struct model_job {
@@ -136,6 +137,7 @@
 	uint32_t store_delay_ms; /* until a record is stored */
 	uint64_t stored_us;	 /* when the one in transit is; 0: none */
 	uint32_t stop_ms;	 /* how long a stop takes */
+	uint32_t unseen_ms;	 /* a crashed worker isn't heard for so long */
 	struct {
 		char id[JOB_ID_BYTES];
 		char *data;
--- a/tests/test-sched-crash.c
+++ b/tests/test-sched-crash.c
@@ -216,6 +216,279 @@
 	}
 }
 
+/* The worker that runs the only task of the job, or NULL. */
+static struct model_worker *runner_of(struct model *m,
+				      const struct model_job *j)
+{
+	for (uint32_t i = 0; i < m->worker_count; i++)
+		for (uint32_t k = 0; k < m->workers[i].run_count; k++)
+			if (!strncmp(m->workers[i].runs[k].task, j->spec.id,
+				     strlen(j->spec.id)))
+				return &m->workers[i];
+	return NULL;
+}
+
+static struct model_job *submit_task(struct model *m, bool finite)
+{
+	struct model_job *j =
+		job_model_add_job(m, "urgent", 1, 1, CORES(2), GB(2), 60000);
+
+	j->spec.steps[0].long_running = !finite;
+	if (!finite)
+		j->work_ms[0] = -1;
+	job_model_submit(m, j);
+	return j;
+}
+
+/* The platform lists it no longer, and it hears nobody, but it runs. */
+static void silence(struct model_worker *w)
+{
+	w->unresponsive = true;
+	w->entry_expired = true;
+}
+
+static void end_silence(struct model_worker *w)
+{
+	w->unresponsive = false;
+	w->entry_expired = false;
+}
+
+/* Runs the model until the task runs anew, for at most 30 s. */
+static struct model_worker *await_start(struct model *m,
+					const struct model_job *j,
+					const struct model_worker *former)
+{
+	for (uint32_t t = 0; t < 30000; t += MODEL_STEP_MS) {
+		struct model_worker *w = runner_of(m, j);
+
+		if (w && w != former)
+			return w;
+		job_model_run(m, MODEL_STEP_MS);
+	}
+	return NULL;
+}
+
+struct silence_case {
+	uint32_t age_ms;  /* of the run, when its worker becomes silent */
+	uint32_t back_ms; /* after that time it is heard again; 0: never */
+	bool fail_over;	  /* the owner is lost 100 ms later */
+	bool crashes;	  /* just before it is heard again */
+	bool finite;	  /* a task of a minute instead of a service */
+};
+
+static void run_silences(const struct silence_case *c)
+{
+	struct model *m = job_model_create(20, CORES(16), GB(64));
+	struct model_worker *w = NULL, *silent[20];
+	uint64_t since_us[20];
+	uint32_t n = 0, back = 0, lapses;
+	struct model_job *j;
+
+	job_model_run(m, 100);
+	j = submit_task(m, c->finite);
+	for (lapses = 0; lapses < 12; lapses++) {
+		w = await_start(m, j, w);
+		if (!w)
+			break;
+		job_model_run(m, c->age_ms);
+		silence(w);
+		silent[n] = w;
+		since_us[n++] = m->now_us;
+		if (c->fail_over) {
+			job_model_run(m, 100);
+			job_model_fail_over(m);
+		}
+		while (c->back_ms && back < n &&
+		       m->now_us >= since_us[back] + c->back_ms * 1000ull) {
+			if (c->crashes)
+				job_model_crash_worker(m, silent[back]);
+			end_silence(silent[back++]);
+		}
+	}
+	CU_ASSERT_EQUAL(lapses, 12);
+	job_model_run(m, 12000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_RUNNING);
+	CU_ASSERT_PTR_NOT_NULL(runner_of(m, j));
+	CU_ASSERT_EQUAL(m->faults.duplicate_runs, 0);
+	job_model_free(m);
+}
+
+/*
+ * Load pattern: each worker goes silent just after the start of a service, is
+ * unlisted, and lives. Guards against a service that is shown as failed though
+ * its runs have only lapsed.
+ */
+static void test_silent_workers_fail_no_service(void)
+{
+	static const struct silence_case cases[] = {
+		{ .age_ms = 30 },
+		{ .age_ms = 300 },
+		{ .age_ms = 900 },
+		{ .age_ms = 3000 },
+		{ .age_ms = 30, .back_ms = 9000 },
+		{ .age_ms = 300, .back_ms = 20000 },
+		{ .age_ms = 30, .fail_over = true },
+		{ .age_ms = 300, .fail_over = true, .back_ms = 9000 },
+		{ .age_ms = 30, .back_ms = 17000, .crashes = true },
+		{ .age_ms = 30, .finite = true },
+		{ .age_ms = 300, .back_ms = 9000, .finite = true },
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++)
+		run_silences(&cases[i]);
+}
+
+/* Ends or begins silences and crashes of workers, as drawn. */
+static void disturb(struct model *m, struct rng *r, uint64_t *heard_us)
+{
+	for (uint32_t i = 0; i < m->worker_count; i++) {
+		struct model_worker *w = &m->workers[i];
+
+		if (!heard_us[i] || m->now_us < heard_us[i])
+			continue;
+		heard_us[i] = 0;
+		end_silence(w);
+		if (rng_below(r, 4) == 0)
+			job_model_crash_worker(m, w);
+	}
+	for (uint32_t n = rng_below(r, 3); n; n--) {
+		uint32_t i = rng_below(r, m->worker_count);
+		struct model_worker *w = &m->workers[i];
+
+		if (heard_us[i] || w->restarts_us)
+			continue;
+		silence(w);
+		heard_us[i] = m->now_us + (2000 + rng_below(r, 9000)) * 1000ull;
+	}
+}
+
+/*
+ * Load pattern: workers are silent for 2 to 11 s, some crash behind that,
+ * owners change. Guards against jobs that fail though no task was under two
+ * crashes.
+ */
+static void test_silence_and_crashes_fail_no_sound_job(void)
+{
+	for (uint32_t seed = 1; seed <= 8; seed++) {
+		uint64_t heard_us[24] = { 0 };
+		struct rng r = { .state = seed };
+		uint32_t unfounded = 0;
+		struct load l;
+
+		begin_load(&l, 24);
+		for (uint32_t t = 0; t < 240; t++) {
+			disturb(l.m, &r, heard_us);
+			run_load(&l, 250);
+			if (seed % 2 && t % 20 == 0)
+				job_model_fail_over(l.m);
+		}
+		for (uint32_t i = 0; i < l.m->job_count; i++) {
+			const struct model_job *j = &l.m->jobs[i];
+
+			unfounded +=
+				job_model_state(l.m, j) == SCHED_JOB_FAILED &&
+				!was_under_crashes(j, 2);
+		}
+		CU_ASSERT_EQUAL(unfounded, 0);
+		CU_ASSERT_EQUAL(l.m->faults.duplicate_runs, 0);
+		job_model_free(l.m);
+	}
+}
+
+struct unseen_case {
+	uint32_t back_ms; /* the crashed worker isn't heard for so long */
+	bool unlisted;	  /* ... nor listed */
+	bool fail_over;	  /* the owner is lost with each worker */
+	bool renamed;	  /* crashed workers are back under another id */
+	uint32_t silent;  /* so many other workers are silent meanwhile */
+};
+
+/* Calls to a worker's address are answered by its next incarnation. */
+static void rename_restarted(struct model *m, bool *crashed)
+{
+	for (uint32_t i = 0; i < m->worker_count; i++) {
+		struct model_worker *w = &m->workers[i];
+
+		if (crashed[i] && !w->restarts_us) {
+			if (w->handle != SCHED_NONE)
+				sched_worker_dead(m->s, w->handle, m->now_us);
+			snprintf(w->id, sizeof(w->id), "w%u-%llu", i,
+				 (unsigned long long)w->started_wall_ms);
+		}
+		crashed[i] = w->restarts_us;
+	}
+}
+
+static void run_unseen_crashes(const struct unseen_case *c)
+{
+	struct model *m = job_model_create(24, CORES(16), GB(64));
+	bool crashed[24] = { false };
+	struct model_job *j;
+	uint32_t seen = 0;
+
+	m->unseen_ms = c->back_ms;
+	job_model_run(m, 100);
+	for (uint32_t i = 0; i < c->silent; i++)
+		silence(&m->workers[i]);
+	j = submit_task(m, false);
+	j->crashes_workers = true;
+	j->crash_index = 0;
+	j->crash_after_ms = 10;
+	for (uint32_t t = 0; t < 120000; t += MODEL_STEP_MS) {
+		job_model_run(m, MODEL_STEP_MS);
+		for (uint32_t i = c->silent; i < m->worker_count; i++)
+			m->workers[i].entry_expired =
+				c->unlisted && m->workers[i].restarts_us;
+		if (c->renamed)
+			rename_restarted(m, crashed);
+		if (j->crashes == seen)
+			continue;
+		seen = j->crashes;
+		if (c->fail_over)
+			job_model_fail_over(m);
+	}
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_FAILED);
+	CU_ASSERT(j->crashes >= 2 && j->crashes <= CRASHES_ALLOWED);
+	printf("back after %u ms, unlisted %d, fail-over %d, renamed %d: "
+	       "%u crashes\n",
+	       c->back_ms, c->unlisted, c->fail_over, c->renamed, j->crashes);
+	job_model_free(m);
+}
+
+/*
+ * Load pattern: a task crashes its workers behind a cut, so that their owner
+ * only learns of it when they are back, and its leases are over before. Guards
+ * against a task that goes on crashing workers.
+ */
+static void test_unseen_crashes_are_counted(void)
+{
+	static const struct unseen_case cases[] = {
+		{ .back_ms = 3000, .unlisted = true },
+		{ .back_ms = 8000, .unlisted = true },
+		{ .back_ms = 12000, .unlisted = true },
+		{ .back_ms = 20000, .unlisted = true, .silent = 4 },
+		{ .back_ms = 3000, .unlisted = true, .fail_over = true },
+		{ .back_ms = 3000, .fail_over = true, .silent = 4 },
+		{ .back_ms = 8000, .fail_over = true },
+		{ .back_ms = 8000, .unlisted = true, .renamed = true },
+		{ .back_ms = 3000,
+		  .unlisted = true,
+		  .fail_over = true,
+		  .renamed = true },
+		{ .back_ms = 8000,
+		  .unlisted = true,
+		  .fail_over = true,
+		  .renamed = true },
+		{ .back_ms = 12000,
+		  .unlisted = true,
+		  .fail_over = true,
+		  .renamed = true },
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++)
+		run_unseen_crashes(&cases[i]);
+}
+
 /*
  * Guards against a gang that never starts again, because its members may not
  * start beside each other.
@@ -249,6 +522,12 @@
 		  test_crashes_are_counted_across_failover },
 		{ "starts that never ran are not counted",
 		  test_starts_that_never_ran_are_not_counted },
+		{ "silent workers fail no service",
+		  test_silent_workers_fail_no_service },
+		{ "silence and crashes fail no sound job",
+		  test_silence_and_crashes_fail_no_sound_job },
+		{ "unseen crashes are counted",
+		  test_unseen_crashes_are_counted },
 		{ "gang starts again after crash",
 		  test_gang_starts_again_after_crash },
 		{ "crashing workers fail no job",
