sched: a run that never began is no lost run for a new owner

Cause: a new owner that did not find a stored run on its worker counted it as if the worker might have crashed, as it did not know the incarnation on which the run was to start.

Change: the progress record has a tag of that incarnation, in bits that earlier versions ignore. A run that is absent at the same incarnation never began, and is not counted; at another one it is, as before.

--- a/src/sched-lost.c
+++ b/src/sched-lost.c
@@ -167,6 +167,12 @@
 
 bool sched_lost_absent(struct sched *s, struct sched_task *t)
 {
+	const struct sched_worker *w = &s->workers[t->worker];
+
+	/* Then the predecessor was lost before it sent the start. */
+	if (t->incarnation &&
+	    t->incarnation == sched_incarnation_tag(w->started_wall_ms))
+		return false;
 	return sched_may_have_run(t) &&
 	       sched_crash_possible(s, t, true, "absent");
 }
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -11,8 +11,8 @@
  * A task is nil if it was never placed, true if it is done, else
  * [run, counts, worker id or nil, checkpoint]. The lower 16 bits of the counts
  * are failures, all that the first versions read; then crashes, suspicions,
- * losses and restarts in 5 bits each, one bit being left out. 5960e2e and
- * before write no restarts.
+ * losses and restarts in 5 bits each, one bit being left out, and the tag of
+ * the worker's incarnation. 5960e2e and before write no restarts and no tag.
  */
 #define RECORD_FORMAT 1
 #define RECORD_ELEMENTS 6
@@ -22,6 +22,7 @@
 #define SUSPICIONS_SHIFT 21
 #define LOSSES_SHIFT 26
 #define RESTARTS_SHIFT 32
+#define INCARNATION_SHIFT 37
 
 static uint64_t pack_counts(const struct sched_task *t)
 {
@@ -31,6 +32,8 @@
 			  (uint64_t)t->losses << LOSSES_SHIFT |
 			  (uint64_t)t->restarts << RESTARTS_SHIFT;
 
+	if (t->worker != SCHED_NONE)
+		counts |= (uint64_t)t->incarnation << INCARNATION_SHIFT;
 	return counts;
 }
 
@@ -142,6 +145,7 @@
 		t->state = TASK_DROPPED;
 	if (!restore_worker(s, t, &e[2]))
 		return false;
+	t->incarnation = (uint32_t)(e[1].via.u64 >> INCARNATION_SHIFT);
 	sched_lost_inherited(s, t);
 	return true;
 }
--- a/tests/test-sched-crash.c
+++ b/tests/test-sched-crash.c
@@ -395,6 +395,39 @@
 	}
 }
 
+static struct model_fate lose_starts(struct model *m,
+				     const struct sched_order *o)
+{
+	(void)m;
+	return (struct model_fate){ .outcome = o->type == SCHED_START
+						       ? MODEL_LOST
+						       : MODEL_EXECUTED };
+}
+
+/*
+ * Load pattern: owners are lost one after another, each before its start of a
+ * service reaches the worker, which is sound. Guards against a service that is
+ * shown as failed though no worker has crashed.
+ */
+static void test_starts_of_lost_owners_fail_no_service(void)
+{
+	struct model *m = job_model_create(20, CORES(16), GB(64));
+	struct model_job *j;
+
+	job_model_run(m, 100);
+	m->fate = lose_starts;
+	j = submit_task(m, false);
+	for (int i = 0; i < 12; i++) {
+		job_model_run(m, 200);
+		job_model_fail_over(m);
+	}
+	m->fate = NULL;
+	job_model_run(m, 9000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_RUNNING);
+	CU_ASSERT_PTR_NOT_NULL(runner_of(m, j));
+	job_model_free(m);
+}
+
 struct unseen_case {
 	uint32_t back_ms; /* the crashed worker isn't heard for so long */
 	bool unlisted;	  /* ... nor listed */
@@ -526,6 +559,8 @@
 		  test_silent_workers_fail_no_service },
 		{ "silence and crashes fail no sound job",
 		  test_silence_and_crashes_fail_no_sound_job },
+		{ "starts of lost owners fail no service",
+		  test_starts_of_lost_owners_fail_no_service },
 		{ "unseen crashes are counted",
 		  test_unseen_crashes_are_counted },
 		{ "gang starts again after crash",
