sched: a crash behind a cut counts if the worker is listed, too

Cause: runs that are over with the leases of a listed worker were requeued and not counted at all; when the worker came back as another incarnation no task was left there to count the crash for.

Change: they are counted and kept like those of unlisted workers. By themselves they fail no job.

Evidence: test-sched-crash, "unseen crashes are counted", worker listed and not heard for 8 and 20 s: 19 crashes in two minutes and no end on, 5 now.

--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -99,7 +99,7 @@
 	while (w->first_task != SCHED_NONE) {
 		struct sched_task *t = &s->tasks[w->first_task];
 
-		if (loss == LOSS_LEASE_OVER && !w->listed && !w->draining &&
+		if (loss == LOSS_LEASE_OVER && !w->draining &&
 		    sched_lost_silent(s, t))
 			failed_job = t->job;
 		sched_task_requeue(s, t, sched_crash_delay_ms(t));
--- a/tests/test-sched-crash.c
+++ b/tests/test-sched-crash.c
@@ -497,9 +497,11 @@
 {
 	static const struct unseen_case cases[] = {
 		{ .back_ms = 3000, .unlisted = true },
+		{ .back_ms = 8000 },
 		{ .back_ms = 8000, .unlisted = true },
 		{ .back_ms = 12000, .unlisted = true },
 		{ .back_ms = 20000, .unlisted = true, .silent = 4 },
+		{ .back_ms = 20000 },
 		{ .back_ms = 3000, .unlisted = true, .fail_over = true },
 		{ .back_ms = 3000, .fail_over = true, .silent = 4 },
 		{ .back_ms = 8000, .fail_over = true },
