test-sched-crash: a worker that starts again under another id is not heard as the former one

The cases "renamed" of "unseen crashes are counted" renamed a worker after the step in which it had started again and had reported under its former id, so that they were handled as restarts under the same id.

Change: the worker is renamed just before that step. Calls to the former id's address are answered by another incarnation, unless the owner has never read the former entry. The check is as strict as before.

--- a/tests/test-sched-crash.c
+++ b/tests/test-sched-crash.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "sched-internal.h"
 #include "support-sched.h"
 #include "support-unit.h"
 
@@ -436,26 +437,38 @@
 	uint32_t silent;  /* so many other workers are silent meanwhile */
 };
 
-/* Calls to a worker's address are answered by its next incarnation. */
-static void rename_restarted(struct model *m, bool *crashed)
+/*
+ * Workers that start again in the next step do so under another id. Calls to
+ * their address that name the former incarnation are refused; an owner that has
+ * never read the former entry does not know the address.
+ */
+static void rename_restarting(struct model *m)
 {
+	uint64_t next_us = m->now_us + MODEL_STEP_MS * 1000;
+
 	for (uint32_t i = 0; i < m->worker_count; i++) {
 		struct model_worker *w = &m->workers[i];
+		uint32_t former = sched_find_worker(m->s, w->id);
 
-		if (crashed[i] && !w->restarts_us) {
-			if (w->handle != SCHED_NONE)
-				sched_worker_dead(m->s, w->handle, m->now_us);
-			snprintf(w->id, sizeof(w->id), "w%u-%llu", i,
-				 (unsigned long long)w->started_wall_ms);
+		if (!w->restarts_us || next_us < w->restarts_us ||
+		    next_us < w->heard_again_us)
+			continue;
+		if (former != SCHED_NONE) {
+			if (m->s->workers[former].announced_wall_ms)
+				sched_worker_dead(m->s, former, m->now_us);
+			sched_worker_unlisted(m->s, former, m->now_us);
 		}
-		crashed[i] = w->restarts_us;
+		w->started_wall_ms = m->wall_ms + MODEL_STEP_MS -
+				     (next_us - w->restarts_us) / 1000;
+		snprintf(w->id, sizeof(w->id), "w%u-%llu", i,
+			 (unsigned long long)w->started_wall_ms);
+		w->entry_expired = false;
 	}
 }
 
 static void run_unseen_crashes(const struct unseen_case *c)
 {
 	struct model *m = job_model_create(24, CORES(16), GB(64));
-	bool crashed[24] = { false };
 	struct model_job *j;
 	uint32_t seen = 0;
 
@@ -473,7 +486,7 @@
 			m->workers[i].entry_expired =
 				c->unlisted && m->workers[i].restarts_us;
 		if (c->renamed)
-			rename_restarted(m, crashed);
+			rename_restarting(m);
 		if (j->crashes == seen)
 			continue;
 		seen = j->crashes;
