sched: a crash long after a lapse does not count, whoever answers

Cause: a call that names a worker's former incarnation and is answered by another one (sched_worker_dead()) confirmed all runs lost there as crashes, whenever the new incarnation had started. The comparison of the start with the lapse was made only for reports and entries under the same id.

Change: the losses stay open until the start is known: by the entry or a report of the same id, or by the entry of another id at the same address. Entries of workers carry a hash of their address for that; starts at other addresses no longer count.

Evidence: test-sched-lost, "crashes after lapses fail no service", same id and another one: on the job fails after 5 lapses (task-given-up crashes=0 losses=5 restarts=2), 12 lapses pass now. "unseen crashes are counted" as before: 2 to 5 crashes.

--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -57,6 +57,7 @@
 	struct resources capacity;
 	bool draining;
 	uint64_t started_wall_ms; /* identifies the incarnation */
+	uint16_t address_tag;	  /* hash of its address; 0: unknown */
 };
 
 struct sched_run {
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "buffer.h"
 #include "clock.h"
@@ -218,13 +219,25 @@
 	return true;
 }
 
+static uint16_t address_tag(const struct settings_address *a)
+{
+	uint64_t hash = XXH64(a->host, strlen(a->host), a->port);
+
+	return (uint16_t)(1 + hash % UINT16_MAX);
+}
+
 void job_workers_update_entry(struct job_workers *w,
 			      const struct job_worker_entry *e,
 			      uint64_t fingerprint)
 {
-	uint32_t worker = sched_update_worker(w->sched, &e->info);
-	struct worker_link *l = find_link(w, worker);
+	struct sched_worker_info info = e->info;
 	struct queued_order *orders = NULL;
+	struct worker_link *l;
+	uint32_t worker;
+
+	info.address_tag = address_tag(&e->address);
+	worker = sched_update_worker(w->sched, &info);
+	l = find_link(w, worker);
 
 	if (l && memcmp(&l->address, &e->address, sizeof(e->address))) {
 		orders = detach_orders(l);
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -211,6 +211,8 @@
 	bool lease_recorded;	/* a predecessor's record contains the worker */
 	uint32_t lost_runs;	/* in the table of lost runs */
 	bool start_noted;	/* by sched_lost_tick() */
+	bool replaced;		/* sched_lost_replaced() */
+	uint16_t address_tag;	/* sched_worker_info */
 	uint64_t tasks_lost_us; /* its tasks were taken back; 0: not yet */
 	uint64_t last_action_us; /* last halt, resume or migration of a batch
 				    task */
--- a/src/sched-lost.c
+++ b/src/sched-lost.c
@@ -97,19 +97,29 @@
 	return !w->listed && !w->heard_us;
 }
 
-/* Whether w may be the next incarnation of a worker that lapsed then. */
-static bool may_follow(const struct sched_worker *w, uint64_t lapsed_ms)
+/*
+ * Whether a listed worker may be the next incarnation, under another id, of one
+ * that lapsed then. The addresses tell if both are known.
+ */
+static bool may_follow(const struct sched *s, uint32_t next, uint32_t former,
+		       uint64_t lapsed_ms)
 {
-	return w->listed && w->announced_wall_ms < lapsed_ms + RESTART_MAX_MS &&
+	const struct sched_worker *w = &s->workers[next];
+	const struct sched_worker *f = &s->workers[former];
+
+	if (next == former || !w->listed ||
+	    (f->address_tag && w->address_tag &&
+	     f->address_tag != w->address_tag))
+		return false;
+	return w->announced_wall_ms < lapsed_ms + RESTART_MAX_MS &&
 	       lapsed_ms < w->announced_wall_ms + RESTART_MAX_MS;
 }
 
-static bool has_follower(const struct sched *s, const struct sched_worker *w)
+static bool has_follower(const struct sched *s, uint32_t former,
+			 uint64_t lapsed_ms)
 {
-	uint64_t lapsed_ms = lapsed_wall_ms(s, w);
-
 	for (uint32_t i = 0; i < s->worker_count; i++)
-		if (may_follow(&s->workers[i], lapsed_ms))
+		if (may_follow(s, i, former, lapsed_ms))
 			return true;
 	return false;
 }
@@ -133,7 +143,8 @@
 
 	if (announced && t->incarnation && announced != t->incarnation)
 		return true;
-	return is_unknown(w) && has_follower(s, w);
+	return is_unknown(w) &&
+	       has_follower(s, t->worker, lapsed_wall_ms(s, w));
 }
 
 bool sched_lost_silent(struct sched *s, struct sched_task *t)
@@ -180,9 +191,8 @@
 /* Whether the run had lapsed before its incarnation of the worker ended. */
 static bool has_lapsed(const struct lost_run *l, uint64_t started_wall_ms)
 {
-	return started_wall_ms &&
-	       (sched_incarnation_tag(started_wall_ms) == l->incarnation ||
-		started_wall_ms > l->lapsed_wall_ms + RESTART_MAX_MS);
+	return sched_incarnation_tag(started_wall_ms) == l->incarnation ||
+	       started_wall_ms > l->lapsed_wall_ms + RESTART_MAX_MS;
 }
 
 /* Returns whether the job must fail. */
@@ -192,7 +202,7 @@
 	bool lapsed = has_lapsed(l, started_wall_ms);
 
 	/* The record of an earlier version has no tag to compare. */
-	if (started_wall_ms && !l->incarnation)
+	if (!l->incarnation)
 		return false;
 	log_event(LOG_INFO, "task-loss-resolved",
 		  "task=%s run=%u worker=%s how=%s", l->task, l->run,
@@ -207,6 +217,7 @@
 void sched_lost_resolve(struct sched *s, uint32_t worker,
 			uint64_t started_wall_ms)
 {
+	s->workers[worker].replaced = false;
 	for (uint32_t i = s->lost_run_count;
 	     i-- > 0 && s->workers[worker].lost_runs;) {
 		struct lost_run l = s->lost_runs[i];
@@ -221,30 +232,50 @@
 	}
 }
 
+/* Counts a restart among the unresolved losses. */
+static void confirm(struct sched *s, struct lost_run *l)
+{
+	struct sched_task *t = find_task(s, l);
+
+	if (!t)
+		return;
+	l->unresolved--;
+	if (sched_crash_confirmed(s, t))
+		sched_end_job(s, &s->jobs[t->job], SCHED_JOB_FAILED);
+}
+
+void sched_lost_replaced(struct sched *s, uint32_t worker)
+{
+	s->workers[worker].replaced = true;
+	for (uint32_t i = 0; i < s->lost_run_count; i++) {
+		struct lost_run *l = &s->lost_runs[i];
+
+		if (l->worker == worker && l->unresolved &&
+		    has_follower(s, worker, l->lapsed_wall_ms))
+			confirm(s, l);
+	}
+}
+
 /* Whether the worker, which has just started, shows a loss to be a crash. */
-static bool shows_crash(const struct sched *s, const struct sched_worker *w,
+static bool shows_crash(const struct sched *s, uint32_t worker,
 			const struct lost_run *l)
 {
+	const struct sched_worker *w = &s->workers[worker], *former;
+
 	if (!l->unresolved || !w->listed)
 		return false;
 	if (l->worker == SCHED_NONE)
 		return s->wall_ms < w->announced_wall_ms + INHERITED_MS;
-	return is_unknown(&s->workers[l->worker]) &&
-	       may_follow(w, l->lapsed_wall_ms);
+	former = &s->workers[l->worker];
+	return (is_unknown(former) || former->replaced) &&
+	       may_follow(s, worker, l->worker, l->lapsed_wall_ms);
 }
 
-static void note_start(struct sched *s, const struct sched_worker *w)
+static void note_start(struct sched *s, uint32_t worker)
 {
-	for (uint32_t i = 0; i < s->lost_run_count; i++) {
-		struct lost_run *l = &s->lost_runs[i];
-		struct sched_task *t = find_task(s, l);
-
-		if (!t || !shows_crash(s, w, l))
-			continue;
-		l->unresolved--;
-		if (sched_crash_confirmed(s, t))
-			sched_end_job(s, &s->jobs[t->job], SCHED_JOB_FAILED);
-	}
+	for (uint32_t i = 0; i < s->lost_run_count; i++)
+		if (shows_crash(s, worker, &s->lost_runs[i]))
+			confirm(s, &s->lost_runs[i]);
 }
 
 void sched_lost_tick(struct sched *s)
@@ -259,6 +290,6 @@
 		if (s->workers[i].start_noted)
 			continue;
 		s->workers[i].start_noted = true;
-		note_start(s, &s->workers[i]);
+		note_start(s, i);
 	}
 }
--- a/src/sched-lost.h
+++ b/src/sched-lost.h
@@ -33,10 +33,15 @@
 void sched_lost_inherited(struct sched *s, const struct sched_task *t);
 /*
  * The worker's present incarnation is known: runs that were lost there ended
- * with an earlier one, or lapsed. started_wall_ms 0: it is another one.
+ * with an earlier one, or lapsed.
  */
 void sched_lost_resolve(struct sched *s, uint32_t worker,
 			uint64_t started_wall_ms);
+/*
+ * Another incarnation, whose start is not known yet, answers at the worker's
+ * address.
+ */
+void sched_lost_replaced(struct sched *s, uint32_t worker);
 /*
  * Drops runs whose tasks have ended or have outlived the loss, and looks for
  * workers that have started since.
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -236,6 +236,7 @@
 	snprintf(w->identity->zone, sizeof(w->identity->zone), "%s",
 		 info->zone);
 	memcpy(w->identity->labels, info->labels, sizeof(w->identity->labels));
+	w->address_tag = info->address_tag;
 	w->capacity = info->capacity;
 	w->inverse_cpu = room_inverse(w->capacity.cpu_milli);
 	if (!w->listed)
@@ -300,7 +301,7 @@
 	sched_worker_unresponsive(s, worker, now_us);
 	s->workers[worker].report_number++;
 	requeue_lost_tasks(s, &s->workers[worker], LOSS_CRASHED, "dead");
-	sched_lost_resolve(s, worker, 0);
+	sched_lost_replaced(s, worker);
 }
 
 void sched_lease_granted(struct sched *s, uint32_t worker, uint64_t now_us)
--- a/tests/support-sched.c
+++ b/tests/support-sched.c
@@ -387,6 +387,7 @@
 			.started_wall_ms = w->entry_started_ms
 						   ? w->entry_started_ms
 						   : w->started_wall_ms,
+			.address_tag = (uint16_t)(i + 1),
 		};
 
 		if (w->entry_expired) {
