sched: only a start at its address shows that a lost worker has crashed

Cause: a new owner took each start of a worker in 20 s for the crash of a run that its predecessor had lost, and again for each run that it lost itself on a worker that is not listed; the next owner counted the same start once more. One start made two restarts, and with five lapses the job failed.

Change: progress records have the address tags of a run's worker and of the worker of the last open loss, in the upper half of the run number, which do not read. A start counts only at that address, once, and no longer without one.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -70,6 +70,7 @@
 	uint32_t failed_run;   /* of a gang: the last failed run */
 	uint32_t survived_run; /* the last that outlived the crashes before */
 	uint32_t incarnation;  /* tag of its worker's, at the last start */
+	uint16_t lost_address; /* worker's, of the last open loss; 0: none */
 	uint32_t worker;
 	uint32_t last_failed_worker; /* worker of the last failure */
 	uint32_t reserved_on;	     /* index + 1 of the worker; 0: none */
--- a/src/sched-lost.c
+++ b/src/sched-lost.c
@@ -11,9 +11,9 @@
  * incarnation has crashed. Until either is known, a lost run counts as a loss
  * of its task, but fails no job by itself.
  *
- * A new owner has no address of a worker that is not listed any more, so it
- * can't learn that this one is back under another id. It goes by whether a
- * worker has started about then.
+ * A worker that is back under another id has the address that it had. A new
+ * owner reads the address from the records of the tasks, as such a worker is
+ * not listed any more.
  */
 
 #define CHECK_INTERVAL_US 200000u
@@ -25,15 +25,16 @@
 #define INCARNATION_TAGS (1u << 27)
 
 /*
- * A run that ended with the leases of a silent worker, or the runs that a
- * predecessor has lost.
+ * A run that ended with the leases of a silent worker, or the last such run
+ * that a predecessor has not resolved.
  */
 struct lost_run {
 	char task[SCHED_TASK_NAME_BYTES];
 	uint32_t run;
 	uint32_t worker;	 /* SCHED_NONE: only the predecessor knew it */
 	uint32_t incarnation;	 /* tag; 0: unknown */
-	uint8_t unresolved;	 /* losses that are not among the restarts */
+	uint16_t address_tag;	 /* of the worker; 0: unknown */
+	bool unresolved;	 /* not among the task's restarts */
 	uint64_t lapsed_wall_ms; /* may have lapsed since then */
 };
 
@@ -99,7 +100,7 @@
 
 /*
  * Whether a listed worker may be the next incarnation, under another id, of one
- * that lapsed then. The addresses tell if both are known.
+ * that lapsed then.
  */
 static bool may_follow(const struct sched *s, uint32_t next, uint32_t former,
 		       uint64_t lapsed_ms)
@@ -107,9 +108,8 @@
 	const struct sched_worker *w = &s->workers[next];
 	const struct sched_worker *f = &s->workers[former];
 
-	if (next == former || !w->listed ||
-	    (f->address_tag && w->address_tag &&
-	     f->address_tag != w->address_tag))
+	if (next == former || !w->listed || !f->address_tag ||
+	    f->address_tag != w->address_tag)
 		return false;
 	return w->announced_wall_ms < lapsed_ms + RESTART_MAX_MS &&
 	       lapsed_ms < w->announced_wall_ms + RESTART_MAX_MS;
@@ -158,9 +158,12 @@
 	restarted = has_restarted(s, w, t) || silent_since_start(s, t);
 	l = add(s, t);
 	l->worker = t->worker;
+	l->address_tag = w->address_tag;
 	l->unresolved = !restarted;
 	l->lapsed_wall_ms = lapsed_wall_ms(s, w);
 	w->lost_runs++;
+	if (!restarted)
+		t->lost_address = w->address_tag;
 	return sched_crash_possible(s, t, restarted, "lease-over");
 }
 
@@ -168,11 +171,12 @@
 {
 	struct lost_run *l;
 
-	if (t->losses <= t->restarts)
+	if (t->losses <= t->restarts || !t->lost_address)
 		return;
 	l = add(s, t);
 	l->worker = SCHED_NONE;
-	l->unresolved = t->losses - t->restarts;
+	l->address_tag = t->lost_address;
+	l->unresolved = true;
 	l->lapsed_wall_ms = 0;
 }
 
@@ -195,12 +199,20 @@
 	       started_wall_ms > l->lapsed_wall_ms + RESTART_MAX_MS;
 }
 
+/* A successor has nothing to resolve. */
+static void forget_address(struct sched_task *t, const struct lost_run *l)
+{
+	if (t->lost_address == l->address_tag)
+		t->lost_address = 0;
+}
+
 /* Returns whether the job must fail. */
 static bool resolve(struct sched *s, struct sched_task *t,
 		    const struct lost_run *l, uint64_t started_wall_ms)
 {
 	bool lapsed = has_lapsed(l, started_wall_ms);
 
+	forget_address(t, l);
 	/* The record of an earlier version has no tag to compare. */
 	if (!l->incarnation)
 		return false;
@@ -239,7 +251,8 @@
 
 	if (!t)
 		return;
-	l->unresolved--;
+	l->unresolved = false;
+	forget_address(t, l);
 	if (sched_crash_confirmed(s, t))
 		sched_end_job(s, &s->jobs[t->job], SCHED_JOB_FAILED);
 }
@@ -265,7 +278,8 @@
 	if (!l->unresolved || !w->listed)
 		return false;
 	if (l->worker == SCHED_NONE)
-		return s->wall_ms < w->announced_wall_ms + INHERITED_MS;
+		return l->address_tag == w->address_tag &&
+		       s->wall_ms < w->announced_wall_ms + INHERITED_MS;
 	former = &s->workers[l->worker];
 	return (is_unknown(former) || former->replaced) &&
 	       may_follow(s, worker, l->worker, l->lapsed_wall_ms);
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -13,6 +13,8 @@
  * are failures, all that the first versions read; then crashes, suspicions,
  * losses and restarts in 5 bits each, one bit being left out, and the tag of
  * the worker's incarnation. 5960e2e and before write no restarts and no tag.
+ * The upper 32 bits of the run, which they ignore, too, are the address tags of
+ * the worker and of the one that the last open loss is of.
  */
 #define RECORD_FORMAT 1
 #define RECORD_ELEMENTS 6
@@ -23,6 +25,19 @@
 #define LOSSES_SHIFT 26
 #define RESTARTS_SHIFT 32
 #define INCARNATION_SHIFT 37
+#define ADDRESS_SHIFT 32
+#define LOST_ADDRESS_SHIFT 48
+
+static uint64_t pack_run(const struct sched *s, const struct sched_task *t)
+{
+	uint64_t run = (uint64_t)t->run | (uint64_t)t->lost_address
+						  << LOST_ADDRESS_SHIFT;
+
+	if (t->worker != SCHED_NONE)
+		run |= (uint64_t)s->workers[t->worker].address_tag
+		       << ADDRESS_SHIFT;
+	return run;
+}
 
 static uint64_t pack_counts(const struct sched_task *t)
 {
@@ -49,7 +64,7 @@
 		return;
 	}
 	msgpack_pack_array(pk, TASK_ELEMENTS);
-	msgpack_pack_uint32(pk, t->run);
+	msgpack_pack_uint64(pk, pack_run(s, t));
 	msgpack_pack_uint64(pk, pack_counts(t));
 	if (t->worker == SCHED_NONE)
 		msgpack_pack_nil(pk);
@@ -94,7 +109,7 @@
 }
 
 static bool restore_worker(struct sched *s, struct sched_task *t,
-			   const msgpack_object *o)
+			   const msgpack_object *o, uint16_t address)
 {
 	char id[JOB_NAME_BYTES];
 	uint32_t worker, run = t->run;
@@ -104,6 +119,8 @@
 	if (!pack_copy_str(o, id, sizeof(id)))
 		return false;
 	worker = sched_worker_add(s, id);
+	if (!s->workers[worker].address_tag)
+		s->workers[worker].address_tag = address;
 	sched_task_place(s, t, worker);
 	t->run = run;
 	t->state = TASK_UNCONFIRMED;
@@ -143,7 +160,9 @@
 	j->has_suspect = j->has_suspect || t->crashes || t->losses;
 	if (j->state >= SCHED_JOB_COMPLETED)
 		t->state = TASK_DROPPED;
-	if (!restore_worker(s, t, &e[2]))
+	t->lost_address = (uint16_t)(e[0].via.u64 >> LOST_ADDRESS_SHIFT);
+	if (!restore_worker(s, t, &e[2],
+			    (uint16_t)(e[0].via.u64 >> ADDRESS_SHIFT)))
 		return false;
 	t->incarnation = (uint32_t)(e[1].via.u64 >> INCARNATION_SHIFT);
 	sched_lost_inherited(s, t);
