job-workers: orders get a file of their own

The queue of orders of each worker moves to job-workers-orders.c, without a change of what it does; both share job-workers-internal.h.

--- /dev/null
+++ b/src/job-workers-orders.c
@@ -0,0 +1,192 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+#include "clock.h"
+#include "counter.h"
+#include "job-workers-internal.h"
+#include "latency.h"
+#include "log.h"
+#include "worker-path.h"
+
+/* Several times the round trip to a worker in another zone. */
+#define ORDER_OVERDUE_US 60000u
+
+static void free_order(struct queued_order *o)
+{
+	free(o->text);
+	free(o->checkpoint);
+	free(o);
+}
+
+void worker_orders_free(struct queued_order *o)
+{
+	struct queued_order *next;
+
+	for (; o; o = next) {
+		next = o->next;
+		free_order(o);
+	}
+}
+
+struct queued_order *worker_orders_detach(struct worker_link *l)
+{
+	struct queued_order *first = l->queue_head;
+
+	for (int i = WORKER_ORDER_CONNECTIONS; i-- > 0;) {
+		if (!l->in_flight[i])
+			continue;
+		l->in_flight[i]->next = first;
+		first = l->in_flight[i];
+		l->in_flight[i] = NULL;
+	}
+	l->queue_head = NULL;
+	l->queue_tail = &l->queue_head;
+	return first;
+}
+
+void worker_orders_end(struct job_workers *w, struct queued_order *orders)
+{
+	for (struct queued_order *o = orders; o; o = o->next)
+		sched_order_result(w->sched, &o->order,
+				   o->sent_us ? SCHED_OUTCOME_UNKNOWN
+					      : SCHED_NOT_SENT,
+				   clock_now_us());
+	worker_orders_free(orders);
+}
+
+static void on_order(void *arg, const struct worker_response *a)
+{
+	struct queued_order *o = arg;
+	struct worker_link *l = o->link;
+	struct job_workers *w = l->workers;
+	enum sched_result result = a->result;
+
+	l->in_flight[o->connection] = NULL;
+	latency_add(LATENCY_ORDER, clock_now_us() - o->sent_us);
+	if (a->outcome == WORKER_OUTCOME_UNKNOWN ||
+	    a->outcome == WORKER_PATH_LOST) {
+		/* Repeated on a new connection; polls tell if it is alive. */
+		counter_add(w->lost_responses, 1);
+		result = SCHED_OUTCOME_UNKNOWN;
+	} else if (!worker_handle_response(l, a)) {
+		result = SCHED_NOT_SENT;
+	}
+	if (a->outcome != WORKER_RESPONDED)
+		log_event(LOG_INFO, "order-lost",
+			  "task=%s run=%u type=%d worker=%s outcome=%d via=%s",
+			  o->order.task, o->order.run, o->order.type, l->id,
+			  a->outcome,
+			  worker_path_order_vm(l->path, o->connection));
+	if (a->outcome != WORKER_FENCED)
+		sched_order_result(w->sched, &o->order, result, clock_now_us());
+	free_order(o);
+	job_owner_schedule_tick(w->node->owner);
+	worker_orders_send(l);
+}
+
+/* A start is sent only while this process's ownership is certain. */
+static uint64_t order_deadline_us(const struct worker_link *l,
+				  const struct sched_order *o)
+{
+	const struct job_owner *owner = l->workers->node->owner;
+
+	return o->type == SCHED_START ? job_owner_lease_end_us(owner)
+				      : job_owner_orders_end_us(owner);
+}
+
+static bool may_send(const struct worker_link *l, const struct sched_order *o,
+		     uint64_t now)
+{
+	if (l->verify_incarnation || !l->clock_ms || l->unresponsive_since_us)
+		return false;
+	if (o->type == SCHED_START &&
+	    sched_lease_withheld(l->workers->sched, l->worker))
+		return false;
+	return now < order_deadline_us(l, o);
+}
+
+/*
+ * Uses another connection only if the order on the previous one is overdue:
+ * workers close connections that are idle for seconds, so it may need a new
+ * connection.
+ */
+static int find_idle_connection(const struct worker_link *l, uint64_t now)
+{
+	for (int i = 0; i < WORKER_ORDER_CONNECTIONS; i++) {
+		if (!l->in_flight[i])
+			return i;
+		if (now < l->in_flight[i]->sent_us + ORDER_OVERDUE_US)
+			return -1;
+	}
+	return -1;
+}
+
+/* Such a task's next order waits, which keeps its orders in sequence. */
+static bool task_has_order_in_flight(const struct worker_link *l,
+				     const struct sched_order *o)
+{
+	for (int i = 0; i < WORKER_ORDER_CONNECTIONS; i++)
+		if (l->in_flight[i] &&
+		    !strcmp(l->in_flight[i]->order.task, o->task))
+			return true;
+	return false;
+}
+
+void worker_orders_send(struct worker_link *l)
+{
+	struct job_workers *w = l->workers;
+	uint64_t now = clock_now_us();
+	struct queued_order *o;
+	int connection;
+
+	while ((o = l->queue_head) &&
+	       (connection = find_idle_connection(l, now)) >= 0) {
+		bool wanted = sched_order_wanted(w->sched, &o->order);
+
+		if (wanted && (!may_send(l, &o->order, now) ||
+			       task_has_order_in_flight(l, &o->order)))
+			return;
+		l->queue_head = o->next;
+		if (!l->queue_head)
+			l->queue_tail = &l->queue_head;
+		if (!wanted) {
+			free_order(o);
+			continue;
+		}
+		l->in_flight[connection] = o;
+		o->connection = connection;
+		o->sent_us = now;
+		if (o->order.type == SCHED_START)
+			sched_lease_granted(w->sched, l->worker, now);
+		counter_add(w->orders, 1);
+		worker_path_order(l->path, connection, &o->order,
+				  job_owner_fencing_token(w->node->owner),
+				  worker_lease_until(l, now),
+				  order_deadline_us(l, &o->order), on_order, o);
+	}
+}
+
+void job_workers_queue_order(struct job_workers *w,
+			     const struct sched_order *order)
+{
+	struct worker_link *l = worker_link_find(w, order->worker);
+	struct queued_order *o;
+
+	if (!l) {
+		log_event(LOG_DEBUG, "order-without-worker", "task=%s run=%u",
+			  order->task, order->run);
+		return;
+	}
+	o = xcalloc(1, sizeof(*o));
+	o->order = *order;
+	o->link = l;
+	o->text = xstrdup(order->text);
+	o->checkpoint = xstrdup(order->checkpoint);
+	o->order.text = o->text;
+	o->order.checkpoint = o->checkpoint;
+	*l->queue_tail = o;
+	l->queue_tail = &o->next;
+	w->idle_until_us[l->worker] = 0;
+	worker_orders_send(l);
+}
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -6,8 +6,7 @@
 #include "buffer.h"
 #include "clock.h"
 #include "counter.h"
-#include "job-node.h"
-#include "latency.h"
+#include "job-workers-internal.h"
 #include "log.h"
 #include "worker-path.h"
 
@@ -31,68 +30,11 @@
 #define UNGRANTED_WAIT_MS 500u
 /* A worker that refused a poll answers; it is polled again after this time. */
 #define REFUSED_RETRY_US 100000u
-/* Several times the round trip to a worker in another zone. */
-#define ORDER_OVERDUE_US 60000u
 /* Responses on different connections overtake each other by less than this. */
 #define CLOCK_BACK_MS 5000u
 /* An unlisted, unresponsive worker is polled for this long. */
 #define UNLISTED_POLL_US 30000000u
 
-/* State of one worker and the orders queued for it. */
-struct worker_link {
-	struct job_workers *workers;
-	struct worker_path *path;
-	uint32_t worker; /* index in the scheduler */
-	char id[JOB_NAME_BYTES];
-	struct settings_address address;
-	struct queued_order *queue_head;
-	struct queued_order **queue_tail;
-	struct queued_order *in_flight[WORKER_ORDER_CONNECTIONS];
-	uint64_t clock_ms; /* the worker's clock at clock_us; 0: unknown */
-	uint64_t clock_us;
-	uint64_t poll_sent_us;
-	uint64_t next_poll_us;
-	uint64_t ack_deadline_us; /* polls again then at the latest */
-	uint64_t last_end_seq;
-	uint64_t started_wall_ms;
-	uint64_t entry_fingerprint;	/* of the last entry */
-	uint64_t entry_started_wall_ms; /* as in the last entry */
-	uint64_t unresponsive_since_us; /* 0: responsive */
-	uint64_t reported_us;		/* when the last report was requested */
-	bool polling;
-	bool poll_refused; /* the last poll was, and did not renew the lease */
-	/* It may have restarted: acknowledge nothing before a report. */
-	bool verify_incarnation;
-	bool listed;
-	bool resync_unseen; /* no entry read yet in the current resync */
-	bool closed;
-};
-
-struct queued_order {
-	struct queued_order *next;
-	struct sched_order order;
-	struct worker_link *link;
-	int connection;
-	uint64_t sent_us;
-	char *text;
-	char *checkpoint;
-};
-
-struct job_workers {
-	struct job_node *node;
-	struct sched *sched;
-	struct worker_link **links; /* by index in the scheduler */
-	/* By link: nothing is due before; reset by each event of a link. */
-	uint64_t *idle_until_us;
-	uint32_t count;
-	uint64_t next_scan_us;
-	struct counter *polls;
-	struct counter *orders;
-	struct counter *lost_responses;
-};
-
-static void send_orders(struct worker_link *l);
-
 struct job_workers *job_workers_create(struct job_node *n, struct sched *s)
 {
 	struct job_workers *w = xcalloc(1, sizeof(*w));
@@ -106,44 +48,10 @@
 	return w;
 }
 
-static void free_order(struct queued_order *o)
-{
-	free(o->text);
-	free(o->checkpoint);
-	free(o);
-}
-
-static void free_orders(struct queued_order *o)
-{
-	struct queued_order *next;
-
-	for (; o; o = next) {
-		next = o->next;
-		free_order(o);
-	}
-}
-
-/* Takes all orders of a link: those in flight, then those queued. */
-static struct queued_order *detach_orders(struct worker_link *l)
-{
-	struct queued_order *first = l->queue_head;
-
-	for (int i = WORKER_ORDER_CONNECTIONS; i-- > 0;) {
-		if (!l->in_flight[i])
-			continue;
-		l->in_flight[i]->next = first;
-		first = l->in_flight[i];
-		l->in_flight[i] = NULL;
-	}
-	l->queue_head = NULL;
-	l->queue_tail = &l->queue_head;
-	return first;
-}
-
 static void free_link(struct worker_link *l)
 {
 	worker_path_free(l->path);
-	free_orders(detach_orders(l));
+	worker_orders_free(worker_orders_detach(l));
 	free(l);
 }
 
@@ -159,7 +67,7 @@
 	free(w);
 }
 
-static struct worker_link *find_link(struct job_workers *w, uint32_t worker)
+struct worker_link *worker_link_find(struct job_workers *w, uint32_t worker)
 {
 	return worker < w->count ? w->links[worker] : NULL;
 }
@@ -193,21 +101,11 @@
 	return l;
 }
 
-/* Reports the outcome of the orders of a link that was replaced. */
-static void end_orders(struct job_workers *w, struct queued_order *orders)
-{
-	for (struct queued_order *o = orders; o; o = o->next)
-		sched_order_result(w->sched, &o->order,
-				   o->sent_us ? SCHED_OUTCOME_UNKNOWN
-					      : SCHED_NOT_SENT,
-				   clock_now_us());
-	free_orders(orders);
-}
-
 bool job_workers_confirm_entry(struct job_workers *w, const char *id,
 			       uint64_t fingerprint)
 {
-	struct worker_link *l = find_link(w, sched_find_worker(w->sched, id));
+	struct worker_link *l =
+		worker_link_find(w, sched_find_worker(w->sched, id));
 
 	/* A report of another incarnation may have come after the entry. */
 	if (!fingerprint || !l || !l->listed ||
@@ -237,10 +135,10 @@
 
 	info.address_tag = address_tag(&e->address);
 	worker = sched_update_worker(w->sched, &info);
-	l = find_link(w, worker);
+	l = worker_link_find(w, worker);
 
 	if (l && memcmp(&l->address, &e->address, sizeof(e->address))) {
-		orders = detach_orders(l);
+		orders = worker_orders_detach(l);
 		free_link(l);
 		w->links[worker] = NULL;
 		l = NULL;
@@ -258,13 +156,13 @@
 	}
 	l->entry_fingerprint = fingerprint;
 	l->entry_started_wall_ms = e->info.started_wall_ms;
-	end_orders(w, orders);
+	worker_orders_end(w, orders);
 }
 
 void job_workers_mark_unlisted(struct job_workers *w, const char *id)
 {
 	uint32_t worker = sched_find_worker(w->sched, id);
-	struct worker_link *l = find_link(w, worker);
+	struct worker_link *l = worker_link_find(w, worker);
 
 	if (worker == SCHED_NONE)
 		return;
@@ -285,11 +183,7 @@
 	}
 }
 
-/*
- * Estimates the worker's clock from its last response. The clock may be ahead
- * of the estimate by the time that the response took.
- */
-static uint64_t lease_until(const struct worker_link *l, uint64_t now)
+uint64_t worker_lease_until(const struct worker_link *l, uint64_t now)
 {
 	return l->clock_ms + (now - l->clock_us) / 1000 +
 	       l->workers->node->settings->jobs.lease_max_us / 1000;
@@ -313,8 +207,7 @@
 	return a->clock_ms && a->clock_ms + CLOCK_BACK_MS < l->clock_ms;
 }
 
-/* Handles what all responses share. Returns true if the worker responded. */
-static bool handle_response(struct worker_link *l,
+bool worker_handle_response(struct worker_link *l,
 			    const struct worker_response *a)
 {
 	struct job_workers *w = l->workers;
@@ -377,7 +270,7 @@
 	l->polling = false;
 	l->next_poll_us = now + POLL_INTERVAL_US;
 	w->idle_until_us[l->worker] = 0;
-	if (!handle_response(l, a)) {
+	if (!worker_handle_response(l, a)) {
 		handle_no_report(l, a, now);
 		return;
 	}
@@ -400,7 +293,7 @@
 		l->ack_deadline_us = now + ACK_TIMEOUT_US;
 	}
 	job_owner_schedule_tick(w->node->owner);
-	send_orders(l);
+	worker_orders_send(l);
 }
 
 /*
@@ -445,7 +338,7 @@
 	uint64_t deadline_us = now + PLAIN_POLL_VALID_US;
 
 	if (may_renew_lease(l, now)) {
-		q.lease_until_ms = lease_until(l, now);
+		q.lease_until_ms = worker_lease_until(l, now);
 		deadline_us = job_owner_renewal_end_us(owner);
 		sched_lease_granted(w->sched, l->worker, now);
 	}
@@ -460,144 +353,6 @@
 	worker_path_poll(l->path, &q, deadline_us, on_report, l);
 }
 
-/* ---- orders ---- */
-
-static void on_order(void *arg, const struct worker_response *a)
-{
-	struct queued_order *o = arg;
-	struct worker_link *l = o->link;
-	struct job_workers *w = l->workers;
-	enum sched_result result = a->result;
-
-	l->in_flight[o->connection] = NULL;
-	latency_add(LATENCY_ORDER, clock_now_us() - o->sent_us);
-	if (a->outcome == WORKER_OUTCOME_UNKNOWN ||
-	    a->outcome == WORKER_PATH_LOST) {
-		/* Repeated on a new connection; polls tell if it is alive. */
-		counter_add(w->lost_responses, 1);
-		result = SCHED_OUTCOME_UNKNOWN;
-	} else if (!handle_response(l, a)) {
-		result = SCHED_NOT_SENT;
-	}
-	if (a->outcome != WORKER_RESPONDED)
-		log_event(LOG_INFO, "order-lost",
-			  "task=%s run=%u type=%d worker=%s outcome=%d via=%s",
-			  o->order.task, o->order.run, o->order.type, l->id,
-			  a->outcome,
-			  worker_path_order_vm(l->path, o->connection));
-	if (a->outcome != WORKER_FENCED)
-		sched_order_result(w->sched, &o->order, result, clock_now_us());
-	free_order(o);
-	job_owner_schedule_tick(w->node->owner);
-	send_orders(l);
-}
-
-/* A start is sent only while this process's ownership is certain. */
-static uint64_t order_deadline_us(const struct worker_link *l,
-				  const struct sched_order *o)
-{
-	const struct job_owner *owner = l->workers->node->owner;
-
-	return o->type == SCHED_START ? job_owner_lease_end_us(owner)
-				      : job_owner_orders_end_us(owner);
-}
-
-static bool may_send(const struct worker_link *l, const struct sched_order *o,
-		     uint64_t now)
-{
-	if (l->verify_incarnation || !l->clock_ms || l->unresponsive_since_us)
-		return false;
-	if (o->type == SCHED_START &&
-	    sched_lease_withheld(l->workers->sched, l->worker))
-		return false;
-	return now < order_deadline_us(l, o);
-}
-
-/*
- * Uses another connection only if the order on the previous one is overdue:
- * workers close connections that are idle for seconds, so it may need a new
- * connection.
- */
-static int find_idle_connection(const struct worker_link *l, uint64_t now)
-{
-	for (int i = 0; i < WORKER_ORDER_CONNECTIONS; i++) {
-		if (!l->in_flight[i])
-			return i;
-		if (now < l->in_flight[i]->sent_us + ORDER_OVERDUE_US)
-			return -1;
-	}
-	return -1;
-}
-
-/* Such a task's next order waits, which keeps its orders in sequence. */
-static bool task_has_order_in_flight(const struct worker_link *l,
-				     const struct sched_order *o)
-{
-	for (int i = 0; i < WORKER_ORDER_CONNECTIONS; i++)
-		if (l->in_flight[i] &&
-		    !strcmp(l->in_flight[i]->order.task, o->task))
-			return true;
-	return false;
-}
-
-static void send_orders(struct worker_link *l)
-{
-	struct job_workers *w = l->workers;
-	uint64_t now = clock_now_us();
-	struct queued_order *o;
-	int connection;
-
-	while ((o = l->queue_head) &&
-	       (connection = find_idle_connection(l, now)) >= 0) {
-		bool wanted = sched_order_wanted(w->sched, &o->order);
-
-		if (wanted && (!may_send(l, &o->order, now) ||
-			       task_has_order_in_flight(l, &o->order)))
-			return;
-		l->queue_head = o->next;
-		if (!l->queue_head)
-			l->queue_tail = &l->queue_head;
-		if (!wanted) {
-			free_order(o);
-			continue;
-		}
-		l->in_flight[connection] = o;
-		o->connection = connection;
-		o->sent_us = now;
-		if (o->order.type == SCHED_START)
-			sched_lease_granted(w->sched, l->worker, now);
-		counter_add(w->orders, 1);
-		worker_path_order(l->path, connection, &o->order,
-				  job_owner_fencing_token(w->node->owner),
-				  lease_until(l, now),
-				  order_deadline_us(l, &o->order), on_order, o);
-	}
-}
-
-void job_workers_queue_order(struct job_workers *w,
-			     const struct sched_order *order)
-{
-	struct worker_link *l = find_link(w, order->worker);
-	struct queued_order *o;
-
-	if (!l) {
-		log_event(LOG_DEBUG, "order-without-worker", "task=%s run=%u",
-			  order->task, order->run);
-		return;
-	}
-	o = xcalloc(1, sizeof(*o));
-	o->order = *order;
-	o->link = l;
-	o->text = xstrdup(order->text);
-	o->checkpoint = xstrdup(order->checkpoint);
-	o->order.text = o->text;
-	o->order.checkpoint = o->checkpoint;
-	*l->queue_tail = o;
-	l->queue_tail = &o->next;
-	w->idle_until_us[l->worker] = 0;
-	send_orders(l);
-}
-
 /* The time until which leases may be granted is about to end. */
 static bool last_poll_due(const struct worker_link *l, uint64_t now)
 {
@@ -642,7 +397,7 @@
 			continue;
 		if (poll_due(l, now) && worker_path_usable(l->path, now))
 			send_poll(l, now);
-		send_orders(l);
+		worker_orders_send(l);
 		w->idle_until_us[i] = idle_until_us(l);
 	}
 }
