job-workers: starts wait for a worker that answers none of two

Callers saw a service away for 9.1 s and more, where 9 s are allowed, after a worker had crashed and its successor was lost soon after it was back (tests/explore/crashed-then-lost.txt, reborn-then-lost.txt).

Cause: a start without an answer was repeated each 0.3 s until a poll had timed out, up to 2.9 s after it was sent. Each copy grants a lease, so the leases that are taken to exist went on growing for that time at a worker that had received none of them.

After two starts without an answer further ones, of any task, now wait until the worker has responded to any call, be it a refusal. Polls of such a worker ask for a report within 0.1 s, so that both its life and its loss show sooner. Starts that wait no longer delay the stops and changes of pace behind them; this holds also for those that wait because the worker is recorded as silent.

Repeating the first copy's until-ms instead is not sound: a worker that restarts under its id sets its clock back and would grant a late copy 6 s from its receipt, beyond the bound that counts from the first one.

The cost: a worker that is alive and has lost two starts in a row gets the third one once the poll under way is answered, up to 2 s later, where it was repeated each 0.3 s.

--- a/src/job-workers-internal.h
+++ b/src/job-workers-internal.h
@@ -34,6 +34,7 @@
 	uint64_t entry_started_wall_ms; /* as in the last entry */
 	uint64_t unresponsive_since_us; /* 0: responsive */
 	uint64_t reported_us;		/* when the last report was requested */
+	uint32_t starts_unanswered;	/* since the last response */
 	bool polling;
 	bool poll_refused; /* the last poll was, and did not renew the lease */
 	/* It may have restarted: acknowledge nothing before a report. */
--- a/src/job-workers-orders.c
+++ b/src/job-workers-orders.c
@@ -11,6 +11,12 @@
 
 /* Several times the round trip to a worker in another zone. */
 #define ORDER_OVERDUE_US 60000u
+/*
+ * Each start grants a lease, also one that a lost worker never receives. After
+ * so many without an answer further ones wait until the worker has responded to
+ * any call.
+ */
+#define STARTS_UNANSWERED_MAX 2u
 
 static void free_order(struct queued_order *o)
 {
@@ -69,6 +75,10 @@
 		/* Repeated on a new connection; polls tell if it is alive. */
 		counter_add(w->lost_responses, 1);
 		result = SCHED_OUTCOME_UNKNOWN;
+		/* The loss of a relay says nothing about the worker. */
+		if (o->order.type == SCHED_START &&
+		    a->outcome == WORKER_OUTCOME_UNKNOWN)
+			l->starts_unanswered++;
 	} else if (!worker_handle_response(l, a)) {
 		result = SCHED_NOT_SENT;
 	}
@@ -100,12 +110,31 @@
 {
 	if (l->verify_incarnation || !l->clock_ms || l->unresponsive_since_us)
 		return false;
-	if (o->type == SCHED_START &&
-	    sched_lease_withheld(l->workers->sched, l->worker))
-		return false;
 	return now < order_deadline_us(l, o);
 }
 
+static bool starts_wait(const struct worker_link *l)
+{
+	return l->starts_unanswered >= STARTS_UNANSWERED_MAX ||
+	       sched_lease_withheld(l->workers->sched, l->worker);
+}
+
+/*
+ * Link to the next order; starts that wait don't delay stops and changes of
+ * pace behind them. A task's own later orders make its start unwanted.
+ */
+static struct queued_order **next_order(struct worker_link *l)
+{
+	struct queued_order **o = &l->queue_head;
+
+	if (!starts_wait(l))
+		return o;
+	while (*o && (*o)->order.type == SCHED_START &&
+	       sched_order_wanted(l->workers->sched, &(*o)->order))
+		o = &(*o)->next;
+	return o;
+}
+
 /*
  * Uses another connection only if the order on the previous one is overdue:
  * workers close connections that are idle for seconds, so it may need a new
@@ -137,19 +166,19 @@
 {
 	struct job_workers *w = l->workers;
 	uint64_t now = clock_now_us();
-	struct queued_order *o;
+	struct queued_order **next, *o;
 	int connection;
 
-	while ((o = l->queue_head) &&
+	while ((o = *(next = next_order(l))) &&
 	       (connection = find_idle_connection(l, now)) >= 0) {
 		bool wanted = sched_order_wanted(w->sched, &o->order);
 
 		if (wanted && (!may_send(l, &o->order, now) ||
 			       task_has_order_in_flight(l, &o->order)))
 			return;
-		l->queue_head = o->next;
-		if (!l->queue_head)
-			l->queue_tail = &l->queue_head;
+		*next = o->next;
+		if (!*next)
+			l->queue_tail = next;
 		if (!wanted) {
 			free_order(o);
 			continue;
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -24,7 +24,10 @@
  * that the next one renews the lease once more.
  */
 #define LAST_POLL_MS 250u
-/* Longest delay of a report while the worker's leases may not be renewed. */
+/*
+ * Longest delay of a report while the worker's leases may not be renewed, or
+ * starts may wait for it.
+ */
 #define WITHHELD_WAIT_MS 100u
 /* The same while no lease may be granted, as in an outage of the store. */
 #define UNGRANTED_WAIT_MS 500u
@@ -218,6 +221,7 @@
 		if (clock_went_back(l, a))
 			l->verify_incarnation = true;
 		update_clock(l, a);
+		l->starts_unanswered = 0;
 		return true;
 	case WORKER_FENCED:
 		log_event(LOG_WARNING, "owner-fenced", "worker=%s token=%llu",
@@ -251,10 +255,12 @@
 	l->poll_refused = worker_poll_refused(a);
 	if (a->outcome == WORKER_PATH_LOST)
 		return;
-	if (l->poll_refused)
+	if (l->poll_refused) {
 		l->next_poll_us = now + REFUSED_RETRY_US;
-	else if (l->unresponsive_since_us)
+		l->starts_unanswered = 0;
+	} else if (l->unresponsive_since_us) {
 		l->next_poll_us = now + UNRESPONSIVE_RETRY_US;
+	}
 	if (!l->unresponsive_since_us)
 		l->unresponsive_since_us = now;
 	sched_worker_unresponsive(l->workers->sched, l->worker, now);
@@ -319,7 +325,8 @@
 	uint64_t left_ms = end_us > now ? (end_us - now) / 1000 : 0;
 	uint32_t wait_ms = sched_report_wait_ms(w->sched, l->worker);
 
-	if ((!end_us || sched_lease_withheld(w->sched, l->worker)) &&
+	if ((!end_us || l->starts_unanswered ||
+	     sched_lease_withheld(w->sched, l->worker)) &&
 	    wait_ms > WITHHELD_WAIT_MS)
 		return WITHHELD_WAIT_MS;
 	if (!left_ms && wait_ms > UNGRANTED_WAIT_MS)
