job-owner: a VM's new process claims its ownership at once

Callers saw a service away for 10.1 s and more, where 9 s are allowed, when its worker was lost and its owner killed 1.1 s later, whose VM was back as the ownership lapsed (tests/explore/killed-vm-returns.txt).

Cause: the new process had read the ownership of its VM's former process 90 ms before it lapsed, but looked at it with its next periodic tick, 95 ms later. So it became a candidate like any other, was elected, and counted the record from its own start, as it had not followed it: the leases were taken to be over 10.3 s after the kill. A process that replaces its VM's ownership knows that the former owner has exited, and so that they are over 6.42 s after its candidacy.

A tick now follows the read of the keys, and the first configuration, without which there is no candidacy. The process listens on its address before its event loop starts, as before. Delays of other candidates stay as they are.

--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -64,6 +64,8 @@
 
 	if (o->silent_unseen)
 		silent_notes_clear(&o->silent);
+	/* The ownership of this VM's former process may be about to lapse. */
+	job_owner_schedule_tick(o);
 	if (!o->owner_unseen)
 		return;
 	if (o->owner_known)
@@ -340,6 +342,8 @@
 {
 	if (o->sched)
 		job_owner_apply_config(o);
+	/* The first one allows a candidacy. */
+	job_owner_schedule_tick(o);
 }
 
 /*
