--- /dev/null
+++ b/src/job-owner-commit.c
@@ -0,0 +1,193 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "buffer.h"
+#include "clock.h"
+#include "job-owner-internal.h"
+#include "log.h"
+
+void job_owner_free_commit(struct job_owner *o)
+{
+	struct commit *c = o->commit;
+
+	if (!c)
+		return;
+	for (size_t i = 0; i < c->set_count; i++)
+		if (c->sets[i].value != c->seq)
+			free((void *)c->sets[i].value);
+	for (size_t i = 0; i < c->remove_count; i++)
+		free(c->removes[i]);
+	free(c);
+	o->commit = NULL;
+}
+
+static void add_record(void *arg, const char *id, const void *data, size_t len)
+{
+	struct commit *c = arg;
+	struct kv_set *set = &c->sets[c->set_count];
+	char *copy = xcalloc(1, len + 1);
+
+	memcpy(copy, data, len);
+	snprintf(c->keys[c->set_count], KV_KEY_BYTES, JOB_PROGRESS_PREFIX "%s",
+		 id);
+	set->key = c->keys[c->set_count];
+	set->value = copy;
+	set->len = len;
+	c->set_count++;
+	c->has_records = true;
+}
+
+static void add_remove(struct commit *c, const char *prefix, const char *id,
+		       const char *suffix)
+{
+	char *key = xcalloc(1, KV_KEY_BYTES);
+
+	snprintf(key, KV_KEY_BYTES, "%s%s%s", prefix, id, suffix);
+	c->removes[c->remove_count++] = key;
+}
+
+static void add_removes(struct job_owner *o, struct commit *c)
+{
+	while (o->expired_job_count &&
+	       c->set_count + c->remove_count + 3 <= COMMIT_RECORDS_MAX) {
+		char *id = o->expired_jobs[--o->expired_job_count];
+
+		add_remove(c, JOB_SPEC_PREFIX, id, "");
+		add_remove(c, JOB_SPEC_PREFIX, id, JOB_CANCEL_SUFFIX);
+		add_remove(c, JOB_PROGRESS_PREFIX, id, "");
+		free(id);
+	}
+}
+
+/* The model is stored only along with other changes. */
+static void add_pairs(struct job_owner *o, struct commit *c)
+{
+	struct kv_set *set = &c->sets[c->set_count];
+	struct buffer b = BUFFER_INIT;
+	uint64_t now = clock_now_us();
+
+	if (now < o->next_pairs_us)
+		return;
+	o->next_pairs_us = now + PAIRS_INTERVAL_US;
+	sched_pairs_encode(o->sched, &b);
+	set->key = JOB_PAIRS_KEY;
+	set->value = buffer_detach(&b, &set->len);
+	c->set_count++;
+}
+
+static struct commit *build(struct job_owner *o, bool silent, uint64_t now)
+{
+	struct commit *c = xcalloc(1, sizeof(*c));
+	size_t len;
+
+	c->built_us = now;
+	sched_collect(o->sched, COMMIT_RECORDS_MAX, add_record, c);
+	add_removes(o, c);
+	if (!c->set_count && !c->remove_count && !silent) {
+		free(c);
+		return NULL;
+	}
+	if (silent)
+		job_owner_silent_add(o, c, now);
+	add_pairs(o, c);
+	o->txn_count++;
+	len = (size_t)snprintf(c->seq, sizeof(c->seq), "%llu %llu",
+			       (unsigned long long)o->epoch,
+			       (unsigned long long)o->txn_count);
+	c->sets[c->set_count].key = JOB_SEQ_KEY;
+	c->sets[c->set_count].value = c->seq;
+	c->sets[c->set_count].len = len;
+	c->set_count++;
+	return c;
+}
+
+void job_owner_build_commit(struct job_owner *o, bool silent, uint64_t now)
+{
+	o->commit = build(o, silent, now);
+}
+
+void job_owner_begin_handover(struct job_owner *o, uint64_t now)
+{
+	o->handover_us = now;
+	job_owner_build_commit(o, true, now);
+}
+
+static void commit_done(struct job_owner *o, uint64_t revision)
+{
+	bool records = o->commit->has_records;
+
+	o->seq_revision = revision;
+	counter_add(o->commits, 1);
+	if (o->commit->has_silent)
+		job_owner_silent_stored(o, o->commit);
+	job_owner_free_commit(o);
+	if (records)
+		sched_stored(o->sched, true, clock_now_us());
+	job_owner_schedule_tick(o);
+}
+
+/* The reply to an earlier attempt was lost, or another process is owner. */
+static void commit_conflict(struct job_owner *o, const struct kv_reply *r)
+{
+	for (size_t i = 0; i < r->count; i++) {
+		const struct kv_item *item = &r->items[i];
+
+		if (strcmp(item->key, JOB_SEQ_KEY) ||
+		    strcmp(item->value, o->commit->seq))
+			continue;
+		commit_done(o, item->revision);
+		return;
+	}
+	log_event(LOG_WARNING, "commit-conflict",
+		  "epoch=%llu seq_revision=%llu", (unsigned long long)o->epoch,
+		  (unsigned long long)o->seq_revision);
+	job_owner_ownership_lost(o);
+}
+
+static void on_committed(void *arg, const struct kv_reply *r)
+{
+	struct owner_store_call *c = arg;
+	struct job_owner *o = c->owner;
+	bool current = c->load_generation == o->load_generation && o->commit;
+
+	owner_store_call_end(c);
+	if (!current)
+		return;
+	o->commit_in_flight = false;
+	switch (r->outcome) {
+	case KV_OK:
+		commit_done(o, r->revision);
+		break;
+	case KV_CONFLICT:
+		commit_conflict(o, r);
+		break;
+	case KV_UNKNOWN:
+		o->next_commit_us = 0;
+		job_owner_schedule_tick(o);
+		break;
+	default:
+		o->next_commit_us = clock_now_us() + COMMIT_RETRY_US;
+		break;
+	}
+}
+
+void job_owner_send_commit(struct job_owner *o)
+{
+	struct owner_store_call *call = owner_store_call_begin(o);
+	struct commit *c = o->commit;
+	struct kv_condition expect[2] = { { JOB_OWNER_KEY,
+					    o->ownership_revision },
+					  { JOB_SEQ_KEY, o->seq_revision } };
+	struct kv_txn t = {
+		.conditions = expect,
+		.condition_count = 2,
+		.sets = c->sets,
+		.set_count = c->set_count,
+		.removes = (const char *const *)c->removes,
+		.remove_count = c->remove_count,
+	};
+
+	o->commit_in_flight = true;
+	o->node->kv->ops->txn(o->node->kv, &t, on_committed, call);
+}
--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -11,11 +11,11 @@
  *
  * DESCRIPTION
  *	job-owner.c elects the owner and renews its lease. job-owner-store.c
- *	loads the stored jobs and commits changed records. job-owner-silent.c
- *	reads and writes the record of silent workers. Every transaction of
- *	an owner expects the revision of its owner key and of its previous
- *	transaction, so a delayed transaction, or one of a former owner, has no
- *	effect.
+ *	loads the stored jobs; job-owner-commit.c commits changed records.
+ *	job-owner-silent.c reads and writes the record of silent workers. Every
+ *	transaction of an owner expects the revision of its owner key and of its
+ *previous transaction, so a delayed transaction, or one of a former owner, has
+ *no effect.
  */
 
 /*
@@ -196,13 +196,19 @@
 void job_owner_apply_config(struct job_owner *o);
 /* Places tasks, commits changes and sends orders. */
 void job_owner_process(struct job_owner *o, uint64_t now);
+void ignore_reply(void *arg, const struct kv_reply *r);
+
+/* ---- job-owner-commit.c ---- */
+/* Sets o->commit to the changes to store; NULL: there are none. */
+void job_owner_build_commit(struct job_owner *o, bool silent, uint64_t now);
+void job_owner_send_commit(struct job_owner *o);
+void job_owner_free_commit(struct job_owner *o);
 /*
  * Builds the last transaction of an owner that resigns, which shows its
  * successor when the leases of all workers are over. Grants no lease from now
  * on, and starts nothing.
  */
 void job_owner_begin_handover(struct job_owner *o, uint64_t now);
-void ignore_reply(void *arg, const struct kv_reply *r);
 
 /* ---- job-owner-silent.c ---- */
 /* The record was received, or deleted; also called while following. */
