job-owner: a log line for each transaction without an answer

The logs did not tell what a lease waited for once the store was back: an unanswered transaction was repeated silently. commit-unanswered gives its number, its age and whether it has the record of silent workers.

--- a/src/job-owner-commit.c
+++ b/src/job-owner-commit.c
@@ -145,6 +145,16 @@
 	job_owner_ownership_lost(o);
 }
 
+static void log_unanswered(const struct job_owner *o)
+{
+	log_event(LOG_INFO, "commit-unanswered",
+		  "epoch=%llu txn=%llu silent=%d age_ms=%llu",
+		  (unsigned long long)o->epoch,
+		  (unsigned long long)o->txn_count, o->commit->has_silent,
+		  (unsigned long long)(clock_now_us() - o->commit->built_us) /
+			  1000);
+}
+
 static void on_committed(void *arg, const struct kv_reply *r)
 {
 	struct owner_store_call *c = arg;
@@ -163,6 +173,7 @@
 		commit_conflict(o, r);
 		break;
 	case KV_UNKNOWN:
+		log_unanswered(o);
 		o->next_commit_us = 0;
 		job_owner_schedule_tick(o);
 		break;
--- a/src/log-events.c
+++ b/src/log-events.c
@@ -9,6 +9,7 @@
 	"batch-relieved",
 	"checkpoint-too-long",
 	"commit-conflict",
+	"commit-unanswered",
 	"config-apply",
 	"config-in-force",
 	"config-none",
