job-owner: a transaction without an answer does not delay what follows

Callers saw a run lapse though its worker answered: it had been recorded as silent, came back while the store was away, and got no lease for up to 0.7 s after the store was back.

Cause: one transaction is in transit at a time, and it was sent again only when its timeout of 0.6 s was over.

An unanswered transaction is sent again, on another connection, each 0.25 s, with up to three copies in transit; a slow store answers within 0.24 s. Why an older record cannot replace a newer one: there is still one transaction at a time; all its copies expect the same revision of the sequence, which the one that takes effect changes, and the next transaction is built once that is known and expects the new revision, so that a late copy is refused. Answers to copies of an earlier transaction are ignored. Two more connections to the store leave the other calls as many as before.

Test: "lease once store is back", the store ignores transactions until one has just come in.

--- a/src/job-owner-commit.c
+++ b/src/job-owner-commit.c
@@ -1,3 +1,4 @@
+#include <event2/event.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -122,6 +123,7 @@
 	if (o->commit->has_silent)
 		job_owner_silent_stored(o, o->commit);
 	job_owner_free_commit(o);
+	o->commit_copies = 0;
 	if (records)
 		sched_stored(o->sched, true, clock_now_us());
 	job_owner_schedule_tick(o);
@@ -159,12 +161,13 @@
 {
 	struct owner_store_call *c = arg;
 	struct job_owner *o = c->owner;
-	bool current = c->load_generation == o->load_generation && o->commit;
+	bool current = c->load_generation == o->load_generation && o->commit &&
+		       c->txn == o->txn_count;
 
 	owner_store_call_end(c);
 	if (!current)
 		return;
-	o->commit_in_flight = false;
+	o->commit_copies--;
 	switch (r->outcome) {
 	case KV_OK:
 		commit_done(o, r->revision);
@@ -183,8 +186,17 @@
 	}
 }
 
+bool job_owner_commit_due(const struct job_owner *o, uint64_t now)
+{
+	if (!o->commit || now < o->next_commit_us)
+		return false;
+	return !o->commit_copies ||
+	       (o->commit_repeat && o->commit_copies < COMMIT_COPIES_MAX);
+}
+
 void job_owner_send_commit(struct job_owner *o)
 {
+	static const struct timeval repeat = { 0, COMMIT_REPEAT_US };
 	struct owner_store_call *call = owner_store_call_begin(o);
 	struct commit *c = o->commit;
 	struct kv_condition expect[2] = { { JOB_OWNER_KEY,
@@ -199,6 +211,9 @@
 		.remove_count = c->remove_count,
 	};
 
-	o->commit_in_flight = true;
+	call->txn = o->txn_count;
+	o->commit_copies++;
+	o->commit_repeat = false;
+	evtimer_add(o->repeat_timer, &repeat);
 	o->node->kv->ops->txn(o->node->kv, &t, on_committed, call);
 }
--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -84,6 +84,13 @@
 #define IGNORED_LOG_INTERVAL_US 1000000u
 /* Delay before a transaction that the store refused is repeated. */
 #define COMMIT_RETRY_US 150000u
+/*
+ * A transaction is sent again, on another connection, once its last copy has
+ * had no answer for this long, which is more than a slow store takes (240 ms).
+ * The calls of a store that is back do not wait until earlier ones time out.
+ */
+#define COMMIT_REPEAT_US 250000u
+#define COMMIT_COPIES_MAX 3u
 /*
  * The two expected keys, the sequence, the pairs and the silent workers take
  * five entries.
@@ -97,7 +104,11 @@
 	OWNER_ACTIVE,
 };
 
-/* A transaction, repeated unchanged until its outcome is known. */
+/*
+ * A transaction, repeated unchanged until its outcome is known. All copies
+ * expect the same revision of the sequence, so one of them at most takes
+ * effect, and none does once a later transaction is stored.
+ */
 struct commit {
 	struct kv_set sets[KV_TXN_ENTRIES_MAX];
 	char keys[KV_TXN_ENTRIES_MAX][KV_KEY_BYTES];
@@ -115,6 +126,7 @@
 	struct owner_store_call *next;
 	struct job_owner *owner;
 	uint32_t load_generation;
+	uint64_t txn; /* number of the transaction, if it is one */
 };
 
 struct job_owner {
@@ -123,6 +135,7 @@
 	struct kv_follow *owner_follow;
 	struct event *tick_event;
 	struct event *tick_timer;
+	struct event *repeat_timer; /* since the last copy was sent */
 	bool tick_scheduled;
 	bool resigned; /* planned stop; never a candidate again */
 	/* When the last transaction was built; no leases since. 0: not yet. */
@@ -176,7 +189,8 @@
 	char **pending_cancels;		    /* job ids, seen before the job */
 	size_t pending_cancel_count;
 	struct commit *commit;
-	bool commit_in_flight; /* sent, no reply yet */
+	uint32_t commit_copies; /* sent, no reply yet */
+	bool commit_repeat;	/* the last copy has waited long enough */
 	uint64_t next_commit_us;
 	char **expired_jobs; /* ids whose records must be deleted */
 	size_t expired_job_count;
@@ -201,6 +215,7 @@
 /* ---- job-owner-commit.c ---- */
 /* Sets o->commit to the changes to store; NULL: there are none. */
 void job_owner_build_commit(struct job_owner *o, bool silent, uint64_t now);
+bool job_owner_commit_due(const struct job_owner *o, uint64_t now);
 void job_owner_send_commit(struct job_owner *o);
 void job_owner_free_commit(struct job_owner *o);
 /*
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -376,7 +376,7 @@
 	o->workers = NULL;
 	sched_destroy(o->sched);
 	o->sched = NULL;
-	o->commit_in_flight = false;
+	o->commit_copies = 0;
 	job_owner_free_commit(o);
 	free_strings(&o->pending_cancels, &o->pending_cancel_count);
 	free_strings(&o->expired_jobs, &o->expired_job_count);
@@ -426,7 +426,7 @@
 		    o->expired_job_count)
 			job_owner_build_commit(o, silent, now);
 	}
-	if (o->commit && !o->commit_in_flight && now >= o->next_commit_us)
+	if (job_owner_commit_due(o, now))
 		job_owner_send_commit(o);
 	relay_hub_tick(o->node->relay_hub, now);
 	job_workers_tick(o->workers, now);
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -448,6 +448,16 @@
 	tick(o);
 }
 
+static void on_repeat_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct job_owner *o = arg;
+
+	(void)fd;
+	(void)what;
+	o->commit_repeat = true;
+	tick(o);
+}
+
 void job_owner_schedule_tick(struct job_owner *o)
 {
 	static const struct timeval delay = { 0, TICK_DELAY_US };
@@ -471,6 +481,7 @@
 	o->tick_event = evtimer_new(n->base, on_tick_event, o);
 	o->tick_timer = event_new(n->base, -1, EV_PERSIST, on_tick_timer, o);
 	event_add(o->tick_timer, &interval);
+	o->repeat_timer = evtimer_new(n->base, on_repeat_timer, o);
 	o->owner_follow =
 		kv_follow_create(n->base, n->kv, JOB_OWNER_PREFIX,
 				 OWNER_WATCH_MS, 0, &owner_follow_ops, o);
@@ -488,5 +499,6 @@
 	silent_notes_clear(&o->inherited);
 	event_free(o->tick_event);
 	event_free(o->tick_timer);
+	event_free(o->repeat_timer);
 	free(o);
 }
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -29,9 +29,11 @@
 	bool lose_write_answers;  /* writes are executed without an answer */
 	bool lose_order_answers;  /* orders are executed without an answer */
 	bool compact_history;	  /* the next watch poll is answered with 410 */
+	bool ignore_txns;	  /* executes and answers no transaction */
 	bool hold_renewal;	  /* the next renewal waits for its release */
 	bool lose_worker_lists;	  /* a read of all worker entries fails */
 	uint32_t unanswered_writes; /* counted while lose_write_answers */
+	uint32_t ignored_txns;	    /* counted while ignore_txns */
 };
 
 /*
--- a/tests/support-jobs-store.c
+++ b/tests/support-jobs-store.c
@@ -465,6 +465,11 @@
 		jobs_reply(req, 503, NULL);
 		return;
 	}
+	if (p->faults.ignore_txns && strstr(uri, "/kv-txn")) {
+		p->faults.ignored_txns++;
+		jobs_withhold_answer(req);
+		return;
+	}
 	if (p->faults.hold_renewal && strstr(uri, "/kv-keep/")) {
 		hold_renewal(p, req);
 		return;
--- a/tests/test-jobs-silent.c
+++ b/tests/test-jobs-silent.c
@@ -17,6 +17,8 @@
  * allows 3 s more with room for it.
  */
 #define BACK_MAX_MS 9000u
+/* From the return of the store to the next lease of a worker that answers. */
+#define LEASE_MAX_MS 500u
 #define SERVICE                                                             \
 	"{\"specification\":\"lasts\",\"steps\":[{\"count\":1,\"cpu\":100," \
 	"\"long-running\":true,\"target-ms\":0}]}"
@@ -299,6 +301,69 @@
 	jobs_fixture_tear_down(&f);
 }
 
+static bool owner_hears_worker(const struct jobs_fixture *f, int worker)
+{
+	const char *id = jobs_platform_worker_id(f->platform, worker);
+	int owner = jobs_fixture_owner(f);
+	struct sched *s;
+
+	if (owner < 0)
+		return false;
+	s = job_owner_sched(f->entries[owner].node.owner);
+	return s->workers[sched_find_worker(s, id)].responsive;
+}
+
+/* Waits until another transaction has come in, which is not answered. */
+static void wait_for_ignored_txn(struct jobs_fixture *f)
+{
+	const struct platform_faults *faults =
+		jobs_platform_faults(f->platform);
+	uint32_t before = faults->ignored_txns;
+	uint64_t end = clock_now_us() + 1500000;
+
+	while (faults->ignored_txns == before && clock_now_us() < end)
+		jobs_fixture_run(f, 1);
+	CU_ASSERT(faults->ignored_txns > before);
+}
+
+/*
+ * Guards against a lease that waits until the store's answer to an earlier
+ * transaction is given up, though the store serves all that it gets: a recorded
+ * worker is heard, and the store is back just after it has ignored a
+ * transaction.
+ */
+static void test_lease_once_store_is_back(void)
+{
+	struct jobs_fixture f;
+	uint64_t end, back_us;
+	uint32_t ms;
+	int worker;
+
+	set_up(&f, false);
+	worker = run_service(&f);
+	end = clock_now_us() + 3000000;
+	while (jobs_platform_lease_left_ms(f.platform, worker) < 5950 &&
+	       clock_now_us() < end)
+		jobs_fixture_run(&f, 1);
+	jobs_platform_set_unresponsive(f.platform, worker, true);
+	wait_for_record(&f, worker);
+	jobs_platform_faults(f.platform)->ignore_txns = true;
+	jobs_platform_set_unresponsive(f.platform, worker, false);
+	end = clock_now_us() + 2000000;
+	while (!owner_hears_worker(&f, worker) && clock_now_us() < end)
+		jobs_fixture_run(&f, 1);
+	CU_ASSERT(owner_hears_worker(&f, worker));
+	wait_for_ignored_txn(&f);
+	jobs_platform_faults(f.platform)->ignore_txns = false;
+	back_us = clock_now_us();
+	wait_for_lease(&f, worker);
+	ms = (uint32_t)(clock_now_us() - back_us) / 1000;
+	printf("lease %u ms after the store is back\n", ms);
+	CU_ASSERT(ms <= LEASE_MAX_MS);
+	CU_ASSERT_EQUAL(jobs_platform_starts(f.platform), 1);
+	jobs_fixture_tear_down(&f);
+}
+
 /* With the store, such a worker gets leases again. */
 static void test_leases_resume(void)
 {
@@ -421,6 +486,7 @@
 		  test_worker_lost_before_owner_restarts },
 		{ "no lease before record is stored",
 		  test_no_lease_before_record_is_stored },
+		{ "lease once store is back", test_lease_once_store_is_back },
 		{ "leases resume", test_leases_resume },
 		{ "worker that was back while store was away",
 		  test_worker_that_was_back_while_store_was_away },
