job-silent: a carried record has the time of an owner that has exited

Callers saw a service away for 9.0 to 9.1 s, where 9 s are allowed, when its worker was lost, the owner's process killed 0.8 s later, and the next one on the same VM killed in turn right after its election (tests/explore/killed-twice.txt).

Cause: the second process knows that the first has exited, so that all its leases are over 6.42 s after the candidacy, but its first record still had the predecessor's time of 8.6 s, and was not settled. The third process of the VM counted that from its receipt: 2 s more.

The time is now limited before the record is carried over, and the carried record is settled if what it has for the workers that it does not name is no longer than a lease that is granted when it is built. Its owner grants none before its own first record, so a process that replaces it counts 6.42 s from its candidacy at the earliest, which is later. The format stays: earlier versions read and write such records.

silent_notes_limit_exited() replaces silent_notes_apply_exited(). The test of the latter now checks the notes and the worker's lease after it, for the same epochs and bounds; a new one checks when a carried record is settled.

--- a/src/job-owner-silent.c
+++ b/src/job-owner-silent.c
@@ -19,17 +19,21 @@
 void job_owner_silent_inherit(struct job_owner *o, struct buffer *record)
 {
 	uint64_t now = clock_now_us();
-	uint32_t unknown_ms =
-		UNRECORDED_GRANT_MS +
-		(uint32_t)(sched_lease_longest_us(
-				   o->node->settings->jobs.lease_max_us) /
-			   1000);
+	uint64_t lease_us =
+		sched_lease_longest_us(o->node->settings->jobs.lease_max_us);
+	uint32_t lease_ms = (uint32_t)(lease_us / 1000);
+	uint32_t unknown_ms = UNRECORDED_GRANT_MS + lease_ms;
 
 	silent_notes_copy(&o->inherited, &o->silent);
+	/* The predecessor was a process of this VM, which has exited. */
+	if (o->claim_expected_revision)
+		silent_notes_limit_exited(&o->inherited, o->epoch,
+					  o->claimed_us + lease_us);
 	/* The first owner of all has no predecessor. */
 	if (o->epoch == 1 && !o->inherited.epoch)
 		unknown_ms = 0;
-	silent_record_carry(&o->inherited, o->epoch, now, unknown_ms, record);
+	silent_record_carry(&o->inherited, o->epoch, now, unknown_ms, lease_ms,
+			    record);
 }
 
 void job_owner_silent_apply(struct job_owner *o)
@@ -39,10 +43,6 @@
 	if (!o->workers_read)
 		return;
 	n = silent_notes_apply(&o->inherited, o->sched, o->epoch);
-	/* The predecessor was a process of this VM, which has exited. */
-	if (o->claim_expected_revision)
-		n += silent_notes_apply_exited(&o->inherited, o->sched,
-					       o->epoch, o->claimed_us);
 	log_event(LOG_INFO, "silent-taken-over",
 		  "epoch=%llu workers=%u record_epoch=%llu named=%u "
 		  "others_ms=%lld settled=%d exited=%d",
--- a/src/job-silent.c
+++ b/src/job-silent.c
@@ -85,7 +85,7 @@
 
 void silent_record_carry(const struct silent_notes *n, uint64_t epoch,
 			 uint64_t now_us, uint32_t unknown_ms,
-			 struct buffer *out)
+			 uint32_t lease_ms, struct buffer *out)
 {
 	bool usable = n->epoch && n->epoch + 1 == epoch;
 	struct record_rows r = { .rows = BUFFER_INIT };
@@ -100,7 +100,7 @@
 		if (!add_row(&r, n->list[i].id, row_ms) && row_ms > others_ms)
 			others_ms = row_ms;
 	}
-	pack_record(out, epoch, &r, others_ms, false);
+	pack_record(out, epoch, &r, others_ms, others_ms <= lease_ms);
 }
 
 void silent_notes_clear(struct silent_notes *n)
@@ -109,6 +109,15 @@
 	memset(n, 0, sizeof(*n));
 }
 
+void silent_notes_limit_exited(struct silent_notes *n, uint64_t epoch,
+			       uint64_t end_us)
+{
+	if (!n->epoch || n->epoch + 1 != epoch || !n->settled)
+		return;
+	if (!n->others_end_us || end_us < n->others_end_us)
+		n->others_end_us = end_us;
+}
+
 void silent_notes_copy(struct silent_notes *n, const struct silent_notes *from)
 {
 	silent_notes_clear(n);
@@ -210,13 +219,3 @@
 		applied += sched_limit_other_leases(s, n->others_end_us);
 	return applied;
 }
-
-uint32_t silent_notes_apply_exited(const struct silent_notes *n,
-				   struct sched *s, uint64_t epoch,
-				   uint64_t granted_us)
-{
-	if (!n->epoch || n->epoch + 1 != epoch || !n->settled)
-		return 0;
-	return sched_limit_other_leases(s,
-					granted_us + sched_lease_bound_us(s));
-}
--- a/src/job-silent.h
+++ b/src/job-silent.h
@@ -28,8 +28,8 @@
  *	[[worker id, time left in ms], ...], time left of the other workers,
  *	settled]. The time left of the others is nil if it is not known. A
  *	record is settled if all leases of earlier owners are over as soon as
- *	those that its owner has granted when it is built. Elements after the
- *	known ones are ignored. Earlier versions write the time left of the
+ *	one that its owner could have granted when it was built. Elements after
+ *	the known ones are ignored. Earlier versions write the time left of the
  *	others in last records only, or write no more than three elements.
  *
  * ERRORS
@@ -71,11 +71,12 @@
 			     enum silent_record type, struct buffer *out);
 /*
  * Builds the first record of a new owner with this epoch from the one of the
- * owner before it. unknown_ms: time left if that is not known.
+ * owner before it. unknown_ms: time left if that is not known; lease_ms: the
+ * longest time left of a lease that is granted now.
  */
 void silent_record_carry(const struct silent_notes *n, uint64_t epoch,
 			 uint64_t now_us, uint32_t unknown_ms,
-			 struct buffer *out);
+			 uint32_t lease_ms, struct buffer *out);
 
 /*
  * Replaces the notes by the record with the given revision, received at now_us.
@@ -87,6 +88,13 @@
 			const void *data, size_t len, uint64_t now_us,
 			struct error *err);
 void silent_notes_clear(struct silent_notes *n);
+/*
+ * Limits the time of the workers that the record does not name, if it is the
+ * settled one of the owner before this epoch. end_us: when the leases are over
+ * that this owner may have granted; its process has exited.
+ */
+void silent_notes_limit_exited(struct silent_notes *n, uint64_t epoch,
+			       uint64_t end_us);
 /* Replaces the notes by a copy of others. */
 void silent_notes_copy(struct silent_notes *n, const struct silent_notes *from);
 /*
@@ -99,13 +107,4 @@
 uint32_t silent_notes_apply(const struct silent_notes *n, struct sched *s,
 			    uint64_t epoch);
 
-/*
- * Limits the leases of all workers that the record does not name, if no owner
- * has granted one after granted_us and the record of the owner before this one
- * is settled. Returns the same as above.
- */
-uint32_t silent_notes_apply_exited(const struct silent_notes *n,
-				   struct sched *s, uint64_t epoch,
-				   uint64_t granted_us);
-
 #endif
--- a/tests/test-sched-worker.c
+++ b/tests/test-sched-worker.c
@@ -456,7 +456,7 @@
 	struct model_worker *lost = lose_service(m);
 	struct buffer b[2] = { BUFFER_INIT, BUFFER_INIT };
 	struct silent_notes n = { .revision = 0 };
-	uint64_t granted_us, inherited_us[2];
+	uint64_t exited_end_us, ends_us, inherited_us[2];
 	struct sched_worker *w;
 
 	job_model_run(m, 50);
@@ -477,20 +477,25 @@
 		CU_ASSERT(n.others_end_us >= inherited_us[settled]);
 		CU_ASSERT(n.others_end_us >=
 			  m->now_us + (LEASE_MS + SILENT_GRANT_MS) * 1000u);
-		granted_us = m->now_us - 500000;
+		exited_end_us = m->now_us - 500000 + LEASE_MS * 1000u;
 		job_model_fail_over(m);
 		w = &m->s->workers[lost->handle];
-		CU_ASSERT_EQUAL(silent_notes_apply_exited(
-					&n, m->s, RECORD_EPOCH + 2, granted_us),
+		ends_us = n.others_end_us;
+		silent_notes_limit_exited(&n, RECORD_EPOCH + 2, exited_end_us);
+		CU_ASSERT_EQUAL(n.others_end_us, ends_us);
+		silent_notes_limit_exited(&n, RECORD_EPOCH + 1, exited_end_us);
+		CU_ASSERT_EQUAL(n.others_end_us,
+				settled ? exited_end_us : ends_us);
+		CU_ASSERT_EQUAL(silent_notes_apply(&n, m->s, RECORD_EPOCH + 2),
 				0);
-		CU_ASSERT_EQUAL(silent_notes_apply_exited(
-					&n, m->s, RECORD_EPOCH + 1, granted_us),
-				settled);
 		CU_ASSERT_EQUAL(silent_notes_apply(&n, m->s, RECORD_EPOCH + 1),
-				!settled);
+				1);
 		CU_ASSERT_EQUAL(w->lease_end_us,
-				settled ? granted_us + LEASE_MS * 1000u
-					: n.others_end_us);
+				settled ? exited_end_us : ends_us);
+		/* A bound that is over later changes nothing. */
+		silent_notes_limit_exited(&n, RECORD_EPOCH + 1, UINT64_MAX);
+		CU_ASSERT_EQUAL(n.others_end_us,
+				settled ? exited_end_us : ends_us);
 		buffer_free(&b[settled]);
 	}
 	silent_notes_clear(&n);
@@ -515,7 +520,8 @@
 			    &b);
 	CU_ASSERT_FATAL(update(&n, 5, b.data, b.len, m->now_us));
 	now_us = m->now_us + 2000000;
-	silent_record_carry(&n, RECORD_EPOCH + 1, now_us, 10720, &carried);
+	silent_record_carry(&n, RECORD_EPOCH + 1, now_us, 10720, LEASE_MS,
+			    &carried);
 	CU_ASSERT_FATAL(update(&next, 6, carried.data, carried.len, now_us));
 	CU_ASSERT_EQUAL(next.epoch, RECORD_EPOCH + 1);
 	CU_ASSERT_EQUAL_FATAL(next.count, 1);
@@ -529,11 +535,12 @@
 	for (uint64_t revision = 7; revision < 9; revision++) {
 		carried.len = 0;
 		silent_record_carry(&n, RECORD_EPOCH + 2, now_us, 10720,
-				    &carried);
+				    LEASE_MS, &carried);
 		CU_ASSERT_FATAL(update(&next, revision, carried.data,
 				       carried.len, now_us));
 		CU_ASSERT_EQUAL(next.count, 0);
 		CU_ASSERT(next.others_end_us >= now_us + 10720000);
+		CU_ASSERT_FALSE(next.settled);
 		silent_notes_clear(&n);
 	}
 	silent_notes_clear(&next);
@@ -542,6 +549,39 @@
 	job_model_free(m);
 }
 
+/*
+ * Guards against a successor that has to wait for leases that an owner's killed
+ * process might grant, and against one that takes a carried record as settled
+ * while a lease may be over later than one that is granted now.
+ */
+static void test_carried_record_settled(void)
+{
+	const uint64_t start_us = 1000000000, lease_us = LEASE_MS * 1000u;
+	struct silent_notes n = { .revision = 0 };
+	struct buffer carried = BUFFER_INIT;
+
+	for (uint32_t late_ms = 0; late_ms < 2; late_ms++) {
+		silent_notes_clear(&n);
+		n.epoch = RECORD_EPOCH;
+		n.settled = true;
+		n.others_end_us = start_us + 2 * lease_us;
+		silent_notes_limit_exited(&n, RECORD_EPOCH + 1,
+					  start_us + lease_us +
+						  late_ms * 1000u);
+		carried.len = 0;
+		silent_record_carry(&n, RECORD_EPOCH + 1, start_us + 1, 10720,
+				    LEASE_MS, &carried);
+		silent_notes_clear(&n);
+		CU_ASSERT_FATAL(update(&n, 5, carried.data, carried.len,
+				       start_us + 5000));
+		CU_ASSERT_EQUAL(n.settled, !late_ms);
+		CU_ASSERT(n.others_end_us >= start_us + lease_us);
+		CU_ASSERT(n.others_end_us < start_us + lease_us + 200000);
+	}
+	silent_notes_clear(&n);
+	buffer_free(&carried);
+}
+
 /* A record that cannot be read limits nothing. */
 static void test_malformed_records(void)
 {
@@ -708,6 +748,7 @@
 		{ "record of dead predecessor",
 		  test_record_of_dead_predecessor },
 		{ "record carried over", test_record_carried_over },
+		{ "carried record settled", test_carried_record_settled },
 		{ "older record comes late", test_older_record_comes_late },
 		{ "malformed records", test_malformed_records },
 		{ "draining worker is emptied after change of owner",
