--- a/src/log-events.c
+++ b/src/log-events.c
@@ -110,6 +110,7 @@
 	"step-placed",
 	"step-waits",
 	"step-waits-for",
+	"step-waits-for-probation",
 	"stopped",
 	"store-call-failed",
 	"store-key-unknown",
--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -310,7 +310,7 @@
 	       lost_runs(t) >= LOST_RUNS_PROBATION;
 }
 
-bool sched_probation_available(const struct sched *s)
+uint32_t sched_probations_max(const struct sched *s)
 {
 	uint32_t max = s->listed_count / WORKERS_PER_PROBATION_FEW;
 
@@ -318,7 +318,12 @@
 		max = PROBATIONS_FEW;
 	if (max < s->listed_count / WORKERS_PER_PROBATION)
 		max = s->listed_count / WORKERS_PER_PROBATION;
-	return s->probations < max || !s->probations;
+	return max ? max : 1;
+}
+
+bool sched_probation_available(const struct sched *s)
+{
+	return s->probations < sched_probations_max(s);
 }
 
 int64_t sched_probation_score(const struct sched *s,
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -88,6 +88,7 @@
 	uint64_t throttled_us;	  /* last throttle order */
 	uint64_t wait_logged_us;  /* first task of a step: its wait was logged;
 				     0: it does not wait */
+	uint64_t probation_logged_us; /* the same of waits for a probation */
 	uint8_t state;
 	uint8_t cpu_percent;	  /* limit ordered, or CPU_PERCENT_UNKNOWN */
 	uint8_t progress_percent; /* progress */
@@ -514,6 +515,9 @@
  */
 void sched_log_wait(struct sched *s, const struct job *j,
 		    struct sched_task *first, uint32_t waiting);
+/* Logs that tasks of a step wait until they may run on probation. */
+void sched_log_probation_wait(const struct sched *s, const struct job *j,
+			      struct sched_task *first, uint32_t waiting);
 
 /* ---- sched-reserve.c ---- */
 /* Drops all reservations at the start of a placement round. */
@@ -577,6 +581,8 @@
 bool sched_needs_probation(const struct sched_task *t);
 /* Whether no other task may start beside the task; it waits for that. */
 bool sched_probation_required(const struct sched_task *t);
+/* Probations at a time. */
+uint32_t sched_probations_max(const struct sched *s);
 /* Whether a further task may be placed on probation. */
 bool sched_probation_available(const struct sched *s);
 /* Score of a worker for a probation; higher is better. */
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -337,6 +337,7 @@
 	const struct sched_task *last_placed;
 	uint32_t placed;
 	uint32_t unplaced;     /* of the tasks that were tried */
+	uint32_t suspects;     /* that wait for a probation */
 	bool no_room;	       /* nor will any worker have room */
 	uint64_t rack_wait_us; /* longest wait for its rack */
 };
@@ -367,6 +368,7 @@
 	if (w == SCHED_NONE) {
 		/* The others of the step may fit. */
 		r->unplaced += !probation;
+		r->suspects += probation;
 		if (reserves(t, class) &&
 		    !waits_for_rack(s, t, r->rack_wait_us) &&
 		    (t->reserved_on || !r->no_room))
@@ -440,6 +442,8 @@
 			    s->now_us >= first[i].retry_us)
 				place_task(s, j, &first[i], class, &r);
 	}
+	if (r.suspects && class != CLASS_OVERDUE_SERVICE)
+		sched_log_probation_wait(s, j, first, r.suspects);
 	if (!r.placed && !r.unplaced)
 		return;
 	waiting = sched_find_occurrence(j, first->occurrence)
--- a/src/sched-wait-log.c
+++ b/src/sched-wait-log.c
@@ -2,10 +2,10 @@
 #include "sched-internal.h"
 
 /*
- * A service that waits for this long is logged again: workers may have had
- * room for it meanwhile.
+ * A service, or a task that needs a probation, that waits for this long is
+ * logged again: workers may have had room for it meanwhile.
  */
-#define SERVICE_WAIT_LOG_US 2000000u
+#define WAIT_LOG_US 2000000u
 
 /* Workers of the service, by the first reason that rules each of them out. */
 struct wait_reasons {
@@ -72,7 +72,7 @@
 
 	if (first->wait_logged_us &&
 	    (!step->long_running ||
-	     s->now_us < first->wait_logged_us + SERVICE_WAIT_LOG_US))
+	     s->now_us < first->wait_logged_us + WAIT_LOG_US))
 		return;
 	first->wait_logged_us = s->now_us;
 	log_event(LOG_INFO, "step-waits",
@@ -85,3 +85,15 @@
 	if (step->long_running)
 		log_reasons(s, j, first);
 }
+
+void sched_log_probation_wait(const struct sched *s, const struct job *j,
+			      struct sched_task *first, uint32_t waiting)
+{
+	if (first->probation_logged_us &&
+	    s->now_us < first->probation_logged_us + WAIT_LOG_US)
+		return;
+	first->probation_logged_us = s->now_us;
+	log_event(LOG_INFO, "step-waits-for-probation",
+		  "job=%s step=%u waiting=%u probations=%u/%u", j->spec.id,
+		  first->step, waiting, s->probations, sched_probations_max(s));
+}
