sched-crash: crashes that a task has outlived are not inherited

Cause: a run that outlives the crashes before it clears their counts, but the job was not marked as changed, so the record kept them until something else changed. A successor counted on from there.

Change: the job is marked.

Evidence: test-sched-crash, "outlived crashes are not inherited": eight crashes, each outlived by 6 s, each after a change of owner. Before, the job fails.

--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -367,6 +367,9 @@
 	if (age_us < survival_us(t))
 		return;
 	sched_end_probation(s, t);
+	/* A successor is not to count them either. */
+	if (t->suspicions || age_us >= t->lost_age_us + SURVIVAL_US)
+		sched_mark_dirty(s, &s->jobs[t->job]);
 	t->suspicions = 0;
 	t->suspect_age_us = 0;
 	if (age_us < t->lost_age_us + SURVIVAL_US)
--- a/tests/test-sched-crash.c
+++ b/tests/test-sched-crash.c
@@ -429,6 +429,36 @@
 	job_model_free(m);
 }
 
+/*
+ * Load pattern: a worker crashes under a service, which then runs on for longer
+ * than a run that a crash has ended; later its owner changes. Guards against a
+ * successor that counts the crashes that the service has outlived.
+ */
+static void test_outlived_crashes_are_not_inherited(void)
+{
+	struct model *m = job_model_create(20, CORES(16), GB(64));
+	struct model_worker *w = NULL;
+	struct model_job *j;
+	uint32_t crashes;
+
+	job_model_run(m, 100);
+	j = submit_task(m, false);
+	for (crashes = 0; crashes < 8; crashes++) {
+		w = await_start(m, j, w);
+		if (!w)
+			break;
+		job_model_run(m, 7000);
+		job_model_fail_over(m);
+		job_model_run(m, 200);
+		job_model_crash_worker(m, w);
+	}
+	CU_ASSERT_EQUAL(crashes, 8);
+	job_model_run(m, 9000);
+	CU_ASSERT_EQUAL(job_model_state(m, j), SCHED_JOB_RUNNING);
+	CU_ASSERT_PTR_NOT_NULL(runner_of(m, j));
+	job_model_free(m);
+}
+
 struct unseen_case {
 	uint32_t back_ms; /* the crashed worker isn't heard for so long */
 	bool unlisted;	  /* ... nor listed */
@@ -576,6 +606,8 @@
 		  test_silence_and_crashes_fail_no_sound_job },
 		{ "starts of lost owners fail no service",
 		  test_starts_of_lost_owners_fail_no_service },
+		{ "outlived crashes are not inherited",
+		  test_outlived_crashes_are_not_inherited },
 		{ "unseen crashes are counted",
 		  test_unseen_crashes_are_counted },
 		{ "gang starts again after crash",
