sched-crash: crashes of many workers at once raise no suspicion

Cause: a new owner has heard none of its runs, so every task on a worker that has crashed counts as just started there and is suspected; so are tasks that are placed on workers that crash next.

Change: if a quarter of the workers that are up, four at least, crash within 2 s, these crashes and those up to 2 s later raise no suspicion and do not lengthen the time that a later run must outlive; those before it is known are taken back. They count as lost runs as before, so that a task that crashes its workers meanwhile is given up.

--- a/src/log-events.c
+++ b/src/log-events.c
@@ -139,6 +139,7 @@
 	"worker-silent",
 	"worker-tasks-lost",
 	"worker-unlisted",
+	"workers-crash-together",
 };
 #define EVENT_COUNT (sizeof(events) / sizeof(events[0]))
 
--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -13,6 +13,10 @@
  * fails. Where workers are short, only a task that is suspected twice waits for
  * a probation. A task that crashes its workers late is covered by a count of
  * all crashes.
+ *
+ * Or many workers crash at once, again and again, for a cause of their own. All
+ * tasks would be suspected, and wait for few probations. Such crashes raise no
+ * suspicion, but are counted, as a task may crash its workers meanwhile.
  */
 
 /* A task that a report lists this long after its start did not crash there. */
@@ -41,6 +45,13 @@
  * the first starts go to workers that have crashed, too, and do not show it.
  */
 #define RETRY_DELAY_MS 300u
+/*
+ * As many workers crash within the time for a cause that they share: at least
+ * these, and this part of those that are up or have just crashed.
+ */
+#define MASS_CRASH_US 2000000u
+#define MASS_CRASH_MIN 4u
+#define MASS_CRASH_PART 4u
 /* A worker that has just restarted may crash again by itself. */
 #define RESTARTED_MS 10000u
 /* Penalties in the score for a probation, in thousandths of all CPU. */
@@ -224,10 +235,73 @@
 	return fails;
 }
 
-uint32_t sched_crash_observed(struct sched *s, const struct sched_worker *w)
+/* Takes back the suspicions of the last crashes, which were many. */
+static void drop_suspicions(struct sched *s)
+{
+	for (uint32_t i = 0; i < s->task_count; i++) {
+		struct sched_task *t = &s->tasks[i];
+
+		if (!t->crashed_us || !s->jobs[t->job].used ||
+		    s->now_us > t->crashed_us + MASS_CRASH_US)
+			continue;
+		t->crashed_us = 0;
+		t->lost_age_us = t->former_lost_age_us;
+		if (t->last_crash_suspected)
+			t->suspicions -= t->suspicions > 0;
+		sched_mark_dirty(s, &s->jobs[t->job]);
+		if (!sched_needs_probation(t))
+			sched_end_probation(s, t);
+	}
+}
+
+static bool in_mass_crash(const struct sched *s)
+{
+	return s->mass_crash_us &&
+	       s->now_us <= s->mass_crash_us + MASS_CRASH_US;
+}
+
+/* Whether as many workers have just crashed, of those that were up. */
+static bool many_crashed(const struct sched *s)
+{
+	uint32_t crashed = 0, up = 0;
+
+	for (uint32_t i = 0; i < s->worker_count; i++) {
+		const struct sched_worker *w = &s->workers[i];
+
+		if (w->crashed_us && s->now_us <= w->crashed_us + MASS_CRASH_US)
+			crashed++;
+		else
+			up += w->listed && (w->responsive || !w->heard_us);
+	}
+	return crashed >= MASS_CRASH_MIN &&
+	       crashed * MASS_CRASH_PART >= crashed + up;
+}
+
+/* Whether the crash that is observed now is one of many. */
+static bool is_mass_crash(struct sched *s, struct sched_worker *w)
+{
+	bool was_known = in_mass_crash(s);
+
+	/* It is learnt again and again while its entry is listed. */
+	if (w->first_task == SCHED_NONE)
+		return false;
+	w->crashed_us = s->now_us;
+	if (!many_crashed(s))
+		return was_known;
+	s->mass_crash_us = s->now_us;
+	if (!was_known) {
+		log_event(LOG_INFO, "workers-crash-together", "worker=%s",
+			  w->identity->id);
+		drop_suspicions(s);
+	}
+	return true;
+}
+
+uint32_t sched_crash_observed(struct sched *s, struct sched_worker *w)
 {
 	uint32_t failed_job = SCHED_NONE, count;
 	enum suspicion highest = highest_suspicion(s, w, true, &count);
+	bool mass = is_mass_crash(s, w);
 
 	for (uint32_t i = w->first_task; i != SCHED_NONE;
 	     i = s->tasks[i].next_on_worker) {
@@ -245,8 +319,18 @@
 		}
 		log_loss(s, t, ran ? "crashed" : "restarted");
 		s->jobs[t->job].has_suspect = true;
-		extend(&t->lost_age_us, known_age_us(w, t));
 		sched_mark_dirty(s, &s->jobs[t->job]);
+		if (mass) {
+			if (is_out_of_starts(t)) {
+				log_suspect(s, t, 0, false, true);
+				failed_job = t->job;
+			}
+			continue;
+		}
+		t->crashed_us = s->now_us;
+		t->former_lost_age_us = t->lost_age_us;
+		t->last_crash_suspected = suspicion_of(w, t) == highest;
+		extend(&t->lost_age_us, known_age_us(w, t));
 		if (suspicion_of(w, t) == highest &&
 		    suspect(s, w, t, count == 1))
 			failed_job = t->job;
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -84,10 +84,13 @@
 				     placed */
 	uint64_t lost_age_us;	  /* longest run that a crash ended ... */
 	uint64_t suspect_age_us;  /* ... that the task is suspected of */
-	uint64_t stoppable_us;	  /* of a service: earliest preemption */
-	uint64_t throttled_us;	  /* last throttle order */
-	uint64_t wait_logged_us;  /* first task of a step: its wait was logged;
-				     0: it does not wait */
+	uint64_t crashed_us;	  /* last crash that was not one of many ... */
+	uint64_t former_lost_age_us; /* ... lost_age_us before it */
+	bool last_crash_suspected;   /* ... it raised suspicions */
+	uint64_t stoppable_us;	     /* of a service: earliest preemption */
+	uint64_t throttled_us;	     /* last throttle order */
+	uint64_t wait_logged_us; /* first task of a step: its wait was logged;
+				    0: it does not wait */
 	uint64_t probation_logged_us; /* the same of waits for a probation */
 	uint8_t state;
 	uint8_t cpu_percent;	  /* limit ordered, or CPU_PERCENT_UNKNOWN */
@@ -212,6 +215,7 @@
 	uint8_t recorded;	    /* SILENT_COLLECTED, SILENT_STORED */
 	bool lease_recorded;	/* a predecessor's record contains the worker */
 	uint32_t lost_runs;	/* in the table of lost runs */
+	uint64_t crashed_us;	/* its last crash was observed; 0: none */
 	bool start_noted;	/* by sched_lost_tick() */
 	bool replaced;		/* sched_lost_replaced() */
 	uint16_t address_tag;	/* sched_worker_info */
@@ -334,6 +338,7 @@
 	uint32_t absent_services;
 	uint32_t silent_services; /* ... or on silent workers, in this round */
 	uint32_t probations;	  /* tasks on probation */
+	uint64_t mass_crash_us; /* many workers have crashed, last; 0: never */
 	struct lost_run *lost_runs; /* sched-lost.h */
 	uint32_t lost_run_count;
 	uint32_t lost_run_capacity;
@@ -559,7 +564,7 @@
  * the index of the job whose task caused it, or SCHED_NONE if that is not
  * certain.
  */
-uint32_t sched_crash_observed(struct sched *s, const struct sched_worker *w);
+uint32_t sched_crash_observed(struct sched *s, struct sched_worker *w);
 /* Whether the task's run may have been under way on its worker. */
 bool sched_may_have_run(const struct sched_task *t);
 /*
