--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -394,6 +394,9 @@
 /* Returns NULL if the job, occurrence, step or index is unknown. */
 struct sched_task *sched_task_find(struct sched *s, const char *name);
 bool sched_task_on_worker(const struct sched_task *t);
+/* Whether it belongs to a service and has never run. */
+bool sched_task_is_new_service(const struct sched *s,
+			       const struct sched_task *t);
 
 /* ---- sched-stop.c ---- */
 void sched_task_stop(struct sched *s, struct sched_task *t);
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -336,6 +336,7 @@
 struct step_result {
 	const struct sched_task *last_placed;
 	uint32_t placed;
+	uint32_t new_placed;   /* ... of a service, that had never run */
 	uint32_t unplaced;     /* of the tasks that were tried */
 	uint32_t suspects;     /* that wait for a probation */
 	bool no_room;	       /* nor will any worker have room */
@@ -375,6 +376,7 @@
 			r->no_room = !sched_reserve(s, j, t) || r->no_room;
 		return;
 	}
+	r->new_placed += sched_task_is_new_service(s, t);
 	sched_task_place(s, t, w);
 	t->reserved_on = 0;
 	r->last_placed = t;
@@ -389,10 +391,10 @@
 	const struct job_step *step = &j->spec.steps[t->step];
 
 	log_event(LOG_INFO, "step-placed",
-		  "job=%s step=%u placed=%u waiting=%u last_worker=%s cpu=%u "
-		  "memory_mb=%u image=%s age_ms=%llu deadline_in_ms=%lld "
-		  "backlog=%u",
-		  j->spec.id, t->step, r->placed, waiting,
+		  "job=%s step=%u placed=%u new_services=%u waiting=%u "
+		  "last_worker=%s cpu=%u memory_mb=%u image=%s age_ms=%llu "
+		  "deadline_in_ms=%lld backlog=%u",
+		  j->spec.id, t->step, r->placed, r->new_placed, waiting,
 		  s->workers[t->worker].identity->id, step->demand.cpu_milli,
 		  step->demand.memory_mb, *step->image ? step->image : "-",
 		  (unsigned long long)sched_job_age_us(s, j) / 1000,
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -35,6 +35,12 @@
 	return t->worker != SCHED_NONE;
 }
 
+bool sched_task_is_new_service(const struct sched *s,
+			       const struct sched_task *t)
+{
+	return !t->run && sched_task_step(s, t)->long_running;
+}
+
 /*
  * Whether it is a task of a service that has run, does not run and is to. One
  * that was never placed may be larger than any worker.
