sched: overdue services that have run come before new ones

Hundreds of tasks wait then, and room comes only with services that end. A service that never ran is overdue at once and the longest absent came first, so that a task which failed waited behind all that had been submitted before.

Of the overdue tasks those that have run now come first; the platform states when these are due back.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -454,8 +454,8 @@
 /* As above, but only services with overdue tasks, and only for these. */
 uint32_t sched_list_overdue(const struct sched *s, struct candidate **list);
 /*
- * Lists the overdue tasks of a step, the longest absent first, until the next
- * call; returns their number.
+ * Lists the overdue tasks of a step until the next call: those that have run,
+ * then the longest absent first. Returns their number.
  */
 uint32_t sched_overdue_tasks(struct sched *s, struct sched_task *first,
 			     uint32_t count, struct sched_task ***list);
--- a/src/sched-order.c
+++ b/src/sched-order.c
@@ -25,6 +25,8 @@
  * that none waits while there is room for it that another one only collects.
  */
 #define OVERDUE_RESERVE_KEY (1ull << 59)
+/* Services that never ran come after those that did, which are due back. */
+#define OVERDUE_NEW_KEY (1ull << 58)
 /* Lower priorities share the last place; the key has four bits for them. */
 #define PRIORITY_KEY_MAX 14u
 
@@ -53,12 +55,14 @@
 	       sched_task_step(s, t)->long_running;
 }
 
-/* The longest absent first. */
+/* Those that have run, then the longest absent first. */
 static int compare_overdue(const void *a, const void *b)
 {
 	const struct sched_task *x = *(struct sched_task *const *)a;
 	const struct sched_task *y = *(struct sched_task *const *)b;
 
+	if (!x->run != !y->run)
+		return x->run ? -1 : 1;
 	if (x->absent_since_us != y->absent_since_us)
 		return x->absent_since_us < y->absent_since_us ? -1 : 1;
 	return x->index < y->index ? -1 : x->index > y->index;
@@ -85,27 +89,30 @@
 }
 
 /*
- * Since when the longest absent of the overdue tasks is; UINT64_MAX: none is.
- * Adds to ran the number of those that have run.
+ * Key of the first of the overdue tasks; UINT64_MAX: there is none. Adds to ran
+ * the number of those that have run.
  */
-static uint64_t overdue_since_us(const struct sched *s, const struct job *j,
-				 uint32_t *ran)
+static uint64_t overdue_key(const struct sched *s, const struct job *j,
+			    uint32_t *ran)
 {
 	uint32_t count = job_spec_task_count(&j->spec);
-	uint64_t since_us = UINT64_MAX;
+	uint64_t first = UINT64_MAX;
 
 	for (uint32_t i = 0; i < j->occurrence_count; i++)
 		for (uint32_t k = 0; j->occurrences[i].used && k < count; k++) {
 			const struct sched_task *t =
 				&s->tasks[j->occurrences[i].first_task + k];
+			uint64_t key = t->absent_since_us;
 
 			if (!overdue(s, t))
 				continue;
 			*ran += t->run > 0;
-			if (t->absent_since_us < since_us)
-				since_us = t->absent_since_us;
+			if (!t->run)
+				key |= OVERDUE_NEW_KEY;
+			if (key < first)
+				first = key;
 		}
-	return since_us;
+	return first;
 }
 
 static enum deadline_class deadline_class(const struct sched *s,
@@ -141,19 +148,19 @@
 static uint32_t add_overdue(const struct sched *s, uint32_t job,
 			    struct candidate *list, uint32_t n, uint32_t *ran)
 {
-	uint64_t since_us = overdue_since_us(s, &s->jobs[job], ran);
+	uint64_t key = overdue_key(s, &s->jobs[job], ran);
 
-	if (since_us == UINT64_MAX)
+	if (key == UINT64_MAX)
 		return n;
 	list[n++] = (struct candidate){
 		.job = job,
 		.class = CLASS_OVERDUE_SERVICE,
-		.key = since_us,
+		.key = key,
 	};
 	list[n++] = (struct candidate){
 		.job = job,
 		.class = CLASS_OVERDUE_RESERVE,
-		.key = OVERDUE_RESERVE_KEY | since_us,
+		.key = OVERDUE_RESERVE_KEY | key,
 	};
 	return n;
 }
--- a/tests/test-sched-services.c
+++ b/tests/test-sched-services.c
@@ -293,6 +293,42 @@
 	CU_ASSERT(longest_ms <= 50);
 }
 
+/*
+ * Load pattern: services fill the workers, tasks of another one that never ran
+ * wait, and room comes only with services that end. Guards against tasks of a
+ * lost worker that wait behind all of the new ones.
+ */
+static void test_lost_services_come_back_before_new_ones_start(void)
+{
+	struct model *m = job_model_create(16, CORES(32), GB(64));
+	struct model_absences absences = { .longest_ms = 0 };
+	struct model_job *service, *short_lived[35];
+
+	job_model_run(m, 100);
+	service = add_service(m, 45, CORES(6));
+	job_model_submit(m, service);
+	for (uint32_t i = 0; i < 35; i++) {
+		short_lived[i] = add_service(m, 1, CORES(6));
+		job_model_submit(m, short_lived[i]);
+	}
+	job_model_run(m, 2000);
+	CU_ASSERT_EQUAL(job_model_running(m), 80);
+	job_model_submit(m, add_service(m, 40, CORES(6)));
+	job_model_run(m, 1000);
+	job_model_lose_worker(m, &m->workers[0]);
+	for (uint32_t ms = 0; ms < 15000; ms += 100) {
+		if (ms % 300 == 0 && ms < 35 * 300)
+			sched_cancel(m->s, short_lived[ms / 300]->spec.id,
+				     m->now_us, m->wall_ms);
+		job_model_run(m, 100);
+		job_model_observe_absences(m, service, &absences, 100);
+	}
+	printf("longest absence %u ms\n", absences.longest_ms);
+	CU_ASSERT(absences.longest_ms <= ABSENCE_MAX_MS);
+	CU_ASSERT_EQUAL(m->faults.overcommits, 0);
+	job_model_free(m);
+}
+
 /* The first rack is that of workers 0 to 7. */
 static struct model_job *add_service_in_first_rack(struct model *m)
 {
@@ -425,6 +461,8 @@
 		  test_reservation_respects_limit_of_tasks_on_worker },
 		{ "long backlog does not delay overdue services",
 		  test_long_backlog_does_not_delay_overdue_services },
+		{ "lost services come back before new ones start",
+		  test_lost_services_come_back_before_new_ones_start },
 		{ "room reserved for service serves smaller one",
 		  test_room_reserved_for_service_serves_smaller_one },
 		{ "service of a lost rack starts in another",
