sched: room of stopped services is not for services that never ran

In the log of the test below each stop is followed by the start of a new service.

What a stop frees on a worker is now withheld there from services that never ran, until the stopped one is placed again or ended. Urgent tasks and services that have run may use it. Room that comes free otherwise still goes to new services before urgent tasks.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -73,6 +73,7 @@
 	uint16_t lost_address; /* worker's, of the last open loss; 0: none */
 	uint32_t worker;
 	uint32_t last_failed_worker; /* worker of the last failure */
+	uint32_t preempted_on;	     /* index of the worker, if preempted */
 	uint32_t reserved_on;	     /* index + 1 of the worker; 0: none */
 	uint64_t reserved_us;	     /* since when; of the first member of a
 					gang: no turn begins before */
@@ -174,6 +175,8 @@
 	struct resources capacity;
 	struct resources used;	    /* CPU without best-effort tasks */
 	struct resources reserved;  /* for tasks that did not fit */
+	struct resources stopped;   /* of services stopped for urgent tasks
+				       that are still away */
 	uint32_t service;	    /* handle of its service */
 	uint32_t inverse_cpu;	    /* room_inverse() of the capacity */
 	uint32_t service_milli;	    /* CPU of long-running tasks ... */
@@ -334,6 +337,7 @@
 	uint32_t blank_searches;   /* ... that read no tasks of workers */
 	uint32_t listed_count;	   /* listed workers in this round */
 	uint32_t preempt_cursor;   /* worker at which the next search begins */
+	uint32_t preempted_services; /* tasks that are still away */
 	/* Tasks of services that have run and wait, or are preempted ... */
 	uint32_t absent_services;
 	uint32_t silent_services; /* ... or on silent workers, in this round */
@@ -557,6 +561,13 @@
  */
 uint32_t sched_preempt(struct sched *s, const struct job *j,
 		       const struct sched_task *t, bool *read);
+/* A preempted service is placed again or ended. */
+void sched_preemption_over(struct sched *s, struct sched_task *t);
+/*
+ * Whether the task leaves the room of preempted services to urgent tasks and to
+ * services that have run: it belongs to one that never ran.
+ */
+bool sched_leaves_room(const struct sched *s, const struct sched_task *t);
 
 /* ---- sched-crash.c ---- */
 /* Counts of crashes, suspicions and losses stop here: five bits each. */
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -184,6 +184,21 @@
 	return (free_cpu(w) - need) * 1000 / capacity_milli;
 }
 
+/* Whether a new service fits, with what it leaves to others. */
+static bool fits_beside_withheld(const struct sched *s, uint32_t worker,
+				 const struct resources *need)
+{
+	const struct worker_room *room = &s->rooms.rooms[worker];
+	const struct resources *stopped = &s->workers[worker].stopped;
+
+	return room->cpu_milli >=
+		       (int64_t)stopped->cpu_milli + need->cpu_milli &&
+	       room->memory_mb >=
+		       (int64_t)stopped->memory_mb + need->memory_mb &&
+	       room->accelerators >=
+		       (int64_t)stopped->accelerators + need->accelerators;
+}
+
 uint32_t sched_best_worker(struct sched *s, const struct job *j,
 			   const struct sched_task *t, const char *rack,
 			   bool beside_probations)
@@ -191,6 +206,7 @@
 	const struct job_step *step = &j->spec.steps[t->step];
 	struct room_query q = room_query(j->service, step);
 	bool ranked = !step->long_running && !sched_needs_probation(t);
+	bool withheld = sched_leaves_room(s, t);
 	uint32_t best = SCHED_NONE;
 	int64_t best_score = 0;
 
@@ -201,7 +217,8 @@
 
 		if (!sched_worker_usable(s, w, j, step) ||
 		    (w->probations && !beside_probations) ||
-		    (rack && !sched_worker_has_label(w, rack)))
+		    (rack && !sched_worker_has_label(w, rack)) ||
+		    (withheld && !fits_beside_withheld(s, i, &step->demand)))
 			continue;
 		value = sched_needs_probation(t)
 				? sched_probation_score(s, w)
@@ -289,7 +306,8 @@
 
 	if (!known_unmet(s, j, step)) {
 		best = sched_best_worker(s, j, t, NULL, false);
-		if (best == SCHED_NONE)
+		/* Others may use what this one leaves. */
+		if (best == SCHED_NONE && !sched_leaves_room(s, t))
 			record_unmet(s, j, step);
 	}
 	if (best == SCHED_NONE && step->best_effort)
--- a/src/sched-preempt.c
+++ b/src/sched-preempt.c
@@ -9,7 +9,8 @@
  * job then fits nowhere: what becomes free is taken by others or comes in
  * pieces that are too small. An urgent task therefore stops batch tasks of a
  * lower priority, which lose little, and services, which are placed again after
- * a pause. Its room then serves the urgent tasks that follow.
+ * a pause. Its room then serves the urgent tasks that follow, but no services
+ * that never ran: these would come first and keep it.
  */
 
 /* Tasks considered on one worker. */
@@ -173,6 +174,37 @@
 	       sched_below_worker_max(s, w, t, step);
 }
 
+static void preempt_service(struct sched *s, struct sched_task *t)
+{
+	const struct resources *freed = &sched_task_step(s, t)->demand;
+	struct resources *stopped = &s->workers[t->worker].stopped;
+
+	t->preempted = true;
+	t->preempted_on = t->worker;
+	stopped->cpu_milli += freed->cpu_milli;
+	stopped->memory_mb += freed->memory_mb;
+	stopped->accelerators += freed->accelerators;
+	s->preempted_services++;
+}
+
+void sched_preemption_over(struct sched *s, struct sched_task *t)
+{
+	const struct resources *freed = &sched_task_step(s, t)->demand;
+	struct resources *stopped = &s->workers[t->preempted_on].stopped;
+
+	t->preempted = false;
+	stopped->cpu_milli -= freed->cpu_milli;
+	stopped->memory_mb -= freed->memory_mb;
+	stopped->accelerators -= freed->accelerators;
+	s->preempted_services--;
+}
+
+bool sched_leaves_room(const struct sched *s, const struct sched_task *t)
+{
+	return s->preempted_services && sched_task_is_new_service(s, t) &&
+	       !sched_task_step(s, t)->best_effort;
+}
+
 static void stop_victims(struct sched *s, const struct job *j,
 			 const struct sched_task *t, const struct victims *v)
 {
@@ -182,7 +214,7 @@
 		struct sched_task *victim = &s->tasks[v->list[i].task];
 
 		if (v->list[i].service) {
-			victim->preempted = true;
+			preempt_service(s, victim);
 			services++;
 		}
 		sched_task_stop(s, victim);
--- a/src/sched-reserve.c
+++ b/src/sched-reserve.c
@@ -59,11 +59,12 @@
 
 static int compare_task_ends(const void *a, const void *b);
 static bool fits_after_ends(const struct sched_worker *w,
+			    const struct resources *withheld,
 			    const struct resources *freed,
 			    const struct job_step *step);
 static uint64_t earliest_fit_us(const struct sched *s,
 				const struct sched_worker *w,
-				const struct job_step *step);
+				const struct sched_task *task);
 
 static int compare_task_ends(const void *a, const void *b)
 {
@@ -74,6 +75,7 @@
 
 /* Whether a task of the step fits once the given resources are freed. */
 static bool fits_after_ends(const struct sched_worker *w,
+			    const struct resources *withheld,
 			    const struct resources *freed,
 			    const struct job_step *step)
 {
@@ -82,26 +84,30 @@
 
 	/* In 64 bits, as a job may demand any number. */
 	return (uint64_t)used->cpu_milli + reserved->cpu_milli +
-			       need->cpu_milli <=
+			       withheld->cpu_milli + need->cpu_milli <=
 		       (uint64_t)has->cpu_milli + freed->cpu_milli &&
 	       (uint64_t)used->memory_mb + reserved->memory_mb +
-			       need->memory_mb <=
+			       withheld->memory_mb + need->memory_mb <=
 		       (uint64_t)has->memory_mb + freed->memory_mb &&
 	       (uint64_t)used->accelerators + reserved->accelerators +
-			       need->accelerators <=
+			       withheld->accelerators + need->accelerators <=
 		       (uint64_t)has->accelerators + freed->accelerators;
 }
 
 /* Expected time at which a task of the step fits; UINT64_MAX: unknown. */
 static uint64_t earliest_fit_us(const struct sched *s,
 				const struct sched_worker *w,
-				const struct job_step *step)
+				const struct sched_task *task)
 {
+	const struct job_step *step = sched_task_step(s, task);
+	struct resources withheld = { 0 };
 	struct task_end ends[TASK_ENDS_MAX];
 	struct resources freed = { 0 };
 	size_t n = 0;
 
-	if (fits_after_ends(w, &freed, step))
+	if (sched_leaves_room(s, task))
+		withheld = w->stopped;
+	if (fits_after_ends(w, &withheld, &freed, step))
 		return s->now_us;
 	for (uint32_t i = w->first_task; i != SCHED_NONE && n < TASK_ENDS_MAX;
 	     i = s->tasks[i].next_on_worker) {
@@ -131,7 +137,7 @@
 		freed.cpu_milli += ends[i].freed.cpu_milli;
 		freed.memory_mb += ends[i].freed.memory_mb;
 		freed.accelerators += ends[i].freed.accelerators;
-		if (fits_after_ends(w, &freed, step))
+		if (fits_after_ends(w, &withheld, &freed, step))
 			return ends[i].at_us < s->now_us ? s->now_us
 							 : ends[i].at_us;
 	}
@@ -193,7 +199,7 @@
 	    !sched_below_worker_max(s, w, t, step) ||
 	    (step->gang && !below_gang_max(t, step, t->reserved_on - 1)))
 		return false;
-	at_us = earliest_fit_us(s, w, step);
+	at_us = earliest_fit_us(s, w, t);
 	return at_us != UINT64_MAX && !too_far(s, step, at_us);
 }
 
@@ -223,7 +229,7 @@
 		    i == t->last_failed_worker)
 			continue;
 		*read = true;
-		at_us = earliest_fit_us(s, w, step);
+		at_us = earliest_fit_us(s, w, t);
 		if (at_us >= earliest || too_far(s, step, at_us))
 			continue;
 		earliest = at_us;
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -70,7 +70,7 @@
 
 	t->state = (uint8_t)state;
 	if (t->preempted && state != TASK_STOPPING && !waits) {
-		t->preempted = false;
+		sched_preemption_over(s, t);
 		t->stoppable_us = s->now_us + PREEMPTED_MIN_RUN_US;
 	}
 	count_absence(s, t);
--- a/tests/test-sched-services.c
+++ b/tests/test-sched-services.c
@@ -329,6 +329,38 @@
 	job_model_free(m);
 }
 
+/*
+ * Load pattern: services fill the workers, tasks of another one that never ran
+ * wait, and a burst of urgent jobs stops some. Guards against new ones that
+ * take the room of the stopped ones, which then find none.
+ */
+static void test_stopped_services_come_back_before_new_ones_start(void)
+{
+	struct model *m = job_model_create(40, CORES(32), GB(64));
+	struct model_absences absences = { .longest_ms = 0 };
+	struct model_job *service;
+
+	job_model_run(m, 100);
+	service = add_service(m, 80, CORES(6));
+	job_model_submit(m, service);
+	for (uint32_t i = 0; i < 3; i++)
+		job_model_submit(m, add_service(m, 40, CORES(6)));
+	job_model_run(m, 2000);
+	CU_ASSERT_EQUAL(job_model_running(m), 200);
+	job_model_submit(m, add_service(m, 40, CORES(6)));
+	job_model_run(m, 4000);
+	run_under_urgent_load(m, 4000, 300, CORES(12), service, &absences);
+	for (uint32_t ms = 0; ms < 20000; ms += 100) {
+		job_model_run(m, 100);
+		job_model_observe_absences(m, service, &absences, 100);
+	}
+	printf("longest absence %u ms, %u stops\n", absences.longest_ms,
+	       m->stops);
+	CU_ASSERT(absences.longest_ms <= ABSENCE_MAX_MS);
+	CU_ASSERT_EQUAL(m->faults.overcommits, 0);
+	job_model_free(m);
+}
+
 /* The first rack is that of workers 0 to 7. */
 static struct model_job *add_service_in_first_rack(struct model *m)
 {
@@ -463,6 +495,8 @@
 		  test_long_backlog_does_not_delay_overdue_services },
 		{ "lost services come back before new ones start",
 		  test_lost_services_come_back_before_new_ones_start },
+		{ "stopped services come back before new ones start",
+		  test_stopped_services_come_back_before_new_ones_start },
 		{ "room reserved for service serves smaller one",
 		  test_room_reserved_for_service_serves_smaller_one },
 		{ "service of a lost rack starts in another",
