--- a/tests/test-sched-services.c
+++ b/tests/test-sched-services.c
@@ -361,6 +361,67 @@
 	job_model_free(m);
 }
 
+/* Whether the room that is withheld on a worker is that of its services. */
+static bool withheld_is_exact(const struct sched *s, uint32_t worker)
+{
+	const struct resources *stopped = &s->workers[worker].stopped;
+	struct resources sum = { 0 };
+
+	for (uint32_t i = 0; i < s->task_count; i++) {
+		const struct sched_task *t = &s->tasks[i];
+		const struct job_step *step;
+
+		if (!t->preempted || t->preempted_on != worker)
+			continue;
+		step = sched_task_step(s, t);
+		sum.cpu_milli += step->demand.cpu_milli;
+		sum.memory_mb += step->demand.memory_mb;
+	}
+	return sum.cpu_milli == stopped->cpu_milli &&
+	       sum.memory_mb == stopped->memory_mb;
+}
+
+/*
+ * Guards against room that is withheld for stopped services for good, or no
+ * longer: they come back, are cancelled, and their workers are lost.
+ */
+static void test_room_withheld_for_stopped_services_is_exact(void)
+{
+	struct model *m = job_model_create(10, CORES(32), GB(64));
+	struct rng rng = { .state = 1 };
+	uint32_t wrong = 0, withheld = 0;
+
+	job_model_run(m, 100);
+	for (uint32_t ms = 0; ms < 60000; ms += 100) {
+		if (ms % 700 == 0)
+			job_model_submit(
+				m, add_service(m, 1 + rng_next(&rng) % 8,
+					       CORES(1 + rng_next(&rng) % 9)));
+		if (ms % 400 == 0)
+			job_model_submit(m, job_model_add_job(m, "urgent", 1, 6,
+							      CORES(12), GB(1),
+							      600));
+		if (ms % 1500 == 0)
+			sched_cancel(
+				m->s,
+				m->jobs[rng_next(&rng) % m->job_count].spec.id,
+				m->now_us, m->wall_ms);
+		if (ms % 9000 == 5000)
+			job_model_crash_worker(m, &m->workers[ms / 9000]);
+		if (ms == 40000)
+			job_model_lose_worker(m, &m->workers[9]);
+		job_model_run(m, 100);
+		for (uint32_t i = 0; i < m->s->worker_count; i++) {
+			wrong += !withheld_is_exact(m->s, i);
+			withheld += m->s->workers[i].stopped.cpu_milli > 0;
+		}
+	}
+	printf("%u wrong, %u times withheld\n", wrong, withheld);
+	CU_ASSERT_EQUAL(wrong, 0);
+	CU_ASSERT(withheld > 0);
+	job_model_free(m);
+}
+
 /* The first rack is that of workers 0 to 7. */
 static struct model_job *add_service_in_first_rack(struct model *m)
 {
@@ -497,6 +558,8 @@
 		  test_lost_services_come_back_before_new_ones_start },
 		{ "stopped services come back before new ones start",
 		  test_stopped_services_come_back_before_new_ones_start },
+		{ "room withheld for stopped services is exact",
+		  test_room_withheld_for_stopped_services_is_exact },
 		{ "room reserved for service serves smaller one",
 		  test_room_reserved_for_service_serves_smaller_one },
 		{ "service of a lost rack starts in another",
