sched: new services leave room to those on silent workers

Some 100 of 490 workers are gone from 3.5 s on, and their leases are over at 9 to 10 s. In these logs 165 and 137 tasks of services that had never run were placed from 3 to 9 s, and took the room that the lost ones then needed; only 23 and 10 services were placed from 12 to 20 s.

While services are on silent workers, a service that never ran is placed only if the CPU that services leave on the other workers suffices for it and for them. It waits no longer than the leases; urgent tasks may use the room.

--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -341,7 +341,11 @@
 	/* Tasks of services that have run and wait, or are preempted ... */
 	uint32_t absent_services;
 	uint32_t silent_services; /* ... or on silent workers, in this round */
-	uint32_t probations;	  /* tasks on probation */
+	bool spare_known; /* spare_milli is valid in this placement round */
+	uint32_t spare_service;
+	int64_t spare_milli;	/* CPU of the service's workers for services,
+				   beyond what those on silent workers need */
+	uint32_t probations;	/* tasks on probation */
 	uint64_t mass_crash_us; /* many workers have crashed, last; 0: never */
 	struct lost_run *lost_runs; /* sched-lost.h */
 	uint32_t lost_run_count;
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -375,12 +375,52 @@
 	}
 }
 
+/* CPU for further services, if those on silent workers have to be placed. */
+static int64_t spare_milli(struct sched *s, uint32_t service)
+{
+	if (s->spare_known && s->spare_service == service)
+		return s->spare_milli;
+	s->spare_known = true;
+	s->spare_service = service;
+	s->spare_milli = 0;
+	for (uint32_t i = 0; i < s->worker_count; i++) {
+		const struct sched_worker *w = &s->workers[i];
+
+		if (w->service != service)
+			continue;
+		if (available(s, w))
+			s->spare_milli += w->capacity.cpu_milli;
+		if (available(s, w) || !w->responsive)
+			s->spare_milli -= w->service_milli;
+	}
+	return s->spare_milli;
+}
+
+/*
+ * Load pattern: many workers are lost, and services that are submitted before
+ * their leases are over take the room for theirs. Whether the task, of a
+ * service that never ran, waits until it is known if these come back.
+ */
+static bool waits_for_silent(struct sched *s, const struct job *j,
+			     const struct sched_task *t)
+{
+	const struct job_step *step = &j->spec.steps[t->step];
+
+	return s->silent_services && sched_task_is_new_service(s, t) &&
+	       !step->best_effort &&
+	       spare_milli(s, j->service) < (int64_t)step->demand.cpu_milli;
+}
+
 static void place_task(struct sched *s, struct job *j, struct sched_task *t,
 		       enum deadline_class class, struct step_result *r)
 {
 	bool probation = sched_needs_probation(t);
 	uint32_t w = SCHED_NONE;
 
+	if (waits_for_silent(s, j, t)) {
+		r->unplaced++;
+		return;
+	}
 	/* The tasks of a step have equal demands. */
 	if (!r->unplaced || probation)
 		w = choose_worker(s, j, t, r->rack_wait_us);
@@ -394,7 +434,10 @@
 			r->no_room = !sched_reserve(s, j, t) || r->no_room;
 		return;
 	}
-	r->new_placed += sched_task_is_new_service(s, t);
+	if (sched_task_is_new_service(s, t)) {
+		r->new_placed++;
+		s->spare_milli -= j->spec.steps[t->step].demand.cpu_milli;
+	}
 	sched_task_place(s, t, w);
 	t->reserved_on = 0;
 	r->last_placed = t;
@@ -497,6 +540,7 @@
 	for (uint32_t i = 0; i < s->worker_count; i++)
 		sched_update_room(s, i);
 	s->idle_known = false;
+	s->spare_known = false;
 	s->starved_starts = 0;
 	for (uint32_t i = 0; i < UNMET_BUCKETS; i++)
 		s->unmet[i].count = 0;
--- a/tests/test-sched-services.c
+++ b/tests/test-sched-services.c
@@ -422,6 +422,33 @@
 	job_model_free(m);
 }
 
+/*
+ * Load pattern: workers are lost, and services are submitted before their
+ * leases are over. Guards against new services that take the room which the
+ * lost ones then need.
+ */
+static void test_new_services_leave_room_to_those_on_silent_workers(void)
+{
+	struct model *m = job_model_create(16, CORES(32), GB(64));
+	struct model_absences absences = { .longest_ms = 0 };
+	struct model_job *service;
+
+	job_model_run(m, 100);
+	service = add_service(m, 48, CORES(8));
+	job_model_submit(m, service);
+	job_model_run(m, 2000);
+	CU_ASSERT_EQUAL(job_model_running(m), 48);
+	for (uint32_t i = 0; i < 4; i++)
+		job_model_lose_worker(m, &m->workers[i]);
+	job_model_run(m, 1000);
+	for (uint32_t i = 0; i < 4; i++)
+		job_model_submit(m, add_service(m, 4, CORES(8)));
+	run_under_urgent_load(m, 20000, 300, CORES(2), service, &absences);
+	CU_ASSERT(absences.longest_ms <= ABSENCE_MAX_MS);
+	CU_ASSERT_EQUAL(m->faults.overcommits, 0);
+	job_model_free(m);
+}
+
 /* The first rack is that of workers 0 to 7. */
 static struct model_job *add_service_in_first_rack(struct model *m)
 {
@@ -560,6 +587,8 @@
 		  test_stopped_services_come_back_before_new_ones_start },
 		{ "room withheld for stopped services is exact",
 		  test_room_withheld_for_stopped_services_is_exact },
+		{ "new services leave room to those on silent workers",
+		  test_new_services_leave_room_to_those_on_silent_workers },
 		{ "room reserved for service serves smaller one",
 		  test_room_reserved_for_service_serves_smaller_one },
 		{ "service of a lost rack starts in another",
