job-owner: renewals without an answer do not end the ownership

Callers saw the owner change after an outage of the store of 1.2 s, though the ownership lasts for 1.8 s, and waited for the next one: runs lapsed and submissions were not answered meanwhile.

Cause: as with transactions, one renewal is in transit at a time. One that has no answer is given up after 0.6 s and repeated 0.2 s later, so that two that are lost take 1.9 to 2.1 s.

A renewal without an answer is repeated after 0.25 s, with three in transit at most. The ownership counts from the sending of the latest that has succeeded, whatever the order of the answers, and answers for a former ownership are ignored as those to other calls are.

--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -26,6 +26,9 @@
 /* Allows three renewals within the TTL. */
 #define OWNER_LEASE_RENEW_US 500000u
 #define OWNER_LEASE_RETRY_US 200000u
+/* A renewal without an answer is repeated as a transaction is, see below. */
+#define OWNER_LEASE_REPEAT_US COMMIT_REPEAT_US
+#define OWNER_LEASE_RENEWALS_MAX 3u
 /* Clock drift between the store and this process during one lease. */
 #define OWNER_LEASE_CLOCK_MARGIN_US 200000u
 /*
@@ -126,7 +129,8 @@
 	struct owner_store_call *next;
 	struct job_owner *owner;
 	uint32_t load_generation;
-	uint64_t txn; /* number of the transaction, if it is one */
+	uint64_t txn;	  /* number of the transaction, if it is one */
+	uint64_t sent_us; /* of a renewal */
 };
 
 struct job_owner {
@@ -161,10 +165,9 @@
 	uint64_t seq_revision;
 	uint64_t txn_count; /* committed or in flight, in this epoch */
 	uint64_t lease_id;
-	bool renewing;
-	bool renews_former_lease; /* of an ownership that has ended */
-	uint64_t renew_sent_us;
-	uint64_t renewed_us; /* when the last successful renewal was sent */
+	uint64_t claim_sent_us; /* when the lease was requested */
+	uint32_t renewals;	/* sent, no reply yet */
+	uint64_t renewed_us;	/* when the last successful renewal was sent */
 	uint64_t next_renew_us;
 	uint64_t next_status_us;
 	uint64_t next_ignored_log_us;
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -128,9 +128,8 @@
 		  (unsigned long long)o->epoch,
 		  (unsigned long long)o->ownership_revision);
 	job_owner_load(o);
-	o->next_renew_us = 0;
-	if (!o->renewing)
-		renew_lease(o);
+	o->renewals = 0;
+	renew_lease(o);
 }
 
 /* Each transaction of a predecessor changes the sequence, which is expected. */
@@ -215,7 +214,7 @@
 		return;
 	}
 	o->lease_id = r->lease;
-	o->renewed_us = o->renew_sent_us;
+	o->renewed_us = o->claim_sent_us;
 	o->node->kv->ops->get(o->node->kv, JOB_SEQ_KEY, on_seq_read, o);
 }
 
@@ -223,7 +222,7 @@
 {
 	o->state = OWNER_CANDIDATE;
 	o->lease_id = 0;
-	o->renew_sent_us = clock_now_us();
+	o->claim_sent_us = clock_now_us();
 	o->node->kv->ops->lease_grant(o->node->kv, OWNER_LEASE_TTL_MS,
 				      on_lease_granted, o);
 }
@@ -232,36 +231,40 @@
 
 static void on_lease_renewed(void *arg, const struct kv_reply *r)
 {
-	struct job_owner *o = arg;
-	uint64_t delay_us = OWNER_LEASE_RENEW_US;
+	struct owner_store_call *c = arg;
+	struct job_owner *o = c->owner;
+	bool current = c->load_generation == o->load_generation &&
+		       o->state >= OWNER_LOADING;
+	uint64_t sent_us = c->sent_us;
 
-	o->renewing = false;
-	if (o->renews_former_lease) {
-		o->renews_former_lease = false;
-		return;
-	}
-	if (o->state < OWNER_LOADING)
+	owner_store_call_end(c);
+	if (!current)
 		return;
+	o->renewals--;
 	if (r->outcome == KV_OK) {
-		o->renewed_us = o->renew_sent_us;
+		if (sent_us > o->renewed_us)
+			o->renewed_us = sent_us;
+		o->next_renew_us = clock_now_us() + OWNER_LEASE_RENEW_US;
 	} else if (r->outcome == KV_NOT_FOUND) {
 		log_event(LOG_WARNING, "owner-lease-ended", "age_ms=%llu",
 			  (unsigned long long)(clock_now_us() - o->renewed_us) /
 				  1000);
 		job_owner_ownership_lost(o);
-		return;
-	} else {
-		delay_us = OWNER_LEASE_RETRY_US;
+	} else if (r->outcome != KV_UNKNOWN) {
+		o->next_renew_us = clock_now_us() + OWNER_LEASE_RETRY_US;
 	}
-	o->next_renew_us = clock_now_us() + delay_us;
 }
 
+/* Without an answer the lease is renewed again, on another connection. */
 static void renew_lease(struct job_owner *o)
 {
-	o->renewing = true;
-	o->renew_sent_us = clock_now_us();
+	struct owner_store_call *c = owner_store_call_begin(o);
+
+	c->sent_us = clock_now_us();
+	o->renewals++;
+	o->next_renew_us = c->sent_us + OWNER_LEASE_REPEAT_US;
 	o->node->kv->ops->lease_renew(o->node->kv, o->lease_id,
-				      on_lease_renewed, o);
+				      on_lease_renewed, c);
 }
 
 uint64_t job_owner_lease_end_us(const struct job_owner *o)
@@ -319,7 +322,6 @@
 	o->ownership_lost = false;
 	o->state = OWNER_FOLLOWER;
 	o->ownership_revision = 0;
-	o->renews_former_lease = o->renewing;
 	o->next_election_us = clock_now_us() + ELECTION_RETRY_US;
 	/* A successor doesn't have to wait until the lease expires. */
 	if (o->lease_id)
@@ -418,8 +420,8 @@
 		o->claimed_us = now;
 		start_election(o);
 	}
-	if (o->state >= OWNER_LOADING && !o->renewing &&
-	    now >= o->next_renew_us)
+	if (o->state >= OWNER_LOADING && now >= o->next_renew_us &&
+	    o->renewals < OWNER_LEASE_RENEWALS_MAX)
 		renew_lease(o);
 	if (may_hand_over(o, now))
 		job_owner_begin_handover(o, now);
--- a/tests/support-jobs-platform.h
+++ b/tests/support-jobs-platform.h
@@ -32,6 +32,8 @@
 	bool ignore_txns;	  /* executes and answers no transaction */
 	bool hold_renewal;	  /* the next renewal waits for its release */
 	bool lose_worker_lists;	  /* a read of all worker entries fails */
+	uint32_t ignore_renewals; /* the next ones are neither executed nor
+				     answered */
 	uint32_t unanswered_writes; /* counted while lose_write_answers */
 	uint32_t ignored_txns;	    /* counted while ignore_txns */
 };
--- a/tests/support-jobs-store.c
+++ b/tests/support-jobs-store.c
@@ -470,6 +470,11 @@
 		jobs_withhold_answer(req);
 		return;
 	}
+	if (p->faults.ignore_renewals && strstr(uri, "/kv-keep/")) {
+		p->faults.ignore_renewals--;
+		jobs_withhold_answer(req);
+		return;
+	}
 	if (p->faults.hold_renewal && strstr(uri, "/kv-keep/")) {
 		hold_renewal(p, req);
 		return;
--- a/tests/test-jobs-takeover.c
+++ b/tests/test-jobs-takeover.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "counter.h"
 #include "support-jobs-fixture.h"
 #include "support-unit.h"
 
@@ -229,6 +230,33 @@
 	jobs_fixture_tear_down(&f);
 }
 
+/*
+ * Guards against an owner whose lease ends because two renewals in a row have
+ * had no answer, though the store serves all later ones.
+ */
+static void test_lost_renewals(void)
+{
+	struct jobs_fixture f = { .entry_count = 2, .start_interval_ms = 400 };
+	struct counter *elections;
+	int owner;
+
+	jobs_fixture_start(&f);
+	jobs_fixture_run(&f, 800);
+	owner = jobs_fixture_owner(&f);
+	CU_ASSERT_FATAL(owner >= 0);
+	elections = counter_get(COUNTER, "waxwing_elections_total", NULL);
+	counter_set(elections, 0);
+	jobs_platform_faults(f.platform)->ignore_renewals = 2;
+	jobs_platform_longest_pause_us(f.platform);
+	jobs_fixture_run(&f, 4000);
+	printf("longest pause %.3f s\n",
+	       (double)jobs_platform_longest_pause_us(f.platform) / 1e6);
+	CU_ASSERT_EQUAL(jobs_platform_faults(f.platform)->ignore_renewals, 0);
+	CU_ASSERT_EQUAL(counter_value(elections), 0);
+	CU_ASSERT_EQUAL(jobs_fixture_owner(&f), owner);
+	jobs_fixture_tear_down(&f);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -239,6 +267,7 @@
 		{ "stopped before the list of workers",
 		  test_stopped_before_worker_list },
 		{ "leases after takeover", test_leases_after_takeover },
+		{ "lost renewals", test_lost_renewals },
 	};
 
 	return RUN_SUITE("jobs-takeover", tests);
