--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -88,7 +88,7 @@
 
 static bool is_out_of_starts(const struct sched_task *t)
 {
-	return lost_runs(t) >= LOST_RUNS_MAX &&
+	return lost_runs(t) + t->silences >= LOST_RUNS_MAX &&
 	       t->crashes + t->restarts >= CRASHES_MIN;
 }
 
@@ -338,6 +338,14 @@
 	return failed_job;
 }
 
+static bool gives_up(const struct sched *s, const struct sched_task *t)
+{
+	if (!is_out_of_starts(t))
+		return false;
+	log_suspect(s, t, 0, false, true);
+	return true;
+}
+
 bool sched_crash_possible(struct sched *s, struct sched_task *t, bool restarted,
 			  const char *why)
 {
@@ -347,25 +355,35 @@
 	log_loss(s, t, why);
 	s->jobs[t->job].has_suspect = true;
 	sched_mark_dirty(s, &s->jobs[t->job]);
-	if (!is_out_of_starts(t))
-		return false;
-	log_suspect(s, t, 0, false, true);
-	return true;
+	return gives_up(s, t);
 }
 
-bool sched_crash_confirmed(struct sched *s, struct sched_task *t)
+bool sched_crash_silence(struct sched *s, struct sched_task *t)
 {
+	increment(&t->silences);
+	log_loss(s, t, "lease-over");
+	return gives_up(s, t);
+}
+
+bool sched_crash_confirmed(struct sched *s, struct sched_task *t, bool counted)
+{
+	if (!counted) {
+		t->silences -= t->silences > 0;
+		increment(&t->losses);
+		s->jobs[t->job].has_suspect = true;
+	}
 	increment(&t->restarts);
 	sched_mark_dirty(s, &s->jobs[t->job]);
-	if (!is_out_of_starts(t))
-		return false;
-	log_suspect(s, t, 0, false, true);
-	return true;
+	return gives_up(s, t);
 }
 
 void sched_crash_disproved(struct sched *s, struct sched_task *t,
-			   bool restarted)
+			   bool restarted, bool counted)
 {
+	if (!counted) {
+		t->silences -= t->silences > 0;
+		return;
+	}
 	t->losses -= t->losses > 0;
 	t->restarts -= restarted && t->restarts > 0;
 	sched_mark_dirty(s, &s->jobs[t->job]);
@@ -444,7 +462,7 @@
 {
 	uint64_t age_us;
 
-	if (!lost_runs(t) || t->state != TASK_RUNNING ||
+	if (!(lost_runs(t) + t->silences) || t->state != TASK_RUNNING ||
 	    requested_us < t->state_since_us)
 		return;
 	age_us = requested_us - t->state_since_us;
@@ -461,6 +479,7 @@
 	t->crashes = 0;
 	t->losses = 0;
 	t->restarts = 0;
+	t->silences = 0;
 	t->lost_age_us = 0;
 	t->survived_run = t->run;
 }
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -60,14 +60,15 @@
 	uint16_t step;
 	uint16_t failures;
 	/* Since a run that outlived the crashes before it: */
-	uint8_t crashes;       /* of workers on which it is known to have run */
-	uint8_t suspicions;    /* crashes that it may have caused */
-	uint8_t losses;	       /* runs that are gone for an unknown reason */
-	uint8_t restarts;      /* of these: of workers that have restarted */
-	bool on_probation;     /* its worker starts no other task */
-	uint32_t index;	       /* in the step */
-	uint32_t run;	       /* number of the last run; 0: none */
-	uint32_t failed_run;   /* of a gang: the last failed run */
+	uint8_t crashes;     /* of workers on which it is known to have run */
+	uint8_t suspicions;  /* crashes that it may have caused */
+	uint8_t losses;	     /* runs that are gone for an unknown reason */
+	uint8_t restarts;    /* of these: of workers that have restarted */
+	uint8_t silences;    /* runs at listed workers that may have crashed */
+	bool on_probation;   /* its worker starts no other task */
+	uint32_t index;	     /* in the step */
+	uint32_t run;	     /* number of the last run; 0: none */
+	uint32_t failed_run; /* of a gang: the last failed run */
 	uint32_t survived_run; /* the last that outlived the crashes before */
 	uint32_t incarnation;  /* tag of its worker's, at the last start */
 	uint16_t lost_address; /* worker's, of the last open loss; 0: none */
@@ -592,12 +593,16 @@
  */
 bool sched_crash_possible(struct sched *s, struct sched_task *t, bool restarted,
 			  const char *why);
-/* A silent worker has restarted after all. Returns whether the job must fail.
+/* The same for a run on a silent worker that is listed: it is no loss yet. */
+bool sched_crash_silence(struct sched *s, struct sched_task *t);
+/*
+ * A silent worker has restarted after all. counted: its run is among the
+ * losses. Returns whether the job must fail.
  */
-bool sched_crash_confirmed(struct sched *s, struct sched_task *t);
-/* A loss that was counted, restarted or not, was no crash. */
+bool sched_crash_confirmed(struct sched *s, struct sched_task *t, bool counted);
+/* A run that was lost, counted and restarted or not, was under no crash. */
 void sched_crash_disproved(struct sched *s, struct sched_task *t,
-			   bool restarted);
+			   bool restarted, bool counted);
 /* Delay of the next start of a task whose run was lost. */
 uint32_t sched_crash_delay_ms(const struct sched_task *t);
 /* Whether no other task should start beside the task. */
--- a/src/sched-lost.c
+++ b/src/sched-lost.c
@@ -9,7 +9,8 @@
  * again, some of them because a task has crashed them. A silent worker that is
  * back as it was has ended its runs as lapsed; one that comes back as another
  * incarnation has crashed. Until either is known, a lost run counts as a loss
- * of its task, but fails no job by itself.
+ * of its task, but fails no job by itself. That of a worker which is still
+ * listed is not among the losses before.
  *
  * A worker that is back under another id has the address that it had. A new
  * owner reads the address from the records of the tasks, as such a worker is
@@ -34,7 +35,8 @@
 	uint32_t worker;	 /* SCHED_NONE: only the predecessor knew it */
 	uint32_t incarnation;	 /* tag; 0: unknown */
 	uint16_t address_tag;	 /* of the worker; 0: unknown */
-	bool unresolved;	 /* not among the task's restarts */
+	bool unresolved;	 /* not among the task's restarts ... */
+	bool counted;		 /* ... but among its losses */
 	uint64_t lapsed_wall_ms; /* may have lapsed since then */
 };
 
@@ -151,17 +153,21 @@
 {
 	struct sched_worker *w = &s->workers[t->worker];
 	struct lost_run *l;
-	bool restarted;
+	bool restarted, counted;
 
 	if (!sched_may_have_run(t))
 		return false;
 	restarted = has_restarted(s, w, t) || silent_since_start(s, t);
+	counted = restarted || !w->listed;
 	l = add(s, t);
+	l->counted = counted;
 	l->worker = t->worker;
 	l->address_tag = w->address_tag;
 	l->unresolved = !restarted;
 	l->lapsed_wall_ms = lapsed_wall_ms(s, w);
 	w->lost_runs++;
+	if (!counted)
+		return sched_crash_silence(s, t);
 	if (!restarted)
 		t->lost_address = w->address_tag;
 	return sched_crash_possible(s, t, restarted, "lease-over");
@@ -177,6 +183,7 @@
 	l->worker = SCHED_NONE;
 	l->address_tag = t->lost_address;
 	l->unresolved = true;
+	l->counted = true;
 	l->lapsed_wall_ms = 0;
 }
 
@@ -221,8 +228,8 @@
 		  s->workers[l->worker].identity->id,
 		  lapsed ? "lapsed" : "restarted");
 	if (!lapsed)
-		return l->unresolved && sched_crash_confirmed(s, t);
-	sched_crash_disproved(s, t, !l->unresolved);
+		return l->unresolved && sched_crash_confirmed(s, t, l->counted);
+	sched_crash_disproved(s, t, !l->unresolved, l->counted);
 	return false;
 }
 
@@ -251,10 +258,11 @@
 
 	if (!t)
 		return;
-	l->unresolved = false;
 	forget_address(t, l);
-	if (sched_crash_confirmed(s, t))
+	if (sched_crash_confirmed(s, t, l->counted))
 		sched_end_job(s, &s->jobs[t->job], SCHED_JOB_FAILED);
+	l->unresolved = false;
+	l->counted = true;
 }
 
 void sched_lost_replaced(struct sched *s, uint32_t worker)
