--- a/src/job-workers-orders.c
+++ b/src/job-workers-orders.c
@@ -16,7 +16,7 @@
  * so many without an answer further ones wait until the worker has responded to
  * any call.
  */
-#define STARTS_UNANSWERED_MAX 2u
+#define STARTS_UNANSWERED_MAX 4u
 
 static void free_order(struct queued_order *o)
 {
