--- a/src/sched-lost.h
+++ b/src/sched-lost.h
@@ -10,11 +10,11 @@
  *
  * DESCRIPTION
  *	Part of the scheduling core. A run that ends with the leases of a silent
- *	worker counts as a loss of its task (sched-crash.c) and is kept here
- *	until it is known whether the worker has crashed. The table refers to
- *	tasks by name and run.
+ *	worker counts as a loss of its task (sched-crash.c), unless the worker
+ *	is still listed, and is kept here until it is known whether the worker
+ *	has crashed. The table refers to tasks by name and run.
  *
- *	Functions that return a bool tell whether the task's job must fail.
+ *	The functions of type bool return true if the task's job must fail.
  */
 
 struct sched;
--- a/tests/test-sched-mass-crash.c
+++ b/tests/test-sched-mass-crash.c
@@ -225,7 +225,7 @@
 	static const struct unit_test tests[] = {
 		{ "mass crashes hold up no task",
 		  test_mass_crashes_hold_up_no_task },
-		{ "task that crashes workers beside is given up",
+		{ "task that crashes workers meanwhile is given up",
 		  test_task_that_crashes_workers_beside_is_given_up },
 	};
 
