--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -8,6 +8,7 @@
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -355,11 +356,19 @@
 			 (json_int_t)k->lease);
 }
 
+#define ODD_BYTE "@@FF@@"
+
+/*
+ * A byte of a key that is no UTF-8 is written as the escape of its surrogate,
+ * which JSON allows and UTF-8 cannot hold.
+ */
 static char *dump(json_t *o)
 {
-	char *text = json_dumps(o, JSON_COMPACT);
+	char *text = json_dumps(o, JSON_COMPACT), *p = text;
 
 	json_decref(o);
+	while ((p = strstr(p, ODD_BYTE)))
+		memcpy(p, "\\udcff", strlen(ODD_BYTE));
 	return text;
 }
 
@@ -430,13 +439,19 @@
 			      "current-rev", (json_int_t)revision));
 }
 
-static void serve_txn(struct evhttp_request *req, uint64_t delay_us)
+/* Writes of a key that has this in its name are done late, and not answered. */
+static const char *late_key;
+static unsigned late_ms, writes, late_writes;
+
+struct late_txn {
+	json_t *body;
+	struct event *timer;
+};
+
+static bool txn_holds(const json_t *body, json_t *items)
 {
-	json_t *body = read_body(req), *row, *items = json_array();
-	json_t *expect = json_object_get(body, "expect");
-	json_t *sets = json_object_get(body, "set-keys");
-	json_t *removes = json_object_get(body, "remove");
-	bool holds = true, large = false, lease_gone = false;
+	const json_t *expect = json_object_get(body, "expect"), *row;
+	bool holds = true;
 	size_t i;
 
 	json_array_foreach(expect, i, row)
@@ -453,6 +468,89 @@
 					      : json_pack("{s:s,s:i}", "key",
 							  name, "revision", 0));
 	}
+	return holds;
+}
+
+static void apply_txn(const json_t *body)
+{
+	const json_t *row;
+	size_t i;
+
+	revision++;
+	json_array_foreach(json_object_get(body, "set-keys"), i, row)
+	{
+		set_key(json_string_value(json_object_get(row, "key")),
+			json_string_value(json_object_get(row, "value")),
+			(uint64_t)json_integer_value(
+				json_object_get(row, "lease")));
+	}
+	json_array_foreach(json_object_get(body, "remove"), i, row)
+	{
+		delete_key(find_key(json_string_value(row)));
+	}
+}
+
+static void on_late_txn(evutil_socket_t fd, short what, void *arg)
+{
+	struct late_txn *l = arg;
+	json_t *items = json_array();
+	bool holds = txn_holds(l->body, items);
+
+	(void)fd;
+	(void)what;
+	si_log("store does a write late: %s",
+	       holds ? "done" : "its condition no longer holds");
+	if (holds) {
+		apply_txn(l->body);
+		tick_watches();
+	}
+	json_decref(items);
+	json_decref(l->body);
+	event_free(l->timer);
+	free(l);
+}
+
+static bool is_late(const json_t *body)
+{
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(json_object_get(body, "set-keys"), i, row)
+	{
+		if (late_key && strstr(json_string_value(
+					       json_object_get(row, "key")),
+				       late_key))
+			return true;
+	}
+	return false;
+}
+
+static void do_late(struct evhttp_request *req, json_t *body)
+{
+	struct late_txn *l = calloc(1, sizeof(*l));
+	struct timeval tv = us_to_tv(late_ms * 1000u);
+
+	late_writes++;
+	si_log("store leaves a write without an answer, it is done in %u ms",
+	       late_ms);
+	l->body = json_incref(body);
+	l->timer = evtimer_new(si_base, on_late_txn, l);
+	evtimer_add(l->timer, &tv);
+	evhttp_connection_set_timeout(evhttp_request_get_connection(req), 5);
+}
+
+static void serve_txn(struct evhttp_request *req, uint64_t delay_us)
+{
+	json_t *body = read_body(req), *row, *items = json_array();
+	json_t *sets = json_object_get(body, "set-keys");
+	bool large = false, lease_gone = false;
+	size_t i;
+
+	writes++;
+	if (is_late(body)) {
+		do_late(req, body);
+		goto out;
+	}
 	json_array_foreach(sets, i, row)
 	{
 		uint64_t lease = (uint64_t)json_integer_value(
@@ -472,39 +570,27 @@
 			       json_string_value(json_object_get(row, "key")));
 		}
 	}
-	if (large || json_array_size(expect) + json_array_size(sets) +
-				     json_array_size(removes) >
+	if (large || json_array_size(json_object_get(body, "expect")) +
+				     json_array_size(sets) +
+				     json_array_size(json_object_get(
+					     body, "remove")) >
 			     TXN_ENTRIES_MAX) {
 		too_large++;
 		answer_after(req, 400, NULL, delay_us);
-		goto out;
-	}
-	if (lease_gone) {
+	} else if (lease_gone) {
 		answer_after(req, 404, NULL, delay_us);
-		goto out;
-	}
-	if (!holds) {
+	} else if (!txn_holds(body, items)) {
 		answer_after(req, 412,
 			     dump(json_pack("{s:O}", "items", items)),
 			     delay_us);
-		goto out;
-	}
-	revision++;
-	json_array_foreach(sets, i, row)
-	{
-		set_key(json_string_value(json_object_get(row, "key")),
-			json_string_value(json_object_get(row, "value")),
-			(uint64_t)json_integer_value(
-				json_object_get(row, "lease")));
-	}
-	json_array_foreach(removes, i, row)
-	{
-		delete_key(find_key(json_string_value(row)));
+	} else {
+		apply_txn(body);
+		answer_after(req, 200,
+			     dump(json_pack("{s:I}", "revision",
+					    (json_int_t)revision)),
+			     delay_us);
+		tick_watches();
 	}
-	answer_after(req, 200,
-		     dump(json_pack("{s:I}", "revision", (json_int_t)revision)),
-		     delay_us);
-	tick_watches();
 out:
 	json_decref(items);
 	json_decref(body);
@@ -953,6 +1039,16 @@
 	return http;
 }
 
+/* The time is over: the entry VMs are killed, and nothing was shown. */
+static void on_term(int sig)
+{
+	(void)sig;
+	for (unsigned n = 0; n < SI_NODES_MAX; n++)
+		if (nodes[n].pid > 0)
+			kill(nodes[n].pid, SIGKILL);
+	_exit(2);
+}
+
 void si_init(const struct si_options *o)
 {
 	static const struct timeval tick = { 0, TICK_US };
@@ -960,6 +1056,8 @@
 
 	opt = *o;
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGTERM, on_term);
+	signal(SIGINT, on_term);
 	began_ms = si_now_ms();
 	record = fopen(opt.record_path, "w");
 	if (!record)
@@ -1060,6 +1158,7 @@
 	fflush(record);
 	d->pid = fork();
 	if (!d->pid) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		if (!freopen(log, "w", stdout) || dup2(1, 2) < 0)
 			_exit(127);
 		setenv("WAXWINGFLOW_NODE_FILE", d->conf, 1);
@@ -1300,6 +1399,33 @@
 	return done_count_of(prefix);
 }
 
+void si_lose_writes(const char *key, unsigned ms)
+{
+	late_key = key;
+	late_ms = ms;
+	writes = 0;
+	late_writes = 0;
+	si_log(key ? "store begins to lose answers"
+		   : "store answers all writes again");
+}
+
+void si_count_writes(unsigned *all, unsigned *lost)
+{
+	*all = writes;
+	*lost = late_writes;
+}
+
+void si_put_odd_entry(void)
+{
+	char *base64 = to_base64("{\"owner\":\"another writer\"}");
+
+	revision++;
+	set_key("servers/i-" ODD_BYTE "00", base64, 0);
+	free(base64);
+	si_log("another writer puts an entry servers/i-\\xff00");
+	tick_watches();
+}
+
 const char *si_worker_rack(unsigned worker)
 {
 	return workers[worker].rack;
--- a/review/standin-2.h
+++ b/review/standin-2.h
@@ -66,6 +66,15 @@
 unsigned si_starts(const char *prefix);
 unsigned si_done(const char *prefix);
 unsigned si_lapsed(void);
+/*
+ * From now on, writes of keys with this in their name get no answer and are done
+ * this much later, if their conditions hold then; NULL: none.
+ */
+void si_lose_writes(const char *key, unsigned ms);
+/* Writes since then, and those that got no answer. */
+void si_count_writes(unsigned *all, unsigned *lost);
+/* Another writer's entry among those of the workers; its id has a byte 0xff. */
+void si_put_odd_entry(void);
 const char *si_worker_rack(unsigned worker);
 /* Transactions that the store has refused as too large; the largest value. */
 unsigned si_store_too_large(void);
