--- a/review/9/case.c
+++ b/review/9/case.c
@@ -1,36 +1,44 @@
-/* Many jobs want the same rack: the others are not to wait for it. */
+/* A caller cancels a submission whose outcome it doesn't know. */
 #include <stdlib.h>
 #include <string.h>
 
 #include "standin-2.h"
 
-#define JOBS 20
-#define HOT_JOBS 12 /* a share of 0.6 */
-#define FINISH_MS 14000u
-#define NOTHING_MS 3000u
+#define CANCEL_MS 3000u
+#define LATE_MS 5500u
+#define ID "5c0e7a21d94b0001"
 
 static unsigned task_ms(const char *task)
 {
 	(void)task;
-	return 60000;
+	return 2000;
 }
 
-static void job_path(unsigned i, char out[64])
+static const char body[] =
+	"{\"specification\":\"statement\",\"steps\":[{\"count\":2,"
+	"\"cpu\":3100,\"memory-request-mb\":6200,\"estimated-ms\":2000}]}";
+
+/* The usual traffic of others. */
+static unsigned others;
+static void submit_other(void)
 {
-	snprintf(out, 64, "/lohu930/5c0e7a21d94b%04x", i);
+	char path[64];
+
+	snprintf(path, sizeof(path), "/lohu930/aaaa7a21d94b%04x", others);
+	si_call_async(others++ % 3, "POST", path, body);
 }
 
 int main(void)
 {
 	const char *trouble = getenv("TROUBLE");
-	bool hot = !trouble || strcmp(trouble, "0");
+	bool lossy = !trouble || strcmp(trouble, "0");
 	struct si_options o = {
 		.record_path = getenv("RECORD"),
 		.nodes = 3,
-		.workers = 12,
+		.workers = 6,
 		.worker_cpu = 32000,
 		.worker_mb = 125000,
-		.racks = 1, /* in each zone */
+		.racks = 1,
 		.zones = 3,
 		.cross_zone_us = 5400,
 		.store_ms = 4,
@@ -43,63 +51,53 @@
 			  "\"enforces-capacity\":true}],"
 			  "\"limits\":{\"max-body-bytes\":262144}}",
 	};
-	char body[400], path[64], state[200];
-	uint64_t ended, idle_since[JOBS] = { 0 };
-	unsigned broken = 0, longest = 0;
+	unsigned writes, lost, starts_before;
+	uint64_t begin, acked, started = 0;
+	int posted, cancelled;
+	char state[200];
 
 	si_init(&o);
 	si_start_nodes();
-	si_run_ms(1000);
-	for (unsigned i = 0; i < JOBS; i++) {
-		char affinity[40] = "";
-		bool wants = i % 5 < 3; /* 12 of 20 */
-
-		if (wants)
-			snprintf(affinity, sizeof(affinity),
-				 ",\"affinity\":\"r%u-1\"",
-				 hot ? 1 : i % 3 + 1);
-		snprintf(body, sizeof(body),
-			 "{\"specification\":\"draft\",\"steps\":[{\"count\":%u,"
-			 "\"cpu\":%u,\"memory-request-mb\":2000,"
-			 "\"estimated-ms\":60000%s}]}",
-			 wants ? 4 : 1, wants ? 7000 : 1000, affinity);
-		job_path(i, path);
-		if (si_call(i % 3, "POST", path, body, NULL, 0) != 200)
-			si_finish(2, "job %u was not accepted", i);
-	}
-	ended = si_now_ms();
-	si_log("end of the traffic");
-	while (si_now_ms() < ended + FINISH_MS + 10000) {
-		si_run_ms(20);
-		if (si_now_ms() < ended + FINISH_MS)
-			continue;
-		for (unsigned i = 0; i < JOBS; i++) {
-			job_path(i, path);
-			if (si_running(strrchr(path, '/') + 1)) {
-				idle_since[i] = 0;
-				continue;
-			}
-			if (!idle_since[i])
-				idle_since[i] = si_now_ms();
-			if (si_now_ms() - idle_since[i] > longest)
-				longest = (unsigned)(si_now_ms() -
-						     idle_since[i]);
-		}
+	si_run_ms(2000);
+	for (unsigned i = 0; i < 10; i++) {
+		submit_other();
+		si_run_ms(100);
 	}
-	for (unsigned i = 0; i < JOBS; i++) {
-		job_path(i, path);
-		si_call(i % 3, "GET", path, NULL, state, sizeof(state));
-		si_log("%s: %s, starts %u, running %u", path, state,
-		       si_starts(strrchr(path, '/') + 1),
-		       si_running(strrchr(path, '/') + 1));
-		if (idle_since[i] && si_now_ms() - idle_since[i] >= NOTHING_MS)
-			broken++;
+	if (lossy)
+		si_lose_writes("/in/" ID, LATE_MS);
+	begin = si_now_ms();
+	for (unsigned i = 0; i < 3; i++)
+		submit_other();
+	posted = si_call(0, "POST", "/lohu930/" ID, body, NULL, 0);
+	for (unsigned i = 0; i < 3; i++)
+		submit_other();
+	si_count_writes(&writes, &lost);
+	if (lossy)
+		si_lose_writes(NULL, 0);
+	si_log("for %llu ms %u of %u writes had no answer",
+	       (unsigned long long)(si_now_ms() - begin), lost, writes);
+	cancelled = si_call(1, "DELETE", "/lohu930/" ID, NULL, NULL, 0);
+	acked = si_now_ms();
+	starts_before = si_starts(ID);
+	if (cancelled != 200 && cancelled != 410)
+		si_finish(2, "the DELETE was answered %d", cancelled);
+	while (si_now_ms() < acked + 14000) {
+		if (!(si_now_ms() % 20))
+			si_run_ms(1);
+		si_run_ms(10);
+		if (!started && si_starts(ID) > starts_before)
+			started = si_now_ms();
 	}
-	for (unsigned i = 0; i < o.workers; i++)
-		si_log("worker %u, rack %s: %u tasks", i, si_worker_rack(i),
-		       si_running_on(i, ""));
-	si_finish(broken ? 1 : 0,
-		  "%u of %u jobs had nothing running for %u ms, from %u ms "
-		  "after the end of the traffic on; %u tasks run",
-		  broken, JOBS, longest, FINISH_MS, si_running(""));
+	si_call(2, "GET", "/lohu930/" ID, NULL, state, sizeof(state));
+	si_log("state at the end: %s", state);
+	if (started)
+		si_finish(started > acked + CANCEL_MS ? 1 : 0,
+			  "POST %d, DELETE %d; %u tasks were started from %llu "
+			  "ms after the DELETE's answer on, %u ended as done; "
+			  "%u of %u writes had no answer",
+			  posted, cancelled, si_starts(ID) - starts_before,
+			  (unsigned long long)(started - acked), si_done(ID),
+			  lost, writes);
+	si_finish(0, "POST %d, DELETE %d; no task was started after it", posted,
+		  cancelled);
 }
