--- a/review/case-memory.c
+++ b/review/case-memory.c
@@ -6,6 +6,7 @@
  */
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/wait.h>
 
 #include "standin-3.h"
@@ -31,6 +32,10 @@
 	"\"first-run-ms\":1700000000000,\"interval-ms\":60000,"
 	"\"steps\":[{\"count\":300,\"cpu\":1000,\"memory-request-mb\":100,"
 	"\"estimated-ms\":1000}]}";
+static const char wide[] =
+	"{\"specification\":\"bundle\",\"steps\":[{\"count\":4096,\"cpu\":1000,"
+	"\"memory-request-mb\":100,\"estimated-ms\":1000}]}";
+#define WIDE_JOBS 300
 
 /* Half of the workers' cores; each task takes one. */
 #define TASKS_HALF (WORKERS * 16u / 2)
@@ -95,6 +100,23 @@
 	}
 }
 
+/* MANY=1: as many tasks in 300 jobs that are not scheduled. */
+static void submit_large(struct case_run *r)
+{
+	const char *several = getenv("MANY");
+	char path[64];
+
+	if (!several || strcmp(several, "1")) {
+		case_request(r, 1, "POST", "/bundle/00000000000000b0", many);
+		return;
+	}
+	for (int i = 0; i < WIDE_JOBS; i++) {
+		snprintf(path, sizeof(path), "/bundle/000000000000%04x",
+			 0x1000 + i);
+		case_request(r, 1, "POST", path, wide);
+	}
+}
+
 int case_memory(struct case_run *r)
 {
 	struct seen s = { .idle_longest_ms = 0 };
@@ -113,7 +135,7 @@
 	if (!case_body_has(r, "completed"))
 		return CASE_NOT_RUN;
 	if (r->trouble)
-		case_request(r, 1, "POST", "/bundle/00000000000000b0", many);
+		submit_large(r);
 	case_request(r, 2, "POST", "/bundle/00000000000000a2", ordinary);
 	watch(r, WATCH_MS, &s);
 	for (uint32_t i = 0; i < 3; i++) {
--- a/review/standin-3.c
+++ b/review/standin-3.c
@@ -330,8 +330,10 @@
 		const char *name;
 		int (*run)(struct case_run *r);
 	} cases[] = {
-		{ "memory", case_memory },   { "kind", case_kind },
-		{ "deadly", case_deadly },   { "batch", case_batch },
+		{ "memory", case_memory },
+		{ "kind", case_kind },
+		{ "deadly", case_deadly },
+		{ "batch", case_batch },
 	};
 	struct case_run r = { .status = 0 };
 	int result = CASE_NOT_RUN;
