--- a/review/case-memory.c
+++ b/review/case-memory.c
@@ -1,6 +1,6 @@
 /*
- * One submission of 180 bytes: a scheduled job of 4,000 repetitions of 300
- * tasks that are all due. Each process has to stay within the memory of its
+ * One submission of under 200 bytes: a scheduled job of 4,000 repetitions of
+ * 300 tasks that are all due. Each process has to stay within the memory of its
  * machine, 260 MB, and other clients' jobs must be run. The platform kills what
  * exceeds its memory, and starts it again.
  */
