review, case 12: one submission ends every owner

Cause: all due occurrences of a scheduled job begin at once, and nothing bounds what accepted jobs hold in an owner's memory.

--- a/review/standin-3.c
+++ b/review/standin-3.c
@@ -345,6 +345,7 @@
 		int (*run)(struct case_run *r);
 	} cases[] = {
 		{ "batch", case_batch },     /* 11 */
+		{ "memory", case_memory },   /* 12 */
 	};
 	struct case_run r = { .status = 0 };
 	int result = CASE_NOT_RUN;
