review, case 13: a planned release fails sound jobs

Cause: the entry of a worker's new boot clears its draining state before the first report, so that the planned leave counts as a crash.

--- a/review/standin-3.h
+++ b/review/standin-3.h
@@ -71,6 +71,7 @@
 uint64_t case_peak_kb(pid_t pid);
 
 /* ---- the cases ---- */
+int case_release(struct case_run *r);
 int case_memory(struct case_run *r);
 int case_batch(struct case_run *r);
 
