--- a/review/standin-3.c
+++ b/review/standin-3.c
@@ -347,6 +347,7 @@
 		{ "batch", case_batch },     /* 11 */
 		{ "memory", case_memory },   /* 12 */
 		{ "release", case_release }, /* 13 */
+		{ "deadly", case_deadly },   /* 14 */
 	};
 	struct case_run r = { .status = 0 };
 	int result = CASE_NOT_RUN;
