--- a/review/standin-3.c
+++ b/review/standin-3.c
@@ -348,6 +348,7 @@
 		{ "memory", case_memory },   /* 12 */
 		{ "release", case_release }, /* 13 */
 		{ "deadly", case_deadly },   /* 14 */
+		{ "kind", case_kind },	     /* 15 */
 	};
 	struct case_run r = { .status = 0 };
 	int result = CASE_NOT_RUN;
--- a/review/standin-3.h
+++ b/review/standin-3.h
@@ -73,6 +73,7 @@
 /* ---- the cases ---- */
 int case_release(struct case_run *r);
 int case_memory(struct case_run *r);
+int case_kind(struct case_run *r);
 int case_deadly(struct case_run *r);
 int case_batch(struct case_run *r);
 
