sched: bound the tasks in memory, and begin occurrences as there is room

All due occurrences were begun at once, and a begun one has the state of all its tasks in memory, 336 bytes each. Now 65,536 tasks are in memory at most. Other occurrences are pending and begin in turn; an untouched one is parked if others wait for its room. Small and large occurrences, and second ones of a job, have limits of their own, so that no job keeps others out. A successor begins only occurrences of which a task has run. Jobs that have ended keep neither tasks nor steps. Free ranges of the table of tasks are joined.

Records are unchanged: what has not begun was never in them, and what is parked has no task that ran.

--- a/src/job-metrics.c
+++ b/src/job-metrics.c
@@ -50,6 +50,12 @@
 		    st.tasks_waiting);
 	counter_set(counter_get(GAUGE, "waxwing_tasks_running", NULL),
 		    st.tasks_running);
+	counter_set(counter_get(GAUGE, "waxwing_tasks_held", NULL),
+		    st.tasks_held);
+	counter_set(counter_get(GAUGE, "waxwing_jobs_pending", NULL),
+		    st.jobs_pending);
+	counter_set(counter_get(GAUGE, "waxwing_jobs_bytes", NULL),
+		    (long long)st.jobs_bytes);
 	counter_set(counter_get(GAUGE, "waxwing_workers_reporting", NULL),
 		    st.workers_reporting);
 	counter_set(counter_get(GAUGE, "waxwing_jobs_moved_back", NULL),
--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -339,6 +339,9 @@
 	uint64_t moves_back;	  /* ... and how often a job was */
 	uint64_t moves;		  /* of tasks away from slow workers */
 	uint32_t workers_slow;
+	uint32_t tasks_held;   /* in memory, of occurrences that have begun */
+	uint32_t jobs_pending; /* with an occurrence that waits for room */
+	uint64_t jobs_bytes;   /* memory of jobs, without their tasks */
 };
 
 void sched_stats(const struct sched *s, struct sched_stats *out);
--- a/src/log-events.c
+++ b/src/log-events.c
@@ -51,6 +51,7 @@
 	"member-table-full",
 	"member-up",
 	"no-thread",
+	"occurrence-parked",
 	"operator-denied",
 	"operator-key-unknown",
 	"order-lost",
--- a/src/sched-estimate.c
+++ b/src/sched-estimate.c
@@ -58,8 +58,8 @@
 /* Duration of a step: measured if all its tasks are done, else expected. */
 static uint32_t step_ms(const struct sched *s, const struct job *j, uint32_t i)
 {
-	if (j->step_ms[i])
-		return j->step_ms[i];
+	if (j->step_times[i].duration_ms)
+		return j->step_times[i].duration_ms;
 	return (uint32_t)((float)j->spec.steps[i].estimate_ms * ratio(s, j));
 }
 
@@ -91,7 +91,7 @@
 	for (uint32_t i = 0; i < j->occurrence_count; i++)
 		if (j->occurrences[i].used)
 			return chain_ms(s, j, &j->occurrences[i]);
-	return 0;
+	return j->pending ? chain_ms(s, j, NULL) : 0;
 }
 
 void sched_update_deadline(const struct sched *s, struct job *j)
@@ -106,8 +106,8 @@
 	struct job *j = &s->jobs[t->job];
 	uint64_t ran_ms = (s->now_us - t->state_since_us) / 1000;
 
-	if (ran_ms > j->longest_run_ms[t->step])
-		j->longest_run_ms[t->step] = (uint32_t)ran_ms;
+	if (ran_ms > j->step_times[t->step].longest_run_ms)
+		j->step_times[t->step].longest_run_ms = (uint32_t)ran_ms;
 	sched_value_task_done(s, t, ran_ms);
 }
 
@@ -115,12 +115,13 @@
 {
 	struct queue_estimate *q = &s->estimates[j->estimate];
 	uint32_t estimate_ms = j->spec.steps[step].estimate_ms;
+	struct step_times *times = &j->step_times[step];
 	float sample, error;
 
-	if (!j->longest_run_ms[step] || !estimate_ms)
+	if (!times->longest_run_ms || !estimate_ms)
 		return;
-	j->step_ms[step] = j->longest_run_ms[step];
-	sample = (float)j->step_ms[step] / (float)estimate_ms;
+	times->duration_ms = times->longest_run_ms;
+	sample = (float)times->duration_ms / (float)estimate_ms;
 	sample = fminf(fmaxf(sample, 1 / RATIO_MAX), RATIO_MAX);
 	if (q->steps < STEPS_MAX)
 		q->steps++;
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -13,6 +13,8 @@
  *
  * DESCRIPTION
  *	sched.c		jobs
+ *	sched-table.c	the table of tasks
+ *	sched-begin.c	which occurrences have tasks in the table
  *	sched-collect.c	what is to be stored
  *	sched-view.c	what callers and metrics see
  *	sched-task.c	tasks
@@ -117,6 +119,9 @@
 	char checkpoint[SCHED_CHECKPOINT_BYTES];
 };
 
+/* Occurrences with few and with many tasks each have a part of the table. */
+enum task_share { SHARE_SMALL, SHARE_LARGE, TASK_SHARES };
+
 /* Free range of the task table. */
 struct task_block {
 	uint32_t first;
@@ -129,6 +134,8 @@
 	uint32_t tasks_left[JOB_STEPS_MAX]; /* per step: tasks not done */
 	uint32_t waiting[JOB_STEPS_MAX];    /* per step: TASK_WAITING */
 	uint64_t due_wall_ms;
+	uint64_t begun_us;
+	bool touched;		/* a task has been placed, or is restored */
 	uint64_t *block_hashes; /* of stored blocks, see sched-block.c */
 	bool used;
 };
@@ -145,16 +152,29 @@
  */
 #define JOB_FAILED_WORKERS_MAX 2
 
+struct step_times {
+	uint32_t longest_run_ms; /* of the tasks done so far */
+	uint32_t duration_ms;	 /* 0: the step is not done */
+};
+
 struct job {
 	struct job_spec spec;
 	struct queue_policy queue; /* copy of the queue's policy */
 	uint32_t service;	   /* handle of the queue's service */
 	uint32_t estimate;	   /* of the queue, in the table of estimates */
-	uint32_t longest_run_ms[JOB_STEPS_MAX]; /* of the tasks done so far */
-	uint32_t step_ms[JOB_STEPS_MAX]; /* duration of steps; 0: not done */
+	struct step_times *step_times; /* by step */
 	struct occurrence *occurrences;
 	uint32_t occurrence_count;
+	uint32_t open_count;	  /* occurrences in use */
 	uint32_t next_occurrence; /* number of the next to begin */
+	/* Numbers of those that were begun and have no tasks, none having run.
+	 */
+	uint32_t *parked;
+	uint32_t parked_count;
+	uint64_t pending_since_us; /* to begin an occurrence */
+	bool pending;		   /* listed in s->pending ... */
+	bool pending_first;	   /* ... with no occurrence in use then */
+	bool was_parked;	   /* since then */
 	uint32_t next_in_bucket;
 	uint32_t waiting; /* tasks in TASK_WAITING */
 	enum sched_job_state state;
@@ -218,9 +238,9 @@
 	uint64_t near_target_allowed_us; /* when it was allowed last */
 	bool listed;
 	bool draining;
-	bool evacuated;	 /* its zone is; nothing is started there */
-	bool cold;	 /* its entry says that it is slow for a while */
-	bool responsive; /* has answered the last request for a report */
+	bool evacuated;	     /* its zone is; nothing is started there */
+	bool cold;	     /* its entry says that it is slow for a while */
+	bool responsive;     /* has answered the last request for a report */
 	/* For a time after quarantine: one finite task at once. */
 	bool on_trial;
 	bool has_unknown_run; /* takes room that is not counted as used */
@@ -322,6 +342,7 @@
 	uint32_t dirty_count;
 	uint32_t *ending; /* indices of workers with ends that are not stored */
 	uint32_t ending_count;
+	uint64_t job_bytes; /* memory of all jobs, without their tasks */
 	uint32_t job_count;
 	uint32_t job_capacity;
 	uint32_t job_free; /* free list, linked by next_in_bucket */
@@ -329,8 +350,16 @@
 	struct sched_task *tasks;
 	uint32_t task_count;
 	uint32_t task_capacity;
-	struct task_block *free_blocks;
+	struct task_block *free_blocks; /* by position, not adjacent */
 	uint32_t free_block_count;
+	uint32_t free_block_capacity;
+	uint32_t tasks_used[TASK_SHARES]; /* of occurrences in use */
+	uint32_t *pending; /* jobs with a due occurrence that is not begun */
+	uint32_t pending_count;
+	uint32_t pending_capacity;
+	uint32_t pending_first[TASK_SHARES]; /* of these, with none in use */
+	uint64_t pending_next_us;	     /* next time to begin some */
+	uint64_t parking_next_us;
 	struct stop_retry *stop_retries;
 	uint32_t stop_retry_count;
 	struct sched_worker *workers;
@@ -414,13 +443,43 @@
 const struct job_step *sched_task_step(const struct sched *s,
 				       const struct sched_task *t);
 struct occurrence *sched_find_occurrence(struct job *j, uint32_t number);
+/* Allocates the tasks; any parked occurrence of this number has been removed.
+ */
 struct occurrence *sched_begin_occurrence(struct sched *s, struct job *j,
 					  uint32_t number);
+/* Frees the tasks. */
+void sched_close_occurrence(struct sched *s, struct job *j,
+			    struct occurrence *o);
 /* Unblocks the tasks of steps whose dependencies are done. */
 void sched_unblock(struct sched *s, struct job *j, struct occurrence *o);
 void sched_finish_occurrence(struct sched *s, struct job *j,
 			     struct occurrence *o);
 
+/* ---- sched-table.c ---- */
+enum task_share sched_task_share(uint32_t count);
+/* Whether so many tasks can be added without exceeding the table's size. */
+bool sched_table_has_room(const struct sched *s, uint32_t count);
+/* Adds tasks that are zeroed; the table grows if it has to. */
+uint32_t sched_table_add(struct sched *s, uint32_t count);
+void sched_table_remove(struct sched *s, uint32_t first, uint32_t count);
+
+/* ---- sched-begin.c ---- */
+/* Begins the occurrences of an open job that are due, or lists it as pending.
+ */
+void sched_begin_due(struct sched *s, struct job *j);
+/* Begins occurrences of pending jobs for which there is room now. */
+void sched_begin_pending(struct sched *s);
+/* The job has ended or is removed: it is not pending any more. */
+void sched_begin_cancel(struct sched *s, struct job *j);
+/* Notes an occurrence of a stored record of which no task has run. */
+void sched_park_number(struct job *j, uint32_t number);
+/* Returns whether it was parked; then it is not any more. */
+bool sched_unpark_number(struct job *j, uint32_t number);
+/* Number of occurrences of a pending job that are due and not begun. */
+uint32_t sched_pending_occurrences(const struct sched *s, const struct job *j);
+/* When the occurrence is due, in milliseconds since 1970; 0: at once. */
+uint64_t sched_occurrence_due_ms(const struct job *j, uint32_t number);
+
 /* ---- sched-collect.c ---- */
 /* The job has changed: sched_tick() reads it, its record is to be stored. */
 void sched_mark_dirty(struct sched *s, struct job *j);
@@ -680,8 +739,8 @@
 /*
  * A worker has crashed: counts the crash for the tasks that ran there, before
  * they are requeued, except those that its report in progress lists. Returns
- * the index of the job whose task caused it, or SCHED_NONE if that is not
- * certain.
+ * the index
+ * of the job whose task caused it, or SCHED_NONE if that is not certain.
  */
 uint32_t sched_crash_observed(struct sched *s, struct sched_worker *w);
 /* Whether the task's run may have been under way on its worker. */
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -87,8 +87,8 @@
 	uint32_t open = 0;
 	msgpack_packer pk;
 
-	for (uint32_t i = 0; !j->set_aside && i < j->occurrence_count; i++)
-		open += j->occurrences[i].used;
+	if (!j->set_aside)
+		open = j->open_count + j->parked_count;
 	pack_init(&pk, out);
 	msgpack_pack_array(&pk, RECORD_ELEMENTS);
 	msgpack_pack_uint32(&pk, RECORD_FORMAT);
@@ -108,15 +108,19 @@
 		for (uint32_t k = 0; k < tasks; k++)
 			pack_task(&pk, s, &s->tasks[o->first_task + k]);
 	}
+	for (uint32_t i = 0; !j->set_aside && i < j->parked_count; i++) {
+		msgpack_pack_array(&pk, 2);
+		msgpack_pack_uint32(&pk, j->parked[i]);
+		msgpack_pack_array(&pk, tasks);
+		for (uint32_t k = 0; k < tasks; k++)
+			msgpack_pack_nil(&pk);
+	}
 }
 
 void sched_record_encode_head(const struct job *j, struct buffer *out)
 {
-	uint32_t open = 0;
 	msgpack_packer pk;
 
-	for (uint32_t i = 0; i < j->occurrence_count; i++)
-		open += j->occurrences[i].used;
 	pack_init(&pk, out);
 	msgpack_pack_array(&pk, HEAD_ELEMENTS);
 	msgpack_pack_uint32(&pk, HEAD_FORMAT);
@@ -124,10 +128,12 @@
 	msgpack_pack_uint64(&pk, j->ended_wall_ms);
 	msgpack_pack_uint32(&pk, j->started);
 	msgpack_pack_uint32(&pk, j->next_occurrence);
-	msgpack_pack_array(&pk, open);
+	msgpack_pack_array(&pk, j->open_count + j->parked_count);
 	for (uint32_t i = 0; i < j->occurrence_count; i++)
 		if (j->occurrences[i].used)
 			msgpack_pack_uint32(&pk, j->occurrences[i].number);
+	for (uint32_t i = 0; i < j->parked_count; i++)
+		msgpack_pack_uint32(&pk, j->parked[i]);
 	msgpack_pack_uint32(&pk, j->block_tasks);
 }
 
@@ -209,6 +215,14 @@
 	return true;
 }
 
+static bool all_nil(const msgpack_object *tasks)
+{
+	for (uint32_t i = 0; i < tasks->via.array.size; i++)
+		if (tasks->via.array.ptr[i].type != MSGPACK_OBJECT_NIL)
+			return false;
+	return true;
+}
+
 static bool restore_occurrence(struct sched *s, struct job *j,
 			       const msgpack_object *obj)
 {
@@ -222,7 +236,11 @@
 	    e[1].via.array.size != tasks)
 		return false;
 	number = (uint32_t)e[0].via.u64;
-	sched_begin_occurrence(s, j, number);
+	if (all_nil(&e[1])) {
+		sched_park_number(j, number);
+		return true;
+	}
+	sched_begin_occurrence(s, j, number)->touched = true;
 	for (uint32_t i = 0; i < tasks; i++) {
 		o = sched_find_occurrence(j, number);
 		if (!restore_task(s, j, o, &s->tasks[o->first_task + i],
@@ -259,9 +277,8 @@
 	       e[5].type == MSGPACK_OBJECT_ARRAY;
 }
 
-/* The tasks follow in the blocks. */
-static bool restore_head(struct sched *s, struct job *j,
-			 const msgpack_object *o)
+/* The tasks of occurrences of which some have run follow in the blocks. */
+static bool restore_head(struct job *j, const msgpack_object *o)
 {
 	const msgpack_object *e = o->via.array.ptr;
 
@@ -269,8 +286,7 @@
 	for (uint32_t i = 0; i < e[5].via.array.size; i++) {
 		if (!is_uint(&e[5].via.array.ptr[i]))
 			return false;
-		sched_begin_occurrence(s, j,
-				       (uint32_t)e[5].via.array.ptr[i].via.u64);
+		sched_park_number(j, (uint32_t)e[5].via.array.ptr[i].via.u64);
 	}
 	return true;
 }
@@ -288,7 +304,7 @@
 	if (j->state >= SCHED_JOB_COMPLETED)
 		s->stats.jobs_open--;
 	if (is_divided(o))
-		return restore_head(s, j, o);
+		return restore_head(j, o);
 	j->block_tasks = 0;
 	for (uint32_t i = 0; i < e[5].via.array.size; i++)
 		if (!restore_occurrence(s, j, &e[5].via.array.ptr[i]))
@@ -327,8 +343,11 @@
 		return error_set(err, ERROR_LAYER_CORE, RECORD_INVALID,
 				 "progress record %s has a malformed name",
 				 name);
-	if (!j->block_tasks || block >= sched_block_count(j) ||
-	    !sched_find_occurrence(j, number))
+	if (!j->block_tasks || block >= sched_block_count(j))
+		return 1;
+	if (sched_unpark_number(j, number))
+		sched_begin_occurrence(s, j, number)->touched = true;
+	if (!sched_find_occurrence(j, number))
 		return 1;
 	if (!pack_unpack(&u, data, len) ||
 	    !restore_block_tasks(s, j, number, block, &u.data))
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -82,6 +82,7 @@
 		j->waiting++;
 	} else {
 		o->waiting[t->step]--;
+		o->touched = true;
 		j->waiting--;
 	}
 }
--- a/src/sched-value.c
+++ b/src/sched-value.c
@@ -260,10 +260,30 @@
 		}
 }
 
+/* Occurrences that are due, and whose tasks are not in memory. */
+static void sum_pending(const struct sched *s, struct job *j)
+{
+	const struct value_queue *q = &s->value.queues[j->estimate];
+	uint32_t due = sched_pending_occurrences(s, j);
+
+	for (uint32_t k = 0; due && k < j->spec.step_count; k++) {
+		const struct job_step *step = &j->spec.steps[k];
+		float work;
+
+		if (step->long_running)
+			continue;
+		work = core_ms(step, estimated_ms(step)) *
+		       job_ratio(q, j, step) * (float)step->count * (float)due;
+		j->value.left += work;
+		j->value.ready += step->depends_on ? 0 : work;
+	}
+}
+
 void sched_value_sum_left(const struct sched *s, struct job *j)
 {
 	const struct value_queue *q = &s->value.queues[j->estimate];
 
+	sum_pending(s, j);
 	for (uint32_t i = 0; i < j->occurrence_count; i++) {
 		const struct occurrence *o = &j->occurrences[i];
 		uint64_t done = 0;
--- a/src/sched-view.c
+++ b/src/sched-view.c
@@ -42,6 +42,11 @@
 	out->workers = 0;
 	out->tasks_waiting = 0;
 	out->tasks_running = 0;
+	out->tasks_held = 0;
+	for (int i = 0; i < TASK_SHARES; i++)
+		out->tasks_held += s->tasks_used[i];
+	out->jobs_pending = s->pending_count;
+	out->jobs_bytes = s->job_bytes;
 	out->workers_reporting = 0;
 	out->jobs_moved_back = 0;
 	out->moves_back = s->value.moves;
--- a/src/sched.c
+++ b/src/sched.c
@@ -26,6 +26,9 @@
 /* Interval without changes, for tasks that wait for a point in time. */
 #define PLACEMENT_INTERVAL_IDLE_US 250000u
 
+/* Overhead of the allocations of an open job. */
+#define JOB_ALLOCATIONS_BYTES 64u
+
 static uint32_t bucket_of(const char *id)
 {
 	return (uint32_t)strtoull(id, NULL, 16) * 2654435761u >> 20;
@@ -59,6 +62,8 @@
 			free(j->occurrences[i].block_hashes);
 	job_spec_free(&j->spec);
 	free(j->stale);
+	free(j->parked);
+	free(j->step_times);
 	free(j->occurrences);
 	memset(j, 0, sizeof(*j));
 }
@@ -76,6 +81,7 @@
 	free(s->lost_runs);
 	free(s->tasks);
 	free(s->free_blocks);
+	free(s->pending);
 	free(s->stop_retries);
 	free(s->overdue_list);
 	sched_value_free(s);
@@ -188,6 +194,18 @@
 	return j;
 }
 
+/* Memory of a job, and of the blocks that the allocator takes for it. */
+static uint64_t job_bytes(const struct job *j)
+{
+	uint64_t bytes = sizeof(*j);
+
+	if (j->spec.steps)
+		bytes += JOB_ALLOCATIONS_BYTES + strlen(j->spec.text) +
+			 j->spec.step_count * (sizeof(*j->spec.steps) +
+					       sizeof(*j->step_times));
+	return bytes;
+}
+
 bool sched_submit(struct sched *s, struct job_spec *spec, uint64_t now_us)
 {
 	struct job *j;
@@ -205,6 +223,8 @@
 	j->next_in_bucket = s->buckets[bucket];
 	s->buckets[bucket] = sched_job_index(s, j);
 	j->block_tasks = sched_block_tasks(&j->spec);
+	j->step_times = xcalloc(j->spec.step_count, sizeof(*j->step_times));
+	s->job_bytes += job_bytes(j);
 	/* Until a policy is known no task starts or is given up. */
 	j->queue.stretch = 1;
 	j->queue.attempts_max = UINT32_MAX;
@@ -232,42 +252,6 @@
 	return NULL;
 }
 
-/* Allocates tasks from a free block, first fit. */
-static bool reuse_tasks(struct sched *s, uint32_t count, uint32_t *first)
-{
-	for (uint32_t i = 0; i < s->free_block_count; i++) {
-		struct task_block *b = &s->free_blocks[i];
-
-		if (b->count < count)
-			continue;
-		*first = b->first;
-		b->first += count;
-		b->count -= count;
-		if (!b->count)
-			*b = s->free_blocks[--s->free_block_count];
-		return true;
-	}
-	return false;
-}
-
-static uint32_t add_tasks(struct sched *s, uint32_t count)
-{
-	uint32_t first = s->task_count;
-
-	if (reuse_tasks(s, count, &first)) {
-		memset(&s->tasks[first], 0, count * sizeof(*s->tasks));
-		return first;
-	}
-	if (first + count > s->task_capacity) {
-		s->task_capacity = (first + count) * 2;
-		s->tasks = xrealloc(s->tasks,
-				    s->task_capacity * sizeof(*s->tasks));
-	}
-	s->task_count += count;
-	memset(&s->tasks[first], 0, count * sizeof(*s->tasks));
-	return first;
-}
-
 static struct occurrence *add_occurrence(struct job *j)
 {
 	for (uint32_t i = 0; i < j->occurrence_count; i++)
@@ -283,17 +267,19 @@
 					  uint32_t number)
 {
 	struct occurrence *o = add_occurrence(j);
-	uint32_t n;
+	uint32_t count = job_spec_task_count(&j->spec), n;
 
 	memset(o, 0, sizeof(*o));
 	o->used = true;
 	o->number = number;
+	o->begun_us = s->now_us;
+	j->open_count++;
 	sched_blocks_begin(j, o);
-	o->due_wall_ms =
-		j->spec.repetitions
-			? j->spec.first_wall_ms + number * j->spec.interval_ms
-			: j->spec.accepted_wall_ms;
-	o->first_task = add_tasks(s, job_spec_task_count(&j->spec));
+	o->due_wall_ms = j->spec.repetitions
+				 ? sched_occurrence_due_ms(j, number)
+				 : j->spec.accepted_wall_ms;
+	o->first_task = sched_table_add(s, count);
+	s->tasks_used[sched_task_share(count)] += count;
 	n = o->first_task;
 	for (uint32_t step = 0; step < j->spec.step_count; step++) {
 		o->tasks_left[step] = j->spec.steps[step].count;
@@ -341,31 +327,25 @@
 	s->placement_due = true;
 }
 
-static void free_tasks(struct sched *s, const struct job *j,
-		       struct occurrence *o)
+void sched_close_occurrence(struct sched *s, struct job *j,
+			    struct occurrence *o)
 {
-	struct task_block *b;
+	uint32_t count = job_spec_task_count(&j->spec);
 
 	o->used = false;
 	free(o->block_hashes);
 	o->block_hashes = NULL;
-	s->free_blocks = xrealloc(s->free_blocks,
-				  (s->free_block_count + 1) * sizeof(*b));
-	b = &s->free_blocks[s->free_block_count++];
-	b->first = o->first_task;
-	b->count = job_spec_task_count(&j->spec);
+	j->open_count--;
+	s->tasks_used[sched_task_share(count)] -= count;
+	sched_table_remove(s, o->first_task, count);
 }
 
 static bool job_complete(const struct job *j)
 {
 	uint32_t total = j->spec.repetitions ? j->spec.repetitions : 1;
 
-	if (j->next_occurrence < total)
-		return false;
-	for (uint32_t i = 0; i < j->occurrence_count; i++)
-		if (j->occurrences[i].used)
-			return false;
-	return true;
+	return j->next_occurrence >= total && !j->parked_count &&
+	       !j->open_count;
 }
 
 void sched_finish_occurrence(struct sched *s, struct job *j,
@@ -375,7 +355,7 @@
 		if (o->tasks_left[i])
 			return;
 	sched_blocks_release(j, o);
-	free_tasks(s, j, o);
+	sched_close_occurrence(s, j, o);
 	if (job_complete(j))
 		sched_end_job(s, j, SCHED_JOB_COMPLETED);
 }
@@ -421,6 +401,7 @@
 		latency_add(LATENCY_JOB, sched_job_age_us(s, j));
 		sched_value_job_completed(s, j);
 	}
+	sched_begin_cancel(s, j);
 	if (state != SCHED_JOB_COMPLETED)
 		for (uint32_t i = 0; i < j->occurrence_count; i++)
 			if (j->occurrences[i].used)
@@ -471,25 +452,6 @@
 		sched_end_job(s, j, SCHED_JOB_CANCELLED);
 }
 
-static uint64_t occurrence_due_wall_ms(const struct job *j, uint32_t number)
-{
-	return j->spec.repetitions
-		       ? j->spec.first_wall_ms + number * j->spec.interval_ms
-		       : 0;
-}
-
-static void begin_due_occurrences(struct sched *s, struct job *j)
-{
-	uint32_t total = j->spec.repetitions ? j->spec.repetitions : 1;
-
-	while (j->next_occurrence < total) {
-		if (occurrence_due_wall_ms(j, j->next_occurrence) > s->wall_ms)
-			return;
-		sched_unblock(s, j,
-			      sched_begin_occurrence(s, j, j->next_occurrence));
-	}
-}
-
 static bool has_placed_task(const struct sched *s, const struct job *j)
 {
 	uint32_t n = job_spec_task_count(&j->spec);
@@ -514,7 +476,9 @@
 	*link = j->next_in_bucket;
 	for (uint32_t i = 0; i < j->occurrence_count; i++)
 		if (j->occurrences[i].used)
-			free_tasks(s, j, &j->occurrences[i]);
+			sched_close_occurrence(s, j, &j->occurrences[i]);
+	sched_begin_cancel(s, j);
+	s->job_bytes -= job_bytes(j);
 	free_job(j);
 	j->next_in_bucket = s->job_free;
 	s->job_free = index;
@@ -541,21 +505,68 @@
 	if (j->state >= SCHED_JOB_COMPLETED)
 		return j->ended_wall_ms +
 		       s->settings.status_retention_s * 1000u + 1;
+	if (j->pending) /* sched_begin_pending() */
+		return UINT64_MAX;
 	return j->next_occurrence < total
-		       ? occurrence_due_wall_ms(j, j->next_occurrence)
+		       ? sched_occurrence_due_ms(j, j->next_occurrence)
 		       : UINT64_MAX;
 }
 
+/* Frees what is not needed to show the state of a job that has ended. */
+static void shrink_ended(struct sched *s, struct job *j)
+{
+	s->job_bytes -= job_bytes(j);
+	free(j->spec.steps);
+	free(j->spec.text);
+	free(j->step_times);
+	free(j->occurrences);
+	j->spec.steps = NULL;
+	j->spec.step_count = 0;
+	j->spec.text = NULL;
+	j->step_times = NULL;
+	j->occurrences = NULL;
+	j->occurrence_count = 0;
+	s->job_bytes += job_bytes(j);
+}
+
+/*
+ * Frees the tasks of a job that has ended, once none is on a worker: a record
+ * without them is complete.
+ */
+static void close_ended(struct sched *s, struct job *j)
+{
+	uint32_t stale = j->stale_count;
+
+	for (uint32_t i = 0; i < j->occurrence_count; i++) {
+		if (!j->occurrences[i].used)
+			continue;
+		sched_blocks_release(j, &j->occurrences[i]);
+		sched_close_occurrence(s, j, &j->occurrences[i]);
+	}
+	free(j->parked);
+	j->parked = NULL;
+	j->parked_count = 0;
+	/* Blocks are deleted once the head is stored without them. */
+	if (j->stale_count > stale)
+		sched_mark_dirty(s, j);
+}
+
 static void tick_job(struct sched *s, struct job *j)
 {
 	if (j->state < SCHED_JOB_COMPLETED) {
-		begin_due_occurrences(s, j);
+		sched_begin_due(s, j);
 		return;
 	}
-	if (j->expired || j->dirty || j->collected ||
-	    s->wall_ms <=
-		    j->ended_wall_ms + s->settings.status_retention_s * 1000u ||
-	    has_placed_task(s, j))
+	if (j->expired || j->dirty || j->collected || has_placed_task(s, j))
+		return;
+	if (j->open_count || j->parked_count)
+		close_ended(s, j);
+	if (j->dirty)
+		return;
+	if (j->spec.steps)
+		shrink_ended(s, j);
+	if (s->wall_ms <=
+	    j->ended_wall_ms + s->settings.status_retention_s * 1000u)
 		return;
 	j->expired = true;
 	sched_blocks_forget(s, j);
@@ -587,6 +598,7 @@
 			tick_job(s, &s->jobs[i]);
 		s->job_due_wall_ms[i] = job_due_wall_ms(s, &s->jobs[i]);
 	}
+	sched_begin_pending(s);
 	interval = placement_interval_us(s);
 	if ((s->placement_due && now_us >= s->last_placement_us + interval) ||
 	    now_us >= s->last_placement_us + PLACEMENT_INTERVAL_IDLE_US) {
