sched: tell the incarnations of a worker apart

Drain, labels and room of a worker's entry, and what its reports show, were kept for the worker, whichever of its incarnations they are of. The entry of the next incarnation took back that the former one drains, so its end counted as a crash under the tasks that it had run; two such fail a job.

A drain is now noted at the tasks of the incarnation that announced it, also in their records for a successor. Nothing is placed or started on a worker while its entry and its reports are of different incarnations.

--- a/src/sched-collect.c
+++ b/src/sched-collect.c
@@ -137,13 +137,15 @@
 
 		for (uint32_t m = 0; o->used && m < count; m++) {
 			struct sched_task *t = &s->tasks[o->first_task + m];
+			const struct sched_worker *w;
 
 			if (t->state != TASK_STORING)
 				continue;
+			w = &s->workers[t->worker];
 			if (!stored)
 				t->state = TASK_PLACED;
-			else if (s->workers[t->worker].draining ||
-				 s->workers[t->worker].evacuated)
+			else if (w->draining || w->entry_outdated ||
+				 w->evacuated)
 				sched_task_requeue(s, t, 0);
 			else
 				sched_task_start(s, t);
--- a/src/sched-crash.c
+++ b/src/sched-crash.c
@@ -123,10 +123,14 @@
 							  : SUSPICION_ANY;
 }
 
-/* Whether the task outlived the crash: the first report after it lists it. */
-static bool outlived(const struct sched_worker *w, const struct sched_task *t)
+/*
+ * Whether the end of its worker was no crash under the task: the first report
+ * after it lists the run, or the worker had said that it would exit.
+ */
+static bool is_unaffected(const struct sched_worker *w,
+			  const struct sched_task *t)
 {
-	return t->listed_in == w->report_number;
+	return t->leaving || t->listed_in == w->report_number;
 }
 
 /* The highest suspicion of a task on the worker; count: of how many tasks. */
@@ -141,7 +145,7 @@
 	     i = s->tasks[i].next_on_worker) {
 		enum suspicion of = suspicion_of(w, &s->tasks[i]);
 
-		if (crashed && outlived(w, &s->tasks[i]))
+		if (crashed && is_unaffected(w, &s->tasks[i]))
 			continue;
 		if (of > highest) {
 			highest = of;
@@ -277,13 +281,23 @@
 	       crashed * MASS_CRASH_PART >= crashed + up;
 }
 
+static bool has_affected_task(const struct sched *s,
+			      const struct sched_worker *w)
+{
+	for (uint32_t i = w->first_task; i != SCHED_NONE;
+	     i = s->tasks[i].next_on_worker)
+		if (!s->tasks[i].leaving)
+			return true;
+	return false;
+}
+
 /* Whether the crash that is observed now is one of many. */
 static bool is_mass_crash(struct sched *s, struct sched_worker *w)
 {
 	bool was_known = in_mass_crash(s);
 
 	/* It is learnt again and again while its entry is listed. */
-	if (w->first_task == SCHED_NONE)
+	if (!has_affected_task(s, w))
 		return false;
 	w->crashed_us = s->now_us;
 	if (!many_crashed(s))
@@ -308,7 +322,7 @@
 		struct sched_task *t = &s->tasks[i];
 		bool ran;
 
-		if (!may_have_run(t) || outlived(w, t))
+		if (!may_have_run(t) || is_unaffected(w, t))
 			continue;
 		ran = ran_at_crash(s, w, t);
 		if (ran) {
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -20,6 +20,7 @@
  *	sched-task.c	tasks
  *	sched-stop.c	stops, and starts that are given up
  *	sched-worker.c	reports and leases
+ *	sched-incarnation.c	what is known of which start of a worker
  *	sched-evacuated.c	availability zones in which nothing is started
  *	sched-silent.c	silent workers, recorded for a successor
  *	sched-order.c	order of placement
@@ -110,6 +111,7 @@
 	bool start_sent;       /* a copy of the run's start has no result */
 	bool confirmed;	       /* the worker confirmed the start or stop */
 	bool stopped_at_start; /* no answer had shown that the run began */
+	bool leaving;	       /* its worker has said that it drains */
 	bool preempted;	       /* a service stopped for an urgent task */
 	bool counted_absent;   /* in absent_services */
 	bool throttle_unanswered; /* an order that may be carried out late */
@@ -237,7 +239,8 @@
 		near_target_wait_ms; /* until batch work is allowed; 0: least */
 	uint64_t near_target_allowed_us; /* when it was allowed last */
 	bool listed;
-	bool draining;
+	bool draining;	     /* as its entry says, see sched_worker_drains() */
+	bool entry_outdated; /* it reports as another incarnation */
 	bool evacuated;	     /* its zone is; nothing is started there */
 	bool cold;	     /* its entry says that it is slow for a while */
 	bool responsive;     /* has answered the last request for a report */
@@ -252,6 +255,7 @@
 	struct worker_identity *identity;
 	uint32_t report_number;
 	uint64_t started_wall_ms;
+	uint64_t entry_wall_ms;	    /* the same of its entry; 0: unknown */
 	uint64_t announced_wall_ms; /* start of the incarnation in its entry */
 	uint64_t announced_us;	    /* when that was learnt */
 	uint64_t ends_seen;	    /* highest sequence number processed */
@@ -570,6 +574,21 @@
 /* No lease of a silent worker ends before the next check; updates its time. */
 void sched_check_lease_at(struct sched *s, uint64_t lease_end_us);
 
+/* ---- sched-incarnation.c ---- */
+/* The incarnation of the worker's entry, or of its last report, has changed. */
+void sched_check_entry(struct sched *s, uint32_t worker);
+/* Whether the incarnation that reports has said that it drains. */
+bool sched_worker_drains(const struct sched_worker *w);
+/* Whether the run is stopped on a worker that drains; others may finish. */
+bool sched_must_leave_drained(const struct sched *s,
+			      const struct sched_task *t);
+/*
+ * Notes whether an entry says that the worker drains, before its incarnation is
+ * noted as that of the last entry.
+ */
+void sched_note_draining(struct sched *s, uint32_t worker,
+			 const struct sched_worker_info *info);
+
 /* ---- sched-evacuated.c ---- */
 /* The worker's entry was read: its zone may be an evacuated one. */
 void sched_check_evacuated(struct sched *s, uint32_t worker);
@@ -738,8 +757,8 @@
 #define SCHED_CRASH_COUNT_MAX 31u
 /*
  * A worker has crashed: counts the crash for the tasks that ran there, before
- * they are requeued, except those that its report in progress lists. Returns
- * the index
+ * they are requeued, except those that its report in progress lists, or that
+ * ran on an incarnation that drained, as it exits by itself. Returns the index
  * of the job whose task caused it, or SCHED_NONE if that is not certain.
  */
 uint32_t sched_crash_observed(struct sched *s, struct sched_worker *w);
--- a/src/sched-lost.c
+++ b/src/sched-lost.c
@@ -195,6 +195,8 @@
 	if (t->incarnation &&
 	    t->incarnation == sched_incarnation_tag(w->started_wall_ms))
 		return false;
+	if (t->leaving)
+		return false;
 	return sched_may_have_run(t) &&
 	       sched_crash_possible(s, t, true, "absent");
 }
--- a/src/sched-place.c
+++ b/src/sched-place.c
@@ -65,8 +65,9 @@
 /* Whether the worker accepts tasks at present. */
 static bool available(const struct sched *s, const struct sched_worker *w)
 {
-	return w->listed && w->responsive && !w->draining && !w->evacuated &&
-	       !w->has_unknown_run && s->now_us >= w->quarantine_end_us &&
+	return w->listed && w->responsive && !w->draining &&
+	       !w->entry_outdated && !w->evacuated && !w->has_unknown_run &&
+	       s->now_us >= w->quarantine_end_us &&
 	       s->now_us >= w->full_until_us;
 }
 
--- a/src/sched-rack.c
+++ b/src/sched-rack.c
@@ -10,8 +10,8 @@
 static bool may_take(const struct sched_worker *w, const struct job *j,
 		     const struct job_step *step)
 {
-	return w->listed && !w->draining && !w->evacuated &&
-	       w->service == j->service &&
+	return w->listed && !w->draining && !w->entry_outdated &&
+	       !w->evacuated && w->service == j->service &&
 	       w->capacity.cpu_milli >= step->demand.cpu_milli &&
 	       w->capacity.memory_mb >= step->demand.memory_mb &&
 	       w->capacity.accelerators >= step->demand.accelerators &&
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -10,9 +10,10 @@
  *  [[number, [task, ...]], ...]]
  * A task is nil if it was never placed, true if it is done, else
  * [run, counts, worker id or nil, checkpoint]. The lower 16 bits of the counts
- * are failures, all that the first versions read; then crashes, suspicions,
- * losses and restarts in 5 bits each, one bit being left out, and the tag of
- * the worker's incarnation. 5960e2e and before write no restarts and no tag.
+ * are failures, all that the first versions read; then crashes, suspicions and
+ * losses in 5 bits each, whether the worker drains, which 6d44d66 and before
+ * leave out, restarts in 5 bits, and the tag of the worker's incarnation.
+ * 5960e2e and before write no restarts and no tag.
  * The upper 32 bits of the run, which they ignore, too, are the address tags of
  * the worker and of the one that the last open loss is of.
  *
@@ -30,6 +31,7 @@
 #define CRASHES_SHIFT 16
 #define SUSPICIONS_SHIFT 21
 #define LOSSES_SHIFT 26
+#define LEAVING_SHIFT 31
 #define RESTARTS_SHIFT 32
 #define INCARNATION_SHIFT 37
 #define ADDRESS_SHIFT 32
@@ -55,7 +57,8 @@
 			  (uint64_t)t->restarts << RESTARTS_SHIFT;
 
 	if (t->worker != SCHED_NONE)
-		counts |= (uint64_t)t->incarnation << INCARNATION_SHIFT;
+		counts |= (uint64_t)t->incarnation << INCARNATION_SHIFT |
+			  (uint64_t)t->leaving << LEAVING_SHIFT;
 	return counts;
 }
 
@@ -211,6 +214,7 @@
 			    (uint16_t)(e[0].via.u64 >> ADDRESS_SHIFT)))
 		return false;
 	t->incarnation = (uint32_t)(e[1].via.u64 >> INCARNATION_SHIFT);
+	t->leaving = e[1].via.u64 >> LEAVING_SHIFT & 1;
 	sched_lost_inherited(s, t);
 	return true;
 }
--- a/src/sched-straggler.c
+++ b/src/sched-straggler.c
@@ -394,7 +394,7 @@
 		const struct sched_worker *w = &s->workers[s->slow[i]];
 
 		if (w->responsive && w->listed && !w->draining &&
-		    !was_silent(s, w))
+		    !w->entry_outdated && !was_silent(s, w))
 			list_moves(s, w, list, &count);
 	}
 	for (uint32_t i = 0; i < count && s->move_count < SCHED_MOVES_MAX; i++)
--- a/src/sched-task.c
+++ b/src/sched-task.c
@@ -192,6 +192,7 @@
 	t->run++;
 	t->incarnation = sched_incarnation_tag(w->started_wall_ms);
 	t->confirmed = false;
+	t->leaving = false;
 	t->unanswered = 0;
 	t->listed_in = 0;
 	t->cpu_percent = 100;
--- a/src/sched-worker.c
+++ b/src/sched-worker.c
@@ -93,13 +93,13 @@
 	uint32_t failed_job = SCHED_NONE;
 	uint32_t n = 0;
 
-	/* A worker that drains exits by itself. */
-	if (loss == LOSS_CRASHED && !w->draining)
+	if (loss == LOSS_CRASHED)
 		failed_job = sched_crash_observed(s, w);
 	while (w->first_task != SCHED_NONE) {
 		struct sched_task *t = &s->tasks[w->first_task];
 
-		if (loss == LOSS_LEASE_OVER && !w->draining &&
+		/* A worker that drains exits by itself. */
+		if (loss == LOSS_LEASE_OVER && !t->leaving &&
 		    sched_lost_silent(s, t))
 			failed_job = t->job;
 		sched_task_requeue(s, t, sched_crash_delay_ms(t));
@@ -145,10 +145,9 @@
 static void requeue_former_tasks(struct sched *s, struct sched_worker *w,
 				 const struct sched_report *r)
 {
-	uint32_t i = w->first_task, failed_job = SCHED_NONE, n = 0;
+	uint32_t i = w->first_task, n = 0;
+	uint32_t failed_job = sched_crash_observed(s, w);
 
-	if (!w->draining)
-		failed_job = sched_crash_observed(s, w);
 	while (i != SCHED_NONE) {
 		struct sched_task *t = &s->tasks[i];
 
@@ -189,43 +188,17 @@
 	if (w->started_wall_ms)
 		requeue_former_tasks(s, w, r);
 	w->started_wall_ms = r->started_wall_ms;
+	sched_check_entry(s, worker);
 	w->ends_seen = 0;
 	w->ends_collected = 0;
 	w->ends_stored = 0;
 	w->failures = 0;
+	w->last_failed_job = SCHED_NONE;
 	w->quarantine_end_us = 0;
+	w->full_until_us = 0;
 	w->on_trial = false;
 }
 
-/* Others may finish on a worker that drains. */
-static bool is_to_leave_drained(const struct sched *s,
-				const struct sched_task *t)
-{
-	const struct job_step *step = sched_task_step(s, t);
-
-	return t->state == TASK_RUNNING &&
-	       (step->long_running || step->checkpoints);
-}
-
-/*
- * Stops long-running tasks and those with checkpoints. No order to start a task
- * may arrive there from now on.
- */
-static void drain_worker(struct sched *s, struct sched_worker *w)
-{
-	uint32_t i = w->first_task;
-
-	while (i != SCHED_NONE) {
-		struct sched_task *t = &s->tasks[i];
-
-		i = t->next_on_worker;
-		if (t->state == TASK_STARTING || is_to_leave_drained(s, t))
-			sched_task_stop(s, t);
-		else if (t->state == TASK_PLACED)
-			sched_task_requeue(s, t, 0);
-	}
-}
-
 uint32_t sched_update_worker(struct sched *s,
 			     const struct sched_worker_info *info)
 {
@@ -247,13 +220,7 @@
 			  w->identity->id, info->service, w->identity->zone,
 			  w->capacity.cpu_milli, w->capacity.memory_mb);
 	w->listed = true;
-	if (info->draining && !w->draining) {
-		log_event(LOG_INFO, "worker-draining", "worker=%s",
-			  w->identity->id);
-		w->draining = true;
-		drain_worker(s, w);
-	}
-	w->draining = info->draining;
+	sched_note_draining(s, i, info);
 	if (info->started_wall_ms > w->announced_wall_ms) {
 		w->announced_wall_ms = info->started_wall_ms;
 		w->announced_us = s->now_us;
@@ -263,6 +230,8 @@
 	/* Only a report tells what a new incarnation runs. */
 	if (!w->started_wall_ms)
 		w->started_wall_ms = info->started_wall_ms;
+	w->entry_wall_ms = info->started_wall_ms;
+	sched_check_entry(s, i);
 	s->placement_due = true;
 	return i;
 }
@@ -408,7 +377,8 @@
 	/* A new owner reads that the worker drains before it knows the run. */
 	if ((s->jobs[t->job].state >= SCHED_JOB_COMPLETED &&
 	     t->state == TASK_RUNNING) ||
-	    (s->workers[worker].draining && is_to_leave_drained(s, t)) ||
+	    (sched_worker_drains(&s->workers[worker]) &&
+	     sched_must_leave_drained(s, t)) ||
 	    (t->state == TASK_STOPPING &&
 	     s->now_us > t->state_since_us + STOP_RETRY_US))
 		sched_task_stop(s, t);
