job-owner: bound the memory of jobs, and leave jobs in the store

A client could submit jobs with up to 64 steps and 4,000 bytes of text, 22 KB each, without a bound; the owner kept them, and ended ones whole for two minutes, and a successor had to load all of them. Each start that waited for its turn had a copy of its job's text.

From [jobs] memory on, 24 MB, the owner stores owner/full and all entry VMs refuse submissions, with a marker that makes the refusal true. Jobs that a successor has no memory for, or that come late, stay in the store until others have ended; those with progress are always read. Of a job that has ended 40 bytes are kept.

--- a/src/job-intake-internal.h
+++ b/src/job-intake-internal.h
@@ -67,6 +67,7 @@
 	uint64_t known_revision;
 	uint64_t refused_revision; /* of the marker to replace; 0: none */
 	uint32_t retry_after_s;	   /* STEP_REFUSE */
+	bool full;		   /* refused as the owner has no memory */
 	intake_fn *fn;
 	void *arg;
 };
--- a/src/job-intake.c
+++ b/src/job-intake.c
@@ -33,6 +33,8 @@
 #define OWNER_CALL_TIMEOUT_MS 500u
 /* Retry-After for clients when the store is unavailable. */
 #define RETRY_AFTER_S 1u
+/* The same while the owner has no memory, which frees slowly. */
+#define FULL_RETRY_AFTER_S 10u
 
 static void run_step(struct intake_request *p);
 static void read_progress(struct intake_request *p);
@@ -474,7 +476,7 @@
 	struct intake_reply a = { .outcome = INTAKE_DONE };
 
 	if (s && p->call == PEER_WAITING) {
-		a.waiting = sched_waiting_jobs(s, p->queue);
+		a.waiting = job_owner_waiting_jobs(n->owner, p->queue);
 		intake_finish(p, &a);
 	} else if (s && sched_job_state(s, p->id, p->queue, &a.state)) {
 		intake_finish(p, &a);
@@ -548,9 +550,13 @@
 	job_spec_encode(spec, &p->record);
 	/* A peer received it earlier, and what it knew then is not known. */
 	p->known_revision = forwarded ? 0 : job_owner_known_revision(o);
-	if (!job_intake_store_unavailable(i) &&
-	    job_owner_refuses(o, spec, &p->retry_after_s))
-		p->step = STEP_REFUSE;
+	if (!job_intake_store_unavailable(i)) {
+		p->full = job_owner_full(o);
+		if (p->full)
+			p->retry_after_s = FULL_RETRY_AFTER_S;
+		if (p->full || job_owner_refuses(o, spec, &p->retry_after_s))
+			p->step = STEP_REFUSE;
+	}
 	run_step(p);
 }
 
--- a/src/job-node.h
+++ b/src/job-node.h
@@ -28,6 +28,7 @@
  *	owner/lead	address of the owner; bound to the owner's lease
  *	owner/silent	silent workers and when their leases are over
  *	owner/load	how long new jobs of each queue wait
+ *	owner/full	whether the owner has memory for further jobs
  *	pairs		interference model of the scheduler
  *	seq		epoch of the owner and number of its last transaction
  */
@@ -41,6 +42,7 @@
 #define JOB_OWNER_KEY JOB_OWNER_PREFIX "lead"
 #define JOB_SILENT_KEY JOB_OWNER_PREFIX "silent"
 #define JOB_LOAD_KEY JOB_OWNER_PREFIX "load"
+#define JOB_FULL_KEY JOB_OWNER_PREFIX "full"
 #define JOB_SEQ_KEY JOB_PREFIX "seq"
 #define JOB_PAIRS_KEY JOB_PREFIX "pairs"
 #define JOB_CANCEL_SUFFIX "/x"
@@ -117,6 +119,12 @@
 /* The same for orders that grant no lease. */
 uint64_t job_owner_orders_end_us(const struct job_owner *o);
 
+/* ---- job-owner-defer.c ---- */
+/* Whether the owner, as far as it is known, has no memory for further jobs. */
+bool job_owner_full(const struct job_owner *o);
+/* Number of the queue's jobs without a started task; of the active owner. */
+uint32_t job_owner_waiting_jobs(struct job_owner *o, const char *queue);
+
 /* ---- job-owner-summary.c ---- */
 /*
  * Whether the owner's summary of waits says that the job cannot end in time;
--- a/src/job-owner-commit.c
+++ b/src/job-owner-commit.c
@@ -94,14 +94,15 @@
 	if (o->limit.records == o->limit.full)
 		add_removes(o, c);
 	/* Without records it shows whether the store rejects everything. */
-	if (!c->set_count && !c->remove_count && !silent && o->limit.records) {
+	if (!c->set_count && !c->remove_count && !silent && o->limit.records &&
+	    !job_owner_full_changed(o)) {
 		free(c);
 		return NULL;
 	}
 	if (silent)
 		job_owner_silent_add(o, c, now);
 	/* They share an entry of the transaction. */
-	if (o->limit.records == o->limit.full &&
+	if (o->limit.records == o->limit.full && !job_owner_full_add(o, c) &&
 	    !job_owner_summary_add(o, c, now))
 		add_pairs(o, c);
 	o->txn_count++;
--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -4,6 +4,7 @@
 #include "admission.h"
 #include "commit-limit.h"
 #include "counter.h"
+#include "job-deferred.h"
 #include "job-node.h"
 #include "job-silent.h"
 #include "revision-history.h"
@@ -15,6 +16,7 @@
  * DESCRIPTION
  *	job-owner.c elects the owner and renews its lease. job-owner-store.c
  *	loads the stored jobs; job-owner-commit.c commits changed records.
+ *	job-owner-defer.c leaves jobs in the store for which there is no memory.
  *	job-owner-silent.c reads and writes the record of silent workers,
  *	job-owner-summary.c that of the queues' waits. Every transaction of an
  *	owner expects the revision of its owner key and of its previous
@@ -156,8 +158,9 @@
 	struct owner_store_call *next;
 	struct job_owner *owner;
 	uint32_t load_generation;
-	uint64_t txn;	  /* number of the transaction, if it is one */
-	uint64_t sent_us; /* of a renewal */
+	uint64_t txn;	       /* number of the transaction, if it is one */
+	uint64_t sent_us;      /* of a renewal */
+	char id[JOB_ID_BYTES]; /* of a deferred job that is read */
 };
 
 struct pending_cancel {
@@ -230,6 +233,13 @@
 	struct job_workers *workers;
 	struct kv_follow *spec_follow;
 	struct kv_follow *worker_follow;
+	struct job_deferred deferred;
+	bool deferred_load; /* all pages are read, deferred jobs may be left */
+	uint32_t deferred_reads; /* in flight */
+	uint64_t next_deferred_us;
+	bool full;	  /* no memory for further jobs, as followed ... */
+	bool full_unseen; /* ... not seen yet in the current read of the keys */
+	bool full_stored; /* the last that this owner stored, or took over */
 	bool specs_loaded;
 	bool workers_read; /* all entries, since the election */
 	char progress_cursor[KV_KEY_BYTES]; /* key of the last record loaded */
@@ -274,6 +284,32 @@
 void job_owner_expired_removed(struct job_owner *o, size_t count,
 			       uint64_t revision);
 
+/* Adds a stored job to the scheduler. */
+void job_owner_submit(struct job_owner *o, const struct kv_item *item);
+/* Restores a progress record. */
+void job_owner_restore(struct job_owner *o, const struct kv_item *item);
+/* All jobs are loaded that have to be: the owner acts from now on. */
+void job_owner_loaded(struct job_owner *o);
+
+/* ---- job-owner-defer.c, see also job-node.h ---- */
+/* The key was received, or deleted. */
+void job_owner_full_item(struct job_owner *o, const struct kv_item *item);
+/* Whether other VMs are to learn that there is memory, or no longer is. */
+bool job_owner_full_changed(const struct job_owner *o);
+/* Returns whether it has added that to the transaction. */
+bool job_owner_full_add(struct job_owner *o, struct commit *c);
+/* Returns whether the job is left for later, as there is no memory for it. */
+bool job_owner_defer(struct job_owner *o, const struct job_spec *spec);
+/*
+ * Returns whether the record is one of a deferred job, which is due then. One
+ * that has ended needs not be read.
+ */
+bool job_owner_defer_record(struct job_owner *o, const struct kv_item *item);
+/* All pages of jobs and records are read. */
+void job_owner_end_load(struct job_owner *o);
+/* Reads deferred jobs that are due, or for which there is memory. */
+void job_owner_read_deferred(struct job_owner *o);
+
 /* ---- job-owner-commit.c ---- */
 /* Sets o->commit to the changes to store; NULL: there are none. */
 void job_owner_build_commit(struct job_owner *o, bool silent, uint64_t now);
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -235,21 +235,49 @@
 	}
 }
 
-static void submit_job(struct job_owner *o, const struct kv_item *item)
+static bool decode_job(struct job_spec *spec, const struct kv_item *item)
 {
-	struct job_spec spec;
 	struct error err;
 
-	if (job_spec_decode(&spec, item->value, item->len, &err) < 0) {
-		log_event(LOG_ERROR, "job-malformed", "key=%s error=\"%s\"",
-			  item->key, err.message);
-		return;
-	}
+	if (job_spec_decode(spec, item->value, item->len, &err) == 0)
+		return true;
+	log_event(LOG_ERROR, "job-malformed", "key=%s error=\"%s\"", item->key,
+		  err.message);
+	return false;
+}
+
+/* Takes ownership of the contents of spec. */
+static void submit_job(struct job_owner *o, struct job_spec *spec)
+{
 	if (o->state == OWNER_ACTIVE)
 		log_event(LOG_INFO, "job-received",
-			  "job=%s queue=%s age_ms=%lld", spec.id, spec.queue,
-			  (long long)(wall_ms() - spec.accepted_wall_ms));
-	sched_submit(o->sched, &spec, clock_now_us());
+			  "job=%s queue=%s age_ms=%lld", spec->id, spec->queue,
+			  (long long)(wall_ms() - spec->accepted_wall_ms));
+	sched_submit(o->sched, spec, clock_now_us());
+	if (o->state == OWNER_ACTIVE)
+		apply_pending_cancels(o);
+}
+
+void job_owner_submit(struct job_owner *o, const struct kv_item *item)
+{
+	struct job_spec spec;
+
+	if (decode_job(&spec, item))
+		submit_job(o, &spec);
+}
+
+static void on_job_item(struct job_owner *o, const char *id,
+			const struct kv_item *item)
+{
+	struct job_spec spec;
+
+	forget_former_job(o, id, item->revision);
+	if (!decode_job(&spec, item))
+		return;
+	if (job_owner_defer(o, &spec))
+		job_spec_free(&spec);
+	else
+		submit_job(o, &spec);
 }
 
 static void on_cancel_item(struct job_owner *o, const char *id,
@@ -261,6 +289,8 @@
 	}
 	log_event(LOG_INFO, "job-cancelled", "job=%s", id);
 	add_pending_cancel(o, id, item->revision);
+	if (o->state == OWNER_ACTIVE)
+		job_deferred_set_due(&o->deferred, id);
 	if (o->state == OWNER_ACTIVE)
 		apply_pending_cancels(o);
 }
@@ -280,10 +310,7 @@
 		log_event(LOG_WARNING, "store-key-unknown", "key=%s",
 			  item->key);
 	} else if (!item->deleted) {
-		forget_former_job(o, id, item->revision);
-		submit_job(o, item);
-		if (o->state == OWNER_ACTIVE)
-			apply_pending_cancels(o);
+		on_job_item(o, id, item);
 	}
 	if (o->state == OWNER_ACTIVE && !item->deleted)
 		job_owner_schedule_tick(o);
@@ -396,7 +423,7 @@
 
 /* ---- load ---- */
 
-static void become_active(struct job_owner *o)
+void job_owner_loaded(struct job_owner *o)
 {
 	struct job_node *n = o->node;
 	struct sched_stats st;
@@ -404,6 +431,8 @@
 	sched_restored(o->sched);
 	apply_pending_cancels(o);
 	remove_orphaned_cancels(o);
+	for (size_t i = 0; i < o->pending_cancel_count; i++)
+		job_deferred_set_due(&o->deferred, o->pending_cancels[i].id);
 	o->state = OWNER_ACTIVE;
 	o->workers = job_workers_create(n, o->sched);
 	o->worker_follow = kv_follow_create(
@@ -415,13 +444,25 @@
 	job_owner_schedule_tick(o);
 }
 
+void job_owner_restore(struct job_owner *o, const struct kv_item *item)
+{
+	const char *name = item->key + strlen(JOB_PROGRESS_PREFIX);
+	struct error err;
+	int ret = sched_restore(o->sched, name, item->value, item->len, &err);
+
+	if (ret < 0)
+		log_event(LOG_ERROR, "progress-refused", "error=\"%s\"",
+			  err.message);
+	else if (ret)
+		on_forget_record(o, name);
+}
+
 static void on_progress(void *arg, const struct kv_reply *r)
 {
 	struct owner_store_call *c = arg;
 	struct job_owner *o = c->owner;
 	bool current = c->load_generation == o->load_generation &&
 		       o->state == OWNER_LOADING;
-	struct error err;
 
 	owner_store_call_end(c);
 	if (!current)
@@ -433,15 +474,8 @@
 	for (size_t i = 0; i < r->count; i++) {
 		const struct kv_item *item = &r->items[i];
 
-		const char *name = item->key + strlen(JOB_PROGRESS_PREFIX);
-		int ret = sched_restore(o->sched, name, item->value, item->len,
-					&err);
-
-		if (ret < 0)
-			log_event(LOG_ERROR, "progress-refused", "error=\"%s\"",
-				  err.message);
-		else if (ret)
-			on_forget_record(o, name);
+		if (!job_owner_defer_record(o, item))
+			job_owner_restore(o, item);
 		snprintf(o->progress_cursor, sizeof(o->progress_cursor), "%s",
 			 item->key);
 	}
@@ -451,7 +485,7 @@
 	if (r->more && (r->count || r->last_key))
 		load_progress(o);
 	else
-		become_active(o);
+		job_owner_end_load(o);
 }
 
 static void load_progress(struct job_owner *o)
@@ -510,6 +544,10 @@
 	o->committed_us = clock_now_us();
 	relay_hub_open(n->relay_hub);
 	o->progress_cursor[0] = '\0';
+	o->deferred_load = false;
+	o->deferred_reads = 0;
+	o->next_deferred_us = 0;
+	o->full_stored = o->full;
 	o->specs_loaded = false;
 	o->workers_read = false;
 	o->grant_end_us = 0;
@@ -540,6 +578,7 @@
 	free(o->pending_cancels);
 	o->pending_cancels = NULL;
 	o->pending_cancel_count = 0;
+	job_deferred_free(&o->deferred);
 	job_owner_stale_removed(o, o->stale_record_count);
 	free(o->stale_records);
 	o->stale_records = NULL;
@@ -573,23 +612,24 @@
 			  (unsigned long long)(now - o->committed_us) / 1000,
 			  o->commit->record_count);
 	sched_stats(o->sched, &st);
-	log_event(LOG_INFO, "owner-status",
-		  "epoch=%llu jobs_open=%u jobs_pending=%u jobs_kb=%llu "
-		  "tasks_held=%u tasks_waiting=%u tasks_running=%u "
-		  "workers=%u reporting=%u starts=%llu done=%llu failed=%llu "
-		  "lost=%llu store_sent_kb=%lld store_received_kb=%lld "
-		  "relays_sent_kb=%lld relays_received_kb=%lld",
-		  (unsigned long long)o->epoch, st.jobs_open, st.jobs_pending,
-		  (unsigned long long)st.jobs_bytes / 1000, st.tasks_held,
-		  st.tasks_waiting, st.tasks_running, st.workers,
-		  st.workers_reporting, (unsigned long long)st.starts,
-		  (unsigned long long)st.ends_done,
-		  (unsigned long long)st.ends_failed,
-		  (unsigned long long)st.tasks_lost,
-		  kilobytes(COUNTER_STORE_BYTES, COUNTER_SENT),
-		  kilobytes(COUNTER_STORE_BYTES, COUNTER_RECEIVED),
-		  kilobytes(COUNTER_RELAY_BYTES, COUNTER_SENT),
-		  kilobytes(COUNTER_RELAY_BYTES, COUNTER_RECEIVED));
+	log_event(
+		LOG_INFO, "owner-status",
+		"epoch=%llu jobs_open=%u jobs_pending=%u jobs_kb=%llu jobs_deferred=%u "
+		"tasks_held=%u tasks_waiting=%u tasks_running=%u "
+		"workers=%u reporting=%u starts=%llu done=%llu failed=%llu "
+		"lost=%llu store_sent_kb=%lld store_received_kb=%lld "
+		"relays_sent_kb=%lld relays_received_kb=%lld",
+		(unsigned long long)o->epoch, st.jobs_open, st.jobs_pending,
+		(unsigned long long)st.jobs_bytes / 1000, o->deferred.count,
+		st.tasks_held, st.tasks_waiting, st.tasks_running, st.workers,
+		st.workers_reporting, (unsigned long long)st.starts,
+		(unsigned long long)st.ends_done,
+		(unsigned long long)st.ends_failed,
+		(unsigned long long)st.tasks_lost,
+		kilobytes(COUNTER_STORE_BYTES, COUNTER_SENT),
+		kilobytes(COUNTER_STORE_BYTES, COUNTER_RECEIVED),
+		kilobytes(COUNTER_RELAY_BYTES, COUNTER_SENT),
+		kilobytes(COUNTER_RELAY_BYTES, COUNTER_RECEIVED));
 }
 
 void job_owner_process(struct job_owner *o, uint64_t now)
@@ -599,11 +639,13 @@
 	log_status(o, now);
 	job_evacuation_check_age(o->node->evacuation, now);
 	forget_removed_jobs(o, now);
+	job_owner_read_deferred(o);
 	sched_tick(o->sched, now, wall_ms());
 	if (!o->commit && !o->resigned) {
 		silent = job_owner_silent_due(o, now);
 		if (silent || sched_has_changes(o->sched) ||
-		    o->expired_job_count || o->stale_record_count)
+		    o->expired_job_count || o->stale_record_count ||
+		    job_owner_full_changed(o))
 			job_owner_build_commit(o, silent, now);
 	}
 	if (job_owner_commit_due(o, now))
--- a/src/job-owner.c
+++ b/src/job-owner.c
@@ -23,6 +23,7 @@
 
 	o->owner_unseen = true;
 	o->silent_unseen = true;
+	o->full_unseen = true;
 }
 
 static void on_owner_item(void *arg, const struct kv_item *item)
@@ -37,6 +38,8 @@
 		o->silent_unseen = false;
 		job_owner_silent_item(o, item);
 	}
+	if (!strcmp(item->key, JOB_FULL_KEY))
+		job_owner_full_item(o, item);
 	if (strcmp(item->key, JOB_OWNER_KEY))
 		return;
 	o->owner_unseen = false;
@@ -68,6 +71,8 @@
 
 	if (o->silent_unseen)
 		silent_notes_clear(&o->silent);
+	if (o->full_unseen)
+		o->full = false;
 	/* The ownership of this VM's former process may be about to lapse. */
 	job_owner_schedule_tick(o);
 	if (!o->owner_unseen)
@@ -443,6 +448,8 @@
 		job_owner_begin_handover(o, now);
 	if (o->ownership_lost || has_handed_over(o, now))
 		step_down(o);
+	if (o->state == OWNER_LOADING && o->deferred_load)
+		job_owner_read_deferred(o);
 	if (o->state == OWNER_ACTIVE)
 		job_owner_process(o, now);
 }
--- a/src/job-peer.c
+++ b/src/job-peer.c
@@ -224,8 +224,7 @@
 		   job_owner_sched(p->node->owner)) {
 		struct intake_reply a = { .outcome = INTAKE_DONE };
 
-		a.waiting = sched_waiting_jobs(job_owner_sched(p->node->owner),
-					       queue);
+		a.waiting = job_owner_waiting_jobs(p->node->owner, queue);
 		send_reply(req, 200, &a);
 	} else {
 		send_reply(req, STATUS_NOT_OWNER, NULL);
--- a/src/job-refuse.c
+++ b/src/job-refuse.c
@@ -16,13 +16,19 @@
 
 static void store_marker(struct intake_request *p);
 
-/* The submission goes on as if it had not been refused. */
+/* The submission goes on as if it had not been refused, if it can. */
 static void not_stored(struct intake_request *p, const char *reason)
 {
+	struct intake_reply a = { .outcome = INTAKE_UNKNOWN, .reason = reason };
+
 	counter_add(p->intake->refusals_not_stored, 1);
 	log_event(LOG_INFO, "refusal-not-stored", "job=%s queue=%s reason=%s",
 		  p->id, p->queue, reason);
-	intake_submit(p);
+	/* There is no memory for it, and no proof that it will not run. */
+	if (p->full)
+		intake_finish(p, &a);
+	else
+		intake_submit(p);
 }
 
 static void resume(struct intake_request *p, enum kv_outcome outcome)
@@ -54,7 +60,7 @@
 {
 	struct intake_reply a = { .outcome = INTAKE_REFUSED,
 				  .retry_after_s = p->retry_after_s,
-				  .reason = "hopeless" };
+				  .reason = p->full ? "memory" : "hopeless" };
 
 	counter_add(p->intake->refusals, 1);
 	job_owner_saw_revision(p->intake->node->owner, revision);
--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -178,6 +178,19 @@
 		  size_t len, struct error *err);
 /* All records are loaded. */
 void sched_restored(struct sched *s);
+/* Adds a job that has ended, as its record shows, and of which no task is left.
+ */
+void sched_ended_add(struct sched *s, const char *id, const char *queue,
+		     enum sched_job_state state, uint64_t ended_wall_ms);
+/*
+ * Removes the jobs of which no record was loaded, before sched_restored(). They
+ * may be submitted again.
+ */
+void sched_drop_unread(struct sched *s,
+		       void (*fn)(void *arg, const char *id, const char *queue),
+		       void *arg);
+/* Memory of all jobs, without that of their tasks. */
+uint64_t sched_jobs_bytes(const struct sched *s);
 
 bool sched_has_job(const struct sched *s, const char *id);
 /* The records of the job, which expired, are deleted. */
@@ -349,5 +362,11 @@
 /* Decodes the job state of a progress record. Returns 0, or -1 if malformed. */
 int sched_record_state(const void *data, size_t len,
 		       enum sched_job_state *state);
+/*
+ * Returns whether the record shows a job that has ended, with no occurrence
+ * left; then sets the state and the time.
+ */
+bool sched_record_ended(const void *data, size_t len,
+			enum sched_job_state *state, uint64_t *ended_wall_ms);
 
 #endif
--- a/src/job-workers-internal.h
+++ b/src/job-workers-internal.h
@@ -47,6 +47,9 @@
 	bool closed;
 };
 
+/* The specification of a job, shared by the orders for its tasks. */
+struct order_text;
+
 struct queued_order {
 	struct queued_order *next;
 	struct sched_order order;
@@ -54,14 +57,15 @@
 	int connection;
 	uint64_t queued_us;
 	uint64_t sent_us;
-	char *text;
+	struct order_text *text;
 	char *checkpoint;
 };
 
 struct job_workers {
 	struct job_node *node;
 	struct sched *sched;
-	struct worker_link **links; /* by index in the scheduler */
+	struct worker_link **links;   /* by index in the scheduler */
+	struct order_text *last_text; /* of the last start; NULL: none yet */
 	/* By link: nothing is due before; reset by each event of a link. */
 	uint64_t *idle_until_us;
 	uint32_t count;
@@ -89,6 +93,8 @@
 void worker_orders_send(struct worker_link *l);
 /* Takes all orders of a link: those in flight, then those queued. */
 struct queued_order *worker_orders_detach(struct worker_link *l);
+/* text may be NULL. */
+void worker_orders_release_text(struct order_text *text);
 void worker_orders_free(struct queued_order *o);
 /* Reports the outcome of the orders of a link that was replaced. */
 void worker_orders_end(struct job_workers *w, struct queued_order *orders);
--- a/src/job-workers-orders.c
+++ b/src/job-workers-orders.c
@@ -24,9 +24,35 @@
  */
 #define STARTS_UNANSWERED_MAX 4u
 
+struct order_text {
+	uint32_t references;
+	char text[];
+};
+
+void worker_orders_release_text(struct order_text *t)
+{
+	if (t && !--t->references)
+		free(t);
+}
+
+/* Orders for the tasks of a job come one after the other. */
+static struct order_text *share_text(struct job_workers *w, const char *text)
+{
+	size_t size = strlen(text) + 1;
+
+	if (!w->last_text || strcmp(w->last_text->text, text)) {
+		worker_orders_release_text(w->last_text);
+		w->last_text = xcalloc(1, sizeof(*w->last_text) + size);
+		memcpy(w->last_text->text, text, size);
+		w->last_text->references = 1;
+	}
+	w->last_text->references++;
+	return w->last_text;
+}
+
 static void free_order(struct queued_order *o)
 {
-	free(o->text);
+	worker_orders_release_text(o->text);
 	free(o->checkpoint);
 	free(o);
 }
@@ -284,10 +310,14 @@
 	o = xcalloc(1, sizeof(*o));
 	o->order = *order;
 	o->link = l;
-	o->text = xstrdup(order->text);
-	o->checkpoint = xstrdup(order->checkpoint);
-	o->order.text = o->text;
-	o->order.checkpoint = o->checkpoint;
+	o->order.text = "";
+	o->order.checkpoint = "";
+	if (order->type == SCHED_START) {
+		o->text = share_text(w, order->text);
+		o->checkpoint = xstrdup(order->checkpoint);
+		o->order.text = o->text->text;
+		o->order.checkpoint = o->checkpoint;
+	}
 	o->queued_us = clock_now_us();
 	queue_order(l, o);
 	w->idle_until_us[l->worker] = 0;
--- a/src/job-workers.c
+++ b/src/job-workers.c
@@ -65,6 +65,7 @@
 	for (uint32_t i = 0; i < w->count; i++)
 		if (w->links[i])
 			free_link(w->links[i]);
+	worker_orders_release_text(w->last_text);
 	free(w->links);
 	free(w->idle_until_us);
 	free(w);
--- a/src/sched-block.c
+++ b/src/sched-block.c
@@ -83,14 +83,6 @@
 			j->stale_count * sizeof(*j->stale));
 }
 
-void sched_blocks_forget(struct sched *s, struct job *j)
-{
-	for (uint32_t i = 0; i < j->occurrence_count; i++)
-		if (j->occurrences[i].used)
-			sched_blocks_release(j, &j->occurrences[i]);
-	forget_stale(s, j, j->stale_count);
-}
-
 /* ---- collection ---- */
 
 static bool is_blank(const struct sched *s, const struct occurrence *o,
--- a/src/sched-collect.c
+++ b/src/sched-collect.c
@@ -3,8 +3,7 @@
 void sched_mark_dirty(struct sched *s, struct job *j)
 {
 	s->job_due_wall_ms[sched_job_index(s, j)] = 0;
-	/* A record that is stored now would stay after the job. */
-	if (j->unstorable || j->expired)
+	if (j->unstorable)
 		return;
 	s->dirty_count += !j->dirty;
 	j->dirty = true;
--- a/src/sched-internal.h
+++ b/src/sched-internal.h
@@ -15,6 +15,7 @@
  *	sched.c		jobs
  *	sched-table.c	the table of tasks
  *	sched-begin.c	which occurrences have tasks in the table
+ *	sched-ended.c	jobs that have ended
  *	sched-collect.c	what is to be stored
  *	sched-view.c	what callers and metrics see
  *	sched-task.c	tasks
@@ -197,9 +198,9 @@
 	uint32_t stale_collected; /* the first, absent from the head */
 	bool dirty;		  /* changed since its record was collected */
 	bool collected;		  /* its record is being stored */
-	bool expired;		  /* its records are to be deleted */
 	bool set_aside;		  /* its record has no tasks */
 	bool unstorable;	  /* its record is not collected */
+	bool restored;		  /* its record was loaded */
 };
 
 #define SERVICE_IMAGES_MAX 8
@@ -318,6 +319,21 @@
 	uint64_t due_us;
 };
 
+#define ENDED_BUCKETS 16384u /* power of two */
+
+struct ended_job;
+/* Jobs that have ended, and whose records are complete. */
+struct sched_ended {
+	struct ended_job *list;
+	uint32_t count; /* with free entries */
+	uint32_t capacity;
+	uint32_t first_free;
+	uint32_t buckets[ENDED_BUCKETS];
+	char (*queues)[JOB_NAME_BYTES];
+	uint32_t queue_count;
+	uint64_t check_us;
+};
+
 #define SCHED_MOVES_MAX 64u
 /* A task that is stopped on a slow worker. */
 struct sched_move {
@@ -346,6 +362,7 @@
 	uint32_t dirty_count;
 	uint32_t *ending; /* indices of workers with ends that are not stored */
 	uint32_t ending_count;
+	struct sched_ended ended;
 	uint64_t job_bytes; /* memory of all jobs, without their tasks */
 	uint32_t job_count;
 	uint32_t job_capacity;
@@ -484,6 +501,18 @@
 /* When the occurrence is due, in milliseconds since 1970; 0: at once. */
 uint64_t sched_occurrence_due_ms(const struct job *j, uint32_t number);
 
+/* ---- sched-ended.c, see also job-sched.h ---- */
+void sched_ended_init(struct sched *s);
+void sched_ended_free(struct sched *s);
+bool sched_ended_contains(const struct sched *s, const char *id);
+/* Returns false if no such job of the queue has ended. */
+bool sched_ended_state(const struct sched *s, const char *id, const char *queue,
+		       enum sched_job_state *state);
+/* The job's records are deleted. */
+void sched_ended_forgotten(struct sched *s, const char *id);
+/* Passes jobs that have been kept for long enough to ops->forget(). */
+void sched_ended_tick(struct sched *s);
+
 /* ---- sched-collect.c ---- */
 /* The job has changed: sched_tick() reads it, its record is to be stored. */
 void sched_mark_dirty(struct sched *s, struct job *j);
@@ -511,8 +540,6 @@
 void sched_blocks_begin(const struct job *j, struct occurrence *o);
 /* The occurrence is over: its blocks are deleted once the head is stored. */
 void sched_blocks_release(struct job *j, struct occurrence *o);
-/* The job expired: its blocks can be deleted. */
-void sched_blocks_forget(struct sched *s, struct job *j);
 /* Returns false if some records are left for the next collection. */
 bool sched_blocks_collect(struct sched *s, struct job *j,
 			  struct sched_collection *c);
--- a/src/sched-record.c
+++ b/src/sched-record.c
@@ -301,6 +301,7 @@
 
 	if (!valid_head(o))
 		return false;
+	j->restored = true;
 	j->state = (enum sched_job_state)e[1].via.u64;
 	j->ended_wall_ms = e[2].via.u64;
 	j->started = e[3].via.u64 != 0;
@@ -411,3 +412,20 @@
 	msgpack_unpacked_destroy(&u);
 	return ret;
 }
+
+bool sched_record_ended(const void *data, size_t len,
+			enum sched_job_state *state, uint64_t *ended_wall_ms)
+{
+	msgpack_unpacked u;
+	bool ended = false;
+
+	if (pack_unpack(&u, data, len) && valid_head(&u.data)) {
+		const msgpack_object *e = u.data.via.array.ptr;
+
+		*state = (enum sched_job_state)e[1].via.u64;
+		*ended_wall_ms = e[2].via.u64;
+		ended = *state >= SCHED_JOB_COMPLETED && !e[5].via.array.size;
+	}
+	msgpack_unpacked_destroy(&u);
+	return ended;
+}
--- a/src/sched-view.c
+++ b/src/sched-view.c
@@ -4,7 +4,12 @@
 
 bool sched_has_job(const struct sched *s, const char *id)
 {
-	return sched_job_find(s, id) != NULL;
+	return sched_job_find(s, id) || sched_ended_contains(s, id);
+}
+
+uint64_t sched_jobs_bytes(const struct sched *s)
+{
+	return s->job_bytes;
 }
 
 bool sched_job_state(const struct sched *s, const char *id, const char *queue,
@@ -12,7 +17,9 @@
 {
 	const struct job *j = sched_job_find(s, id);
 
-	if (!j || strcmp(j->spec.queue, queue))
+	if (!j)
+		return sched_ended_state(s, id, queue, state);
+	if (strcmp(j->spec.queue, queue))
 		return false;
 	*state = j->state;
 	/* An end is reported only once stored, so that it never reverts. */
--- a/src/sched.c
+++ b/src/sched.c
@@ -48,6 +48,7 @@
 	s->job_free = SCHED_NONE;
 	pair_model_init(&s->pairs);
 	sched_value_init(s);
+	sched_ended_init(s);
 	for (uint32_t i = 0; i < JOB_BUCKETS; i++)
 		s->buckets[i] = SCHED_NONE;
 	for (uint32_t i = 0; i < WORKER_BUCKETS; i++)
@@ -82,6 +83,7 @@
 	free(s->tasks);
 	free(s->free_blocks);
 	free(s->pending);
+	sched_ended_free(s);
 	free(s->stop_retries);
 	free(s->overdue_list);
 	sched_value_free(s);
@@ -197,13 +199,9 @@
 /* Memory of a job, and of the blocks that the allocator takes for it. */
 static uint64_t job_bytes(const struct job *j)
 {
-	uint64_t bytes = sizeof(*j);
-
-	if (j->spec.steps)
-		bytes += JOB_ALLOCATIONS_BYTES + strlen(j->spec.text) +
-			 j->spec.step_count * (sizeof(*j->spec.steps) +
-					       sizeof(*j->step_times));
-	return bytes;
+	return sizeof(*j) + JOB_ALLOCATIONS_BYTES + strlen(j->spec.text) +
+	       j->spec.step_count *
+		       (sizeof(*j->spec.steps) + sizeof(*j->step_times));
 }
 
 bool sched_submit(struct sched *s, struct job_spec *spec, uint64_t now_us)
@@ -212,7 +210,7 @@
 	uint32_t bucket;
 
 	s->now_us = now_us;
-	if (sched_job_find(s, spec->id)) {
+	if (sched_has_job(s, spec->id)) {
 		job_spec_free(spec);
 		return false;
 	}
@@ -484,6 +482,21 @@
 	s->job_free = index;
 }
 
+void sched_drop_unread(struct sched *s,
+		       void (*fn)(void *arg, const char *id, const char *queue),
+		       void *arg)
+{
+	for (uint32_t i = 0; i < s->job_count; i++) {
+		struct job *j = &s->jobs[i];
+
+		if (!j->used || j->restored)
+			continue;
+		fn(arg, j->spec.id, j->spec.queue);
+		s->stats.jobs_open--;
+		remove_job(s, j);
+	}
+}
+
 static uint64_t placement_interval_us(const struct sched *s)
 {
 	uint64_t interval = PLACEMENT_INTERVAL_LARGE_BACKLOG_US;
@@ -496,15 +509,13 @@
 }
 
 /* When the job needs sched_tick() again unless it changes before. */
-static uint64_t job_due_wall_ms(const struct sched *s, const struct job *j)
+static uint64_t job_due_wall_ms(const struct job *j)
 {
 	uint32_t total = j->spec.repetitions ? j->spec.repetitions : 1;
 
-	if (!j->used || j->expired)
+	/* One that has ended is due as soon as it changes. */
+	if (!j->used || j->state >= SCHED_JOB_COMPLETED)
 		return UINT64_MAX;
-	if (j->state >= SCHED_JOB_COMPLETED)
-		return j->ended_wall_ms +
-		       s->settings.status_retention_s * 1000u + 1;
 	if (j->pending) /* sched_begin_pending() */
 		return UINT64_MAX;
 	return j->next_occurrence < total
@@ -512,23 +523,6 @@
 		       : UINT64_MAX;
 }
 
-/* Frees what is not needed to show the state of a job that has ended. */
-static void shrink_ended(struct sched *s, struct job *j)
-{
-	s->job_bytes -= job_bytes(j);
-	free(j->spec.steps);
-	free(j->spec.text);
-	free(j->step_times);
-	free(j->occurrences);
-	j->spec.steps = NULL;
-	j->spec.step_count = 0;
-	j->spec.text = NULL;
-	j->step_times = NULL;
-	j->occurrences = NULL;
-	j->occurrence_count = 0;
-	s->job_bytes += job_bytes(j);
-}
-
 /*
  * Frees the tasks of a job that has ended, once none is on a worker: a record
  * without them is complete.
@@ -557,28 +551,20 @@
 		sched_begin_due(s, j);
 		return;
 	}
-	if (j->expired || j->dirty || j->collected || has_placed_task(s, j))
+	if (j->dirty || j->collected || has_placed_task(s, j))
 		return;
 	if (j->open_count || j->parked_count)
 		close_ended(s, j);
-	if (j->dirty)
-		return;
-	if (j->spec.steps)
-		shrink_ended(s, j);
-	if (s->wall_ms <=
-	    j->ended_wall_ms + s->settings.status_retention_s * 1000u)
+	if (j->dirty || (j->stale_count && !j->unstorable))
 		return;
-	j->expired = true;
-	sched_blocks_forget(s, j);
-	s->ops->forget(s->arg, j->spec.id);
+	sched_ended_add(s, j->spec.id, j->spec.queue, j->state,
+			j->ended_wall_ms);
+	remove_job(s, j);
 }
 
 void sched_forgotten(struct sched *s, const char *id)
 {
-	struct job *j = sched_job_find(s, id);
-
-	if (j && j->expired)
-		remove_job(s, j);
+	sched_ended_forgotten(s, id);
 }
 
 void sched_tick(struct sched *s, uint64_t now_us, uint64_t wall_ms)
@@ -596,8 +582,9 @@
 			continue;
 		if (s->jobs[i].used)
 			tick_job(s, &s->jobs[i]);
-		s->job_due_wall_ms[i] = job_due_wall_ms(s, &s->jobs[i]);
+		s->job_due_wall_ms[i] = job_due_wall_ms(&s->jobs[i]);
 	}
+	sched_ended_tick(s);
 	sched_begin_pending(s);
 	interval = placement_interval_us(s);
 	if ((s->placement_due && now_us >= s->last_placement_us + interval) ||
--- a/src/settings.c
+++ b/src/settings.c
@@ -127,6 +127,8 @@
 	  FIELD(clients.internal_connections), 8, 100000, 0, NULL },
 	{ "jobs", "evacuation_bound", VALUE_TIME,
 	  FIELD(jobs.evacuation_bound_us), 0, MINUTE_US, 0, NULL },
+	{ "jobs", "memory", VALUE_BYTES, FIELD(jobs.memory_bytes), 64u << 10,
+	  1u << 30, 0, NULL },
 	{ "log", "level", VALUE_CHOICE, FIELD(log_level), 0, 0, 0,
 	  level_names },
 	{ "log", "lines_per_second", VALUE_COUNT, FIELD(log_lines_per_s), 10,
@@ -428,6 +430,7 @@
 	s->jobs.lease_max_us = 6u * SECOND_US;
 	s->jobs.status_keep_us = 2u * MINUTE_US;
 	s->jobs.stop_grace_us = 5u * SECOND_US;
+	s->jobs.memory_bytes = 24u << 20;
 	s->clients.memory_bytes = 32u << 20;
 	s->clients.connection_memory_bytes = 1088u << 10;
 	s->clients.connections = 1024;
--- a/src/settings.h
+++ b/src/settings.h
@@ -108,6 +108,7 @@
 		/* Until nothing starts in an evacuated zone; 0: no evacuations
 		 */
 		uint64_t evacuation_bound_us;
+		size_t memory_bytes; /* of jobs; above it they are refused */
 	} jobs;
 	/* Limits on what is held for clients. Used only with the dialect kv. */
 	struct {
