sched-begin, job-owner-defer: faults found while reading the change

A job whose pending occurrence had begun was not looked at again when the next one was due, unless it changed. One job at its limit of open occurrences kept those of others from beginning. A page of records that failed was read again from the first, which would restore tasks twice. Nothing but the sequence was stored, again and again, while owner/full was to change and the limit of a transaction was lowered.

--- a/src/job-owner-defer.c
+++ b/src/job-owner-defer.c
@@ -53,7 +53,9 @@
 
 bool job_owner_full_changed(const struct job_owner *o)
 {
-	return computed_full(o) != o->full_stored;
+	/* While the limit is lowered, a transaction has records alone. */
+	return o->limit.records == o->limit.full &&
+	       computed_full(o) != o->full_stored;
 }
 
 bool job_owner_full_add(struct job_owner *o, struct commit *c)
@@ -159,13 +161,13 @@
 {
 	struct owner_store_call *c = arg;
 	struct job_owner *o = c->owner;
-	char id[JOB_ID_BYTES], cursor[KV_KEY_BYTES] = "";
+	char id[JOB_ID_BYTES], cursor[KV_KEY_BYTES];
 
+	snprintf(cursor, sizeof(cursor), "%s", c->after);
 	if (!end_call(c, id))
 		return;
-	/* Repeated from the first page, the records have no further effect. */
 	if (r->outcome != KV_OK) {
-		read_progress(o, id, "");
+		read_progress(o, id, cursor);
 		return;
 	}
 	for (size_t i = 0; i < r->count; i++) {
@@ -174,7 +176,7 @@
 	}
 	if (r->last_key)
 		snprintf(cursor, sizeof(cursor), "%s", r->last_key);
-	if (r->more && *cursor)
+	if (r->more && (r->count || r->last_key))
 		read_progress(o, id, cursor);
 	else
 		end_read(o, id, true);
@@ -187,6 +189,7 @@
 	char prefix[KV_KEY_BYTES];
 
 	memcpy(c->id, id, JOB_ID_BYTES);
+	snprintf(c->after, sizeof(c->after), "%s", after);
 	snprintf(prefix, sizeof(prefix), JOB_PROGRESS_PREFIX "%s", id);
 	o->node->kv->ops->range(o->node->kv, prefix, after, false, on_progress,
 				c);
--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -158,9 +158,10 @@
 	struct owner_store_call *next;
 	struct job_owner *owner;
 	uint32_t load_generation;
-	uint64_t txn;	       /* number of the transaction, if it is one */
-	uint64_t sent_us;      /* of a renewal */
-	char id[JOB_ID_BYTES]; /* of a deferred job that is read */
+	uint64_t txn;		  /* number of the transaction, if it is one */
+	uint64_t sent_us;	  /* of a renewal */
+	char id[JOB_ID_BYTES];	  /* of a deferred job that is read ... */
+	char after[KV_KEY_BYTES]; /* ... its records from this key on */
 };
 
 struct pending_cancel {
--- a/src/sched-begin.c
+++ b/src/sched-begin.c
@@ -257,8 +257,7 @@
 		qsort(v->list, v->count, sizeof(*v->list), compare_victims);
 }
 
-/* Parks occurrences of other jobs until the job has room, if that is possible.
- */
+/* Parks occurrences of other jobs until the job has room. */
 static void make_room(struct sched *s, const struct job *j, struct victims *v)
 {
 	if (!v->listed)
@@ -326,6 +325,8 @@
 	begin_next(s, j);
 	if (has_due(s, j))
 		add_pending(s, j);
+	/* sched_tick() notes when the next one is due. */
+	s->job_due_wall_ms[sched_job_index(s, j)] = 0;
 	return true;
 }
 
@@ -349,7 +350,8 @@
 			continue;
 		if (!list[i].further && !has_room(s, j))
 			make_room(s, j, &victims);
-		full[share_of(j)] = !take_turn(s, j);
+		/* A further occurrence has limits of its own. */
+		full[share_of(j)] = !take_turn(s, j) && !list[i].further;
 	}
 	free(victims.list);
 	free(list);
