sched-begin: a bound on tasks that real load does not reach

The memory for it comes from [jobs] memory, 16 MB instead of 24, and from further occurrences of a job, which begin in the first quarter.

test-sched-begin, "many open jobs", fails with the former bound.

--- a/src/sched-begin.c
+++ b/src/sched-begin.c
@@ -13,18 +13,22 @@
  * So only a number of tasks are in memory. A job whose occurrence finds no room
  * is pending; it costs what its specification does, and its record shows no
  * occurrence that is not begun. Large occurrences leave room to small ones and
- * vice versa, and a job's second occurrence begins only in the first half of
- * the table, so that no job keeps the others out. Nor do jobs whose tasks fit
- * nowhere: an occurrence of which nothing has run is parked, and its job is
+ * vice versa, and a job's second occurrence begins only in the first quarter
+ * of the table, so that no job keeps the others out. Nor do jobs whose tasks
+ * fit nowhere: an occurrence of which nothing has run is parked, and its job is
  * pending again, if others wait for its room.
  */
 
-/* Tasks in memory; at 336 bytes each 22 MB. */
-#define TASKS_MAX 65536u
+/*
+ * Tasks in memory; at 336 bytes each 44 MB. Pending jobs leave workers idle, so
+ * the bound is above the 76,000 tasks that 490 workers which crash in turn
+ * leave open.
+ */
+#define TASKS_MAX 131072u
 /* Of these, in occurrences of one share. */
-#define TASKS_SHARE_MAX (TASKS_MAX / 4 * 3)
+#define TASKS_SHARE_MAX (TASKS_MAX / 8 * 7)
 /* A job with an occurrence in use begins another one up to this number. */
-#define TASKS_FURTHER_MAX (TASKS_MAX / 2)
+#define TASKS_FURTHER_MAX (TASKS_MAX / 4)
 /* Occurrences of a job in use: each event of a task looks for its own. */
 #define OPEN_MAX 256u
 /* Interval between attempts, and the same if many jobs are pending. */
--- a/src/sched-table.c
+++ b/src/sched-table.c
@@ -13,10 +13,10 @@
 /* Occurrences with more tasks have the share SHARE_LARGE. */
 #define SMALL_TASKS_MAX 512u
 /*
- * Half as many again as may be in use (sched-begin.c), for free ranges that are
+ * A quarter more than may be in use (sched-begin.c), for free ranges that are
  * too short.
  */
-#define TABLE_TASKS_MAX 98304u
+#define TABLE_TASKS_MAX 163840u
 
 enum task_share sched_task_share(uint32_t count)
 {
--- a/src/settings.c
+++ b/src/settings.c
@@ -430,7 +430,7 @@
 	s->jobs.lease_max_us = 6u * SECOND_US;
 	s->jobs.status_keep_us = 2u * MINUTE_US;
 	s->jobs.stop_grace_us = 5u * SECOND_US;
-	s->jobs.memory_bytes = 24u << 20;
+	s->jobs.memory_bytes = 16u << 20;
 	s->clients.memory_bytes = 32u << 20;
 	s->clients.connection_memory_bytes = 1088u << 10;
 	s->clients.connections = 1024;
--- a/tests/explore-world.c
+++ b/tests/explore-world.c
@@ -199,7 +199,7 @@
 	s->jobs.peers.port = 7000;
 	s->jobs.lease_max_us = 6000000;
 	s->jobs.status_keep_us = 120000000;
-	s->jobs.memory_bytes = 24u << 20;
+	s->jobs.memory_bytes = 16u << 20;
 	memset(&v->node, 0, sizeof(v->node));
 	v->node.settings = s;
 	v->node.platform = &platform;
--- a/tests/test-sched-begin.c
+++ b/tests/test-sched-begin.c
@@ -225,6 +225,26 @@
 	job_model_free(m);
 }
 
+/*
+ * Guards against a bound that jobs of an ordinary deployment reach after
+ * crashes of its workers: pending jobs do not run, whatever room there is.
+ */
+static void test_many_open_jobs(void)
+{
+	struct model *m = job_model_create(20, CORES(32), GB(125));
+	struct sched_stats st;
+
+	job_model_run(m, 100);
+	for (int i = 0; i < 1900; i++)
+		job_model_submit(m, job_model_add_job(m, "batch", 2, 20,
+						      CORES(1), 100, 5000));
+	job_model_run(m, 100);
+	sched_stats(m->s, &st);
+	CU_ASSERT_EQUAL(st.jobs_pending, 0);
+	CU_ASSERT_EQUAL(st.tasks_held, 1900 * 40);
+	job_model_free(m);
+}
+
 int main(void)
 {
 	static const struct unit_test tests[] = {
@@ -233,6 +253,7 @@
 		{ "jobs that fit nowhere", test_jobs_that_fit_nowhere },
 		{ "cancelled jobs", test_cancelled_jobs },
 		{ "occurrences complete", test_occurrences_complete },
+		{ "many open jobs", test_many_open_jobs },
 	};
 
 	log_set_level(LOG_ERROR);
--- a/tests/test-sched-table.c
+++ b/tests/test-sched-table.c
@@ -5,7 +5,7 @@
 #include "support-unit.h"
 
 #define BLOCKS 200
-#define TABLE_MAX 98304u
+#define TABLE_MAX 163840u
 
 static const struct sched_ops ops;
 static const struct sched_settings settings = { .lease_max_ms = 6000 };
