sched-ended, sched-incarnation: what stopped a reader

A double negation, a cast that took const away, a comment in a test that named another function's purpose, and lines over 80 columns.

--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -612,24 +612,24 @@
 			  (unsigned long long)(now - o->committed_us) / 1000,
 			  o->commit->record_count);
 	sched_stats(o->sched, &st);
-	log_event(
-		LOG_INFO, "owner-status",
-		"epoch=%llu jobs_open=%u jobs_pending=%u jobs_kb=%llu jobs_deferred=%u "
-		"tasks_held=%u tasks_waiting=%u tasks_running=%u "
-		"workers=%u reporting=%u starts=%llu done=%llu failed=%llu "
-		"lost=%llu store_sent_kb=%lld store_received_kb=%lld "
-		"relays_sent_kb=%lld relays_received_kb=%lld",
-		(unsigned long long)o->epoch, st.jobs_open, st.jobs_pending,
-		(unsigned long long)st.jobs_bytes / 1000, o->deferred.count,
-		st.tasks_held, st.tasks_waiting, st.tasks_running, st.workers,
-		st.workers_reporting, (unsigned long long)st.starts,
-		(unsigned long long)st.ends_done,
-		(unsigned long long)st.ends_failed,
-		(unsigned long long)st.tasks_lost,
-		kilobytes(COUNTER_STORE_BYTES, COUNTER_SENT),
-		kilobytes(COUNTER_STORE_BYTES, COUNTER_RECEIVED),
-		kilobytes(COUNTER_RELAY_BYTES, COUNTER_SENT),
-		kilobytes(COUNTER_RELAY_BYTES, COUNTER_RECEIVED));
+	log_event(LOG_INFO, "owner-status",
+		  "epoch=%llu jobs_open=%u jobs_pending=%u jobs_kb=%llu "
+		  "jobs_deferred=%u "
+		  "tasks_held=%u tasks_waiting=%u tasks_running=%u "
+		  "workers=%u reporting=%u starts=%llu done=%llu failed=%llu "
+		  "lost=%llu store_sent_kb=%lld store_received_kb=%lld "
+		  "relays_sent_kb=%lld relays_received_kb=%lld",
+		  (unsigned long long)o->epoch, st.jobs_open, st.jobs_pending,
+		  (unsigned long long)st.jobs_bytes / 1000, o->deferred.count,
+		  st.tasks_held, st.tasks_waiting, st.tasks_running, st.workers,
+		  st.workers_reporting, (unsigned long long)st.starts,
+		  (unsigned long long)st.ends_done,
+		  (unsigned long long)st.ends_failed,
+		  (unsigned long long)st.tasks_lost,
+		  kilobytes(COUNTER_STORE_BYTES, COUNTER_SENT),
+		  kilobytes(COUNTER_STORE_BYTES, COUNTER_RECEIVED),
+		  kilobytes(COUNTER_RELAY_BYTES, COUNTER_SENT),
+		  kilobytes(COUNTER_RELAY_BYTES, COUNTER_RECEIVED));
 }
 
 void job_owner_process(struct job_owner *o, uint64_t now)
--- a/src/job-sched.h
+++ b/src/job-sched.h
@@ -178,7 +178,8 @@
 		  size_t len, struct error *err);
 /* All records are loaded. */
 void sched_restored(struct sched *s);
-/* Adds a job that has ended, as its record shows, and of which no task is left.
+/*
+ * Adds a job that has ended, as its record shows, and of which no task is left.
  */
 void sched_ended_add(struct sched *s, const char *id, const char *queue,
 		     enum sched_job_state state, uint64_t ended_wall_ms);
--- a/src/sched-begin.c
+++ b/src/sched-begin.c
@@ -10,13 +10,13 @@
  * many of them due at once. The state of all their tasks would exceed the
  * owner's memory, and that of each of its successors.
  *
- * So only a number of tasks are in memory. A job whose occurrence finds no room
- * is pending; it costs what its specification does, and its record shows no
- * occurrence that is not begun. Large occurrences leave room to small ones and
- * vice versa, and a job's second occurrence begins only in the first quarter
- * of the table, so that no job keeps the others out. Nor do jobs whose tasks
- * fit nowhere: an occurrence of which nothing has run is parked, and its job is
- * pending again, if others wait for its room.
+ * So the number of tasks in memory is bounded. A job whose occurrence finds no
+ * room is pending; it costs what its specification does, and its record shows
+ * no occurrence that is not begun. Large occurrences leave room to small ones
+ * and vice versa, and a job's second occurrence begins only in the first
+ * quarter of the table, so that no job keeps the others out. Nor do jobs whose
+ * tasks fit nowhere: an occurrence of which nothing has run is parked, and its
+ * job is pending again, if others wait for its room.
  */
 
 /*
@@ -29,7 +29,7 @@
 #define TASKS_SHARE_MAX (TASKS_MAX / 8 * 7)
 /* A job with an occurrence in use begins another one up to this number. */
 #define TASKS_FURTHER_MAX (TASKS_MAX / 4)
-/* Occurrences of a job in use: each event of a task looks for its own. */
+/* Occurrences of a job in use; each event of a task searches them. */
 #define OPEN_MAX 256u
 /* Interval between attempts, and the same if many jobs are pending. */
 #define PENDING_INTERVAL_US 20000u
--- a/src/sched-ended.c
+++ b/src/sched-ended.c
@@ -22,10 +22,9 @@
 	uint64_t ended_wall_ms;
 };
 
-static uint32_t *bucket_of(const struct sched *s, const char *id)
+static uint32_t bucket_of(const char *id)
 {
-	return (uint32_t *)&s->ended
-		.buckets[XXH64(id, strlen(id), 0) & (ENDED_BUCKETS - 1)];
+	return (uint32_t)XXH64(id, strlen(id), 0) & (ENDED_BUCKETS - 1);
 }
 
 void sched_ended_init(struct sched *s)
@@ -43,7 +42,7 @@
 
 static struct ended_job *find(const struct sched *s, const char *id)
 {
-	uint32_t i = *bucket_of(s, id);
+	uint32_t i = s->ended.buckets[bucket_of(id)];
 
 	while (i != SCHED_NONE && strcmp(s->ended.list[i].id, id))
 		i = s->ended.list[i].next;
@@ -98,7 +97,7 @@
 void sched_ended_add(struct sched *s, const char *id, const char *queue,
 		     enum sched_job_state state, uint64_t ended_wall_ms)
 {
-	uint32_t *bucket = bucket_of(s, id);
+	uint32_t *bucket = &s->ended.buckets[bucket_of(id)];
 	uint32_t i;
 
 	if (find(s, id))
@@ -119,7 +118,7 @@
 void sched_ended_forgotten(struct sched *s, const char *id)
 {
 	struct ended_job *j = find(s, id);
-	uint32_t *link = bucket_of(s, id), i;
+	uint32_t *link = &s->ended.buckets[bucket_of(id)], i;
 
 	if (!j || !j->expired)
 		return;
--- a/src/sched-incarnation.c
+++ b/src/sched-incarnation.c
@@ -15,23 +15,24 @@
  * of their worker is no crash under them.
  */
 
-static bool entry_is_current(const struct sched_worker *w)
+/* An incarnation that is not known is taken for the same. */
+static bool is_outdated(const struct sched_worker *w)
 {
-	return w->entry_wall_ms == w->started_wall_ms || !w->entry_wall_ms ||
-	       !w->started_wall_ms;
+	return w->entry_wall_ms && w->started_wall_ms &&
+	       w->entry_wall_ms != w->started_wall_ms;
 }
 
 void sched_check_entry(struct sched *s, uint32_t worker)
 {
 	struct sched_worker *w = &s->workers[worker];
-	bool current = entry_is_current(w);
+	bool outdated = is_outdated(w);
 
-	if (current != w->entry_outdated)
+	if (outdated == w->entry_outdated)
 		return;
-	w->entry_outdated = !current;
+	w->entry_outdated = outdated;
 	s->placement_due = true;
 	log_event(LOG_INFO,
-		  current ? "worker-entry-current" : "worker-entry-outdated",
+		  outdated ? "worker-entry-outdated" : "worker-entry-current",
 		  "worker=%s entry_ms=%llu report_ms=%llu", w->identity->id,
 		  (unsigned long long)w->entry_wall_ms,
 		  (unsigned long long)w->started_wall_ms);
--- a/tests/test-jobs-memory.c
+++ b/tests/test-jobs-memory.c
@@ -115,7 +115,10 @@
 	jobs_fixture_tear_down(&f);
 }
 
-/* Waits until another VM owns the jobs; returns the most memory meanwhile. */
+/*
+ * Runs until the first jobs are completed, and kills the owner after a time
+ * (-1: never). Returns the most memory of an owner's jobs meanwhile.
+ */
 static uint64_t run_all(struct jobs_fixture *f, int jobs, int64_t kill_at_ms)
 {
 	uint64_t start = clock_now_us(), most = 0;
--- a/tests/test-sched-incarnation.c
+++ b/tests/test-sched-incarnation.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <string.h>
 
 #include "log.h"
@@ -103,8 +102,6 @@
 			job_model_run(m, 28000);
 			CU_ASSERT_EQUAL(job_model_state(m, j),
 					SCHED_JOB_COMPLETED);
-			printf("first=%d change=%d state=%d ", first, change,
-			       job_model_state(m, j));
 			CU_ASSERT_EQUAL(m->faults.duplicate_runs, 0);
 			CU_ASSERT_EQUAL(m->faults.restarts_after_done, 0);
 			job_model_free(m);
