job-owner-cancel: cancellations of jobs that are not read, in a file of their own

No change of behaviour; the tests of these modules, test-job-cancel, test-jobs-removal and test-jobs-takeover pass.

--- a/src/job-owner-internal.h
+++ b/src/job-owner-internal.h
@@ -16,6 +16,7 @@
  * DESCRIPTION
  *	job-owner.c elects the owner and renews its lease. job-owner-store.c
  *	loads the stored jobs; job-owner-commit.c commits changed records.
+ *	job-owner-cancel.c keeps cancellations of jobs that are not read yet,
  *	job-owner-defer.c leaves jobs in the store for which there is no memory.
  *	job-owner-silent.c reads and writes the record of silent workers,
  *	job-owner-summary.c that of the queues' waits. Every transaction of an
@@ -292,6 +293,18 @@
 /* All jobs are loaded that have to be: the owner acts from now on. */
 void job_owner_loaded(struct job_owner *o);
 
+/* ---- job-owner-cancel.c ---- */
+void job_owner_add_cancel(struct job_owner *o, const char *id,
+			  uint64_t revision);
+void job_owner_drop_cancel(struct job_owner *o, const char *id);
+/* Cancels the jobs that have been read meanwhile. */
+void job_owner_apply_cancels(struct job_owner *o);
+/*
+ * Earlier versions stored a cancellation also if its job had been removed in
+ * the meantime. It would cancel another one with the same id.
+ */
+void job_owner_remove_orphaned_cancels(struct job_owner *o);
+
 /* ---- job-owner-defer.c, see also job-node.h ---- */
 /* The key was received, or deleted. */
 void job_owner_full_item(struct job_owner *o, const struct kv_item *item);
--- a/src/job-owner-store.c
+++ b/src/job-owner-store.c
@@ -170,70 +170,7 @@
 	job_owner_schedule_tick(o);
 }
 
-/* ---- specifications and cancellations ---- */
-
-static void add_pending_cancel(struct job_owner *o, const char *id,
-			       uint64_t revision)
-{
-	struct pending_cancel *c;
-
-	o->pending_cancels = xrealloc(
-		o->pending_cancels, (o->pending_cancel_count + 1) * sizeof(*c));
-	c = &o->pending_cancels[o->pending_cancel_count++];
-	snprintf(c->id, sizeof(c->id), "%s", id);
-	c->revision = revision;
-}
-
-static void drop_pending_cancel(struct job_owner *o, const char *id)
-{
-	for (size_t i = 0; i < o->pending_cancel_count; i++)
-		if (!strcmp(o->pending_cancels[i].id, id))
-			o->pending_cancels[i--] =
-				o->pending_cancels[--o->pending_cancel_count];
-}
-
-static void apply_pending_cancels(struct job_owner *o)
-{
-	size_t kept = 0;
-
-	for (size_t i = 0; i < o->pending_cancel_count; i++) {
-		struct pending_cancel *c = &o->pending_cancels[i];
-
-		if (sched_has_job(o->sched, c->id))
-			sched_cancel(o->sched, c->id, clock_now_us(),
-				     wall_ms());
-		else
-			o->pending_cancels[kept++] = *c;
-	}
-	o->pending_cancel_count = kept;
-}
-
-/*
- * Earlier versions stored a cancellation also if its job had been removed in
- * the meantime. It would cancel another one with the same id.
- */
-static void remove_orphaned_cancels(struct job_owner *o)
-{
-	for (size_t i = 0;
-	     i < o->pending_cancel_count && i < ORPHAN_REMOVALS_MAX; i++) {
-		const struct pending_cancel *c = &o->pending_cancels[i];
-		char spec_key[KV_KEY_BYTES], key[KV_KEY_BYTES];
-		const char *removes[1] = { key };
-		struct kv_condition expect[2] = { { spec_key, 0 },
-						  { key, c->revision } };
-		struct kv_txn t = { .conditions = expect,
-				    .condition_count = 2,
-				    .removes = removes,
-				    .remove_count = 1 };
-
-		snprintf(spec_key, sizeof(spec_key), JOB_SPEC_PREFIX "%s",
-			 c->id);
-		snprintf(key, sizeof(key),
-			 JOB_SPEC_PREFIX "%s" JOB_CANCEL_SUFFIX, c->id);
-		log_event(LOG_INFO, "cancellation-orphaned", "job=%s", c->id);
-		o->node->kv->ops->txn(o->node->kv, &t, ignore_reply, NULL);
-	}
-}
+/* ---- specifications ---- */
 
 static bool decode_job(struct job_spec *spec, const struct kv_item *item)
 {
@@ -255,7 +192,7 @@
 			  (long long)(wall_ms() - spec->accepted_wall_ms));
 	sched_submit(o->sched, spec, clock_now_us());
 	if (o->state == OWNER_ACTIVE)
-		apply_pending_cancels(o);
+		job_owner_apply_cancels(o);
 }
 
 void job_owner_submit(struct job_owner *o, const struct kv_item *item)
@@ -284,15 +221,15 @@
 			   const struct kv_item *item)
 {
 	if (item->deleted) {
-		drop_pending_cancel(o, id);
+		job_owner_drop_cancel(o, id);
 		return;
 	}
 	log_event(LOG_INFO, "job-cancelled", "job=%s", id);
-	add_pending_cancel(o, id, item->revision);
+	job_owner_add_cancel(o, id, item->revision);
 	if (o->state == OWNER_ACTIVE)
 		job_deferred_set_due(&o->deferred, id);
 	if (o->state == OWNER_ACTIVE)
-		apply_pending_cancels(o);
+		job_owner_apply_cancels(o);
 }
 
 static void on_spec_item(void *arg, const struct kv_item *item)
@@ -429,8 +366,8 @@
 	struct sched_stats st;
 
 	sched_restored(o->sched);
-	apply_pending_cancels(o);
-	remove_orphaned_cancels(o);
+	job_owner_apply_cancels(o);
+	job_owner_remove_orphaned_cancels(o);
 	for (size_t i = 0; i < o->pending_cancel_count; i++)
 		job_deferred_set_due(&o->deferred, o->pending_cancels[i].id);
 	o->state = OWNER_ACTIVE;
