--- a/tests/test-jobs-memory.c
+++ b/tests/test-jobs-memory.c
@@ -187,6 +187,11 @@
 	for (int i = 0; i < ENTRIES; i++)
 		CU_ASSERT(waiting(&f, i) > JOBS_MAX / 3);
 	CU_ASSERT(jobs_bytes(&f) <= LOADED_MAX_BYTES);
+	/* Reads of jobs fail for less time than the owner's lease lasts. */
+	jobs_platform_faults(f.platform)->refuse = true;
+	jobs_fixture_run(&f, 800);
+	jobs_platform_faults(f.platform)->refuse = false;
+	jobs_fixture_run(&f, 500);
 	/* One that is not read yet is cancelled, and known as such. */
 	CU_ASSERT_EQUAL(jobs_fixture_request(&f, owner, "DELETE",
 					     path_of(JOBS_MAX - 1), NULL),
